--- /dev/null
+++ b/net/src/client_connection.h
@@ -0,0 +1,115 @@
+#ifndef CARAWAYVALVE_NET_SRC_CLIENT_CONNECTION_H_
+#define CARAWAYVALVE_NET_SRC_CLIENT_CONNECTION_H_
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "carawayvalve/net/http_client.h"
+#include "loop_state.h"
+#include "message_parser.h"
+
+namespace carawayvalve::net::detail {
+
+using Endpoint = tcp::endpoint;
+
+// The connections of one client.
+class ClientState : public std::enable_shared_from_this<ClientState> {
+ public:
+  ClientState(EventLoop& loop, base::Duration keep_time);
+
+  // Returns an idle connection, null when there is none.
+  std::shared_ptr<ClientConnection> TakeIdle(const Endpoint& endpoint);
+  void PutIdle(const std::shared_ptr<ClientConnection>& connection,
+               base::Instant until);
+  void Remove(const std::shared_ptr<ClientConnection>& connection);
+  void Forget(const Endpoint& endpoint);
+  void CloseAll();
+  void Sweep();
+  int64_t kept() const;
+
+  EventLoop& loop;
+  base::Duration keep_time;
+  int64_t connects = 0;
+  std::set<std::shared_ptr<ClientConnection>> open;
+
+ private:
+  struct Idle {
+    std::shared_ptr<ClientConnection> connection;
+    base::Instant until;
+  };
+
+  std::map<Endpoint, std::vector<Idle>> idle;
+  Timer sweep_timer;
+  bool sweeping = false;
+};
+
+// One connection to a server, for one call at a time.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(std::shared_ptr<ClientState> client,
+                   const Endpoint& endpoint);
+
+  void Begin(const Request& request,
+             const CallOptions& options,
+             HttpClient::Handler handler);
+  // Ends the call without an event and closes.
+  void Cancel();
+  void Close();
+  void Fail(const std::string& reason, bool reset);
+  void SetPaused(bool paused);
+  const Endpoint& endpoint() const { return this->peer; }
+  // The number of the call under way, 0 when there is none.
+  int64_t call_number() const {
+    return this->handler == nullptr ? 0 : this->calls;
+  }
+
+ private:
+  void Connect(base::Duration timeout);
+  void OnConnected(const error_code& error);
+  void SendRequest();
+  void Flush();
+  void Receive();
+  void OnReceived(const error_code& error, size_t size);
+  void TakeInput();
+  bool TakeMessage();
+  void OnMessageEnd();
+  void OnEnd();
+  void Finish();
+  void Emit(const CallEvent& event);
+  void ResetParser();
+
+  std::shared_ptr<ClientState> client;
+  Endpoint peer;
+  tcp::socket socket;
+  Timer connect_timer;
+  base::Instant began;
+
+  bool connected = false;
+  bool closed = false;
+  bool used_before = false;
+  bool receiving = false;
+  bool paused = false;
+  bool sent = false;
+  bool writing = false;
+  std::string output;
+  std::array<char, 8192> buffer{};
+  std::string input;
+  std::optional<ResponseParser> parser;
+
+  // The call under way; no handler when there is none.
+  HttpClient::Handler handler;
+  int64_t calls = 0;
+  HeaderField echo;
+  bool head_request = false;
+  bool head_told = false;
+  bool skipping = false;
+};
+
+}  // namespace carawayvalve::net::detail
+
+#endif  // CARAWAYVALVE_NET_SRC_CLIENT_CONNECTION_H_
--- /dev/null
+++ b/net/src/event_loop.cc
@@ -0,0 +1,102 @@
+#include "carawayvalve/net/event_loop.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include "loop_state.h"
+
+namespace carawayvalve::net {
+
+namespace detail {
+
+namespace {
+
+// A peer that acknowledges nothing for so long is taken for gone; lost packets
+// are sent again several times within it.
+constexpr int kUserTimeoutMs = 2500;
+
+}  // namespace
+
+struct TimerState {
+  explicit TimerState(asio::io_context& context) : timer(context) {}
+
+  asio::steady_timer timer;
+  // Tells a cancelled wait whose handler is queued already from a new one.
+  int64_t generation = 0;
+};
+
+void SetUpSocket(tcp::socket& socket) {
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  const int timeout_ms = kUserTimeoutMs;
+  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+             sizeof(timeout_ms));
+}
+
+}  // namespace detail
+
+EventLoop::EventLoop() : loop(std::make_unique<detail::LoopState>()) {}
+EventLoop::~EventLoop() = default;
+
+void EventLoop::Run() {
+  const auto work = boost::asio::make_work_guard(this->loop->context);
+  this->loop->context.run();
+}
+
+void EventLoop::Stop() {
+  this->loop->context.stop();
+}
+
+void EventLoop::Post(std::function<void()> handler) {
+  boost::asio::post(this->loop->context, std::move(handler));
+}
+
+void EventLoop::OnSignals(const std::vector<int>& signals,
+                          std::function<void(int)> handler) {
+  if (!this->loop->signals.has_value()) {
+    this->loop->signals.emplace(this->loop->context);
+    for (const int number : signals) {
+      this->loop->signals->add(number);
+    }
+  }
+  this->loop->signals->async_wait(
+      [this, signals, handler = std::move(handler)](
+          const detail::error_code& error, int number) mutable {
+        if (error) {
+          return;
+        }
+        handler(number);
+        this->OnSignals(signals, std::move(handler));
+      });
+}
+
+Timer::Timer(EventLoop& loop)
+    : timer(std::make_shared<detail::TimerState>(loop.state().context)) {}
+
+Timer::~Timer() {
+  if (this->timer != nullptr) {
+    this->Cancel();
+  }
+}
+
+Timer::Timer(Timer&&) noexcept = default;
+Timer& Timer::operator=(Timer&&) noexcept = default;
+
+void Timer::Start(base::Duration wait, std::function<void()> handler) {
+  const int64_t generation = ++this->timer->generation;
+  this->timer->timer.expires_after(wait);
+  this->timer->timer.async_wait(
+      [state = this->timer, generation,
+       handler = std::move(handler)](const detail::error_code& error) {
+        if (!error && state->generation == generation) {
+          handler();
+        }
+      });
+}
+
+void Timer::Cancel() {
+  ++this->timer->generation;
+  this->timer->timer.cancel();
+}
+
+}  // namespace carawayvalve::net
--- /dev/null
+++ b/net/src/http_client.cc
@@ -0,0 +1,84 @@
+#include "carawayvalve/net/http_client.h"
+
+#include <utility>
+
+#include "client_connection.h"
+
+namespace carawayvalve::net {
+
+Call::Call(std::weak_ptr<detail::ClientConnection> connection, int64_t number)
+    : connection(std::move(connection)), number(number) {}
+
+Call::~Call() {
+  this->Cancel();
+}
+
+std::shared_ptr<detail::ClientConnection> Call::Open() const {
+  auto open = this->connection.lock();
+  if (open != nullptr && open->call_number() == this->number) {
+    return open;
+  }
+  return nullptr;
+}
+
+void Call::Cancel() {
+  if (const auto open = this->Open()) {
+    open->Cancel();
+  }
+  this->connection.reset();
+}
+
+void Call::Pause() {
+  if (const auto open = this->Open()) {
+    open->SetPaused(true);
+  }
+}
+
+void Call::Resume() {
+  if (const auto open = this->Open()) {
+    open->SetPaused(false);
+  }
+}
+
+HttpClient::HttpClient(EventLoop& loop, base::Duration keep_time)
+    : client(std::make_shared<detail::ClientState>(loop, keep_time)) {}
+
+HttpClient::~HttpClient() {
+  this->client->CloseAll();
+}
+
+std::unique_ptr<Call> HttpClient::Start(const base::Address& address,
+                                        const Request& request,
+                                        const CallOptions& options,
+                                        Handler handler) {
+  const auto endpoint = detail::ToEndpoint<detail::Endpoint>(address);
+  std::shared_ptr<detail::ClientConnection> connection;
+  if (!options.fresh_connection) {
+    connection = this->client->TakeIdle(endpoint);
+  }
+  if (connection == nullptr) {
+    connection =
+        std::make_shared<detail::ClientConnection>(this->client, endpoint);
+    this->client->open.insert(connection);
+  }
+  connection->Begin(request, options, std::move(handler));
+  return std::make_unique<Call>(connection, connection->call_number());
+}
+
+void HttpClient::Forget(const base::Address& address) {
+  this->client->Forget(detail::ToEndpoint<detail::Endpoint>(address));
+}
+
+void HttpClient::CloseAll() {
+  this->client->CloseAll();
+}
+
+int64_t HttpClient::connects() const {
+  return this->client->connects;
+}
+
+int64_t HttpClient::kept() const {
+  return this->client->kept();
+}
+
+}  // namespace carawayvalve::net
--- /dev/null
+++ b/net/src/http_server.cc
@@ -0,0 +1,149 @@
+#include "carawayvalve/net/http_server.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "server_connection.h"
+
+namespace carawayvalve::net {
+
+namespace {
+
+bool MayHaveBody(int status) {
+  return status >= 200 && status != 204 && status != 304;
+}
+
+std::string PrintChunk(std::string_view data) {
+  std::array<char, 16> size{};
+  const auto end =
+      std::to_chars(size.data(), size.data() + size.size(), data.size(), 16);
+  std::string chunk(size.data(), end.ptr);
+  chunk += "\r\n";
+  chunk += data;
+  chunk += "\r\n";
+  return chunk;
+}
+
+}  // namespace
+
+Exchange::Exchange(std::shared_ptr<detail::ServerConnection> connection,
+                   Request request,
+                   base::Instant first_byte)
+    : connection(std::move(connection)),
+      message(std::move(request)),
+      arrival(first_byte),
+      complete(base::Now()) {}
+
+Exchange::~Exchange() {
+  if (!this->answer_ended) {
+    this->on_gone = nullptr;
+    this->Abort();
+  }
+}
+
+void Exchange::Respond(const Response& response) {
+  if (this->answer_ended) {
+    return;
+  }
+  HeaderFields framing;
+  const bool bodiless = this->message.method == "HEAD";
+  const bool may_have_body = MayHaveBody(response.head.status);
+  if (may_have_body) {
+    framing.push_back({"Content-Length", std::to_string(response.body.size())});
+  }
+  if (this->connection->DecideClose()) {
+    framing.push_back({"Connection", "close"});
+  }
+  std::string text = PrintResponseHead(response.head, framing);
+  if (may_have_body && !bodiless) {
+    text += response.body;
+  }
+  this->answer_begun = true;
+  this->answer_ended = true;
+  this->connection->Write(text);
+  this->connection->EndAnswer();
+}
+
+void Exchange::Begin(const ResponseHead& head) {
+  HeaderFields framing = {{"Transfer-Encoding", "chunked"}};
+  if (this->connection->DecideClose()) {
+    framing.push_back({"Connection", "close"});
+  }
+  this->answer_begun = true;
+  this->connection->Write(PrintResponseHead(head, framing));
+}
+
+void Exchange::Send(std::string_view data) {
+  if (!data.empty() && !this->answer_ended) {
+    this->connection->Write(PrintChunk(data));
+  }
+}
+
+void Exchange::Finish() {
+  if (this->answer_ended) {
+    return;
+  }
+  this->answer_ended = true;
+  this->connection->Write("0\r\n\r\n");
+  this->connection->EndAnswer();
+}
+
+void Exchange::Abort() {
+  this->answer_ended = true;
+  this->connection->Close();
+}
+
+void Exchange::OnGone(std::function<void()> handler) {
+  this->on_gone = std::move(handler);
+}
+
+size_t Exchange::unsent() const {
+  return this->connection->unsent();
+}
+
+void Exchange::NoteGone() {
+  this->caller_gone = true;
+  if (this->answer_ended) {
+    return;
+  }
+  this->answer_ended = true;
+  if (const auto handler = std::exchange(this->on_gone, nullptr)) {
+    handler();
+  }
+}
+
+HttpServer::HttpServer(EventLoop& loop,
+                       const base::Address& address,
+                       Handler handler)
+    : server(std::make_shared<detail::ServerState>(loop,
+                                                   address,
+                                                   std::move(handler))) {
+  this->server->Start();
+}
+
+HttpServer::~HttpServer() {
+  this->server->Close();
+}
+
+void HttpServer::SetLimits(const Limits& limits) {
+  this->server->limits = limits;
+}
+
+void HttpServer::CloseAfterAnswers() {
+  this->server->close_after_answers = true;
+}
+
+void HttpServer::CloseIdle() {
+  this->server->CloseIdle();
+}
+
+size_t HttpServer::connections() const {
+  return this->server->connections();
+}
+
+uint16_t HttpServer::port() const {
+  return this->server->port();
+}
+
+}  // namespace carawayvalve::net
--- /dev/null
+++ b/net/src/loop_state.h
@@ -0,0 +1,52 @@
+#ifndef CARAWAYVALVE_NET_SRC_LOOP_STATE_H_
+#define CARAWAYVALVE_NET_SRC_LOOP_STATE_H_
+
+// Asio of Debian 12 uses std::exchange without including it.
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <optional>
+
+#include "carawayvalve/base/address.h"
+#include "carawayvalve/base/error.h"
+#include "carawayvalve/net/event_loop.h"
+
+namespace carawayvalve::net::detail {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+using boost::system::error_code;
+
+struct LoopState {
+  // One thread runs the loop, so Asio needs no locks.
+  asio::io_context context{1};
+  std::optional<asio::signal_set> signals;
+};
+
+// Returns the IPv4 number of an address. Throws base::Error for a host name.
+inline asio::ip::address_v4 ToIpNumber(const base::Address& address) {
+  error_code error;
+  const auto number = asio::ip::make_address_v4(address.host, error);
+  if (error) {
+    throw base::Error("read address", address.host, error.message());
+  }
+  return number;
+}
+
+template <typename Endpoint>
+Endpoint ToEndpoint(const base::Address& address) {
+  return Endpoint(ToIpNumber(address), address.port);
+}
+
+// Sends small messages at once, and gives a peer up that doesn't acknowledge
+// what was sent to it. Failures are ignored: the socket works without.
+void SetUpSocket(tcp::socket& socket);
+
+}  // namespace carawayvalve::net::detail
+
+#endif  // CARAWAYVALVE_NET_SRC_LOOP_STATE_H_
--- /dev/null
+++ b/net/src/message_parser.h
@@ -0,0 +1,109 @@
+#ifndef CARAWAYVALVE_NET_SRC_MESSAGE_PARSER_H_
+#define CARAWAYVALVE_NET_SRC_MESSAGE_PARSER_H_
+
+// Asio of Debian 12 uses std::exchange without including it.
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <string>
+
+#include "carawayvalve/net/message.h"
+
+namespace carawayvalve::net::detail {
+
+// Reads one HTTP/1.1 message by Beast's parser, piece by piece.
+template <bool kIsRequest>
+class MessageParser : public boost::beast::http::basic_parser<kIsRequest> {
+ public:
+  using Error = boost::beast::error_code;
+
+  MessageParser() { this->eager(true); }
+
+  // Takes from the front of `input` what belongs to this message. Returns what
+  // is wrong with it, if anything is.
+  Error Read(std::string& input) {
+    Error error;
+    size_t used = 0;
+    while (used < input.size() && !this->is_done()) {
+      const size_t taken = this->put(
+          boost::asio::buffer(input.data() + used, input.size() - used), error);
+      used += taken;
+      if (error == boost::beast::http::error::need_more) {
+        error = {};
+        break;
+      }
+      if (error || taken == 0) {
+        break;
+      }
+    }
+    input.erase(0, used);
+    return error;
+  }
+
+  // What was read so far.
+  std::string method;
+  std::string target;
+  int status = 0;
+  // 11 for HTTP/1.1.
+  int http_version = 0;
+  HeaderFields fields;
+  std::string body;
+
+ private:
+  using View = boost::beast::string_view;
+
+  static std::string ToString(View view) {
+    return std::string(view.data(), view.size());
+  }
+
+  void on_request_impl(boost::beast::http::verb /*verb*/,
+                       View method_text,
+                       View target_text,
+                       int version,
+                       Error& /*error*/) override {
+    this->http_version = version;
+    this->method = ToString(method_text);
+    this->target = ToString(target_text);
+  }
+  void on_response_impl(int code,
+                        View /*reason*/,
+                        int /*version*/,
+                        Error& /*error*/) override {
+    this->status = code;
+  }
+  void on_field_impl(boost::beast::http::field /*field*/,
+                     View name,
+                     View value,
+                     Error& /*error*/) override {
+    // Trailers are dropped.
+    if (!this->is_header_done()) {
+      this->fields.push_back({ToString(name), ToString(value)});
+    }
+  }
+  void on_header_impl(Error& /*error*/) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                         Error& /*error*/) override {}
+  size_t on_body_impl(View data, Error& /*error*/) override {
+    this->body.append(data.data(), data.size());
+    return data.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/,
+                            View /*extensions*/,
+                            Error& /*error*/) override {}
+  size_t on_chunk_body_impl(std::uint64_t /*remain*/,
+                            View data,
+                            Error& /*error*/) override {
+    this->body.append(data.data(), data.size());
+    return data.size();
+  }
+  void on_finish_impl(Error& /*error*/) override {}
+};
+
+using RequestParser = MessageParser<true>;
+using ResponseParser = MessageParser<false>;
+
+}  // namespace carawayvalve::net::detail
+
+#endif  // CARAWAYVALVE_NET_SRC_MESSAGE_PARSER_H_
--- /dev/null
+++ b/net/src/server_connection.cc
@@ -0,0 +1,358 @@
+#include "server_connection.h"
+
+#include <utility>
+
+#include "carawayvalve/base/error.h"
+
+namespace carawayvalve::net::detail {
+
+namespace {
+
+// How often silent connections are looked for.
+constexpr base::Milliseconds kSweepInterval(250);
+// How long a closed connection may still send what was under way.
+constexpr std::chrono::seconds kLingerTime(1);
+// What it may still send; more is taken for an attack.
+constexpr size_t kMaxDiscardedBytes = size_t{8} * 1024 * 1024;
+// Beyond this many bytes of later requests nothing is read during an answer.
+constexpr size_t kMaxPipelinedBytes = size_t{64} * 1024;
+constexpr base::Milliseconds kAcceptRetryInterval(50);
+constexpr int kBacklog = 512;
+constexpr int kHttp11 = 11;
+
+int StatusOf(const boost::beast::error_code& error) {
+  namespace http = boost::beast::http;
+  if (error == http::error::header_limit) {
+    return 431;
+  }
+  if (error == http::error::body_limit) {
+    return 413;
+  }
+  return 400;
+}
+
+// Framing that two readers could take differently is refused: a second request
+// might be hidden in the body of the first.
+bool HasDoubtfulFraming(const RequestParser& parser) {
+  const int64_t lengths = CountFields(parser.fields, "Content-Length");
+  const int64_t encodings = CountFields(parser.fields, "Transfer-Encoding");
+  if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0)) {
+    return true;
+  }
+  const std::string* encoding = FindField(parser.fields, "Transfer-Encoding");
+  return encoding != nullptr && !SameName(*encoding, "chunked");
+}
+
+}  // namespace
+
+ServerState::ServerState(EventLoop& loop,
+                         const base::Address& address,
+                         HttpServer::Handler handler)
+    : loop(loop),
+      handler(std::move(handler)),
+      acceptor(loop.state().context),
+      sweep_timer(loop),
+      accept_timer(loop) {
+  try {
+    const auto endpoint = ToEndpoint<tcp::endpoint>(address);
+    this->acceptor.open(endpoint.protocol());
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+    this->acceptor.bind(endpoint);
+    this->acceptor.listen(kBacklog);
+  } catch (const boost::system::system_error& error) {
+    throw base::Error("listen",
+                      address.host + ":" + std::to_string(address.port),
+                      error.what());
+  }
+}
+
+void ServerState::Start() {
+  this->Accept();
+  this->Sweep();
+}
+
+void ServerState::Close() {
+  error_code ignored;
+  this->acceptor.close(ignored);
+  this->sweep_timer.Cancel();
+  this->accept_timer.Cancel();
+  const auto connections = this->open;
+  for (const auto& connection : connections) {
+    connection->Close();
+  }
+}
+
+void ServerState::Sweep() {
+  const base::Instant now = base::Now();
+  const auto connections = this->open;
+  for (const auto& connection : connections) {
+    connection->CheckSilence(now);
+  }
+  this->sweep_timer.Start(kSweepInterval, [this] { this->Sweep(); });
+}
+
+void ServerState::CloseIdle() {
+  const auto connections = this->open;
+  for (const auto& connection : connections) {
+    if (connection->idle()) {
+      connection->Close();
+    }
+  }
+}
+
+void ServerState::Accept() {
+  this->acceptor.async_accept([self = this->shared_from_this()](
+                                  const error_code& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      // Mostly too many open descriptors: some will be closed soon.
+      self->accept_timer.Start(kAcceptRetryInterval,
+                               [self] { self->Accept(); });
+      return;
+    }
+    const auto connection =
+        std::make_shared<ServerConnection>(self, std::move(socket));
+    self->open.insert(connection);
+    connection->Start();
+    self->Accept();
+  });
+}
+
+ServerConnection::ServerConnection(std::shared_ptr<ServerState> server,
+                                   tcp::socket socket)
+    : server(std::move(server)),
+      socket(std::move(socket)),
+      last_activity(base::Now()) {}
+
+void ServerConnection::Start() {
+  SetUpSocket(this->socket);
+  error_code ignored;
+  this->socket.non_blocking(true, ignored);
+  this->Receive();
+}
+
+void ServerConnection::Close() {
+  if (this->phase == Phase::kClosed) {
+    return;
+  }
+  this->phase = Phase::kClosed;
+  const auto self = this->shared_from_this();
+  error_code ignored;
+  this->socket.close(ignored);
+  this->server->open.erase(self);
+  if (const auto answering = this->exchange.lock()) {
+    answering->NoteGone();
+  }
+}
+
+void ServerConnection::CheckSilence(base::Instant now) {
+  const base::Duration silent = now - this->last_activity;
+  switch (this->phase) {
+    case Phase::kIdle:
+      if (silent > this->server->limits.idle_timeout) {
+        this->Close();
+      }
+      return;
+    case Phase::kReadingHead:
+      if (now - this->first_byte > this->server->limits.header_timeout) {
+        this->Reject(408);
+      }
+      return;
+    case Phase::kReadingBody:
+      if (silent > this->server->limits.idle_timeout) {
+        this->Reject(408);
+      }
+      return;
+    case Phase::kLingering:
+      if (silent > kLingerTime) {
+        this->Close();
+      }
+      return;
+    case Phase::kAnswering:
+    case Phase::kClosed:
+      return;
+  }
+}
+
+void ServerConnection::Receive() {
+  if (this->receiving || this->phase == Phase::kClosed) {
+    return;
+  }
+  this->receiving = true;
+  this->socket.async_read_some(
+      asio::buffer(this->buffer),
+      [self = this->shared_from_this()](const error_code& error, size_t size) {
+        self->receiving = false;
+        self->OnReceived(error, size);
+      });
+}
+
+void ServerConnection::OnReceived(const error_code& error, size_t size) {
+  if (this->phase == Phase::kClosed) {
+    return;
+  }
+  if (error) {
+    this->Close();
+    return;
+  }
+  if (this->phase == Phase::kLingering) {
+    this->discarded += size;
+    if (this->discarded > kMaxDiscardedBytes) {
+      this->Close();
+      return;
+    }
+    this->Receive();
+    return;
+  }
+  this->last_activity = base::Now();
+  this->input.append(this->buffer.data(), size);
+  if (this->phase != Phase::kAnswering) {
+    this->TakeInput();
+  }
+  if (this->phase != Phase::kAnswering ||
+      this->input.size() < kMaxPipelinedBytes) {
+    this->Receive();
+  }
+}
+
+void ServerConnection::TakeInput() {
+  if (this->phase == Phase::kIdle && !this->input.empty()) {
+    this->phase = Phase::kReadingHead;
+    this->first_byte = this->last_activity;
+    this->continue_sent = false;
+    this->parser.emplace();
+    const HttpServer::Limits& limits = this->server->limits;
+    this->parser->header_limit(static_cast<uint32_t>(limits.max_header_bytes));
+    this->parser->body_limit(static_cast<uint64_t>(limits.max_body_bytes));
+  }
+  if (!this->parser.has_value()) {
+    return;
+  }
+  const auto error = this->parser->Read(this->input);
+  if (error) {
+    this->Reject(StatusOf(error));
+    return;
+  }
+  if (this->phase == Phase::kReadingHead && this->parser->is_header_done()) {
+    this->OnHead();
+  }
+  if (this->phase == Phase::kReadingBody && this->parser->is_done()) {
+    this->OnRequest();
+  }
+}
+
+void ServerConnection::OnHead() {
+  if (HasDoubtfulFraming(*this->parser) ||
+      this->parser->http_version != kHttp11) {
+    this->Reject(400);
+    return;
+  }
+  this->phase = Phase::kReadingBody;
+  const std::string* expected = FindField(this->parser->fields, "Expect");
+  if (expected != nullptr && !this->parser->is_done() && !this->continue_sent) {
+    this->continue_sent = true;
+    this->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void ServerConnection::OnRequest() {
+  this->phase = Phase::kAnswering;
+  this->keep_alive = this->parser->keep_alive();
+  Request request{
+      std::move(this->parser->method), std::move(this->parser->target),
+      std::move(this->parser->fields), std::move(this->parser->body)};
+  this->parser.reset();
+  const auto answering = std::make_shared<Exchange>(
+      this->shared_from_this(), std::move(request), this->first_byte);
+  this->exchange = answering;
+  this->server->handler(answering);
+}
+
+void ServerConnection::Reject(int status) {
+  this->closing = true;
+  this->parser.reset();
+  this->phase = Phase::kAnswering;
+  this->Write(PrintResponseHead(
+      {status, {}}, {{"Content-Length", "0"}, {"Connection", "close"}}));
+  this->EndAnswer();
+}
+
+void ServerConnection::Write(std::string_view data) {
+  if (this->phase == Phase::kClosed) {
+    return;
+  }
+  this->output.append(data);
+  if (!this->writing) {
+    this->Flush();
+  }
+}
+
+void ServerConnection::Flush() {
+  error_code error;
+  const size_t sent =
+      this->socket.write_some(asio::buffer(this->output), error);
+  this->output.erase(0, sent);
+  if (error && error != asio::error::would_block) {
+    this->Close();
+    return;
+  }
+  if (!this->output.empty()) {
+    this->writing = true;
+    this->socket.async_wait(
+        tcp::socket::wait_write,
+        [self = this->shared_from_this()](const error_code& waited) {
+          self->OnWritable(waited);
+        });
+    return;
+  }
+  if (this->linger_when_written) {
+    this->Linger();
+  }
+}
+
+void ServerConnection::OnWritable(const error_code& error) {
+  this->writing = false;
+  if (this->phase == Phase::kClosed) {
+    return;
+  }
+  if (error) {
+    this->Close();
+    return;
+  }
+  this->Flush();
+}
+
+void ServerConnection::EndAnswer() {
+  if (this->phase != Phase::kAnswering) {
+    return;
+  }
+  this->exchange.reset();
+  this->last_activity = base::Now();
+  if (this->closing) {
+    this->linger_when_written = true;
+    if (this->output.empty()) {
+      this->Linger();
+    }
+    return;
+  }
+  this->phase = Phase::kIdle;
+  // Not from here: the caller of EndAnswer still works on its exchange.
+  this->server->loop.Post([self = this->shared_from_this()] {
+    if (self->phase == Phase::kIdle && !self->input.empty()) {
+      self->TakeInput();
+    }
+    self->Receive();
+  });
+}
+
+void ServerConnection::Linger() {
+  this->phase = Phase::kLingering;
+  this->last_activity = base::Now();
+  error_code ignored;
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  this->Receive();
+}
+
+}  // namespace carawayvalve::net::detail
--- a/platform/include/carawayvalve/platform/backend_servers.h
+++ b/systems/include/carawayvalve/systems/backend_servers.h
@@ -1,5 +1,5 @@
-#ifndef CARAWAYVALVE_PLATFORM_BACKEND_SERVERS_H_
-#define CARAWAYVALVE_PLATFORM_BACKEND_SERVERS_H_
+#ifndef CARAWAYVALVE_SYSTEMS_BACKEND_SERVERS_H_
+#define CARAWAYVALVE_SYSTEMS_BACKEND_SERVERS_H_
 
 #include <cstdint>
 #include <string>
@@ -8,7 +8,7 @@
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/base/time.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 enum class BackendServerState { kStarting, kRunning, kStopping };
 
@@ -51,6 +51,6 @@
   std::string address;
 };
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
 
-#endif  // CARAWAYVALVE_PLATFORM_BACKEND_SERVERS_H_
+#endif  // CARAWAYVALVE_SYSTEMS_BACKEND_SERVERS_H_
--- a/platform/include/carawayvalve/platform/engine.h
+++ b/systems/include/carawayvalve/systems/engine.h
@@ -1,5 +1,5 @@
-#ifndef CARAWAYVALVE_PLATFORM_ENGINE_H_
-#define CARAWAYVALVE_PLATFORM_ENGINE_H_
+#ifndef CARAWAYVALVE_SYSTEMS_ENGINE_H_
+#define CARAWAYVALVE_SYSTEMS_ENGINE_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,7 +9,7 @@
 
 #include "carawayvalve/base/time.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 struct Generation {
   std::string id;
@@ -109,6 +109,6 @@
   std::string address;
 };
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
 
-#endif  // CARAWAYVALVE_PLATFORM_ENGINE_H_
+#endif  // CARAWAYVALVE_SYSTEMS_ENGINE_H_
--- a/platform/include/carawayvalve/platform/host_list.h
+++ b/systems/include/carawayvalve/systems/host_list.h
@@ -1,12 +1,12 @@
-#ifndef CARAWAYVALVE_PLATFORM_HOST_LIST_H_
-#define CARAWAYVALVE_PLATFORM_HOST_LIST_H_
+#ifndef CARAWAYVALVE_SYSTEMS_HOST_LIST_H_
+#define CARAWAYVALVE_SYSTEMS_HOST_LIST_H_
 
 #include <string>
 #include <vector>
 
 #include "carawayvalve/base/ids.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 enum class HostRole { kEntry, kBackend };
 
@@ -37,6 +37,6 @@
   std::string address;
 };
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
 
-#endif  // CARAWAYVALVE_PLATFORM_HOST_LIST_H_
+#endif  // CARAWAYVALVE_SYSTEMS_HOST_LIST_H_
--- a/platform/include/carawayvalve/platform/http_client.h
+++ b/systems/include/carawayvalve/systems/http_client.h
@@ -1,5 +1,5 @@
-#ifndef CARAWAYVALVE_PLATFORM_HTTP_CLIENT_H_
-#define CARAWAYVALVE_PLATFORM_HTTP_CLIENT_H_
+#ifndef CARAWAYVALVE_SYSTEMS_HTTP_CLIENT_H_
+#define CARAWAYVALVE_SYSTEMS_HTTP_CLIENT_H_
 
 #include <functional>
 #include <string>
@@ -8,7 +8,7 @@
 
 #include "carawayvalve/base/time.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 using HttpHeader = std::pair<std::string, std::string>;
 
@@ -63,6 +63,6 @@
 std::string FindHeader(const std::vector<HttpHeader>& headers,
                        const std::string& name);
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
 
-#endif  // CARAWAYVALVE_PLATFORM_HTTP_CLIENT_H_
+#endif  // CARAWAYVALVE_SYSTEMS_HTTP_CLIENT_H_
--- a/platform/include/carawayvalve/platform/object_api.h
+++ b/systems/include/carawayvalve/systems/object_api.h
@@ -1,5 +1,5 @@
-#ifndef CARAWAYVALVE_PLATFORM_OBJECT_API_H_
-#define CARAWAYVALVE_PLATFORM_OBJECT_API_H_
+#ifndef CARAWAYVALVE_SYSTEMS_OBJECT_API_H_
+#define CARAWAYVALVE_SYSTEMS_OBJECT_API_H_
 
 #include <cstdint>
 #include <optional>
@@ -8,7 +8,7 @@
 
 #include "carawayvalve/base/time.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 // One object of the platform's Object API.
 struct Object {
@@ -83,6 +83,6 @@
   base::Milliseconds timeout;
 };
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
 
-#endif  // CARAWAYVALVE_PLATFORM_OBJECT_API_H_
+#endif  // CARAWAYVALVE_SYSTEMS_OBJECT_API_H_
--- a/platform/include/carawayvalve/platform/operator_server.h
+++ b/systems/include/carawayvalve/systems/operator_server.h
@@ -1,12 +1,12 @@
-#ifndef CARAWAYVALVE_PLATFORM_OPERATOR_SERVER_H_
-#define CARAWAYVALVE_PLATFORM_OPERATOR_SERVER_H_
+#ifndef CARAWAYVALVE_SYSTEMS_OPERATOR_SERVER_H_
+#define CARAWAYVALVE_SYSTEMS_OPERATOR_SERVER_H_
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 // What an operator's request is answered with.
 struct OperatorAnswer {
@@ -36,6 +36,6 @@
   std::unique_ptr<Parts> parts;
 };
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
 
-#endif  // CARAWAYVALVE_PLATFORM_OPERATOR_SERVER_H_
+#endif  // CARAWAYVALVE_SYSTEMS_OPERATOR_SERVER_H_
--- a/platform/include/carawayvalve/platform/plain_service.h
+++ b/systems/include/carawayvalve/systems/plain_service.h
@@ -1,10 +1,10 @@
-#ifndef CARAWAYVALVE_PLATFORM_PLAIN_SERVICE_H_
-#define CARAWAYVALVE_PLATFORM_PLAIN_SERVICE_H_
+#ifndef CARAWAYVALVE_SYSTEMS_PLAIN_SERVICE_H_
+#define CARAWAYVALVE_SYSTEMS_PLAIN_SERVICE_H_
 
 #include <cstdint>
 #include <string>
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 // Adapter to what a plain service tells of itself; its calls go through
 // HttpStream as callers made them.
@@ -19,6 +19,6 @@
   std::string address;
 };
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
 
-#endif  // CARAWAYVALVE_PLATFORM_PLAIN_SERVICE_H_
+#endif  // CARAWAYVALVE_SYSTEMS_PLAIN_SERVICE_H_
--- a/platform/include/carawayvalve/platform/usage.h
+++ b/systems/include/carawayvalve/systems/usage.h
@@ -1,5 +1,5 @@
-#ifndef CARAWAYVALVE_PLATFORM_USAGE_H_
-#define CARAWAYVALVE_PLATFORM_USAGE_H_
+#ifndef CARAWAYVALVE_SYSTEMS_USAGE_H_
+#define CARAWAYVALVE_SYSTEMS_USAGE_H_
 
 #include <cstdint>
 #include <optional>
@@ -9,7 +9,7 @@
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/base/time.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 struct UsageLine {
   base::ClientAccountId client_account;
@@ -49,6 +49,6 @@
   std::string address;
 };
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
 
-#endif  // CARAWAYVALVE_PLATFORM_USAGE_H_
+#endif  // CARAWAYVALVE_SYSTEMS_USAGE_H_
--- a/platform/include/carawayvalve/platform/weight_store.h
+++ b/systems/include/carawayvalve/systems/weight_store.h
@@ -1,12 +1,12 @@
-#ifndef CARAWAYVALVE_PLATFORM_WEIGHT_STORE_H_
-#define CARAWAYVALVE_PLATFORM_WEIGHT_STORE_H_
+#ifndef CARAWAYVALVE_SYSTEMS_WEIGHT_STORE_H_
+#define CARAWAYVALVE_SYSTEMS_WEIGHT_STORE_H_
 
 #include <cstdint>
 #include <string>
 
 #include "carawayvalve/base/time.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 // What the weight store says of one version of a model.
 struct WeightAnswer {
@@ -30,6 +30,6 @@
   std::string address;
 };
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
 
-#endif  // CARAWAYVALVE_PLATFORM_WEIGHT_STORE_H_
+#endif  // CARAWAYVALVE_SYSTEMS_WEIGHT_STORE_H_
--- a/platform/src/backend_servers.cc
+++ b/systems/src/backend_servers.cc
@@ -1,10 +1,10 @@
-#include "carawayvalve/platform/backend_servers.h"
+#include "carawayvalve/systems/backend_servers.h"
 
 #include <utility>
 
 #include "json_call.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 using base::FieldReader;
 
@@ -67,4 +67,4 @@
   });
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/src/curl_handle.cc
+++ b/systems/src/curl_handle.cc
@@ -5,7 +5,7 @@
 
 #include "carawayvalve/base/error.h"
 
-namespace carawayvalve::platform::detail {
+namespace carawayvalve::systems::detail {
 
 namespace {
 
@@ -63,4 +63,4 @@
   return static_cast<int>(status);
 }
 
-}  // namespace carawayvalve::platform::detail
+}  // namespace carawayvalve::systems::detail
--- a/platform/src/curl_handle.h
+++ b/systems/src/curl_handle.h
@@ -1,11 +1,11 @@
-#ifndef CARAWAYVALVE_PLATFORM_SRC_CURL_HANDLE_H_
-#define CARAWAYVALVE_PLATFORM_SRC_CURL_HANDLE_H_
+#ifndef CARAWAYVALVE_SYSTEMS_SRC_CURL_HANDLE_H_
+#define CARAWAYVALVE_SYSTEMS_SRC_CURL_HANDLE_H_
 
 #include <curl/curl.h>
 
 #include <string>
 
-namespace carawayvalve::platform::detail {
+namespace carawayvalve::systems::detail {
 
 // A libcurl handle for one call. Each thread keeps its idle handles with their
 // open connections; a call made inside another's callback gets its own.
@@ -38,6 +38,6 @@
   CURLcode set_result = CURLE_OK;
 };
 
-}  // namespace carawayvalve::platform::detail
+}  // namespace carawayvalve::systems::detail
 
-#endif  // CARAWAYVALVE_PLATFORM_SRC_CURL_HANDLE_H_
+#endif  // CARAWAYVALVE_SYSTEMS_SRC_CURL_HANDLE_H_
--- a/platform/src/engine.cc
+++ b/systems/src/engine.cc
@@ -1,4 +1,4 @@
-#include "carawayvalve/platform/engine.h"
+#include "carawayvalve/systems/engine.h"
 
 #include <limits>
 #include <utility>
@@ -6,7 +6,7 @@
 #include "engine_line.h"
 #include "json_call.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 using base::FieldReader;
 using base::Milliseconds;
@@ -159,4 +159,4 @@
                                                   {{"kv", kv}}, kKvTimeout));
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/src/engine_line.cc
+++ b/systems/src/engine_line.cc
@@ -2,7 +2,7 @@
 
 #include <limits>
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 namespace {
 
@@ -72,4 +72,4 @@
 
 }  // namespace detail
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/src/engine_line.h
+++ b/systems/src/engine_line.h
@@ -1,13 +1,13 @@
-#ifndef CARAWAYVALVE_PLATFORM_SRC_ENGINE_LINE_H_
-#define CARAWAYVALVE_PLATFORM_SRC_ENGINE_LINE_H_
+#ifndef CARAWAYVALVE_SYSTEMS_SRC_ENGINE_LINE_H_
+#define CARAWAYVALVE_SYSTEMS_SRC_ENGINE_LINE_H_
 
 #include <functional>
 #include <string>
 
-#include "carawayvalve/platform/engine.h"
+#include "carawayvalve/systems/engine.h"
 #include "json_body.h"
 
-namespace carawayvalve::platform::detail {
+namespace carawayvalve::systems::detail {
 
 // Like ParseEngineLine, with the call that the line belongs to.
 EngineLine ParseLine(const CallSite& site, const std::string& line);
@@ -38,6 +38,6 @@
   bool has_ended = false;
 };
 
-}  // namespace carawayvalve::platform::detail
+}  // namespace carawayvalve::systems::detail
 
-#endif  // CARAWAYVALVE_PLATFORM_SRC_ENGINE_LINE_H_
+#endif  // CARAWAYVALVE_SYSTEMS_SRC_ENGINE_LINE_H_
--- a/platform/src/host_list.cc
+++ b/systems/src/host_list.cc
@@ -1,11 +1,11 @@
-#include "carawayvalve/platform/host_list.h"
+#include "carawayvalve/systems/host_list.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "json_call.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 using base::FieldReader;
 
@@ -43,4 +43,4 @@
   return hosts;
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/src/http_client.cc
+++ b/systems/src/http_client.cc
@@ -1,4 +1,4 @@
-#include "carawayvalve/platform/http_client.h"
+#include "carawayvalve/systems/http_client.h"
 
 #include <algorithm>
 #include <array>
@@ -8,7 +8,7 @@
 #include "curl_handle.h"
 #include "http_headers.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 namespace {
 
@@ -232,4 +232,4 @@
   return response;
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/src/http_headers.cc
+++ b/systems/src/http_headers.cc
@@ -5,7 +5,7 @@
 #include <new>
 #include <string_view>
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 namespace {
 
@@ -120,4 +120,4 @@
   return found == headers.end() ? "" : found->second;
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/src/http_headers.h
+++ b/systems/src/http_headers.h
@@ -1,5 +1,5 @@
-#ifndef CARAWAYVALVE_PLATFORM_SRC_HTTP_HEADERS_H_
-#define CARAWAYVALVE_PLATFORM_SRC_HTTP_HEADERS_H_
+#ifndef CARAWAYVALVE_SYSTEMS_SRC_HTTP_HEADERS_H_
+#define CARAWAYVALVE_SYSTEMS_SRC_HTTP_HEADERS_H_
 
 #include <curl/curl.h>
 
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "carawayvalve/platform/http_client.h"
+#include "carawayvalve/systems/http_client.h"
 
-namespace carawayvalve::platform::detail {
+namespace carawayvalve::systems::detail {
 
 struct FreeHeaderLines {
   void operator()(curl_slist* lines) const { curl_slist_free_all(lines); }
@@ -30,6 +30,6 @@
 // Reads "Name: value"; the name is empty when the line isn't a header.
 HttpHeader ParseHeaderLine(const std::string& line);
 
-}  // namespace carawayvalve::platform::detail
+}  // namespace carawayvalve::systems::detail
 
-#endif  // CARAWAYVALVE_PLATFORM_SRC_HTTP_HEADERS_H_
+#endif  // CARAWAYVALVE_SYSTEMS_SRC_HTTP_HEADERS_H_
--- a/platform/src/json_body.h
+++ b/systems/src/json_body.h
@@ -1,5 +1,5 @@
-#ifndef CARAWAYVALVE_PLATFORM_SRC_JSON_BODY_H_
-#define CARAWAYVALVE_PLATFORM_SRC_JSON_BODY_H_
+#ifndef CARAWAYVALVE_SYSTEMS_SRC_JSON_BODY_H_
+#define CARAWAYVALVE_SYSTEMS_SRC_JSON_BODY_H_
 
 #include <nlohmann/json.hpp>
 #include <string>
@@ -8,7 +8,7 @@
 #include "carawayvalve/base/error.h"
 #include "carawayvalve/base/field_reader.h"
 
-namespace carawayvalve::platform::detail {
+namespace carawayvalve::systems::detail {
 
 // The call that a body belongs to, for errors.
 struct CallSite {
@@ -102,6 +102,6 @@
   });
 }
 
-}  // namespace carawayvalve::platform::detail
+}  // namespace carawayvalve::systems::detail
 
-#endif  // CARAWAYVALVE_PLATFORM_SRC_JSON_BODY_H_
+#endif  // CARAWAYVALVE_SYSTEMS_SRC_JSON_BODY_H_
--- a/platform/src/json_call.cc
+++ b/systems/src/json_call.cc
@@ -5,7 +5,7 @@
 #include <memory>
 #include <new>
 
-namespace carawayvalve::platform::detail {
+namespace carawayvalve::systems::detail {
 
 std::string EscapeSegment(const std::string& name) {
   // libcurl measures the text itself when told that it has no length.
@@ -64,4 +64,4 @@
   return status == kOk;
 }
 
-}  // namespace carawayvalve::platform::detail
+}  // namespace carawayvalve::systems::detail
--- a/platform/src/json_call.h
+++ b/systems/src/json_call.h
@@ -1,14 +1,14 @@
-#ifndef CARAWAYVALVE_PLATFORM_SRC_JSON_CALL_H_
-#define CARAWAYVALVE_PLATFORM_SRC_JSON_CALL_H_
+#ifndef CARAWAYVALVE_SYSTEMS_SRC_JSON_CALL_H_
+#define CARAWAYVALVE_SYSTEMS_SRC_JSON_CALL_H_
 
 #include <nlohmann/json.hpp>
 #include <string>
 
 #include "carawayvalve/base/time.h"
-#include "carawayvalve/platform/http_client.h"
+#include "carawayvalve/systems/http_client.h"
 #include "json_body.h"
 
-namespace carawayvalve::platform::detail {
+namespace carawayvalve::systems::detail {
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
@@ -44,6 +44,6 @@
 // 409.
 bool CallForConsent(const CallSite& site, const HttpRequest& request);
 
-}  // namespace carawayvalve::platform::detail
+}  // namespace carawayvalve::systems::detail
 
-#endif  // CARAWAYVALVE_PLATFORM_SRC_JSON_CALL_H_
+#endif  // CARAWAYVALVE_SYSTEMS_SRC_JSON_CALL_H_
--- a/platform/src/object_api.cc
+++ b/systems/src/object_api.cc
@@ -1,11 +1,11 @@
-#include "carawayvalve/platform/object_api.h"
+#include "carawayvalve/systems/object_api.h"
 
 #include <limits>
 #include <utility>
 
 #include "json_call.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 using base::FieldReader;
 using base::UnknownOutcomeError;
@@ -170,4 +170,4 @@
   return {false, version};
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/src/operator_server.cc
+++ b/systems/src/operator_server.cc
@@ -1,4 +1,4 @@
-#include "carawayvalve/platform/operator_server.h"
+#include "carawayvalve/systems/operator_server.h"
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -8,7 +8,7 @@
 #include "carawayvalve/base/address.h"
 #include "carawayvalve/base/error.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 struct OperatorServer::Parts {
   std::map<std::string, Handler> pages;
@@ -94,4 +94,4 @@
   MHD_stop_daemon(this->parts->daemon);
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/src/plain_service.cc
+++ b/systems/src/plain_service.cc
@@ -1,11 +1,11 @@
-#include "carawayvalve/platform/plain_service.h"
+#include "carawayvalve/systems/plain_service.h"
 
 #include <limits>
 #include <utility>
 
 #include "json_call.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 namespace {
 
@@ -27,4 +27,4 @@
   });
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/src/usage.cc
+++ b/systems/src/usage.cc
@@ -1,10 +1,10 @@
-#include "carawayvalve/platform/usage.h"
+#include "carawayvalve/systems/usage.h"
 
 #include <utility>
 
 #include "json_call.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 using nlohmann::json;
 
@@ -40,4 +40,4 @@
   return detail::CallForConsent(site, request);
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/src/weight_store.cc
+++ b/systems/src/weight_store.cc
@@ -1,4 +1,4 @@
-#include "carawayvalve/platform/weight_store.h"
+#include "carawayvalve/systems/weight_store.h"
 
 #include <algorithm>
 #include <charconv>
@@ -7,7 +7,7 @@
 
 #include "json_call.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 namespace {
 
@@ -48,4 +48,4 @@
   return {bytes, base::Milliseconds(0)};
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/tests/answer_server.h
+++ b/systems/tests/answer_server.h
@@ -1,5 +1,5 @@
-#ifndef CARAWAYVALVE_PLATFORM_TESTS_ANSWER_SERVER_H_
-#define CARAWAYVALVE_PLATFORM_TESTS_ANSWER_SERVER_H_
+#ifndef CARAWAYVALVE_SYSTEMS_TESTS_ANSWER_SERVER_H_
+#define CARAWAYVALVE_SYSTEMS_TESTS_ANSWER_SERVER_H_
 
 #include <netinet/in.h>
 #include <poll.h>
@@ -16,7 +16,7 @@
 #include <utility>
 #include <vector>
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 // What a server does about one request.
 struct Reply {
@@ -167,6 +167,6 @@
   std::thread thread;
 };
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
 
-#endif  // CARAWAYVALVE_PLATFORM_TESTS_ANSWER_SERVER_H_
+#endif  // CARAWAYVALVE_SYSTEMS_TESTS_ANSWER_SERVER_H_
--- a/platform/tests/backend_servers_test.cc
+++ b/systems/tests/backend_servers_test.cc
@@ -1,11 +1,11 @@
-#include "carawayvalve/platform/backend_servers.h"
+#include "carawayvalve/systems/backend_servers.h"
 
 #include <doctest/doctest.h>
 
 #include "answer_server.h"
 #include "carawayvalve/base/error.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 using base::Milliseconds;
 using base::UnknownOutcomeError;
@@ -37,4 +37,4 @@
   }
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/tests/engine_test.cc
+++ b/systems/tests/engine_test.cc
@@ -1,4 +1,4 @@
-#include "carawayvalve/platform/engine.h"
+#include "carawayvalve/systems/engine.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -6,7 +6,7 @@
 #include "answer_server.h"
 #include "carawayvalve/base/error.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 namespace {
 
@@ -191,4 +191,4 @@
   }
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/tests/host_list_test.cc
+++ b/systems/tests/host_list_test.cc
@@ -1,11 +1,11 @@
-#include "carawayvalve/platform/host_list.h"
+#include "carawayvalve/systems/host_list.h"
 
 #include <doctest/doctest.h>
 
 #include "answer_server.h"
 #include "carawayvalve/base/error.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 TEST_CASE("HostList reads the platform's hosts") {
   SUBCASE("they are sorted by name") {
@@ -38,4 +38,4 @@
   }
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/tests/http_client_test.cc
+++ b/systems/tests/http_client_test.cc
@@ -1,4 +1,4 @@
-#include "carawayvalve/platform/http_client.h"
+#include "carawayvalve/systems/http_client.h"
 
 #include <doctest/doctest.h>
 
@@ -7,7 +7,7 @@
 #include "answer_server.h"
 #include "carawayvalve/base/error.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 namespace {
 
@@ -182,4 +182,4 @@
   }
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/tests/json_call_test.cc
+++ b/systems/tests/json_call_test.cc
@@ -3,7 +3,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 TEST_CASE("EscapeSegment keeps a name within one segment of a path") {
   CHECK(rc::check("segments", [](const std::string& name) {
@@ -21,4 +21,4 @@
   }));
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/tests/object_api_test.cc
+++ b/systems/tests/object_api_test.cc
@@ -1,11 +1,11 @@
-#include "carawayvalve/platform/object_api.h"
+#include "carawayvalve/systems/object_api.h"
 
 #include <doctest/doctest.h>
 
 #include "answer_server.h"
 #include "carawayvalve/base/error.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 using base::Milliseconds;
 using base::NotReachedError;
@@ -137,4 +137,4 @@
   }
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/tests/usage_test.cc
+++ b/systems/tests/usage_test.cc
@@ -1,11 +1,11 @@
-#include "carawayvalve/platform/usage.h"
+#include "carawayvalve/systems/usage.h"
 
 #include <doctest/doctest.h>
 
 #include "answer_server.h"
 #include "carawayvalve/base/error.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 using base::Milliseconds;
 using base::UnknownOutcomeError;
@@ -28,4 +28,4 @@
       R"("region":"r","report_id":"id","window":5})"));
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/platform/tests/weight_store_test.cc
+++ b/systems/tests/weight_store_test.cc
@@ -1,11 +1,11 @@
-#include "carawayvalve/platform/weight_store.h"
+#include "carawayvalve/systems/weight_store.h"
 
 #include <doctest/doctest.h>
 
 #include "answer_server.h"
 #include "carawayvalve/base/error.h"
 
-namespace carawayvalve::platform {
+namespace carawayvalve::systems {
 
 using base::Milliseconds;
 
@@ -23,4 +23,4 @@
   CHECK(server.Requests().at(0).starts_with("GET /weights/m/1 HTTP/1.1\r\n"));
 }
 
-}  // namespace carawayvalve::platform
+}  // namespace carawayvalve::systems
--- a/tests/processes/at_most_once_test.cc
+++ b/tests/processes/at_most_once_test.cc
@@ -25,7 +25,7 @@
   return json::parse(body).value("outcome", "");
 }
 
-std::vector<platform::HttpHeader> IdempotencyKey(const std::string& key) {
+std::vector<systems::HttpHeader> IdempotencyKey(const std::string& key) {
   return {{"Idempotency-Key", key}};
 }
 
@@ -43,7 +43,7 @@
   deployment.AwaitReady("entry-1", 1);
   deployment.AwaitReady("entry-2", 1);
   const auto begin = [&](const std::string& entry,
-                         const std::vector<platform::HttpHeader>& headers) {
+                         const std::vector<systems::HttpHeader>& headers) {
     return std::make_unique<BackgroundCall>(deployment, entry, "POST", kDeposit,
                                             key, kBody, headers);
   };
--- a/tests/processes/background_call.cc
+++ b/tests/processes/background_call.cc
@@ -15,8 +15,8 @@
     const std::string& path,
     const std::string& key,
     const std::string& body,
-    const std::vector<platform::HttpHeader>& headers) {
-  platform::HttpRequest request;
+    const std::vector<systems::HttpHeader>& headers) {
+  systems::HttpRequest request;
   request.method = method;
   request.url = "http://" + deployment.address(entry) + path;
   request.headers = headers;
@@ -25,7 +25,7 @@
   request.timeout = base::Milliseconds(60000);
   request.at_most_once = true;
   this->thread = std::thread([this, request] {
-    platform::HttpSink sink;
+    systems::HttpSink sink;
     sink.head = [this](int status, const auto&) {
       const std::lock_guard lock(this->mutex);
       this->result.status = status;
@@ -39,7 +39,7 @@
     sink.cancelled = [] { return false; };
     bool whole = false;
     try {
-      whole = platform::HttpStream("call entry process", request, sink);
+      whole = systems::HttpStream("call entry process", request, sink);
     } catch (const base::Error&) {
       // Told by `whole`.
     }
--- a/tests/processes/background_call.h
+++ b/tests/processes/background_call.h
@@ -6,7 +6,7 @@
 #include <thread>
 #include <vector>
 
-#include "carawayvalve/platform/http_client.h"
+#include "carawayvalve/systems/http_client.h"
 #include "deployment.h"
 
 namespace carawayvalve::tests {
@@ -20,7 +20,7 @@
                  const std::string& path,
                  const std::string& key,
                  const std::string& body,
-                 const std::vector<platform::HttpHeader>& headers = {});
+                 const std::vector<systems::HttpHeader>& headers = {});
   ~BackgroundCall();
 
   BackgroundCall(const BackgroundCall&) = delete;
--- a/tests/processes/callers_test.cc
+++ b/tests/processes/callers_test.cc
@@ -18,11 +18,11 @@
 
 constexpr char kDeadline[] = "X-Request-Deadline-Ms";
 
-void CheckNotRun(const platform::HttpResponse& answer, int status) {
+void CheckNotRun(const systems::HttpResponse& answer, int status) {
   CHECK(answer.status == status);
-  CHECK(platform::FindHeader(answer.headers, "Content-Type") ==
+  CHECK(systems::FindHeader(answer.headers, "Content-Type") ==
         "application/problem+json");
-  CHECK(platform::FindHeader(answer.headers, "Retry-After") != "");
+  CHECK(systems::FindHeader(answer.headers, "Retry-After") != "");
   CHECK(json::parse(answer.body)["outcome"] == "not_run");
 }
 
--- a/tests/processes/deployment.cc
+++ b/tests/processes/deployment.cc
@@ -20,15 +20,15 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
-platform::HttpResponse CallFake(const std::string& method,
-                                const std::string& address,
-                                const std::string& path,
-                                const std::string& body = "") {
-  platform::HttpRequest request;
+systems::HttpResponse CallFake(const std::string& method,
+                               const std::string& address,
+                               const std::string& path,
+                               const std::string& body = "") {
+  systems::HttpRequest request;
   request.method = method;
   request.url = "http://" + address + path;
   request.body = body;
-  return platform::HttpCall("call stand-in", request);
+  return systems::HttpCall("call stand-in", request);
 }
 
 }  // namespace
@@ -206,14 +206,14 @@
       CallFake("GET", this->address(name + "-operator"), "/dump").body);
 }
 
-platform::HttpResponse Deployment::Call(
+systems::HttpResponse Deployment::Call(
     const std::string& entry,
     const std::string& method,
     const std::string& path,
     const std::string& key,
     const std::string& body,
-    std::vector<platform::HttpHeader> headers) const {
-  platform::HttpRequest request;
+    std::vector<systems::HttpHeader> headers) const {
+  systems::HttpRequest request;
   request.method = method;
   request.url = "http://" + this->address(entry) + path;
   request.headers = std::move(headers);
@@ -223,7 +223,7 @@
   request.body = body;
   request.timeout = base::Milliseconds(60000);
   request.at_most_once = true;
-  return platform::HttpCall("call entry process", request);
+  return systems::HttpCall("call entry process", request);
 }
 
 json Deployment::Get(const std::string& name, const std::string& path) const {
--- a/tests/processes/deployment.h
+++ b/tests/processes/deployment.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "carawayvalve/platform/http_client.h"
+#include "carawayvalve/systems/http_client.h"
 #include "process.h"
 
 namespace carawayvalve::tests {
@@ -64,13 +64,13 @@
   nlohmann::json Dump(const std::string& name) const;
 
   // Calls an entry process as a caller does.
-  platform::HttpResponse Call(
+  systems::HttpResponse Call(
       const std::string& entry,
       const std::string& method,
       const std::string& path,
       const std::string& key,
       const std::string& body = "",
-      std::vector<platform::HttpHeader> headers = {}) const;
+      std::vector<systems::HttpHeader> headers = {}) const;
   // Fetches a page of a fake as JSON.
   nlohmann::json Get(const std::string& name, const std::string& path) const;
 
--- a/tests/processes/whole_answer_test.cc
+++ b/tests/processes/whole_answer_test.cc
@@ -31,7 +31,7 @@
               const std::string& path,
               const std::string& key,
               const std::string& body) {
-    platform::HttpRequest request;
+    systems::HttpRequest request;
     request.method = "POST";
     request.url = "http://" + deployment.address("entry-1") + path;
     request.headers = {{"Authorization", "Bearer " + key}};
@@ -39,7 +39,7 @@
     request.timeout = base::Milliseconds(120000);
     request.at_most_once = true;
     this->thread = std::thread([this, request] {
-      platform::HttpSink sink;
+      systems::HttpSink sink;
       sink.body = [this](const char* bytes, size_t count) {
         std::unique_lock lock(this->mutex);
         this->received.append(bytes, count);
@@ -48,7 +48,7 @@
         return true;
       };
       try {
-        this->whole = platform::HttpStream("call slowly", request, sink);
+        this->whole = systems::HttpStream("call slowly", request, sink);
       } catch (const base::Error&) {
         // Told by `whole`.
       }
