--- a/core/include/carawayvalve/core/placement.h
+++ b/core/include/carawayvalve/core/placement.h
@@ -35,9 +35,9 @@
   double new_home_price = 0.5;
   // Handing the KV cache over takes this long beside its bytes.
   base::Duration handover = base::Milliseconds(8);
-  // A decode engine reads the prompt itself if the first event is expected
-  // within this share of the objective.
-  double direct_share = 0.4;
+  // A decode engine reads so many tokens of a prompt itself: less than its
+  // streams would notice, and than handing the KV cache over costs.
+  int64_t direct_tokens = 600;
   // The mean time of a plain request.
   base::Duration plain_request = base::Milliseconds(40);
   // Failures count as a delay: this much if all requests fail.
@@ -112,7 +112,10 @@
                           const Prompt& prompt,
                           const std::vector<PrefixKey>& keys,
                           base::Instant now) const;
-  Estimate EstimateDecode(const BackendEntry& entry, base::Instant now) const;
+  // For a decode engine that gets the KV cache from `reader`.
+  Estimate EstimateDecode(const BackendEntry& entry,
+                          const BackendEntry& reader,
+                          base::Instant now) const;
   base::Duration Penalty(const BackendEntry& entry, base::Instant now) const;
   PlacementResult ChoosePlain(const Candidates& candidates,
                               base::Instant now) const;
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -81,6 +81,7 @@
 }
 
 Placer::Estimate Placer::EstimateDecode(const BackendEntry& entry,
+                                        const BackendEntry& reader,
                                         base::Instant now) const {
   const BackendLoad present = this->load.Of(entry.id, now);
   Estimate estimate;
@@ -90,9 +91,12 @@
              this->settings.decode_tokens_per_ms);
   estimate.wait = std::chrono::duration_cast<base::Duration>(
       (this->settings.first_event +
-       this->settings.step_per_request * present.requests + reading / 8) *
+       this->settings.step_per_request * present.requests + reading) *
       this->health.Slowness(entry.id, now));
   estimate.cost = estimate.wait + this->Penalty(entry, now);
+  if (entry.data_centre != reader.data_centre) {
+    estimate.cost += this->settings.handover;
+  }
   return estimate;
 }
 
@@ -149,36 +153,30 @@
   };
   Estimate direct;
   Estimate reader;
-  Estimate generator;
   for (const BackendEntry* entry : candidates) {
     const Estimate whole =
         this->EstimateEngine(*entry, *query.prompt, keys, now);
-    if (Reads(*entry)) {
-      reader = better(whole, reader) ? whole : reader;
-      continue;
-    }
-    direct = better(whole, direct) ? whole : direct;
-    const Estimate rest = this->EstimateDecode(*entry, now);
-    generator = better(rest, generator) ? rest : generator;
+    Estimate& best = Reads(*entry) ? reader : direct;
+    best = better(whole, best) ? whole : best;
   }
   if (direct.entry == nullptr) {
     return NoBackend{"no engine generates"};
   }
   const Placement whole{*direct.entry, std::nullopt, direct.missing_tokens,
                         direct.wait};
-  const base::Duration enough = std::chrono::duration_cast<base::Duration>(
-      query.objective * this->settings.direct_share);
   if (!query.may_hand_over || reader.entry == nullptr ||
-      direct.wait <= enough) {
+      direct.missing_tokens <= this->settings.direct_tokens) {
     return whole;
   }
-  const base::Duration apart =
-      reader.wait + this->settings.handover + generator.wait;
-  if (apart >= direct.wait) {
-    return whole;
+  Estimate generator;
+  for (const BackendEntry* entry : candidates) {
+    if (!Reads(*entry)) {
+      const Estimate rest = this->EstimateDecode(*entry, *reader.entry, now);
+      generator = better(rest, generator) ? rest : generator;
+    }
   }
   return Placement{*generator.entry, *reader.entry, reader.missing_tokens,
-                   apart};
+                   reader.wait + this->settings.handover + generator.wait};
 }
 
 PlacementResult Placer::Choose(const PlacementQuery& query,
--- a/gateway/src/duty_holder.cc
+++ b/gateway/src/duty_holder.cc
@@ -67,20 +67,13 @@
 
 }  // namespace
 
-struct DutyHolder::CloudCall {
-  explicit CloudCall(net::EventLoop& loop) : timer(loop) {}
-
-  net::Timer timer;
-  std::unique_ptr<net::Call> call;
-  int status = 0;
-};
-
 DutyHolder::DutyHolder(Context& context, platform::ObjectClient& objects)
     : context(context),
       objects(objects),
       lease(ToTerms(context.beliefs.settings), context.beliefs.boot),
       reports(ToReports(context.beliefs.settings)),
-      cloud(context.loop, kKeepTime) {}
+      cloud(context.loop, kKeepTime),
+      roles(context) {}
 
 void DutyHolder::Tick(const std::vector<base::HostId>& live) {
   const Beliefs& beliefs = this->context.beliefs;
@@ -89,9 +82,11 @@
   this->StepLease(core::LeaseTick{beliefs.stopping ? std::nullopt : delay});
   const base::Instant now = base::Now();
   this->NoteHolding(now);
-  if (!this->lease.Holds(now)) {
+  const auto grant = this->lease.Grant(now);
+  if (!grant.has_value()) {
     return;
   }
+  this->roles.Tick(*grant);
   const base::Duration true_time = beliefs.true_time.At(now);
   for (const core::ReportAction& action :
        this->reports.Tick(beliefs.usage, true_time, now)) {
@@ -109,6 +104,7 @@
     // Nothing that waits in a connection may arrive after a successor's calls.
     this->report_calls.clear();
     this->cloud.CloseAll();
+    this->roles.Drop();
   }
   this->context.journal.Write(base::LogLevel::kInfo,
                               holds ? "duties_taken" : "duties_lost",
@@ -226,42 +222,22 @@
     return;
   }
   const Beliefs& beliefs = this->context.beliefs;
-  auto call = std::make_shared<CloudCall>(this->context.loop);
-  CloudCall& under_way = *call;
-  this->report_calls[action.window] = std::move(call);
-  under_way.timer.Start(kCloudTimeout, [this, window = action.window] {
-    this->report_calls.erase(window);
-    this->StepReports(core::ReportFailed{window});
-  });
-  under_way.call = this->cloud.Start(
-      beliefs.settings.duties.address,
+  this->report_calls[action.window] = TimedCall::Start(
+      this->context.loop, this->cloud, beliefs.settings.duties.address,
       platform::EncodeUsageReport({beliefs.settings.host, grant->epoch},
                                   action.window, action.counts),
-      {}, [this, window = action.window](const net::CallEvent& event) {
-        this->OnReportEvent(window, event);
+      kCloudTimeout,
+      [this, window = action.window](const TimedCall::Result& result) {
+        this->OnReported(window, result);
       });
 }
 
-void DutyHolder::OnReportEvent(int64_t window, const net::CallEvent& event) {
-  const auto found = this->report_calls.find(window);
-  if (found == this->report_calls.end()) {
-    return;
-  }
-  if (const auto* head = std::get_if<net::CallHead>(&event)) {
-    found->second->status = head->head.status;
-    return;
-  }
-  const bool done = std::holds_alternative<net::CallDone>(event);
-  if (!done && !std::holds_alternative<net::CallFailed>(event)) {
-    return;
-  }
-  const int status = found->second->status;
-  this->report_calls.erase(found);
+void DutyHolder::OnReported(int64_t window, const TimedCall::Result& result) {
   this->context.journal.Write(base::LogLevel::kInfo, "usage_report",
                               {{"window", window},
-                               {"status", done ? status : 0},
+                               {"status", result.status},
                                {"epoch", this->lease.epoch()}});
-  if (done && status == kOk) {
+  if (result.status == kOk) {
     this->StepReports(core::ReportTaken{window});
   } else {
     this->StepReports(core::ReportFailed{window});
--- a/gateway/src/duty_holder.h
+++ b/gateway/src/duty_holder.h
@@ -10,6 +10,8 @@
 #include "carawayvalve/platform/duty_calls.h"
 #include "carawayvalve/platform/objects.h"
 #include "context.h"
+#include "role_keeper.h"
+#include "timed_call.h"
 
 namespace carawayvalve::gateway {
 
@@ -27,8 +29,6 @@
   int64_t reported() const { return this->reports.reported(); }
 
  private:
-  struct CloudCall;
-
   void StepLease(const core::LeaseEvent& event);
   void Do(const core::ReadLease& action);
   void Do(const core::WriteLease& action);
@@ -39,7 +39,7 @@
   void Do(const core::SendReport& action);
   void OnSealed(const core::StoreSeal& action,
                 const platform::WriteResult& result);
-  void OnReportEvent(int64_t window, const net::CallEvent& event);
+  void OnReported(int64_t window, const TimedCall::Result& result);
   void StepReports(const core::ReportEvent& event);
 
   Context& context;
@@ -51,7 +51,8 @@
   core::WindowReports reports;
   net::HttpClient cloud;
   std::map<int64_t, platform::ObjectClient::Handle> seal_calls;
-  std::map<int64_t, std::shared_ptr<CloudCall>> report_calls;
+  std::map<int64_t, std::shared_ptr<TimedCall>> report_calls;
+  RoleKeeper roles;
 };
 
 }  // namespace carawayvalve::gateway
--- /dev/null
+++ b/gateway/src/role_keeper.cc
@@ -0,0 +1,142 @@
+#include "role_keeper.h"
+
+#include <utility>
+
+#include "carawayvalve/platform/duty_calls.h"
+
+namespace carawayvalve::gateway {
+
+namespace {
+
+// An order that takes longer is lost; the lease must last at least so long
+// when one is sent.
+constexpr base::Milliseconds kOrderTimeout(800);
+// Engines that start together register within this time of one another.
+constexpr base::Milliseconds kSettleTime(1200);
+// Connections to engines for orders are hardly used twice.
+constexpr std::chrono::seconds kKeepTime(1);
+
+}  // namespace
+
+RoleKeeper::RoleKeeper(Context& context)
+    : context(context),
+      shares(core::RoleShares::Settings{}),
+      engines(context.loop, kKeepTime) {}
+
+bool RoleKeeper::UnderLoad() const {
+  const base::Instant now = base::Now();
+  for (const auto& [id, entry] : this->context.beliefs.directory.entries()) {
+    if (this->context.beliefs.load.Of(id, now).requests > 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void RoleKeeper::Tick(const core::LeaseGrant& held) {
+  this->grant = held;
+  const auto& table = this->context.beliefs.table;
+  if (table == nullptr) {
+    return;
+  }
+  const base::Instant now = base::Now();
+  for (const config::ServingService& service : table->whole().services) {
+    if (!service.engine.has_value()) {
+      continue;
+    }
+    std::vector<core::BackendEntry> present;
+    for (const auto& [id, entry] : this->context.beliefs.directory.entries()) {
+      if (entry.service == service.name) {
+        present.push_back(entry);
+      }
+    }
+    if (!this->Settled(present, now)) {
+      continue;
+    }
+    for (const core::RoleChange& change :
+         this->shares.Plan(present, this->UnderLoad(), now)) {
+      this->shares.NoteOrdered(change.backend_server, now);
+      this->Consider(change);
+    }
+  }
+}
+
+bool RoleKeeper::Settled(const std::vector<core::BackendEntry>& present,
+                         base::Instant now) {
+  if (present.empty()) {
+    return false;
+  }
+  Known& last = this->known[present.front().service];
+  if (last.count != present.size()) {
+    last = {present.size(), now};
+  }
+  return now - last.since >= kSettleTime;
+}
+
+void RoleKeeper::Drop() {
+  this->grant.reset();
+  this->calls.clear();
+  this->engines.CloseAll();
+}
+
+// Asks the engine for the number of its orders first.
+void RoleKeeper::Consider(const core::RoleChange& change) {
+  const core::BackendEntry* entry =
+      this->context.beliefs.directory.Find(change.backend_server);
+  if (entry == nullptr) {
+    return;
+  }
+  this->calls[change.backend_server] = TimedCall::Start(
+      this->context.loop, this->engines, entry->address,
+      platform::EncodeReportCall(change.backend_server), kOrderTimeout,
+      [this, change](const TimedCall::Result& result) {
+        this->OnReport(change, result);
+      });
+}
+
+void RoleKeeper::OnReport(const core::RoleChange& change,
+                          const TimedCall::Result& result) {
+  const auto report = platform::DecodeEngineReport(result.body);
+  if (!report.has_value() || report->order_in_progress) {
+    this->context.journal.Write(
+        base::LogLevel::kWarning, "role_order_skipped",
+        {{"backend", change.backend_server.value},
+         {"status", result.status},
+         {"busy", report.has_value() && report->order_in_progress}});
+    return;
+  }
+  this->SendOrder(change, report->accepted_orders);
+}
+
+void RoleKeeper::SendOrder(const core::RoleChange& change,
+                           int64_t accepted_orders) {
+  const core::BackendEntry* entry =
+      this->context.beliefs.directory.Find(change.backend_server);
+  const base::Instant now = base::Now();
+  if (entry == nullptr || !this->grant.has_value() ||
+      this->grant->valid_until - now < kOrderTimeout) {
+    return;
+  }
+  const platform::DutyStamp stamp = {this->context.beliefs.settings.host,
+                                     this->grant->epoch};
+  this->calls[change.backend_server] = TimedCall::Start(
+      this->context.loop, this->engines, entry->address,
+      platform::EncodeRoleOrder(stamp, change.backend_server, change.role,
+                                accepted_orders),
+      kOrderTimeout, [this, change](const TimedCall::Result& result) {
+        this->OnOrdered(change, result);
+      });
+}
+
+void RoleKeeper::OnOrdered(const core::RoleChange& change,
+                           const TimedCall::Result& result) {
+  this->context.journal.Write(
+      base::LogLevel::kInfo, "role_ordered",
+      {{"backend", change.backend_server.value},
+       {"role", change.role == config::EngineRole::kPrefill ? "prefill"
+                                                            : "decode"},
+       {"epoch", this->grant.has_value() ? this->grant->epoch : 0},
+       {"status", result.status}});
+}
+
+}  // namespace carawayvalve::gateway
--- /dev/null
+++ b/gateway/src/timed_call.cc
@@ -0,0 +1,52 @@
+#include "timed_call.h"
+
+#include <utility>
+
+namespace carawayvalve::gateway {
+
+std::shared_ptr<TimedCall> TimedCall::Start(net::EventLoop& loop,
+                                            net::HttpClient& client,
+                                            const base::Address& address,
+                                            const net::Request& request,
+                                            base::Duration limit,
+                                            Handler done) {
+  auto timed = std::make_shared<TimedCall>(loop);
+  timed->done = std::move(done);
+  const std::weak_ptr<TimedCall> weak = timed;
+  timed->timer.Start(limit, [weak] {
+    if (const auto open = weak.lock()) {
+      open->result = {};
+      open->Finish();
+    }
+  });
+  timed->call = client.Start(address, request, {},
+                             [weak](const net::CallEvent& event) {
+                               if (const auto open = weak.lock()) {
+                                 open->OnEvent(event);
+                               }
+                             });
+  return timed;
+}
+
+void TimedCall::OnEvent(const net::CallEvent& event) {
+  if (const auto* head = std::get_if<net::CallHead>(&event)) {
+    this->result.status = head->head.status;
+  } else if (const auto* body = std::get_if<net::CallBody>(&event)) {
+    this->result.body += body->data;
+  } else if (std::holds_alternative<net::CallDone>(event)) {
+    this->Finish();
+  } else if (std::holds_alternative<net::CallFailed>(event)) {
+    this->result = {};
+    this->Finish();
+  }
+}
+
+void TimedCall::Finish() {
+  this->timer.Cancel();
+  this->call.reset();
+  if (const auto tell = std::exchange(this->done, nullptr)) {
+    tell(this->result);
+  }
+}
+
+}  // namespace carawayvalve::gateway
--- /dev/null
+++ b/gateway/src/timed_call.h
@@ -0,0 +1,45 @@
+#ifndef CARAWAYVALVE_GATEWAY_SRC_TIMED_CALL_H_
+#define CARAWAYVALVE_GATEWAY_SRC_TIMED_CALL_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "carawayvalve/net/http_client.h"
+
+namespace carawayvalve::gateway {
+
+// One call whose whole answer is awaited for a limited time. Destroying it
+// cancels it.
+class TimedCall : public std::enable_shared_from_this<TimedCall> {
+ public:
+  struct Result {
+    // 0 when there was no answer.
+    int status = 0;
+    std::string body;
+  };
+  using Handler = std::function<void(const Result&)>;
+
+  // `done` is called once, later.
+  static std::shared_ptr<TimedCall> Start(net::EventLoop& loop,
+                                          net::HttpClient& client,
+                                          const base::Address& address,
+                                          const net::Request& request,
+                                          base::Duration limit,
+                                          Handler done);
+
+  explicit TimedCall(net::EventLoop& loop) : timer(loop) {}
+
+ private:
+  void OnEvent(const net::CallEvent& event);
+  void Finish();
+
+  net::Timer timer;
+  std::unique_ptr<net::Call> call;
+  Result result;
+  Handler done;
+};
+
+}  // namespace carawayvalve::gateway
+
+#endif  // CARAWAYVALVE_GATEWAY_SRC_TIMED_CALL_H_
