Let three quarters of the engines read; choose the generator after the reading

The role planner also counted engines by their old role while an order was under way, ordered 11 instead of 5 and then ordered some back.

--- a/core/include/carawayvalve/core/placement.h
+++ b/core/include/carawayvalve/core/placement.h
@@ -37,7 +37,7 @@
   base::Duration handover = base::Milliseconds(8);
   // A decode engine reads so many tokens of a prompt itself: less than its
   // streams would notice, and than handing the KV cache over costs.
-  int64_t direct_tokens = 600;
+  int64_t direct_tokens = 300;
   // The mean time of a plain request.
   base::Duration plain_request = base::Milliseconds(40);
   // Failures count as a delay: this much if all requests fail.
@@ -57,11 +57,11 @@
   bool may_hand_over = true;
 };
 
-// The backend server that a request goes to.
+// The backend server that a request goes to first.
 struct Placement {
   BackendEntry target;
-  // Reads the prompt first, if there is one.
-  std::optional<BackendEntry> reader;
+  // The target only reads the prompt; ChooseGenerator says who goes on.
+  bool reads_only = false;
   // Prompt tokens that are probably not cached where the prompt is read.
   int64_t missing_tokens = 0;
   // Until the first event or the answer.
@@ -91,6 +91,11 @@
 
   PlacementResult Choose(const PlacementQuery& query, base::Instant now) const;
 
+  // Chooses the engine that takes the KV cache from `reader` and generates.
+  PlacementResult ChooseGenerator(const PlacementQuery& query,
+                                  const BackendEntry& reader,
+                                  base::Instant now) const;
+
   // Whether another backend server than the excluded ones could take it.
   bool HasOther(const PlacementQuery& query, base::Instant now) const;
 
--- a/core/include/carawayvalve/core/role_shares.h
+++ b/core/include/carawayvalve/core/role_shares.h
@@ -24,7 +24,7 @@
  public:
   struct Settings {
     // The part of the engines that read prompts.
-    double reading = 0.667;
+    double reading = 0.75;
     // An engine isn't ordered again within this time.
     base::Duration dwell = std::chrono::seconds(8);
     // Under load a data centre keeps its roles until it is so many engines off.
@@ -42,17 +42,26 @@
                                bool under_load,
                                base::Instant now) const;
 
-  // A change was ordered, whatever came of it.
-  void NoteOrdered(const base::BackendServerId& id, base::Instant now);
+  // A change was ordered; its engine counts as changed for the dwell time.
+  void NoteOrdered(const RoleChange& change, base::Instant now);
 
  private:
+  struct Order {
+    config::EngineRole role = config::EngineRole::kMixed;
+    base::Instant at;
+  };
+
+  // The order of an engine that it may still be carrying out, if any.
+  const Order* PendingOrder(const BackendEntry& engine,
+                            base::Instant now) const;
+  bool Reads(const BackendEntry& engine, base::Instant now) const;
   std::vector<RoleChange> PlanCentre(
       const std::vector<const BackendEntry*>& engines,
       bool under_load,
       base::Instant now) const;
 
   Settings settings;
-  std::map<base::BackendServerId, base::Instant> ordered;
+  std::map<base::BackendServerId, Order> ordered;
 };
 
 }  // namespace carawayvalve::core
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -135,7 +135,7 @@
       best = estimate;
     }
   }
-  return Placement{*best.entry, std::nullopt, 0, best.wait};
+  return Placement{*best.entry, false, 0, best.wait};
 }
 
 PlacementResult Placer::ChooseEngine(const Candidates& candidates,
@@ -162,21 +162,31 @@
   if (direct.entry == nullptr) {
     return NoBackend{"no engine generates"};
   }
-  const Placement whole{*direct.entry, std::nullopt, direct.missing_tokens,
-                        direct.wait};
   if (!query.may_hand_over || reader.entry == nullptr ||
       direct.missing_tokens <= this->settings.direct_tokens) {
-    return whole;
+    return Placement{*direct.entry, false, direct.missing_tokens, direct.wait};
   }
-  Estimate generator;
-  for (const BackendEntry* entry : candidates) {
-    if (!Reads(*entry)) {
-      const Estimate rest = this->EstimateDecode(*entry, *reader.entry, now);
-      generator = better(rest, generator) ? rest : generator;
+  return Placement{*reader.entry, true, reader.missing_tokens,
+                   reader.wait + this->settings.handover};
+}
+
+PlacementResult Placer::ChooseGenerator(const PlacementQuery& query,
+                                        const BackendEntry& reader,
+                                        base::Instant now) const {
+  Estimate best;
+  for (const BackendEntry* entry : this->FindCandidates(query, now)) {
+    if (Reads(*entry)) {
+      continue;
+    }
+    const Estimate estimate = this->EstimateDecode(*entry, reader, now);
+    if (best.entry == nullptr || estimate.cost < best.cost) {
+      best = estimate;
     }
   }
-  return Placement{*generator.entry, *reader.entry, reader.missing_tokens,
-                   reader.wait + this->settings.handover + generator.wait};
+  if (best.entry == nullptr) {
+    return NoBackend{"no engine generates"};
+  }
+  return Placement{*best.entry, false, 0, best.wait};
 }
 
 PlacementResult Placer::Choose(const PlacementQuery& query,
--- a/core/src/role_shares.cc
+++ b/core/src/role_shares.cc
@@ -6,13 +6,19 @@
 
 namespace carawayvalve::core {
 
-namespace {
-
-bool Reads(const BackendEntry& engine) {
-  return engine.role == config::EngineRole::kPrefill;
+const RoleShares::Order* RoleShares::PendingOrder(const BackendEntry& engine,
+                                                  base::Instant now) const {
+  const auto last = this->ordered.find(engine.id);
+  const bool pending = last != this->ordered.end() &&
+                       now - last->second.at < this->settings.dwell;
+  return pending ? &last->second : nullptr;
 }
 
-}  // namespace
+bool RoleShares::Reads(const BackendEntry& engine, base::Instant now) const {
+  const Order* order = this->PendingOrder(engine, now);
+  return (order == nullptr ? engine.role : order->role) ==
+         config::EngineRole::kPrefill;
+}
 
 std::vector<RoleChange> RoleShares::Plan(
     const std::vector<BackendEntry>& engines,
@@ -43,13 +49,12 @@
   // A lone engine does both.
   const int64_t wanted =
       count < 2 ? 0
-                : std::clamp<int64_t>(
-                      std::llround(static_cast<double>(count) *
-                                   this->settings.reading),
-                      1, count - 1);
-  const int64_t present =
-      std::count_if(engines.begin(), engines.end(),
-                    [](const BackendEntry* engine) { return Reads(*engine); });
+                : std::clamp<int64_t>(std::llround(static_cast<double>(count) *
+                                                   this->settings.reading),
+                                      1, count - 1);
+  const int64_t present = std::count_if(
+      engines.begin(), engines.end(),
+      [&](const BackendEntry* engine) { return this->Reads(*engine, now); });
   const int64_t missing = wanted - present;
   const bool none_left = present == 0 || present == count;
   if (missing == 0 || (under_load && !none_left &&
@@ -58,10 +63,8 @@
   }
   std::vector<RoleChange> changes;
   for (const BackendEntry* engine : engines) {
-    const auto last = this->ordered.find(engine->id);
-    const bool may_change = last == this->ordered.end() ||
-                            now - last->second >= this->settings.dwell;
-    const bool wrong = Reads(*engine) == (missing < 0);
+    const bool may_change = this->PendingOrder(*engine, now) == nullptr;
+    const bool wrong = this->Reads(*engine, now) == (missing < 0);
     if (may_change && wrong &&
         static_cast<int64_t>(changes.size()) < std::abs(missing)) {
       changes.push_back({engine->id, missing > 0
@@ -72,9 +75,8 @@
   return changes;
 }
 
-void RoleShares::NoteOrdered(const base::BackendServerId& id,
-                             base::Instant now) {
-  this->ordered[id] = now;
+void RoleShares::NoteOrdered(const RoleChange& change, base::Instant now) {
+  this->ordered[change.backend_server] = {change.role, now};
 }
 
 }  // namespace carawayvalve::core
--- a/gateway/src/request_run.cc
+++ b/gateway/src/request_run.cc
@@ -186,7 +186,7 @@
     this->Refuse(kUnavailable, "no backend server can answer in time", true);
     return;
   }
-  if (placement.reader.has_value()) {
+  if (placement.reads_only) {
     this->ReadPrompt(placement);
     return;
   }
@@ -242,18 +242,17 @@
 void RequestRun::ReadPrompt(const core::Placement& placement) {
   const auto self = this->shared_from_this();
   this->reading.clear();
-  this->NoteSentPrefix(*placement.reader);
+  this->NoteSentPrefix(placement.target);
   this->context.journal.Write(
       base::LogLevel::kInfo, "prompt_sent",
       {{"request", this->caller.id.value},
-       {"backend", placement.reader->id.value},
-       {"target", placement.target.id.value},
+       {"backend", placement.target.id.value},
        {"missing_tokens", placement.missing_tokens},
        {"expected_ms", base::ToMilliseconds(placement.expected)},
        {"age_ms", this->AgeMs(base::Now())}});
   this->call = std::make_unique<BackendCall>(
       this->context, this->exchange->request(), this->caller,
-      this->PlanCall(*placement.reader, platform::PromptOnly{},
+      this->PlanCall(placement.target, platform::PromptOnly{},
                      placement.missing_tokens, placement.expected),
       [self, placement](const BackendEvent& event) {
         self->OnReader(placement, event);
@@ -285,10 +284,18 @@
   }
   this->LogAttemptEnd("prompt_read", prefilled->handle);
   this->call.reset();
+  const core::PlacementResult result =
+      this->context.beliefs.placer.ChooseGenerator(
+          this->Query(), placement.target, base::Now());
+  if (const auto* none = std::get_if<core::NoBackend>(&result)) {
+    this->GoOn(core::AttemptNotSent{}, none->reason);
+    return;
+  }
+  const core::Placement& generator = std::get<core::Placement>(result);
   this->Run(
-      placement.target,
-      platform::RunFromHandle{placement.reader->address, prefilled->handle}, 0,
-      placement.expected);
+      generator.target,
+      platform::RunFromHandle{placement.target.address, prefilled->handle}, 0,
+      generator.expected);
 }
 
 // The prompt wasn't read: nothing has run, and the request goes to an engine
@@ -297,7 +304,7 @@
                             const std::string& reason) {
   this->LogAttemptEnd("prompt_not_read", reason);
   this->call.reset();
-  this->excluded.insert(placement.reader->id);
+  this->excluded.insert(placement.target.id);
   this->may_hand_over = false;
   this->Attempt();
 }
--- a/gateway/src/role_keeper.cc
+++ b/gateway/src/role_keeper.cc
@@ -55,7 +55,7 @@
     }
     for (const core::RoleChange& change :
          this->shares.Plan(present, this->UnderLoad(), now)) {
-      this->shares.NoteOrdered(change.backend_server, now);
+      this->shares.NoteOrdered(change, now);
       this->Consider(change);
     }
   }
@@ -133,8 +133,8 @@
   this->context.journal.Write(
       base::LogLevel::kInfo, "role_ordered",
       {{"backend", change.backend_server.value},
-       {"role", change.role == config::EngineRole::kPrefill ? "prefill"
-                                                            : "decode"},
+       {"role",
+        change.role == config::EngineRole::kPrefill ? "prefill" : "decode"},
        {"epoch", this->grant.has_value() ? this->grant->epoch : 0},
        {"status", result.status}});
 }
--- a/gateway/src/role_keeper.h
+++ b/gateway/src/role_keeper.h
@@ -27,7 +27,8 @@
 
  private:
   void Consider(const core::RoleChange& change);
-  void OnReport(const core::RoleChange& change, const TimedCall::Result& result);
+  void OnReport(const core::RoleChange& change,
+                const TimedCall::Result& result);
   void SendOrder(const core::RoleChange& change, int64_t accepted_orders);
   void OnOrdered(const core::RoleChange& change,
                  const TimedCall::Result& result);
--- a/gateway/src/timed_call.cc
+++ b/gateway/src/timed_call.cc
@@ -19,12 +19,12 @@
       open->Finish();
     }
   });
-  timed->call = client.Start(address, request, {},
-                             [weak](const net::CallEvent& event) {
-                               if (const auto open = weak.lock()) {
-                                 open->OnEvent(event);
-                               }
-                             });
+  timed->call =
+      client.Start(address, request, {}, [weak](const net::CallEvent& event) {
+        if (const auto open = weak.lock()) {
+          open->OnEvent(event);
+        }
+      });
   return timed;
 }
 
