--- a/core/include/carawayvalve/core/placement.h
+++ b/core/include/carawayvalve/core/placement.h
@@ -30,9 +30,17 @@
   base::Duration step_per_request = base::Milliseconds(1);
   // What the bytes to another data centre are worth, as a delay.
   base::Duration other_data_centre = base::Milliseconds(6);
-  // How much longer a shared beginning may take elsewhere before a further
-  // engine reads it, as a share of the time that reading it takes.
-  double new_home_price = 0.5;
+  // How much longer a shared beginning may take at its first home before its
+  // second home, or any other engine, reads it too; as multiples of the time
+  // that reading it takes. Reading is what binds: each further reading delays
+  // all that comes after it.
+  double second_home_price = 4;
+  double new_home_price = 8;
+  // Prompts of up to so many tokens are short. A share of the reading engines
+  // reads nothing else, so that short prompts never wait behind long ones,
+  // which take ten times as long.
+  int64_t short_prompt_tokens = 4096;
+  double short_share = 0.15;
   // Handing the KV cache over takes this long beside its bytes.
   base::Duration handover = base::Milliseconds(8);
   // A decode engine reads so many tokens of a prompt itself: less than its
@@ -100,6 +108,12 @@
   bool HasOther(const PlacementQuery& query, base::Instant now) const;
 
  private:
+  // What the homes of one prompt's shared beginning are.
+  struct Homes {
+    std::vector<PrefixKey> keys;
+    const BackendEntry* first = nullptr;
+    const BackendEntry* second = nullptr;
+  };
   struct Estimate {
     const BackendEntry* entry = nullptr;
     int64_t missing_tokens = 0;
@@ -115,8 +129,14 @@
   Estimate EstimatePlain(const BackendEntry& entry, base::Instant now) const;
   Estimate EstimateEngine(const BackendEntry& entry,
                           const Prompt& prompt,
-                          const std::vector<PrefixKey>& keys,
+                          const Homes& homes,
                           base::Instant now) const;
+  // The cheapest of the candidates.
+  Estimate BestEngine(const Candidates& candidates,
+                      const Prompt& prompt,
+                      base::Instant now) const;
+  // The reading engines among the candidates that may read the prompt.
+  Candidates Readers(const Candidates& candidates, const Prompt& prompt) const;
   // For a decode engine that gets the KV cache from `reader`.
   Estimate EstimateDecode(const BackendEntry& entry,
                           const BackendEntry& reader,
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -1,11 +1,17 @@
 #include "carawayvalve/core/placement.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
 
 namespace carawayvalve::core {
 
 namespace {
 
+// Ranks the engines that read short prompts alone.
+constexpr uint64_t kShortPrompts = 1;
+
 base::Duration FromMs(double ms) {
   return std::chrono::duration_cast<base::Duration>(
       std::chrono::duration<double, std::milli>(ms));
@@ -102,12 +108,13 @@
 
 Placer::Estimate Placer::EstimateEngine(const BackendEntry& entry,
                                         const Prompt& prompt,
-                                        const std::vector<PrefixKey>& keys,
+                                        const Homes& homes_of,
                                         base::Instant now) const {
   const BackendLoad present = this->load.Of(entry.id, now);
   const double rate = Reads(entry) ? this->settings.prefill_tokens_per_ms
                                    : this->settings.decode_tokens_per_ms;
   const double slowness = this->health.Slowness(entry.id, now);
+  const std::vector<PrefixKey>& keys = homes_of.keys;
   const int64_t cached = this->homes.CachedTokens(entry.id, keys);
   const int64_t shared = keys.empty() ? 0 : keys.back().tokens;
   Estimate estimate;
@@ -120,12 +127,71 @@
                       (this->settings.first_event +
                        this->settings.step_per_request * present.requests) *
                       slowness);
+  double price = this->settings.new_home_price;
+  if (&entry == homes_of.first) {
+    price = 0;
+  } else if (&entry == homes_of.second) {
+    price = this->settings.second_home_price;
+  }
   estimate.cost = estimate.wait + this->Penalty(entry, now) +
-                  FromMs(this->settings.new_home_price *
-                         static_cast<double>(shared - cached) / rate);
+                  FromMs(price * static_cast<double>(shared - cached) / rate);
   return estimate;
 }
 
+Placer::Candidates Placer::Readers(const Candidates& candidates,
+                                   const Prompt& prompt) const {
+  Candidates readers;
+  std::copy_if(candidates.begin(), candidates.end(),
+               std::back_inserter(readers),
+               [](const BackendEntry* entry) { return Reads(*entry); });
+  const auto reserved = static_cast<size_t>(std::llround(
+      static_cast<double>(readers.size()) * this->settings.short_share));
+  if (prompt.prompt_tokens <= this->settings.short_prompt_tokens ||
+      reserved == 0) {
+    return readers;
+  }
+  const auto rank = [](const BackendEntry* entry) {
+    return HomeRank(kShortPrompts, entry->id);
+  };
+  std::nth_element(
+      readers.begin(), readers.begin() + static_cast<int64_t>(reserved),
+      readers.end(), [&](const BackendEntry* a, const BackendEntry* b) {
+        return rank(a) > rank(b);
+      });
+  readers.erase(readers.begin(),
+                readers.begin() + static_cast<int64_t>(reserved));
+  return readers;
+}
+
+Placer::Estimate Placer::BestEngine(const Candidates& candidates,
+                                    const Prompt& prompt,
+                                    base::Instant now) const {
+  Homes homes_of{PrefixKeysOf(prompt), nullptr, nullptr};
+  // Ranks say the same to every process, also to one that has just started.
+  uint64_t first = 0;
+  uint64_t second = 0;
+  const uint64_t hash = homes_of.keys.empty() ? 0 : homes_of.keys.back().hash;
+  for (const BackendEntry* entry : candidates) {
+    const uint64_t rank = HomeRank(hash, entry->id);
+    if (homes_of.first == nullptr || rank > first) {
+      homes_of.second = std::exchange(homes_of.first, entry);
+      second = std::exchange(first, rank);
+    } else if (homes_of.second == nullptr || rank > second) {
+      homes_of.second = entry;
+      second = rank;
+    }
+  }
+  Estimate best;
+  for (const BackendEntry* entry : candidates) {
+    const Estimate estimate =
+        this->EstimateEngine(*entry, prompt, homes_of, now);
+    if (best.entry == nullptr || estimate.cost < best.cost) {
+      best = estimate;
+    }
+  }
+  return best;
+}
+
 PlacementResult Placer::ChoosePlain(const Candidates& candidates,
                                     base::Instant now) const {
   Estimate best;
@@ -141,27 +207,16 @@
 PlacementResult Placer::ChooseEngine(const Candidates& candidates,
                                      const PlacementQuery& query,
                                      base::Instant now) const {
-  const std::vector<PrefixKey> keys = PrefixKeysOf(*query.prompt);
-  const uint64_t hash = keys.empty() ? 0 : keys.back().hash;
-  // Among equals the process-independent rank decides, so that processes that
-  // don't know of one another's requests choose the same engine.
-  const auto better = [&](const Estimate& a, const Estimate& b) {
-    if (b.entry == nullptr || a.cost != b.cost) {
-      return b.entry == nullptr || a.cost < b.cost;
-    }
-    return HomeRank(hash, a.entry->id) > HomeRank(hash, b.entry->id);
-  };
-  Estimate direct;
-  Estimate reader;
-  for (const BackendEntry* entry : candidates) {
-    const Estimate whole =
-        this->EstimateEngine(*entry, *query.prompt, keys, now);
-    Estimate& best = Reads(*entry) ? reader : direct;
-    best = better(whole, best) ? whole : best;
-  }
+  Candidates generators;
+  std::copy_if(candidates.begin(), candidates.end(),
+               std::back_inserter(generators),
+               [](const BackendEntry* entry) { return !Reads(*entry); });
+  const Estimate direct = this->BestEngine(generators, *query.prompt, now);
   if (direct.entry == nullptr) {
     return NoBackend{"no engine generates"};
   }
+  const Estimate reader = this->BestEngine(
+      this->Readers(candidates, *query.prompt), *query.prompt, now);
   if (!query.may_hand_over || reader.entry == nullptr ||
       direct.missing_tokens <= this->settings.direct_tokens) {
     return Placement{*direct.entry, false, direct.missing_tokens, direct.wait};
--- /dev/null
+++ b/core/tests/backend_health_test.cc
@@ -0,0 +1,71 @@
+#include "carawayvalve/core/backend_health.h"
+
+#include <doctest/doctest.h>
+
+namespace carawayvalve::core {
+
+using base::Instant;
+using base::Milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("BackendHealth") {
+  const Instant start = Instant() + seconds(100);
+  const base::BackendServerId id{"a"};
+  BackendHealth health({});
+
+  SUBCASE("takes an unknown backend server for sound") {
+    CHECK(health.Usable(id, start));
+    CHECK(health.Slowness(id, start) == 1);
+    CHECK(health.FailureShare(id, start) == 0);
+  }
+  SUBCASE("one failure alone pauses nothing") {
+    health.NoteFailure(id, start);
+    CHECK(health.Usable(id, start));
+    CHECK(health.FailureShare(id, start) > 0);
+
+    SUBCASE("a second one in a row does") {
+      health.NoteFailure(id, start);
+      CHECK_FALSE(health.Usable(id, start + Milliseconds(499)));
+      CHECK(health.Usable(id, start + Milliseconds(500)));
+
+      SUBCASE("and each further one for twice as long, up to a limit") {
+        health.NoteFailure(id, start);
+        CHECK_FALSE(health.Usable(id, start + Milliseconds(999)));
+        for (int i = 0; i < 20; ++i) {
+          health.NoteFailure(id, start);
+        }
+        CHECK_FALSE(health.Usable(id, start + Milliseconds(3999)));
+        CHECK(health.Usable(id, start + seconds(4)));
+      }
+      SUBCASE("until it answers") {
+        health.NoteAnswer(id, Milliseconds(50), Milliseconds(50), start);
+        CHECK(health.Usable(id, start));
+      }
+    }
+    SUBCASE("not when it has answered in between") {
+      health.NoteAnswer(id, Milliseconds(50), Milliseconds(50), start);
+      health.NoteFailure(id, start);
+      CHECK(health.Usable(id, start));
+    }
+  }
+  SUBCASE("one that can't be reached is paused at once") {
+    health.NoteUnreachable(id, start);
+    CHECK_FALSE(health.Usable(id, start));
+  }
+  SUBCASE("one that turns slow is seen within a few answers") {
+    for (int i = 0; i < 5; ++i) {
+      health.NoteAnswer(id, Milliseconds(300), Milliseconds(60), start);
+    }
+    CHECK(health.Slowness(id, start) > 3);
+
+    SUBCASE("and tried again as time goes by") {
+      CHECK(health.Slowness(id, start + seconds(15)) < 1.2);
+    }
+    SUBCASE("and sound again after a restart") {
+      health.Forget(id);
+      CHECK(health.Slowness(id, start) == 1);
+    }
+  }
+}
+
+}  // namespace carawayvalve::core
--- /dev/null
+++ b/core/tests/fleet_load_test.cc
@@ -0,0 +1,43 @@
+#include "carawayvalve/core/fleet_load.h"
+
+#include <doctest/doctest.h>
+
+namespace carawayvalve::core {
+
+using base::Instant;
+using std::chrono::seconds;
+
+TEST_CASE("FleetLoad") {
+  const Instant now = Instant() + seconds(100);
+  const base::BackendServerId engine{"a"};
+  FleetLoad load;
+  const auto ticket = load.NoteSent(engine, {1, 500, 700});
+
+  SUBCASE("counts what was sent until it has ended") {
+    CHECK(load.Of(engine, now) == BackendLoad{1, 500, 700});
+    load.NoteRead(ticket);
+    CHECK(load.Of(engine, now) == BackendLoad{1, 0, 700});
+    load.NoteEnded(ticket);
+    CHECK(load.Of(engine, now) == BackendLoad{});
+    CHECK(load.own().empty());
+
+    SUBCASE("an end that is noted twice counts once") {
+      load.NoteEnded(ticket);
+      CHECK(load.Of(engine, now) == BackendLoad{});
+    }
+  }
+  SUBCASE("adds what peers have under way") {
+    load.NotePeer({"p"}, {{engine, {2, 100, 300}}}, now);
+    CHECK(load.Of(engine, now) == BackendLoad{3, 600, 1000});
+
+    SUBCASE("as they said last") {
+      load.NotePeer({"p"}, {}, now);
+      CHECK(load.Of(engine, now) == BackendLoad{1, 500, 700});
+    }
+    SUBCASE("while they are heard") {
+      CHECK(load.Of(engine, now + seconds(3)) == BackendLoad{1, 500, 700});
+    }
+  }
+}
+
+}  // namespace carawayvalve::core
--- /dev/null
+++ b/core/tests/placement_test.cc
@@ -0,0 +1,212 @@
+#include "carawayvalve/core/placement.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+
+namespace carawayvalve::core {
+
+using base::Instant;
+using base::Milliseconds;
+using config::EngineRole;
+using std::chrono::seconds;
+
+namespace {
+
+// What a placer decides by, of one data centre with engines and desks.
+struct Fleet {
+  explicit Fleet(int readers, int generators, int desks) {
+    for (int i = 0; i < readers; ++i) {
+      this->Add("reader" + std::to_string(i), "models", EngineRole::kPrefill);
+    }
+    for (int i = 0; i < generators; ++i) {
+      this->Add("generator" + std::to_string(i), "models", EngineRole::kDecode);
+    }
+    for (int i = 0; i < desks; ++i) {
+      this->Add("desk" + std::to_string(i), "desk", std::nullopt);
+    }
+  }
+
+  void Add(const std::string& id,
+           const std::string& service,
+           std::optional<EngineRole> role,
+           const std::string& centre = "here") {
+    BackendEntry entry;
+    entry.id = {id};
+    entry.service = {service};
+    entry.data_centre = {centre};
+    entry.slots = 6;
+    entry.role = role;
+    this->directory.NoteEntry(entry);
+  }
+
+  PlacementQuery Ask(const Prompt* prompt) const {
+    PlacementQuery query;
+    query.service = {prompt == nullptr ? "desk" : "models"};
+    query.prompt = prompt;
+    query.objective = Milliseconds(800);
+    return query;
+  }
+
+  Placement Choose(const Prompt* prompt) const {
+    return std::get<Placement>(placer.Choose(this->Ask(prompt), this->now));
+  }
+
+  Instant now = Instant() + seconds(100);
+  BackendDirectory directory{seconds(2)};
+  BackendHealth health{{}};
+  FleetLoad load;
+  PrefixHomes homes{400000};
+  Placer placer{{.data_centre = {"here"}}, directory, health, load, homes};
+};
+
+Prompt LongPrompt(const std::string& shared, int64_t own = 3700) {
+  return {{"m"}, {{shared, 13300}, {"own", own}}, 13300 + own, 120};
+}
+
+}  // namespace
+
+TEST_CASE("a long prompt") {
+  Fleet fleet(3, 1, 0);
+  const Prompt prompt = LongPrompt("s");
+
+  SUBCASE("is read by a reader") {
+    const Placement placement = fleet.Choose(&prompt);
+    CHECK(placement.reads_only);
+    CHECK(placement.missing_tokens == 17000);
+
+    SUBCASE("the same one for all processes, before they know of one another") {
+      CHECK(fleet.Choose(&prompt).target == placement.target);
+      Fleet other(3, 1, 0);
+      CHECK(other.Choose(&prompt).target.id == placement.target.id);
+    }
+    SUBCASE("and then by one that has its beginning") {
+      fleet.homes.NoteUse({"reader2"}, PrefixKeysOf(prompt));
+      CHECK(fleet.Choose(&prompt).target.id.value == "reader2");
+      CHECK(fleet.Choose(&prompt).missing_tokens == 3700);
+
+      SUBCASE("unless that one has much more to read") {
+        fleet.load.NoteSent({"reader2"}, {8, 60000, 60000});
+        CHECK(fleet.Choose(&prompt).target.id.value != "reader2");
+      }
+      SUBCASE("also while it has somewhat more to read") {
+        fleet.load.NoteSent({"reader2"}, {2, 8000, 8000});
+        CHECK(fleet.Choose(&prompt).target.id.value == "reader2");
+      }
+      SUBCASE("unless that one drains") {
+        BackendEntry entry = *fleet.directory.Find({"reader2"});
+        entry.draining = true;
+        fleet.directory.NoteEntry(entry);
+        CHECK(fleet.Choose(&prompt).target.id.value != "reader2");
+      }
+      SUBCASE("unless that one can't be reached") {
+        fleet.health.NoteUnreachable({"reader2"}, fleet.now);
+        CHECK(fleet.Choose(&prompt).target.id.value != "reader2");
+      }
+    }
+  }
+  SUBCASE("is read and answered by one engine where none reads apart") {
+    Fleet small(0, 2, 0);
+    CHECK_FALSE(small.Choose(&prompt).reads_only);
+  }
+  SUBCASE("goes to a generator of the reader's data centre") {
+    fleet.Add("far", "models", EngineRole::kDecode, "there");
+    const BackendEntry* reader = fleet.directory.Find({"reader0"});
+    const auto chosen =
+        fleet.placer.ChooseGenerator(fleet.Ask(&prompt), *reader, fleet.now);
+    CHECK(std::get<Placement>(chosen).target.id.value == "generator0");
+
+    SUBCASE("that hasn't begun to drain while it was read") {
+      BackendEntry entry = *fleet.directory.Find({"generator0"});
+      entry.draining = true;
+      fleet.directory.NoteEntry(entry);
+      const auto again =
+          fleet.placer.ChooseGenerator(fleet.Ask(&prompt), *reader, fleet.now);
+      CHECK(std::get<Placement>(again).target.id.value == "far");
+    }
+  }
+  SUBCASE("finds no place where no engine generates") {
+    Fleet readers(2, 0, 0);
+    CHECK(std::holds_alternative<NoBackend>(
+        readers.placer.Choose(readers.Ask(&prompt), readers.now)));
+  }
+}
+
+TEST_CASE("a short prompt whose beginning a generator has is read there") {
+  Fleet fleet(3, 1, 0);
+  const Prompt prompt = LongPrompt("s", 200);
+  fleet.homes.NoteUse({"generator0"}, PrefixKeysOf(prompt));
+  const Placement placement = fleet.Choose(&prompt);
+  CHECK_FALSE(placement.reads_only);
+  CHECK(placement.target.id.value == "generator0");
+}
+
+// The load of a morning: many prompts that share a few beginnings.
+TEST_CASE("a burst of prompts with shared beginnings") {
+  Fleet fleet(6, 2, 0);
+  std::map<base::BackendServerId, int64_t> read;
+  int64_t missing = 0;
+  for (int i = 0; i < 240; ++i) {
+    const Prompt prompt = LongPrompt("s" + std::to_string(i % 24));
+    const Placement placement = fleet.Choose(&prompt);
+    fleet.homes.NoteUse(placement.target.id, PrefixKeysOf(prompt));
+    const auto ticket = fleet.load.NoteSent(
+        placement.target.id, {1, placement.missing_tokens, 17000});
+    read[placement.target.id] += placement.missing_tokens;
+    missing += placement.missing_tokens;
+    // Engines read at 48 tokens a millisecond, requests come each 30 ms.
+    fleet.now += Milliseconds(30);
+    if (i >= 24) {
+      fleet.load.NoteEnded(ticket);
+    }
+  }
+
+  SUBCASE("reads the beginnings few times more than once") {
+    // 240 x 3,700 tokens of their own, and 24 beginnings.
+    CHECK(missing < 240 * 3700 + 2 * 24 * 13300);
+  }
+  SUBCASE("leaves no engine idle but the one for short prompts") {
+    CHECK(read.size() == 5);
+    const Prompt note = {{"m"}, {{"n", 200}, {"own", 1100}}, 1300, 170};
+    const Placement placement = fleet.Choose(&note);
+    CHECK(read.count(placement.target.id) == 0);
+  }
+}
+
+TEST_CASE("a request of a plain service") {
+  Fleet fleet(0, 0, 3);
+
+  SUBCASE("goes to the one with the least to do") {
+    fleet.load.NoteSent({"desk0"}, {4, 0, 0});
+    fleet.load.NotePeer({"p"}, {{{"desk1"}, {5, 0, 0}}}, fleet.now);
+    CHECK(fleet.Choose(nullptr).target.id.value == "desk2");
+  }
+  SUBCASE("avoids one that fails") {
+    fleet.health.NoteFailure({"desk0"}, fleet.now);
+    fleet.health.NoteFailure({"desk1"}, fleet.now);
+    CHECK(fleet.Choose(nullptr).target.id.value == "desk2");
+  }
+  SUBCASE("avoids one that is slow") {
+    fleet.health.NoteAnswer({"desk0"}, seconds(1), Milliseconds(50), fleet.now);
+    CHECK(fleet.Choose(nullptr).target.id.value != "desk0");
+  }
+  SUBCASE("goes to one that failed rather than nowhere") {
+    for (const char* id : {"desk0", "desk1", "desk2"}) {
+      fleet.health.NoteUnreachable({id}, fleet.now);
+    }
+    CHECK(std::holds_alternative<Placement>(
+        fleet.placer.Choose(fleet.Ask(nullptr), fleet.now)));
+  }
+  SUBCASE("isn't sent to one that was tried before") {
+    PlacementQuery query = fleet.Ask(nullptr);
+    query.excluded = {{"desk0"}, {"desk1"}};
+    CHECK(fleet.placer.HasOther(query, fleet.now));
+    query.excluded.insert({"desk2"});
+    CHECK_FALSE(fleet.placer.HasOther(query, fleet.now));
+    CHECK(std::holds_alternative<NoBackend>(
+        fleet.placer.Choose(query, fleet.now)));
+  }
+}
+
+}  // namespace carawayvalve::core
--- /dev/null
+++ b/core/tests/prefix_homes_test.cc
@@ -0,0 +1,64 @@
+#include "carawayvalve/core/prefix_homes.h"
+
+#include <doctest/doctest.h>
+
+namespace carawayvalve::core {
+
+namespace {
+
+Prompt MakePrompt(const std::string& shared, const std::string& own) {
+  return {{"m"}, {{shared, 1000}, {own, 300}}, 1300, 50};
+}
+
+}  // namespace
+
+TEST_CASE("PrefixKeysOf") {
+  SUBCASE("leaves out the part that belongs to the request alone") {
+    const auto keys = PrefixKeysOf(MakePrompt("s", "1"));
+    REQUIRE(keys.size() == 1);
+    CHECK(keys[0].tokens == 1000);
+    CHECK(keys == PrefixKeysOf(MakePrompt("s", "2")));
+    CHECK(keys != PrefixKeysOf(MakePrompt("t", "1")));
+  }
+  SUBCASE("tells the same part behind other parts apart") {
+    const auto a =
+        PrefixKeysOf({{"m"}, {{"x", 10}, {"s", 5}, {"1", 1}}, 16, 1});
+    const auto b =
+        PrefixKeysOf({{"m"}, {{"y", 10}, {"s", 5}, {"1", 1}}, 16, 1});
+    REQUIRE(a.size() == 2);
+    CHECK(a[1].tokens == 15);
+    CHECK(a[1].hash != b[1].hash);
+  }
+  SUBCASE("a prompt without parts has none") {
+    CHECK(PrefixKeysOf({{"m"}, {}, 10, 1}).empty());
+  }
+}
+
+TEST_CASE("PrefixHomes") {
+  const base::BackendServerId engine{"a"};
+  PrefixHomes homes(2500);
+  const auto first = PrefixKeysOf(MakePrompt("1", "x"));
+  const auto second = PrefixKeysOf(MakePrompt("2", "x"));
+  const auto third = PrefixKeysOf(MakePrompt("3", "x"));
+  homes.NoteUse(engine, first);
+
+  SUBCASE("knows what was sent to an engine") {
+    CHECK(homes.CachedTokens(engine, first) == 1000);
+    CHECK(homes.CachedTokens(engine, second) == 0);
+    CHECK(homes.CachedTokens({"b"}, first) == 0);
+  }
+  SUBCASE("forgets what was used least recently when the engine is full") {
+    homes.NoteUse(engine, second);
+    homes.NoteUse(engine, first);
+    homes.NoteUse(engine, third);
+    CHECK(homes.CachedTokens(engine, first) == 1000);
+    CHECK(homes.CachedTokens(engine, second) == 0);
+    CHECK(homes.CachedTokens(engine, third) == 1000);
+  }
+  SUBCASE("forgets all of an engine that was started anew") {
+    homes.Forget(engine);
+    CHECK(homes.CachedTokens(engine, first) == 0);
+  }
+}
+
+}  // namespace carawayvalve::core
--- /dev/null
+++ b/core/tests/role_shares_test.cc
@@ -0,0 +1,86 @@
+#include "carawayvalve/core/role_shares.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace carawayvalve::core {
+
+using base::Instant;
+using config::EngineRole;
+using std::chrono::seconds;
+
+namespace {
+
+std::vector<BackendEntry> Engines(const std::string& centre,
+                                  int reading,
+                                  int generating) {
+  std::vector<BackendEntry> engines;
+  for (int i = 0; i < reading + generating; ++i) {
+    BackendEntry engine;
+    engine.id = {centre + std::to_string(i)};
+    engine.data_centre = {centre};
+    engine.role = i < reading ? EngineRole::kPrefill : EngineRole::kDecode;
+    engines.push_back(engine);
+  }
+  return engines;
+}
+
+int64_t CountOf(const std::vector<RoleChange>& changes, EngineRole role) {
+  return std::count_if(
+      changes.begin(), changes.end(),
+      [&](const RoleChange& change) { return change.role == role; });
+}
+
+}  // namespace
+
+TEST_CASE("RoleShares") {
+  const Instant now = Instant() + seconds(100);
+  RoleShares shares({.reading = 0.75});
+
+  SUBCASE("before the load, all changes are ordered at once") {
+    const auto changes = shares.Plan(Engines("a", 2, 6), false, now);
+    CHECK(changes.size() == 4);
+    CHECK(CountOf(changes, EngineRole::kPrefill) == 4);
+
+    SUBCASE("and counted as done while they are carried out") {
+      for (const RoleChange& change : changes) {
+        shares.NoteOrdered(change, now);
+      }
+      CHECK(shares.Plan(Engines("a", 2, 6), false, now + seconds(1)).empty());
+
+      SUBCASE("but ordered again if they weren't") {
+        CHECK(shares.Plan(Engines("a", 2, 6), false, now + seconds(8)).size() ==
+              4);
+      }
+    }
+  }
+  SUBCASE("each data centre keeps one that generates") {
+    CHECK(shares.Plan(Engines("a", 1, 1), false, now).empty());
+    CHECK(CountOf(shares.Plan(Engines("a", 2, 0), false, now),
+                  EngineRole::kDecode) == 1);
+  }
+  SUBCASE("a lone engine generates") {
+    CHECK(CountOf(shares.Plan(Engines("a", 1, 0), false, now),
+                  EngineRole::kDecode) == 1);
+  }
+  SUBCASE("under load") {
+    SUBCASE("a data centre that is one off is left alone") {
+      CHECK(shares.Plan(Engines("a", 5, 3), true, now).empty());
+    }
+    SUBCASE("one that is further off changes one engine at a time") {
+      CHECK(shares.Plan(Engines("a", 3, 5), true, now).size() == 1);
+    }
+    SUBCASE("one without any that generates gets one") {
+      CHECK(shares.Plan(Engines("a", 3, 0), true, now).size() == 1);
+    }
+  }
+  SUBCASE("engines that drain and plain backend servers aren't counted") {
+    auto engines = Engines("a", 0, 2);
+    engines[0].draining = true;
+    engines[1].role.reset();
+    CHECK(shares.Plan(engines, false, now).empty());
+  }
+}
+
+}  // namespace carawayvalve::core
--- /dev/null
+++ b/gateway/tests/settings_test.cc
@@ -0,0 +1,63 @@
+#include "carawayvalve/gateway/settings.h"
+
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "carawayvalve/base/error.h"
+
+namespace carawayvalve::gateway {
+
+namespace {
+
+constexpr char kSettings[] = R"({
+  // A comment.
+  "host": "edge-1", "data_centre": "a",
+  "listen": {"callers": "10.0.0.1:80", "readiness": "10.0.0.1:81",
+             "metrics": "10.0.0.1:82", "peers": "10.0.0.1:83"},
+  "store": {"address": "10.0.0.2:80"},
+  "duties": {"address": "10.0.0.3:80", "kinds": ["metering"],
+             "usage_window_s": 2.5, "lease_ms": 3000},
+  "bounds": {"key_withdrawal_ms": 5000, "retry_ratio": 0.25, "retry_slack": 54,
+             "stop_s": 8},
+  "log": {"level": "warning", "max_buffered_kb": 64}
+})";
+
+std::string ReasonOf(const std::string& text) {
+  try {
+    ReadGatewaySettings(text, "test");
+  } catch (const base::Error& error) {
+    return error.reason();
+  }
+  return "";
+}
+
+}  // namespace
+
+TEST_CASE("the settings of a gateway") {
+  auto document = nlohmann::json::parse(kSettings, nullptr, true, true);
+
+  SUBCASE("are read, with defaults for what isn't given") {
+    const GatewaySettings settings = ReadGatewaySettings(kSettings, "test");
+    CHECK(settings.host.value == "edge-1");
+    CHECK(settings.listen.peers == base::Address{"10.0.0.1", 83});
+    CHECK(settings.duties.usage_window == base::Milliseconds(2500));
+    CHECK(settings.duties.usage_late == base::Milliseconds(10000));
+    CHECK(settings.bounds.retry_ratio == 0.25);
+    CHECK(settings.log.level == base::LogLevel::kWarning);
+    CHECK(settings.store.watch_wait == base::Milliseconds(2000));
+  }
+  SUBCASE("are refused with the path of each fault") {
+    document["listen"]["callers"] = "somewhere";
+    document["bounds"]["retry_ratio"] = 2;
+    document["surprise"] = 1;
+    document.erase("host");
+    const std::string reason = ReasonOf(document.dump());
+    CHECK(reason.find("/listen/callers") != std::string::npos);
+    CHECK(reason.find("/bounds/retry_ratio") != std::string::npos);
+    CHECK(reason.find("/surprise") != std::string::npos);
+    CHECK(reason.find("/host") != std::string::npos);
+  }
+}
+
+}  // namespace carawayvalve::gateway
--- a/net/src/event_loop.cc
+++ b/net/src/event_loop.cc
@@ -40,6 +40,8 @@
 
 void EventLoop::Run() {
   const auto work = boost::asio::make_work_guard(this->loop->context);
+  // After Stop, Run may be called again.
+  this->loop->context.restart();
   this->loop->context.run();
 }
 
--- /dev/null
+++ b/net/tests/http_client_test.cc
@@ -0,0 +1,193 @@
+#include "carawayvalve/net/http_client.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "../../systems/tests/answer_server.h"
+
+namespace carawayvalve::net {
+
+namespace {
+
+using systems::AnswerServer;
+using systems::NoReply;
+using systems::Reply;
+
+// What became of one call.
+struct Outcome {
+  bool sent = false;
+  bool kept_connection = false;
+  int status = 0;
+  std::string body;
+  bool done = false;
+  bool failed = false;
+  bool not_sent = false;
+};
+
+struct Client {
+  Outcome Call(const std::string& address, const CallOptions& options = {}) {
+    Outcome outcome;
+    EventLoop& running = this->loop;
+    this->call = this->client.Start(
+        base::ParseAddress(address), {"POST", "/x", {}, "body"}, options,
+        [&](const CallEvent& event) {
+          if (const auto* sent = std::get_if<CallSent>(&event)) {
+            outcome.sent = true;
+            outcome.kept_connection = sent->kept_connection;
+          } else if (const auto* head = std::get_if<CallHead>(&event)) {
+            outcome.status = head->head.status;
+          } else if (const auto* body = std::get_if<CallBody>(&event)) {
+            outcome.body += body->data;
+          } else {
+            outcome.done = std::holds_alternative<CallDone>(event);
+            if (const auto* failed = std::get_if<CallFailed>(&event)) {
+              outcome.failed = true;
+              outcome.not_sent = failed->not_sent;
+            }
+            running.Stop();
+          }
+        });
+    this->loop.Run();
+    return outcome;
+  }
+
+  EventLoop loop;
+  HttpClient client{loop, std::chrono::seconds(5)};
+  std::unique_ptr<net::Call> call;
+};
+
+Reply Answer(const std::string& fields, const std::string& body) {
+  return {"HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n" + body,
+          true};
+}
+
+CallOptions Expecting(const std::string& id) {
+  CallOptions options;
+  options.echo = {"X-Id", id};
+  return options;
+}
+
+}  // namespace
+
+TEST_CASE("HttpClient") {
+  Client client;
+
+  SUBCASE("keeps a connection for the next call") {
+    AnswerServer server({Answer("", "one"), Answer("", "two")});
+    CHECK(client.Call(server.Address()).body == "one");
+    const Outcome second = client.Call(server.Address());
+    CHECK(second.body == "two");
+    CHECK(second.kept_connection);
+    CHECK(client.client.connects() == 1);
+  }
+  SUBCASE("takes a fresh one where it is asked to") {
+    AnswerServer server({Answer("", "one"), Answer("", "two")});
+    client.Call(server.Address());
+    CallOptions options;
+    options.fresh_connection = true;
+    CHECK_FALSE(client.Call(server.Address(), options).kept_connection);
+  }
+  SUBCASE("keeps none that the server closes") {
+    AnswerServer server({Answer("Connection: close\r\n", "one")});
+    client.Call(server.Address());
+    CHECK(client.client.kept() == 0);
+  }
+  SUBCASE("keeps none for which the server has too little time") {
+    AnswerServer server({Answer("Keep-Alive: timeout=1\r\n", "one")});
+    client.Call(server.Address());
+    CHECK(client.client.kept() == 0);
+  }
+  SUBCASE("sends a request once, also when a kept connection dies of it") {
+    AnswerServer server({Answer("", "one"), NoReply()});
+    client.Call(server.Address());
+    const Outcome second = client.Call(server.Address());
+    CHECK(second.failed);
+    CHECK_FALSE(second.not_sent);
+    CHECK(server.Requests().size() == 2);
+  }
+  SUBCASE("says so when nothing was sent") {
+    systems::Listener nobody(systems::kNotListening);
+    const Outcome outcome = client.Call(nobody.Address());
+    CHECK(outcome.failed);
+    CHECK(outcome.not_sent);
+  }
+}
+
+TEST_CASE("HttpClient takes for an answer") {
+  Client client;
+
+  SUBCASE("what bears the request's id, behind one of another request") {
+    const Reply late = Answer("X-Id: 1\r\n", "late");
+    const Reply right = Answer("X-Id: 2\r\n", "right");
+    AnswerServer server({{late.bytes + right.bytes, true}});
+    const Outcome outcome = client.Call(server.Address(), Expecting("2"));
+    CHECK(outcome.body == "right");
+  }
+  SUBCASE("nothing when only another request's answer comes") {
+    AnswerServer server({{Answer("X-Id: 1\r\n", "late").bytes, false}});
+    CHECK(client.Call(server.Address(), Expecting("2")).failed);
+  }
+  SUBCASE("no connection with bytes behind the answer for the next call") {
+    AnswerServer server({{Answer("", "one").bytes + "HTTP/1.1 200", true}});
+    CHECK(client.Call(server.Address()).done);
+    CHECK(client.client.kept() == 0);
+  }
+  SUBCASE("one in chunks") {
+    AnswerServer server(
+        {{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n",
+          true}});
+    const Outcome outcome = client.Call(server.Address());
+    CHECK(outcome.done);
+    CHECK(outcome.body == "onetwo");
+  }
+  SUBCASE("one that ends with its connection") {
+    AnswerServer server({{"HTTP/1.1 200 OK\r\n\r\nall of it", false}});
+    const Outcome outcome = client.Call(server.Address());
+    CHECK(outcome.done);
+    CHECK(outcome.body == "all of it");
+  }
+  SUBCASE("none that is shorter than it says") {
+    AnswerServer server(
+        {{"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", false}});
+    CHECK(client.Call(server.Address()).failed);
+  }
+  SUBCASE("none in chunks without an end") {
+    AnswerServer server(
+        {{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "3\r\none\r\n",
+          false}});
+    CHECK(client.Call(server.Address()).failed);
+  }
+  SUBCASE("no bytes that are none") {
+    AnswerServer server({{"garbage\r\n\r\n", true}});
+    CHECK(client.Call(server.Address()).failed);
+  }
+}
+
+TEST_CASE("a cancelled call") {
+  Client client;
+  AnswerServer server({Answer("", "one"), Answer("", "two")});
+
+  SUBCASE("tells nothing more") {
+    bool told = false;
+    auto call = client.client.Start(base::ParseAddress(server.Address()),
+                                    {"GET", "/", {}, {}}, {},
+                                    [&](const CallEvent&) { told = true; });
+    call.reset();
+    Timer timer(client.loop);
+    timer.Start(base::Milliseconds(50), [&] { client.loop.Stop(); });
+    client.loop.Run();
+    CHECK_FALSE(told);
+  }
+  SUBCASE("that had ended leaves its connection to others") {
+    client.Call(server.Address());
+    client.call.reset();
+    CHECK(client.client.kept() == 1);
+  }
+}
+
+}  // namespace carawayvalve::net
--- /dev/null
+++ b/net/tests/http_server_test.cc
@@ -0,0 +1,193 @@
+#include "carawayvalve/net/http_server.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <vector>
+
+#include "loop_thread.h"
+#include "raw_caller.h"
+
+namespace carawayvalve::net {
+
+namespace {
+
+constexpr char kNextRequest[] = "GET /next HTTP/1.1\r\nHost: a\r\n\r\n";
+
+// A server that answers each request with its path and body.
+struct EchoServer {
+  EchoServer()
+      : server(this->loop, {"127.0.0.1", 0}, [this](const auto& exchange) {
+          this->paths.push_back(exchange->request().target);
+          exchange->Respond(
+              {{200, {}},
+               exchange->request().target + "|" + exchange->request().body});
+        }) {}
+
+  // Sends the bytes on one connection and returns all that comes back until
+  // the server closes it.
+  std::string Talk(const std::string& bytes) {
+    std::string answer;
+    RunWhile(this->loop, [&] {
+      RawCaller caller(this->server.port());
+      caller.Send(bytes);
+      answer = caller.ReadAll();
+    });
+    return answer;
+  }
+
+  EventLoop loop;
+  std::vector<std::string> paths;
+  HttpServer server;
+};
+
+std::string StatusOf(const std::string& answer) {
+  return answer.substr(0, std::string("HTTP/1.1 200").size());
+}
+
+}  // namespace
+
+TEST_CASE("HttpServer answers") {
+  EchoServer echo;
+
+  SUBCASE("requests that come one after the other on a connection") {
+    const std::string answer = echo.Talk(
+        "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nxyz"
+        "GET /b HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    CHECK(answer.find("/a|xyz") < answer.find("/b|"));
+    CHECK(echo.paths == std::vector<std::string>{"/a", "/b"});
+  }
+  SUBCASE("a body in chunks") {
+    const std::string answer = echo.Talk(
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+        "Connection: close\r\n\r\n2\r\nxy\r\n1\r\nz\r\n0\r\n\r\n");
+    CHECK(answer.find("/a|xyz") != std::string::npos);
+  }
+  SUBCASE("a caller that waits to be asked for the body") {
+    std::string answer;
+    RunWhile(echo.loop, [&] {
+      RawCaller caller(echo.server.port());
+      caller.Send(
+          "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+          "Expect: 100-continue\r\nConnection: close\r\n\r\n");
+      answer = caller.ReadUntil("100 Continue\r\n\r\n");
+      caller.Send("xyz");
+      answer += caller.ReadAll();
+    });
+    CHECK(answer.find("/a|xyz") != std::string::npos);
+  }
+  SUBCASE("and says that it closes, once it was told to stop") {
+    echo.server.CloseAfterAnswers();
+    const std::string answer = echo.Talk("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(answer.find("Connection: close") != std::string::npos);
+  }
+}
+
+TEST_CASE("HttpServer refuses what it can't be sure of, and closes") {
+  EchoServer echo;
+  const auto refused = [&](const std::string& bytes) {
+    // What stands behind must not be taken for a request.
+    const std::string answer = echo.Talk(bytes + kNextRequest);
+    CHECK(echo.paths.empty());
+    return StatusOf(answer);
+  };
+
+  SUBCASE("a malformed head") {
+    CHECK(refused("GET\r\n\r\n") == "HTTP/1.1 400");
+  }
+  SUBCASE("a length and chunks") {
+    CHECK(refused("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
+          "HTTP/1.1 400");
+  }
+  SUBCASE("two lengths") {
+    CHECK(refused("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+                  "Content-Length: 2\r\n\r\nxy") == "HTTP/1.1 400");
+  }
+  SUBCASE("an unknown transfer encoding") {
+    CHECK(refused("POST /a HTTP/1.1\r\nHost: a\r\n"
+                  "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n") ==
+          "HTTP/1.1 400");
+  }
+  SUBCASE("an old version of the protocol") {
+    CHECK(refused("GET /a HTTP/1.0\r\nHost: a\r\n\r\n") == "HTTP/1.1 400");
+  }
+  SUBCASE("a head over the limit") {
+    CHECK(refused("GET /a HTTP/1.1\r\nHost: a\r\nX: " +
+                  std::string(20000, 'x') + "\r\n\r\n") == "HTTP/1.1 431");
+  }
+  SUBCASE("a body over the limit") {
+    CHECK(refused("POST /a HTTP/1.1\r\nHost: a\r\n"
+                  "Content-Length: 99999999\r\n\r\n") == "HTTP/1.1 413");
+  }
+  SUBCASE("a head that doesn't come to its end in time") {
+    echo.server.SetLimits({.header_timeout = base::Milliseconds(100)});
+    CHECK(StatusOf(echo.Talk("GET /a HTTP/1.1\r\nHost:")) == "HTTP/1.1 408");
+  }
+}
+
+TEST_CASE("HttpServer closes an idle connection") {
+  EchoServer echo;
+  echo.server.SetLimits({.idle_timeout = base::Milliseconds(100)});
+  CHECK(echo.Talk("").empty());
+}
+
+TEST_CASE("an answer in parts") {
+  EventLoop loop;
+  std::shared_ptr<Exchange> kept;
+  std::atomic<bool> gone = false;
+  HttpServer server(loop, {"127.0.0.1", 0}, [&](const auto& exchange) {
+    kept = exchange;
+    exchange->OnGone([&] { gone = true; });
+    exchange->Begin({200, {{"X-Mark", "1"}}});
+    exchange->Send("one");
+  });
+
+  SUBCASE("ends so that the caller sees that it is whole") {
+    std::string answer;
+    RunWhile(loop, [&] {
+      RawCaller caller(server.port());
+      caller.Send(kNextRequest);
+      answer = caller.ReadUntil("one\r\n");
+      loop.Post([&] {
+        kept->Send("two");
+        kept->Finish();
+      });
+      answer += caller.ReadUntil("0\r\n\r\n");
+    });
+    CHECK(answer.find("X-Mark: 1") != std::string::npos);
+    CHECK(answer.find("3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n") !=
+          std::string::npos);
+    CHECK_FALSE(gone);
+  }
+  SUBCASE("that is broken off doesn't look whole") {
+    std::string answer;
+    bool ended = false;
+    RunWhile(loop, [&] {
+      RawCaller caller(server.port());
+      caller.Send(kNextRequest);
+      answer = caller.ReadUntil("one\r\n");
+      loop.Post([&] { kept->Abort(); });
+      answer += caller.ReadAll();
+      ended = caller.ended();
+    });
+    CHECK(ended);
+    CHECK(answer.find("0\r\n\r\n") == std::string::npos);
+  }
+  SUBCASE("is given up when the caller leaves") {
+    RunWhile(loop, [&] {
+      {
+        RawCaller caller(server.port());
+        caller.Send(kNextRequest);
+        caller.ReadUntil("one\r\n");
+      }
+      while (!gone) {
+        std::this_thread::yield();
+      }
+    });
+    CHECK(kept->gone());
+  }
+  kept.reset();
+}
+
+}  // namespace carawayvalve::net
--- /dev/null
+++ b/net/tests/loop_thread.h
@@ -0,0 +1,23 @@
+#ifndef CARAWAYVALVE_NET_TESTS_LOOP_THREAD_H_
+#define CARAWAYVALVE_NET_TESTS_LOOP_THREAD_H_
+
+#include <functional>
+#include <thread>
+
+#include "carawayvalve/net/event_loop.h"
+
+namespace carawayvalve::net {
+
+// Runs the loop while `work` runs in a thread of its own.
+inline void RunWhile(EventLoop& loop, const std::function<void()>& work) {
+  std::thread worker([&] {
+    work();
+    loop.Post([&] { loop.Stop(); });
+  });
+  loop.Run();
+  worker.join();
+}
+
+}  // namespace carawayvalve::net
+
+#endif  // CARAWAYVALVE_NET_TESTS_LOOP_THREAD_H_
--- /dev/null
+++ b/net/tests/message_test.cc
@@ -0,0 +1,42 @@
+#include "carawayvalve/net/message.h"
+
+#include <doctest/doctest.h>
+
+namespace carawayvalve::net {
+
+TEST_CASE("header fields") {
+  const HeaderFields fields = {
+      {"Host", "a"},           {"X-One", "1"},   {"connection", "x-two, close"},
+      {"X-Two", "2"},          {"TE", "x"},      {"x-one", "3"},
+      {"Content-Length", "5"}, {"Expect", "100"}};
+
+  SUBCASE("are found whatever the case of their names") {
+    CHECK(*FindField(fields, "x-ONE") == "1");
+    CHECK(FindField(fields, "X-Three") == nullptr);
+    CHECK(CountFields(fields, "X-One") == 2);
+  }
+  SUBCASE("lose what concerns one connection only on their way") {
+    CHECK(EndToEndFields(fields) ==
+          HeaderFields{{"Host", "a"}, {"X-One", "1"}, {"x-one", "3"}});
+  }
+}
+
+TEST_CASE("printing") {
+  SUBCASE("a request names its host and the length of its body") {
+    CHECK(PrintRequest({"POST", "/x?y", {{"A", "b"}}, "body"}, "1.2.3.4:5") ==
+          "POST /x?y HTTP/1.1\r\nHost: 1.2.3.4:5\r\nA: b\r\n"
+          "Content-Length: 4\r\n\r\nbody");
+  }
+  SUBCASE("a request keeps the caller's host") {
+    CHECK(PrintRequest({"GET", "/", {{"Host", "h"}}, ""}, "1.2.3.4:5") ==
+          "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+  SUBCASE("a response has a status line, its fields and the framing") {
+    CHECK(PrintResponseHead({503, {{"Retry-After", "1"}}},
+                            {{"Content-Length", "0"}}) ==
+          "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+          "Content-Length: 0\r\n\r\n");
+  }
+}
+
+}  // namespace carawayvalve::net
--- /dev/null
+++ b/tests/platform/backend.cc
@@ -0,0 +1,128 @@
+#include "backend.h"
+
+namespace carawayvalve::tests {
+
+std::string PlainAnswer(const std::string& request,
+                        const std::string& backend) {
+  return "answer to " + request + " by " + backend;
+}
+
+std::string StreamEvent(const std::string& request, int number) {
+  const std::string id = std::to_string(number);
+  return "id: " + id + "\ndata: " + request + "/" + id + "\n\n";
+}
+
+Backend::Backend(net::EventLoop& loop,
+                 const Settings& settings,
+                 std::vector<BackendRun>& runs)
+    : loop(loop),
+      settings(settings),
+      runs(runs),
+      server(loop, {"127.0.0.1", 0}, [this](const auto& exchange) {
+        this->OnRequest(exchange);
+      }) {}
+
+Backend::~Backend() {
+  // Exchanges close their connections, whose state is the server's.
+  this->works.clear();
+}
+
+std::string Backend::Field(const net::Exchange& exchange,
+                           const char* name) const {
+  const std::string* value = net::FindField(exchange.request().fields, name);
+  return value == nullptr ? "" : *value;
+}
+
+net::HeaderFields Backend::Fields(const net::Exchange& exchange) const {
+  const std::string request = this->Field(exchange, "X-Request-Id");
+  return {{"X-Request-Id", request},
+          {"X-Response-Sig", this->settings.id + "." + request}};
+}
+
+void Backend::OnRequest(const std::shared_ptr<net::Exchange>& exchange) {
+  const std::string request = this->Field(*exchange, "X-Request-Id");
+  if (this->Field(*exchange, "X-Expect-Instance") != this->settings.id) {
+    exchange->Respond({{421, {{"X-Request-Id", request}}}, ""});
+    return;
+  }
+  if (this->declines || this->works.size() >= this->settings.slots) {
+    exchange->Respond(
+        {{503, {{"X-Request-Id", request}, {"X-Not-Run", "1"}}}, ""});
+    return;
+  }
+  if (this->Field(*exchange, "X-Stage") == "prefill") {
+    exchange->Respond({{200, {{"X-Request-Id", request}}},
+                       R"({"kvHandle":"h1","tokens":10,"version":1})"});
+    return;
+  }
+  const std::string resumed = this->Field(*exchange, "Last-Event-Id");
+  this->runs.push_back({request, this->settings.id, exchange->request().target,
+                        this->Field(*exchange, "X-Tenant"),
+                        this->Field(*exchange, "X-Credential"), base::Now(),
+                        resumed});
+  const int64_t number = ++this->last_work;
+  Work& work = this->works[number];
+  work.exchange = exchange;
+  work.timer = std::make_unique<net::Timer>(this->loop);
+  work.next_event = resumed.empty() ? 1 : std::stoi(resumed) + 1;
+  exchange->OnGone([this, number] {
+    this->loop.Post([this, number] { this->works.erase(number); });
+  });
+  if (this->mute) {
+    return;
+  }
+  if (this->lost_answers > 0) {
+    --this->lost_answers;
+    exchange->Abort();
+    return;
+  }
+  work.timer->Start(this->settings.work, [this, number] {
+    this->Answer(number);
+  });
+}
+
+void Backend::Answer(int64_t number) {
+  const auto found = this->works.find(number);
+  if (found == this->works.end()) {
+    return;
+  }
+  const auto exchange = found->second.exchange;
+  const net::Request& request = exchange->request();
+  if (net::FindField(request.fields, "X-Token-Count") != nullptr) {
+    net::HeaderFields fields = this->Fields(*exchange);
+    fields.push_back({"Content-Type", "text/event-stream"});
+    exchange->Begin({200, fields});
+    this->NextEvent(number);
+    return;
+  }
+  this->works.erase(found);
+  const int status = request.body == "fail" ? 500 : 200;
+  exchange->Respond({{status, this->Fields(*exchange)},
+                     PlainAnswer(this->Field(*exchange, "X-Request-Id"),
+                                 this->settings.id)});
+}
+
+void Backend::NextEvent(int64_t number) {
+  const auto found = this->works.find(number);
+  if (found == this->works.end()) {
+    return;
+  }
+  Work& work = found->second;
+  const auto exchange = work.exchange;
+  if (work.next_event > this->settings.events) {
+    this->works.erase(found);
+    exchange->Finish();
+    return;
+  }
+  exchange->Send(
+      StreamEvent(this->Field(*exchange, "X-Request-Id"), work.next_event));
+  ++work.next_event;
+  // Sending may have found out that the caller has left.
+  const auto still = this->works.find(number);
+  if (still != this->works.end()) {
+    still->second.timer->Start(this->settings.pause,
+                               [this, number] { this->NextEvent(number); });
+  }
+}
+
+}  // namespace carawayvalve::tests
--- /dev/null
+++ b/tests/platform/store.cc
@@ -0,0 +1,224 @@
+#include "store.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace carawayvalve::tests {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr size_t kPageSize = 50;
+constexpr char kPrefix[] = "/api/objects/";
+
+std::string QueryValue(const std::string& target, const std::string& name) {
+  size_t at = target.find('?');
+  while (at != std::string::npos) {
+    const size_t next = target.find('&', at + 1);
+    const std::string item = target.substr(at + 1, next - at - 1);
+    if (item.starts_with(name + "=")) {
+      return item.substr(name.size() + 1);
+    }
+    at = next;
+  }
+  return "";
+}
+
+void Respond(net::Exchange& exchange, int status, const json& body) {
+  exchange.Respond(
+      {{status, {{"Content-Type", "application/json"}}}, body.dump()});
+}
+
+}  // namespace
+
+Store::Store(net::EventLoop& loop)
+    : loop(loop),
+      server(loop, {"127.0.0.1", 0}, [this](const auto& exchange) {
+        this->OnCall(exchange);
+      }) {}
+
+void Store::Put(const std::string& kind,
+                const std::string& name,
+                const json& spec) {
+  this->Write({kind, name}, spec);
+}
+
+void Store::Remove(const std::string& kind, const std::string& name) {
+  const auto found = this->objects.find({kind, name});
+  if (found == this->objects.end()) {
+    return;
+  }
+  json object = std::move(found->second);
+  this->objects.erase(found);
+  object["meta"]["rev"] = ++this->revision;
+  this->Record({kind, name}, object, true);
+}
+
+void Store::Compact() {
+  this->history.clear();
+  this->compacted = this->revision;
+}
+
+json& Store::Write(const Key& key, const json& spec) {
+  json& object = this->objects[key];
+  if (!object.is_null() && object["spec"] == spec) {
+    return object;
+  }
+  ++this->revision;
+  if (object.is_null()) {
+    object = {{"meta",
+               {{"name", key.second}, {"createRevision", this->revision}}}};
+  }
+  object["meta"]["rev"] = this->revision;
+  object["spec"] = spec;
+  this->Record(key, object, false);
+  return object;
+}
+
+void Store::Record(const Key& key, const json& object, bool removed) {
+  this->history.push_back(
+      {this->revision, key.first, {{"object", object}, {"tombstone", removed}}});
+  // Answering may bring new watches about.
+  std::list<Watcher> told;
+  for (auto it = this->watchers.begin(); it != this->watchers.end();) {
+    const auto next = std::next(it);
+    if (it->kind == key.first) {
+      told.splice(told.end(), this->watchers, it);
+    }
+    it = next;
+  }
+  for (Watcher& watcher : told) {
+    watcher.timer.reset();
+    Respond(*watcher.exchange, 200,
+            this->ChangesSince(watcher.kind, watcher.since));
+  }
+}
+
+json Store::ChangesSince(const std::string& kind, int64_t since) const {
+  json events = json::array();
+  for (const Change& change : this->history) {
+    if (change.kind == kind && change.revision > since) {
+      events.push_back(change.event);
+    }
+  }
+  return {{"events", events}, {"currentRev", this->revision}};
+}
+
+void Store::OnCall(const std::shared_ptr<net::Exchange>& exchange) {
+  const net::Request& request = exchange->request();
+  if (this->down) {
+    exchange->Abort();
+    return;
+  }
+  if (this->refuses || !request.target.starts_with(kPrefix)) {
+    Respond(*exchange, this->refuses ? 503 : 404, json::object());
+    return;
+  }
+  std::string path = request.target.substr(sizeof(kPrefix) - 1);
+  path = path.substr(0, path.find('?'));
+  const size_t slash = path.find('/');
+  const std::string kind = path.substr(0, slash);
+  const std::string name =
+      slash == std::string::npos ? "" : path.substr(slash + 1);
+  if (request.method != "GET") {
+    const Answer answer = this->OnWrite(request, kind, name);
+    if (this->lost_writes > 0) {
+      --this->lost_writes;
+      exchange->Abort();
+      return;
+    }
+    Respond(*exchange, answer.first, answer.second);
+    return;
+  }
+  const std::string watch = QueryValue(request.target, "watch");
+  if (!watch.empty()) {
+    this->Watch(kind, std::stoll(watch),
+                std::stoll(QueryValue(request.target, "waitMs")), exchange);
+    return;
+  }
+  const Answer answer =
+      name.empty() ? Answer(200, this->List(kind, QueryValue(request.target,
+                                                             "after")))
+                   : this->OnRead(kind, name);
+  Respond(*exchange, answer.first, answer.second);
+}
+
+Store::Answer Store::OnRead(const std::string& kind,
+                            const std::string& name) const {
+  const auto found = this->objects.find({kind, name});
+  return found == this->objects.end() ? Answer(404, json::object())
+                                      : Answer(200, found->second);
+}
+
+json Store::List(const std::string& kind, const std::string& after) const {
+  json items = json::array();
+  bool more = false;
+  for (const auto& [key, object] : this->objects) {
+    if (key.first != kind || key.second <= after) {
+      continue;
+    }
+    more = items.size() == kPageSize;
+    if (more) {
+      break;
+    }
+    items.push_back(object);
+  }
+  return {{"items", items}, {"hasMore", more}, {"currentRev", this->revision}};
+}
+
+Store::Answer Store::OnWrite(const net::Request& request,
+                             const std::string& kind,
+                             std::string name) {
+  const json body = json::parse(request.body, nullptr, false);
+  const bool creates = request.method == "POST";
+  if (creates) {
+    name = body["meta"]["name"].get<std::string>();
+  }
+  const auto found = this->objects.find({kind, name});
+  if (creates && found != this->objects.end()) {
+    return {409, found->second};
+  }
+  if (!creates && found == this->objects.end()) {
+    return {404, json::object()};
+  }
+  const bool conditional = !creates && body["meta"].contains("rev");
+  if (conditional && body["meta"]["rev"] != found->second["meta"]["rev"]) {
+    return {409, found->second};
+  }
+  return {creates ? 201 : 200, this->Write({kind, name}, body["spec"])};
+}
+
+void Store::Watch(const std::string& kind,
+                  int64_t since,
+                  int64_t wait_ms,
+                  const std::shared_ptr<net::Exchange>& exchange) {
+  if (since < this->compacted) {
+    Respond(*exchange, 410, json::object());
+    return;
+  }
+  json changes = this->ChangesSince(kind, since);
+  if (!changes["events"].empty()) {
+    Respond(*exchange, 200, changes);
+    return;
+  }
+  this->watchers.push_back(
+      {kind, since, exchange, std::make_unique<net::Timer>(this->loop)});
+  const auto watcher = std::prev(this->watchers.end());
+  watcher->timer->Start(base::Milliseconds(wait_ms), [this, exchange] {
+    const auto waiting = std::find_if(
+        this->watchers.begin(), this->watchers.end(),
+        [&](const Watcher& one) { return one.exchange == exchange; });
+    if (waiting == this->watchers.end()) {
+      return;
+    }
+    const json none = {{"events", json::array()},
+                       {"currentRev", this->revision}};
+    // The timer that runs this goes with the watcher.
+    const Watcher ended = std::move(*waiting);
+    this->watchers.erase(waiting);
+    Respond(*ended.exchange, 200, none);
+  });
+}
+
+}  // namespace carawayvalve::tests
--- /dev/null
+++ b/tests/platform/store.h
@@ -0,0 +1,81 @@
+#ifndef CARAWAYVALVE_TESTS_PLATFORM_STORE_H_
+#define CARAWAYVALVE_TESTS_PLATFORM_STORE_H_
+
+#include <list>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "carawayvalve/net/http_server.h"
+
+namespace carawayvalve::tests {
+
+// Stands in for the platform's store: objects with revisions, conditional
+// writes, lists in pages and watches, as the platform publishes them.
+class Store {
+ public:
+  explicit Store(net::EventLoop& loop);
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(this->server.port());
+  }
+
+  // Writes as the operator or a backend server does.
+  void Put(const std::string& kind,
+           const std::string& name,
+           const nlohmann::json& spec);
+  void Remove(const std::string& kind, const std::string& name);
+  // Forgets the history; watches that ask for it get 410.
+  void Compact();
+
+  // Turns every call away with 503.
+  bool refuses = false;
+  // Closes connections without an answer.
+  bool down = false;
+  // Carries out so many of the next writes and loses their answers.
+  int lost_writes = 0;
+
+ private:
+  using Key = std::pair<std::string, std::string>;
+  struct Change {
+    int64_t revision = 0;
+    std::string kind;
+    nlohmann::json event;
+  };
+  struct Watcher {
+    std::string kind;
+    int64_t since = 0;
+    std::shared_ptr<net::Exchange> exchange;
+    std::unique_ptr<net::Timer> timer;
+  };
+  using Answer = std::pair<int, nlohmann::json>;
+
+  void OnCall(const std::shared_ptr<net::Exchange>& exchange);
+  Answer OnRead(const std::string& kind, const std::string& name) const;
+  Answer OnWrite(const net::Request& request,
+                 const std::string& kind,
+                 std::string name);
+  nlohmann::json List(const std::string& kind, const std::string& after) const;
+  void Watch(const std::string& kind,
+             int64_t since,
+             int64_t wait_ms,
+             const std::shared_ptr<net::Exchange>& exchange);
+  nlohmann::json ChangesSince(const std::string& kind, int64_t since) const;
+  nlohmann::json& Write(const Key& key, const nlohmann::json& spec);
+  void Record(const Key& key, const nlohmann::json& object, bool removed);
+
+  net::EventLoop& loop;
+  net::HttpServer server;
+  std::map<Key, nlohmann::json> objects;
+  std::vector<Change> history;
+  int64_t revision = 1;
+  int64_t compacted = 0;
+  std::list<Watcher> watchers;
+};
+
+}  // namespace carawayvalve::tests
+
+#endif  // CARAWAYVALVE_TESTS_PLATFORM_STORE_H_
--- /dev/null
+++ b/tests/soak/callers.cc
@@ -0,0 +1,124 @@
+#include "callers.h"
+
+#include <utility>
+
+namespace carawayvalve::tests {
+
+namespace {
+
+// Between two requests of a caller.
+constexpr int kLongestPauseMs = 60;
+// How long a caller waits for a whole answer.
+constexpr base::Milliseconds kPatience(3000);
+constexpr base::Milliseconds kConnectPatience(1000);
+
+const char* PathOf(RequestType type) {
+  switch (type) {
+    case RequestType::kPayment:
+      return "/pay/";
+    case RequestType::kLookup:
+      return "/look/";
+    case RequestType::kStream:
+      return "/stream/";
+    case RequestType::kResumableStream:
+      return "/resume/";
+  }
+  return "/";
+}
+
+net::Request MakeRequest(const CallerCall& call, int prompt) {
+  net::Request request{"POST",
+                       std::string(PathOf(call.type)) + "x",
+                       {{"Host", "soak.example"},
+                        {"X-Request-Id", call.id},
+                        {"X-Credential", call.key},
+                        {"X-Deadline-Ms", std::to_string(kPatience.count())}},
+                       call.type == RequestType::kPayment ? "pay" : ""};
+  if (call.type == RequestType::kStream ||
+      call.type == RequestType::kResumableStream) {
+    const std::string shared = std::to_string(prompt % 4);
+    request.fields.push_back({"X-Model", "m"});
+    request.fields.push_back({"X-Token-Count", "2000,50"});
+    request.fields.push_back(
+        {"X-Prompt-Prefix", shared + ":1500," + call.id + ":500"});
+  }
+  return request;
+}
+
+}  // namespace
+
+Callers::Callers(net::EventLoop& loop,
+                 uint32_t seed,
+                 int count,
+                 Surroundings surroundings)
+    : loop(loop), generator(seed), surroundings(std::move(surroundings)) {
+  for (int i = 0; i < count; ++i) {
+    this->callers.push_back(
+        {std::make_unique<net::HttpClient>(loop, std::chrono::seconds(3)),
+         std::make_unique<net::Timer>(loop), nullptr});
+  }
+}
+
+void Callers::Start() {
+  for (size_t i = 0; i < this->callers.size(); ++i) {
+    this->Next(i);
+  }
+}
+
+void Callers::Next(size_t index) {
+  if (this->stopped) {
+    return;
+  }
+  const base::Milliseconds pause(this->generator() % kLongestPauseMs);
+  this->callers[index].timer->Start(pause, [this, index] { this->Send(index); });
+}
+
+void Callers::Send(size_t index) {
+  const auto gateways = this->surroundings.gateways();
+  const auto accounts = this->surroundings.accounts();
+  if (gateways.empty() || accounts.empty()) {
+    this->Next(index);
+    return;
+  }
+  this->all.push_back(std::make_unique<CallerCall>());
+  CallerCall& call = *this->all.back();
+  const Account& account = accounts[this->generator() % accounts.size()];
+  call.id = "r" + std::to_string(++this->last_id);
+  call.type = static_cast<RequestType>(this->generator() % 4);
+  call.account = account.name;
+  call.key = account.key;
+  call.sent = base::Now();
+  ++this->open;
+  Caller& caller = this->callers[index];
+  net::CallOptions options;
+  options.connect_timeout = kConnectPatience;
+  const std::string gateway = gateways[this->generator() % gateways.size()];
+  const auto prompt = static_cast<int>(this->generator() % 100);
+  caller.timer->Start(kPatience, [this, index, &call] {
+    this->callers[index].call.reset();
+    this->End(index, call);
+  });
+  caller.call = caller.client->Start(
+      base::ParseAddress(gateway), MakeRequest(call, prompt), options,
+      [this, index, &call](const net::CallEvent& event) {
+        if (const auto* head = std::get_if<net::CallHead>(&event)) {
+          call.status = head->head.status;
+        } else if (const auto* body = std::get_if<net::CallBody>(&event)) {
+          call.body += body->data;
+        } else if (std::holds_alternative<net::CallDone>(event)) {
+          call.whole = true;
+          this->End(index, call);
+        } else if (std::holds_alternative<net::CallFailed>(event)) {
+          this->End(index, call);
+        }
+      });
+}
+
+void Callers::End(size_t index, CallerCall& call) {
+  call.ended = base::Now();
+  --this->open;
+  // Not from here: the call that tells this would destroy itself.
+  this->Next(index);
+}
+
+}  // namespace carawayvalve::tests
--- /dev/null
+++ b/tests/soak/link.h
@@ -0,0 +1,47 @@
+#ifndef CARAWAYVALVE_TESTS_SOAK_LINK_H_
+#define CARAWAYVALVE_TESTS_SOAK_LINK_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "carawayvalve/net/event_loop.h"
+
+namespace carawayvalve::tests {
+
+// A TCP relay on loopback between two processes, in which connections can be
+// delayed, silenced, cut one way, refused and reset.
+class Link {
+ public:
+  enum class Mode {
+    kOpen,
+    // Bytes are held back in both directions; connections stay open.
+    kSilent,
+    // Only the bytes of those who connect pass.
+    kOneWay,
+    // New connections are closed, open ones as well.
+    kRefusing,
+  };
+
+  Link(net::EventLoop& loop, uint16_t target_port);
+  ~Link();
+
+  uint16_t port() const;
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(this->port());
+  }
+
+  void Set(Mode mode);
+  void SetDelay(base::Milliseconds delay);
+  // Resets all connections that are open now.
+  void Reset();
+  bool calm() const;
+
+ private:
+  class State;
+  std::shared_ptr<State> state;
+};
+
+}  // namespace carawayvalve::tests
+
+#endif  // CARAWAYVALVE_TESTS_SOAK_LINK_H_
--- /dev/null
+++ b/tests/soak/main.cc
@@ -0,0 +1,46 @@
+#include <docopt/docopt.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <iostream>
+
+#include "soak.h"
+
+namespace {
+
+constexpr char kManual[] =
+    R"(carawayvalve-soak - run gateways under random faults and check their promises
+
+Usage:
+  carawayvalve-soak --program=FILE --folder=DIR [--seed=N] [--seconds=S]
+
+Prints a line a seed, and a line for each promise that was broken; then exits
+with 1. Logs of the gateways and of the faults are kept in the folder.
+
+Options:
+  --program=FILE  The carawayvalve program.
+  --folder=DIR    For settings and logs; made if it isn't there.
+  --seed=N        Draws the faults and the requests [default: 1].
+  --seconds=S     How long faults go on [default: 10].
+)";
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  signal(SIGPIPE, SIG_IGN);
+  auto arguments = docopt::docopt(kManual, {argv + 1, argv + argc}, true);
+  carawayvalve::tests::SoakSettings settings;
+  settings.program = arguments["--program"].asString();
+  settings.folder = arguments["--folder"].asString();
+  settings.seed = static_cast<uint32_t>(arguments["--seed"].asLong());
+  settings.length = std::chrono::seconds(arguments["--seconds"].asLong());
+  // Every third seed has planned work alone.
+  settings.planned_only = settings.seed % 3 == 0;
+  std::filesystem::create_directories(settings.folder);
+  const auto complaints = carawayvalve::tests::Soak(settings).Run();
+  for (const std::string& complaint : complaints) {
+    std::cout << "  " << complaint << '\n';
+  }
+  return complaints.empty() ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soak.cc
@@ -0,0 +1,571 @@
+#include "soak.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace carawayvalve::tests {
+
+using nlohmann::json;
+using std::chrono::seconds;
+
+namespace {
+
+// The bound after which a withdrawn key must not work (the platform's).
+constexpr seconds kWithdrawalBound(5);
+// Until the kill that follows a request to stop.
+constexpr seconds kGrace(8);
+constexpr base::Milliseconds kWatchInterval(50);
+// From the start of the gateways to the first request.
+constexpr base::Milliseconds kLead(1500);
+// From the end of the faults to the requests that must be served again.
+constexpr seconds kRecovery(8);
+constexpr seconds kProgressTime(3);
+// Of the requests after the recovery, the part that must be served.
+constexpr double kServedShare = 0.9;
+constexpr int kEvents = 5;
+constexpr size_t kLeastServers = 2;
+
+// A port that nothing listens on now.
+uint16_t FreePort(net::EventLoop& loop) {
+  const net::HttpServer probe(loop, {"127.0.0.1", 0}, [](const auto&) {});
+  return probe.port();
+}
+
+json RouteOf(const char* name,
+             const char* path,
+             const char* kind,
+             const char* service,
+             bool resumable,
+             int64_t timeout_ms) {
+  return {{"name", name},
+          {"host", "soak.example"},
+          {"prefix", path},
+          {"kind", kind},
+          {"timeoutMs", timeout_ms},
+          {"sloMs", 500},
+          {"service", service},
+          {"maxAttempts", 2},
+          {"resumable", resumable}};
+}
+
+}  // namespace
+
+Soak::Soak(const SoakSettings& settings)
+    : settings(settings),
+      generator(settings.seed),
+      store(this->loop),
+      usage(this->loop,
+            {"127.0.0.1", 0},
+            [this](const auto& exchange) { this->OnUsage(exchange); }) {
+  for (const char* name : {"guild", "zoo", "museum"}) {
+    this->accounts.push_back({name, std::string("key-") + name + "-0"});
+  }
+  for (int i = 0; i < 3; ++i) {
+    this->AddServer(false, false);
+    this->AddServer(true, i == 0);
+  }
+  this->WriteConfiguration();
+  for (int i = 0; i < settings.gateways; ++i) {
+    this->PrepareGateway(i);
+  }
+  this->callers = std::make_unique<Callers>(
+      this->loop, settings.seed, settings.callers,
+      Callers::Surroundings{[this] {
+                              std::vector<std::string> addresses;
+                              for (Gateway& gateway : this->gateways) {
+                                if (gateway.process.started() &&
+                                    !gateway.stopping) {
+                                  addresses.push_back(gateway.callers_address);
+                                }
+                              }
+                              return addresses;
+                            },
+                            [this] { return this->accounts; }});
+}
+
+Soak::~Soak() = default;
+
+std::vector<std::string> Soak::Run() {
+  this->began = base::Now();
+  for (Gateway& gateway : this->gateways) {
+    this->StartGateway(gateway);
+  }
+  this->Watch();
+  size_t first_call = 0;
+  this->After(kLead, [this] {
+    this->callers->Start();
+    this->ScheduleFault();
+  });
+  const auto length =
+      std::chrono::duration_cast<base::Milliseconds>(this->settings.length);
+  this->After(kLead + length, [this] { this->Heal(); });
+  this->After(kLead + length + kRecovery,
+              [&] { first_call = this->callers->calls().size(); });
+  this->After(kLead + length + kRecovery + kProgressTime,
+              [this] { this->callers->Stop(); });
+  // The last answers, and runs that come after their refusal.
+  this->After(kLead + length + kRecovery + 2 * kProgressTime + seconds(1),
+              [this] { this->loop.Stop(); });
+  this->loop.Run();
+  this->CheckRuns();
+  this->CheckAnswers();
+  this->CheckReports();
+  this->CheckProgress(first_call);
+  std::cout << "seed " << this->settings.seed << ": "
+            << this->callers->calls().size() << " requests, "
+            << this->runs.size() << " runs, " << this->reports.size()
+            << " reports, " << this->complaints.size() << " complaints\n";
+  return this->complaints;
+}
+
+void Soak::After(base::Milliseconds wait, std::function<void()> then) {
+  this->timers.push_back(std::make_unique<net::Timer>(this->loop));
+  this->timers.back()->Start(wait, std::move(then));
+}
+
+base::Milliseconds Soak::Draw(int least, int most) {
+  return base::Milliseconds(
+      std::uniform_int_distribution<int>(least, most)(this->generator));
+}
+
+void Soak::Note(const std::string& what) {
+  std::ofstream log(this->settings.folder + "/faults.log", std::ios::app);
+  log << base::ToMilliseconds(base::Now() - this->began) << " ms " << what
+      << '\n';
+}
+
+void Soak::Complain(const std::string& what) {
+  this->complaints.push_back(what);
+  this->Note("COMPLAINT " + what);
+}
+
+void Soak::WriteConfiguration() {
+  this->plan_version += 1 + static_cast<int64_t>(this->generator() % 3);
+  json tenants = json::array();
+  for (const Callers::Account& account : this->accounts) {
+    if (!this->withdrawn.contains(account.key)) {
+      tenants.push_back(
+          {{"name", account.name}, {"apiKeys", json::array({account.key})}});
+    }
+  }
+  this->store.Put(
+      "config", "main",
+      {{"version", this->plan_version},
+       {"routes",
+        {RouteOf("pay", "/pay/", "mutating", "desk", false, this->timeout_ms),
+         RouteOf("look", "/look/", "idempotent", "desk", false,
+                 this->timeout_ms),
+         RouteOf("stream", "/stream/", "stream", "models", false,
+                 this->timeout_ms),
+         RouteOf("resume", "/resume/", "stream", "models", true,
+                 this->timeout_ms)}},
+       {"services",
+        {{{"name", "desk"}, {"healthPath", "/health"}, {"maxConns", 100}},
+         {{"name", "models"},
+          {"healthPath", "/health"},
+          {"maxConns", 100},
+          {"engine", {{"slots", 16}, {"kvTokens", 100000}}}}}},
+       {"tenants", tenants}});
+}
+
+void Soak::AddServer(bool engine, bool reads) {
+  auto server = std::make_unique<Server>();
+  Backend::Settings backend;
+  backend.id = "i-" + std::to_string(++this->last_server);
+  backend.events = kEvents;
+  server->backend =
+      std::make_unique<Backend>(this->loop, backend, this->runs);
+  server->link = std::make_unique<Link>(this->loop, server->backend->port());
+  server->engine = engine;
+  server->reads = reads;
+  this->Register(*server, false);
+  this->servers.push_back(std::move(server));
+}
+
+void Soak::Register(const Server& server, bool draining) {
+  json entry = {{"service", server.engine ? "models" : "desk"},
+                {"addr", server.link->address()},
+                {"zone", "a"},
+                {"slots", 16},
+                {"state", draining ? "draining" : "up"},
+                {"born", 1}};
+  if (server.engine) {
+    entry["phase"] = server.reads ? "prefill" : "decode";
+  }
+  this->store.Put("servers", server.backend->id(), entry);
+}
+
+void Soak::PrepareGateway(int number) {
+  Gateway gateway;
+  gateway.name = "edge-" + std::to_string(number);
+  gateway.settings_path =
+      this->settings.folder + "/" + gateway.name + ".json";
+  const auto port_of = [](const std::string& address) {
+    return base::ParseAddress(address).port;
+  };
+  gateway.store_link =
+      std::make_unique<Link>(this->loop, port_of(this->store.address()));
+  gateway.usage_link = std::make_unique<Link>(this->loop, this->usage.port());
+  const auto listen = [this] {
+    return "127.0.0.1:" + std::to_string(FreePort(this->loop));
+  };
+  gateway.callers_address = listen();
+  const json written = {
+      {"host", gateway.name},
+      {"data_centre", "a"},
+      {"listen",
+       {{"callers", gateway.callers_address},
+        {"readiness", listen()},
+        {"metrics", listen()},
+        {"peers", listen()}}},
+      {"store", {{"address", gateway.store_link->address()}}},
+      {"duties",
+       {{"address", gateway.usage_link->address()},
+        {"kinds", {"metering"}},
+        {"usage_window_s", 2},
+        {"lease_ms", 1500}}},
+      {"bounds", {{"retry_slack", 60}, {"stop_s", kGrace.count()}}}};
+  std::ofstream(gateway.settings_path) << written.dump(2);
+  this->gateways.push_back(std::move(gateway));
+}
+
+void Soak::StartGateway(Gateway& gateway) {
+  gateway.stopping = false;
+  gateway.process =
+      Child({this->settings.program, "gateway",
+             "--settings=" + gateway.settings_path},
+            this->settings.folder + "/" + gateway.name + ".log");
+}
+
+// Starts processes again that have ended, and kills those that don't end.
+void Soak::Watch() {
+  for (Gateway& gateway : this->gateways) {
+    if (gateway.stopping && base::Now() - gateway.stop_asked > kGrace) {
+      this->Complain(gateway.name + " didn't end when it was asked to");
+      gateway.process.Kill();
+    }
+    if (gateway.process.started() && !gateway.process.Alive()) {
+      if (!gateway.stopping) {
+        this->Complain(gateway.name + " ended by itself");
+      }
+      this->After(this->Draw(100, 600),
+                  [this, &gateway] { this->StartGateway(gateway); });
+    }
+  }
+  this->After(kWatchInterval, [this] { this->Watch(); });
+}
+
+void Soak::ScheduleFault() {
+  static constexpr Step kPlanned[] = {&Soak::StopGateway, &Soak::ReplaceServer,
+                                      &Soak::ChangeRoutes};
+  static constexpr Step kAny[] = {
+      &Soak::KillGateway,      &Soak::PauseGateway,       &Soak::StopGateway,
+      &Soak::DisturbStore,     &Soak::DisturbStoreLink,   &Soak::DisturbStoreLink,
+      &Soak::DisturbBackend,   &Soak::DisturbBackendLink, &Soak::ReplaceServer,
+      &Soak::WithdrawKey,      &Soak::ChangeRoutes};
+  if (this->faults_over) {
+    return;
+  }
+  const Step step = this->settings.planned_only
+                        ? kPlanned[this->generator() % std::size(kPlanned)]
+                        : kAny[this->generator() % std::size(kAny)];
+  (this->*step)();
+  this->After(this->Draw(100, 900), [this] { this->ScheduleFault(); });
+}
+
+void Soak::KillGateway() {
+  Gateway& gateway = this->Pick(this->gateways);
+  this->Note("kill " + gateway.name);
+  if (gateway.process.started()) {
+    gateway.process.Kill();
+    this->After(this->Draw(200, 1500), [this, &gateway] {
+      if (!gateway.process.started()) {
+        this->StartGateway(gateway);
+      }
+    });
+  }
+}
+
+void Soak::PauseGateway() {
+  Gateway& gateway = this->Pick(this->gateways);
+  const base::Milliseconds length = this->Draw(200, 6500);
+  this->Note("pause " + gateway.name + " for " +
+             std::to_string(length.count()) + " ms");
+  gateway.process.Signal(SIGSTOP);
+  this->After(length, [&gateway] { gateway.process.Signal(SIGCONT); });
+}
+
+void Soak::StopGateway() {
+  const auto stopping =
+      std::count_if(this->gateways.begin(), this->gateways.end(),
+                    [](const Gateway& one) { return one.stopping; });
+  Gateway& gateway = this->Pick(this->gateways);
+  if (stopping > 0 || !gateway.process.started()) {
+    return;
+  }
+  this->Note("stop " + gateway.name);
+  // The balancer sends new connections elsewhere a while later; callers here
+  // do so at once, and go on with the connections that they have.
+  gateway.stopping = true;
+  gateway.stop_asked = base::Now();
+  gateway.process.Signal(SIGTERM);
+}
+
+void Soak::DisturbStore() {
+  const auto kind = this->generator() % 4;
+  this->Note("disturb store " + std::to_string(kind));
+  this->store.refuses = kind == 0;
+  this->store.down = kind == 1;
+  this->store.lost_writes = kind == 2 ? 3 : 0;
+  if (kind == 3) {
+    this->store.Compact();
+  }
+  this->After(this->Draw(300, 3000), [this] {
+    this->store.refuses = false;
+    this->store.down = false;
+  });
+}
+
+namespace {
+
+void DisturbLink(Link& link, uint32_t kind, base::Milliseconds delay) {
+  switch (kind % 5) {
+    case 0:
+      link.Set(Link::Mode::kSilent);
+      return;
+    case 1:
+      link.Set(Link::Mode::kOneWay);
+      return;
+    case 2:
+      link.Set(Link::Mode::kRefusing);
+      return;
+    case 3:
+      link.Reset();
+      return;
+    default:
+      link.SetDelay(delay);
+  }
+}
+
+}  // namespace
+
+void Soak::DisturbStoreLink() {
+  Gateway& gateway = this->Pick(this->gateways);
+  const auto kind = static_cast<uint32_t>(this->generator());
+  this->Note("disturb store link of " + gateway.name + " " +
+             std::to_string(kind % 5));
+  for (Link* link : {gateway.store_link.get(), gateway.usage_link.get()}) {
+    DisturbLink(*link, kind, this->Draw(20, 400));
+  }
+  this->After(this->Draw(300, 7000), [&gateway] {
+    for (Link* link : {gateway.store_link.get(), gateway.usage_link.get()}) {
+      link->Set(Link::Mode::kOpen);
+      link->SetDelay(base::Milliseconds(0));
+    }
+  });
+}
+
+void Soak::DisturbBackendLink() {
+  Server& server = *this->Pick(this->servers);
+  const auto kind = static_cast<uint32_t>(this->generator());
+  this->Note("disturb link of " + server.backend->id() + " " +
+             std::to_string(kind % 5));
+  DisturbLink(*server.link, kind, this->Draw(5, 100));
+  this->After(this->Draw(300, 3000), [&server] {
+    server.link->Set(Link::Mode::kOpen);
+    server.link->SetDelay(base::Milliseconds(0));
+  });
+}
+
+void Soak::DisturbBackend() {
+  Server& server = *this->Pick(this->servers);
+  const auto kind = this->generator() % 3;
+  this->Note("disturb " + server.backend->id() + " " + std::to_string(kind));
+  server.backend->mute = kind == 0;
+  server.backend->lost_answers = kind == 1 ? 4 : 0;
+  server.backend->declines = kind == 2;
+  this->After(this->Draw(300, 2500), [&server] {
+    server.backend->mute = false;
+    server.backend->declines = false;
+  });
+}
+
+// A new backend server starts, an old one drains and goes.
+void Soak::ReplaceServer() {
+  Server& old = *this->Pick(this->servers);
+  const auto alike = std::count_if(
+      this->servers.begin(), this->servers.end(), [&](const auto& one) {
+        return one->engine == old.engine && !one->draining;
+      });
+  if (old.draining || static_cast<size_t>(alike) < kLeastServers) {
+    return;
+  }
+  this->Note("replace " + old.backend->id());
+  this->AddServer(old.engine, old.reads);
+  old.draining = true;
+  old.drained = base::Now();
+  this->Register(old, true);
+  this->After(seconds(4), [this, id = old.backend->id()] {
+    this->store.Remove("servers", id);
+  });
+}
+
+void Soak::WithdrawKey() {
+  Callers::Account& account = this->Pick(this->accounts);
+  if (this->withdrawn.contains(account.key)) {
+    return;
+  }
+  this->Note("withdraw " + account.key);
+  // The account gets another key at the same time; some callers go on with the
+  // old one.
+  this->withdrawn[account.key] = base::Now();
+  this->accounts.push_back(
+      {account.name,
+       "key-" + account.name + "-" + std::to_string(++this->last_key)});
+  this->WriteConfiguration();
+}
+
+void Soak::ChangeRoutes() {
+  this->timeout_ms = 2000 + static_cast<int64_t>(this->generator() % 2000);
+  this->Note("timeout " + std::to_string(this->timeout_ms));
+  this->WriteConfiguration();
+}
+
+void Soak::Heal() {
+  this->Note("heal");
+  this->faults_over = true;
+  this->store.refuses = false;
+  this->store.down = false;
+  this->store.lost_writes = 0;
+  for (Gateway& gateway : this->gateways) {
+    gateway.process.Signal(SIGCONT);
+  }
+  // Faults that were to end later do so by their own timers.
+}
+
+void Soak::OnUsage(const std::shared_ptr<net::Exchange>& exchange) {
+  const net::HeaderFields& fields = exchange->request().fields;
+  const std::string* holder = net::FindField(fields, "X-Duty-Holder");
+  const std::string* epoch = net::FindField(fields, "X-Fence-Token");
+  if (holder == nullptr || epoch == nullptr) {
+    this->Complain("a report without holder or epoch");
+  } else {
+    this->reports.push_back(
+        {std::stoll(*epoch), *holder, exchange->request().body});
+  }
+  exchange->Respond({{200, {}}, "{}"});
+}
+
+void Soak::CheckRuns() {
+  std::map<std::string, const CallerCall*> by_id;
+  for (const auto& call : this->callers->calls()) {
+    by_id[call->id] = call.get();
+  }
+  std::map<std::string, int> count;
+  for (const BackendRun& run : this->runs) {
+    const auto found = by_id.find(run.request);
+    if (found == by_id.end()) {
+      this->Complain("unknown request " + run.request + " ran");
+      continue;
+    }
+    const CallerCall& call = *found->second;
+    if (run.account != call.account || !run.key.empty()) {
+      this->Complain(run.request + " ran for " + run.account + " with key '" +
+                     run.key + "'");
+    }
+    const bool may_repeat = call.type == RequestType::kLookup ||
+                            call.type == RequestType::kResumableStream;
+    if (++count[run.request] > 1 && !may_repeat) {
+      this->Complain(run.request + " ran twice");
+    }
+    const auto taken = this->withdrawn.find(call.key);
+    if (taken != this->withdrawn.end() &&
+        call.sent > taken->second + kWithdrawalBound) {
+      this->Complain(run.request + " ran with a key withdrawn before");
+    }
+  }
+  for (const auto& [id, call] : by_id) {
+    const bool promised = call->whole && (call->status == 503 ||
+                                          call->status == 429 ||
+                                          call->status == 408);
+    const bool may_repeat = call->type == RequestType::kLookup ||
+                            call->type == RequestType::kResumableStream;
+    if (promised && !may_repeat && count[id] > 0) {
+      this->Complain(id + " was answered " + std::to_string(call->status) +
+                     " and ran");
+    }
+  }
+}
+
+void Soak::CheckAnswers() {
+  for (const auto& call : this->callers->calls()) {
+    if (this->settings.planned_only && !call->whole) {
+      this->Complain(call->id + " got no whole answer around planned work");
+    }
+    if (!call->whole || call->status != 200) {
+      continue;
+    }
+    const bool plain = call->type == RequestType::kPayment ||
+                       call->type == RequestType::kLookup;
+    bool right = false;
+    if (plain) {
+      right = call->body.starts_with("answer to " + call->id + " by ");
+    } else {
+      std::string whole;
+      for (int i = 1; i <= kEvents; ++i) {
+        whole += StreamEvent(call->id, i);
+      }
+      right = call->body == whole;
+    }
+    if (!right) {
+      this->Complain(call->id + " got another answer: " + call->body);
+    }
+  }
+}
+
+void Soak::CheckReports() {
+  std::map<json, std::string> windows;
+  std::map<int64_t, std::string> holders;
+  int64_t highest = 0;
+  for (const Report& report : this->reports) {
+    const json body = json::parse(report.body, nullptr, false);
+    const std::string figures = body["counts"].dump();
+    if (windows.try_emplace(body["window"], figures).first->second != figures) {
+      this->Complain("window " + body["window"].dump() + " reported twice: " +
+                     report.body);
+    }
+    if (holders.try_emplace(report.epoch, report.holder).first->second !=
+        report.holder) {
+      this->Complain("two holders with epoch " + std::to_string(report.epoch));
+    }
+    if (report.epoch < highest) {
+      this->Complain("epoch " + std::to_string(report.epoch) + " after " +
+                     std::to_string(highest));
+    }
+    highest = std::max(highest, report.epoch);
+  }
+}
+
+void Soak::CheckProgress(size_t first_call) {
+  int64_t asked = 0;
+  int64_t served = 0;
+  const auto& calls = this->callers->calls();
+  for (size_t i = first_call; i < calls.size(); ++i) {
+    if (!this->withdrawn.contains(calls[i]->key)) {
+      ++asked;
+      served += calls[i]->whole && calls[i]->status == 200 ? 1 : 0;
+    }
+  }
+  if (static_cast<double>(served) < kServedShare * static_cast<double>(asked) ||
+      asked == 0) {
+    this->Complain("after the recovery " + std::to_string(served) + " of " +
+                   std::to_string(asked) + " requests were served");
+  }
+}
+
+}  // namespace carawayvalve::tests
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,128 @@
+#ifndef CARAWAYVALVE_TESTS_SOAK_SOAK_H_
+#define CARAWAYVALVE_TESTS_SOAK_SOAK_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "../platform/backend.h"
+#include "../platform/store.h"
+#include "callers.h"
+#include "child.h"
+#include "link.h"
+
+namespace carawayvalve::tests {
+
+struct SoakSettings {
+  // The program under test.
+  std::string program;
+  // For settings files and logs.
+  std::string folder;
+  uint32_t seed = 1;
+  base::Duration length = std::chrono::seconds(10);
+  int gateways = 3;
+  int callers = 12;
+  // Only planned work: stops, drains and configurations. Then no request may
+  // be lost at all.
+  bool planned_only = false;
+};
+
+// Runs gateways as processes between stand-ins, does to them what happens on
+// the platform, and checks what callers and backend servers see.
+class Soak {
+ public:
+  explicit Soak(const SoakSettings& settings);
+  ~Soak();
+
+  // Returns what was found wrong, a line each.
+  std::vector<std::string> Run();
+
+ private:
+  struct Gateway {
+    Child process;
+    std::string name;
+    std::string settings_path;
+    std::string callers_address;
+    std::unique_ptr<Link> store_link;
+    std::unique_ptr<Link> usage_link;
+    bool stopping = false;
+    base::Instant stop_asked;
+  };
+  struct Server {
+    std::unique_ptr<Backend> backend;
+    std::unique_ptr<Link> link;
+    bool engine = false;
+    bool reads = false;
+    bool draining = false;
+    base::Instant drained;
+  };
+  struct Report {
+    int64_t epoch = 0;
+    std::string holder;
+    std::string body;
+  };
+  using Step = void (Soak::*)();
+
+  void WriteConfiguration();
+  void AddServer(bool engine, bool reads);
+  void Register(const Server& server, bool draining);
+  void PrepareGateway(int number);
+  void StartGateway(Gateway& gateway);
+  void Watch();
+  void ScheduleFault();
+  void After(base::Milliseconds wait, std::function<void()> then);
+  base::Milliseconds Draw(int least, int most);
+  template <typename Items>
+  auto& Pick(Items& items) {
+    return items[this->generator() % items.size()];
+  }
+  void Note(const std::string& what);
+
+  // Faults and planned work.
+  void KillGateway();
+  void PauseGateway();
+  void StopGateway();
+  void DisturbStore();
+  void DisturbStoreLink();
+  void DisturbBackendLink();
+  void DisturbBackend();
+  void ReplaceServer();
+  void WithdrawKey();
+  void ChangeRoutes();
+
+  void Heal();
+  void OnUsage(const std::shared_ptr<net::Exchange>& exchange);
+  void CheckRuns();
+  void CheckAnswers();
+  void CheckReports();
+  void CheckProgress(size_t first_call);
+  void Complain(const std::string& what);
+
+  SoakSettings settings;
+  std::mt19937 generator;
+  net::EventLoop loop;
+  Store store;
+  net::HttpServer usage;
+  std::vector<BackendRun> runs;
+  std::vector<std::unique_ptr<Server>> servers;
+  std::vector<Gateway> gateways;
+  std::unique_ptr<Callers> callers;
+  std::vector<std::unique_ptr<net::Timer>> timers;
+  std::vector<Callers::Account> accounts;
+  // When each key was taken away.
+  std::map<std::string, base::Instant> withdrawn;
+  std::vector<Report> reports;
+  std::vector<std::string> complaints;
+  int64_t plan_version = 0;
+  int64_t last_server = 0;
+  int64_t last_key = 0;
+  int64_t timeout_ms = 3000;
+  base::Instant began;
+  bool faults_over = false;
+};
+
+}  // namespace carawayvalve::tests
+
+#endif  // CARAWAYVALVE_TESTS_SOAK_SOAK_H_
