Notice backend servers that fall silent

Cause: requests went on to a dark generator for half a second and more, and one that was tried again got all of them at once. Ruled out: the failures that were counted already; a dark backend server fails nothing, it keeps connections open.

A backend server from which nothing came for one and a half times what was expected and 300 ms, or for 400 ms within a stream, gets no new work. After a pause one request alone tries it. Lookups and resumable streams go on elsewhere by the same measure, also in mid-stream.

--- a/core/include/carawayvalve/core/backend_health.h
+++ b/core/include/carawayvalve/core/backend_health.h
@@ -45,8 +45,11 @@
   // It was started anew.
   void Forget(const base::BackendServerId& id);
 
-  // Whether requests may be sent there. After a pause they may again.
-  bool Usable(const base::BackendServerId& id, base::Instant now) const;
+  // Whether a request may be sent there while `under_way` others of this
+  // process are. After a pause one alone is, until it was answered.
+  bool Usable(const base::BackendServerId& id,
+              int64_t under_way,
+              base::Instant now) const;
   // How many times longer than expected its answers take; at least 1.
   double Slowness(const base::BackendServerId& id, base::Instant now) const;
   // The part of its requests that failed lately, from 0 to 1.
--- a/core/include/carawayvalve/core/fleet_load.h
+++ b/core/include/carawayvalve/core/fleet_load.h
@@ -42,6 +42,8 @@
                 base::Instant now);
 
   BackendLoad Of(const base::BackendServerId& id, base::Instant now) const;
+  // Requests of this process alone.
+  int64_t OwnRequests(const base::BackendServerId& id) const;
   // What this process sent, for its peers.
   const Loads& own() const { return this->own_loads; }
 
--- a/core/include/carawayvalve/core/placement.h
+++ b/core/include/carawayvalve/core/placement.h
@@ -15,6 +15,7 @@
 #include "carawayvalve/core/caller_request.h"
 #include "carawayvalve/core/fleet_load.h"
 #include "carawayvalve/core/prefix_homes.h"
+#include "carawayvalve/core/silence_watch.h"
 
 namespace carawayvalve::core {
 
@@ -94,6 +95,7 @@
   Placer(const PlacementSettings& settings,
          const BackendDirectory& directory,
          const BackendHealth& health,
+         const SilenceWatch& silence,
          const FleetLoad& load,
          const PrefixHomes& homes);
 
@@ -151,6 +153,7 @@
   PlacementSettings settings;
   const BackendDirectory& directory;
   const BackendHealth& health;
+  const SilenceWatch& silence;
   const FleetLoad& load;
   const PrefixHomes& homes;
 };
--- a/core/src/backend_health.cc
+++ b/core/src/backend_health.cc
@@ -79,9 +79,15 @@
 }
 
 bool BackendHealth::Usable(const base::BackendServerId& id,
+                           int64_t under_way,
                            base::Instant now) const {
   const auto found = this->records.find(id);
-  return found == this->records.end() || now >= found->second.paused_until;
+  if (found == this->records.end()) {
+    return true;
+  }
+  const Record& record = found->second;
+  const bool on_trial = record.in_a_row >= this->settings.failures_in_a_row;
+  return now >= record.paused_until && (!on_trial || under_way == 0);
 }
 
 double BackendHealth::Slowness(const base::BackendServerId& id,
--- a/core/src/fleet_load.cc
+++ b/core/src/fleet_load.cc
@@ -56,6 +56,11 @@
   this->peers[peer] = {loads, now};
 }
 
+int64_t FleetLoad::OwnRequests(const base::BackendServerId& id) const {
+  const auto own = this->own_loads.find(id);
+  return own == this->own_loads.end() ? 0 : own->second.requests;
+}
+
 BackendLoad FleetLoad::Of(const base::BackendServerId& id,
                           base::Instant now) const {
   BackendLoad sum;
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -30,11 +30,13 @@
 Placer::Placer(const PlacementSettings& settings,
                const BackendDirectory& directory,
                const BackendHealth& health,
+               const SilenceWatch& silence,
                const FleetLoad& load,
                const PrefixHomes& homes)
     : settings(settings),
       directory(directory),
       health(health),
+      silence(silence),
       load(load),
       homes(homes) {}
 
@@ -47,7 +49,10 @@
         query.excluded.contains(id)) {
       continue;
     }
-    (this->health.Usable(id, now) ? usable : paused).push_back(&entry);
+    const bool sound =
+        this->health.Usable(id, this->load.OwnRequests(id), now) &&
+        !this->silence.Silent(id, now);
+    (sound ? usable : paused).push_back(&entry);
   }
   // One that failed is better than none.
   const auto generates = [](const BackendEntry* entry) {
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -10,6 +10,13 @@
 // connection takes a few milliseconds.
 constexpr base::Milliseconds kConnectTimeout(400);
 constexpr int kServerError = 500;
+// A backend server that takes this many times as long as expected, and this
+// much more, has fallen silent unless something else comes from it.
+constexpr int64_t kPatienceHalves = 3;
+constexpr base::Milliseconds kPatienceExtra(300);
+// Engines make an event of several tokens in a tenth of a second, also with
+// many streams; callers find pauses of 400 ms late.
+constexpr base::Milliseconds kEventPatience(400);
 
 }  // namespace
 
@@ -24,6 +31,8 @@
       sent(base::Now()) {
   this->ticket = context.beliefs.load.NoteSent(
       plan.backend.id, {1, plan.missing_tokens, plan.kv_tokens});
+  this->silence_ticket = context.beliefs.silence.NoteSent(
+      plan.backend.id, FirstPatience(plan.expected), this->sent);
   net::CallOptions options;
   options.connect_timeout = kConnectTimeout;
   options.echo = platform::EchoOf(caller);
@@ -35,13 +44,30 @@
 }
 
 BackendCall::~BackendCall() {
+  Beliefs& beliefs = this->context.beliefs;
+  const base::Instant now = base::Now();
+  const base::BackendServerId& id = this->call_plan.backend.id;
+  if (!this->settled && beliefs.silence.Silent(id, now)) {
+    // It was given up without a word from there.
+    beliefs.health.NoteUnreachable(id, now);
+  }
   this->Settle();
 }
 
+base::Duration BackendCall::FirstPatience(base::Duration expected) {
+  return expected * kPatienceHalves / 2 + kPatienceExtra;
+}
+
+base::Duration BackendCall::NextPatience() {
+  return kEventPatience;
+}
+
 void BackendCall::Settle() {
   if (!this->settled) {
     this->settled = true;
     this->context.beliefs.load.NoteEnded(this->ticket);
+    this->context.beliefs.silence.NoteEnded(this->call_plan.backend.id,
+                                            this->silence_ticket);
   }
 }
 
@@ -57,6 +83,8 @@
 }
 
 void BackendCall::On(const net::CallHead& event) {
+  this->context.beliefs.silence.NoteHeard(this->call_plan.backend.id,
+                                          base::Now());
   this->head = platform::DecodeBackendHead(event.head);
   this->status = event.head.status;
   // The body of a refusal is of no use to anyone.
@@ -70,6 +98,8 @@
   if (this->head.declined) {
     return;
   }
+  this->context.beliefs.silence.NoteHeard(this->call_plan.backend.id,
+                                          base::Now());
   if (!this->got_data) {
     this->NoteFirstData();
   }
@@ -81,6 +111,8 @@
   this->got_data = true;
   Beliefs& beliefs = this->context.beliefs;
   beliefs.load.NoteRead(this->ticket);
+  beliefs.silence.SetPatience(this->call_plan.backend.id, this->silence_ticket,
+                              NextPatience());
   if (this->status < kServerError) {
     const base::Instant now = base::Now();
     beliefs.health.NoteAnswer(this->call_plan.backend.id, now - this->sent,
@@ -126,9 +158,4 @@
   this->Tell(BackendBroken{event.not_sent, event.reason});
 }
 
-void BackendCall::NoteOverdue() {
-  this->context.beliefs.health.NoteFailure(this->call_plan.backend.id,
-                                           base::Now());
-}
-
 }  // namespace carawayvalve::gateway
--- a/gateway/src/backend_call.h
+++ b/gateway/src/backend_call.h
@@ -77,9 +77,10 @@
   const BackendCallPlan& plan() const { return this->call_plan; }
   base::Instant sent_at() const { return this->sent; }
   bool answered() const { return this->got_data; }
-  // Gives up on a backend server that doesn't answer in time: counts as a
-  // failure of it.
-  void NoteOverdue();
+  // How long the backend server may be silent before the first data.
+  static base::Duration FirstPatience(base::Duration expected);
+  // And between two pieces of data.
+  static base::Duration NextPatience();
   void Pause() { this->call->Pause(); }
   void Resume() { this->call->Resume(); }
 
@@ -98,6 +99,7 @@
   Handler handler;
   std::unique_ptr<net::Call> call;
   core::FleetLoad::Ticket ticket = 0;
+  core::SilenceWatch::Ticket silence_ticket = 0;
   base::Instant sent;
   platform::BackendHead head;
   int status = 0;
--- a/gateway/src/beliefs.cc
+++ b/gateway/src/beliefs.cc
@@ -31,7 +31,7 @@
       directory(kEntryReturnTime),
       health(core::BackendHealth::Settings{}),
       homes(kUnknownKvTokens),
-      placer(ToPlacement(settings), directory, health, load, homes),
+      placer(ToPlacement(settings), directory, health, silence, load, homes),
       suspects(core::Suspects::Settings{}) {}
 
 core::RetryShare& Beliefs::Retries(const base::ServiceId& service) {
--- a/gateway/src/beliefs.h
+++ b/gateway/src/beliefs.h
@@ -14,6 +14,7 @@
 #include "carawayvalve/core/prefix_homes.h"
 #include "carawayvalve/core/retry_share.h"
 #include "carawayvalve/core/serving_table.h"
+#include "carawayvalve/core/silence_watch.h"
 #include "carawayvalve/core/suspects.h"
 #include "carawayvalve/core/true_time.h"
 #include "carawayvalve/core/window_counts.h"
@@ -42,6 +43,7 @@
   core::Freshness freshness;
   core::BackendDirectory directory;
   core::BackendHealth health;
+  core::SilenceWatch silence;
   core::FleetLoad load;
   core::PrefixHomes homes;
   core::Placer placer;
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -164,7 +164,8 @@
          {"draining", entry.draining},
          {"requests", load.requests},
          {"unread_tokens", load.unread_tokens},
-         {"usable", this->beliefs.health.Usable(id, now)},
+         {"usable", this->beliefs.health.Usable(id, 0, now)},
+         {"silent", this->beliefs.silence.Silent(id, now)},
          {"slowness", this->beliefs.health.Slowness(id, now)},
          {"failures", this->beliefs.health.FailureShare(id, now)}});
   }
--- a/gateway/src/request_run.cc
+++ b/gateway/src/request_run.cc
@@ -24,10 +24,6 @@
 constexpr base::Milliseconds kLeastTime(20);
 // Callers heed a Retry-After of up to a third of the time that they have left.
 constexpr int64_t kRetryAfterParts = 3;
-// An answer that takes so many times longer than expected, and this much more,
-// isn't awaited any longer where the request may be repeated.
-constexpr int64_t kOverdueTimes = 4;
-constexpr base::Milliseconds kOverdueExtra(250);
 // The most urgent priority of a route is sent as this urgency, so that there
 // is room for more urgent work.
 constexpr int64_t kFirstUrgency = 2;
@@ -338,7 +334,7 @@
           std::visit([&](const auto& kind) { self->On(kind); }, event);
         }
       });
-  this->overdue_timer.Start(expected * kOverdueTimes + kOverdueExtra,
+  this->overdue_timer.Start(BackendCall::FirstPatience(expected),
                             [self] { self->OnOverdue(); });
 }
 
@@ -379,7 +375,9 @@
   if (events.empty()) {
     return;
   }
-  this->overdue_timer.Cancel();
+  const auto self = this->shared_from_this();
+  this->overdue_timer.Start(BackendCall::NextPatience(),
+                            [self] { self->OnOverdue(); });
   this->CountUsage(received);
   if (!this->progress.answer_begun) {
     this->progress.answer_begun = true;
@@ -393,7 +391,6 @@
   }
   if (this->exchange->unsent() > kMaxUnsentBytes) {
     this->call->Pause();
-    const auto self = this->shared_from_this();
     this->overdue_timer.Start(kUnsentInterval, [self] {
       if (self->call != nullptr) {
         self->call->Resume();
@@ -447,10 +444,9 @@
 }
 
 void RequestRun::OnOverdue() {
-  if (this->ended || this->call == nullptr || this->call->answered()) {
+  if (this->ended || this->call == nullptr) {
     return;
   }
-  this->call->NoteOverdue();
   const core::RequestRules rules = this->Rules();
   if (!rules.may_repeat && !rules.may_resume) {
     return;
@@ -464,7 +460,12 @@
                                .HasLeft(this->context.beliefs.gateways, now);
   if (could_go_on) {
     this->GoOn(core::AttemptBroken{}, "no answer within the expected time");
+    return;
   }
+  // A retry may become possible while this attempt is still silent.
+  const auto self = this->shared_from_this();
+  this->overdue_timer.Start(BackendCall::NextPatience(),
+                            [self] { self->OnOverdue(); });
 }
 
 void RequestRun::GoOn(const core::AttemptEnd& end, const std::string& reason) {
--- a/tests/platform/backend.h
+++ b/tests/platform/backend.h
@@ -50,7 +50,7 @@
   bool mute = false;
   // Runs so many of the next requests and loses their answers.
   int lost_answers = 0;
-  // Puts a copy of each plain answer behind it.
+  // Declines every request as not run.
   bool declines = false;
 
  private:
@@ -61,6 +61,7 @@
   };
 
   void OnRequest(const std::shared_ptr<net::Exchange>& exchange);
+  bool OnControl(const std::shared_ptr<net::Exchange>& exchange);
   void Answer(int64_t number);
   void NextEvent(int64_t number);
   net::HeaderFields Fields(const net::Exchange& exchange) const;
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -26,6 +26,8 @@
   int status = 0;
   std::string body;
   bool whole = false;
+  // It was sent on a connection that had carried others.
+  bool kept_connection = false;
 };
 
 // Callers that send one request after the other, each over its own kept
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -45,6 +45,10 @@
     std::string name;
     std::string settings_path;
     std::string callers_address;
+    std::string readiness_address;
+    // It answered that it is ready when it was asked last.
+    bool ready = false;
+    std::unique_ptr<net::Call> question;
     std::unique_ptr<Link> store_link;
     std::unique_ptr<Link> usage_link;
     bool stopping = false;
@@ -71,6 +75,8 @@
   void PrepareGateway(int number);
   void StartGateway(Gateway& gateway);
   void Watch();
+  // Asks each gateway whether it is ready, as the platform's balancer does.
+  void AskReadiness();
   void ScheduleFault();
   void After(base::Milliseconds wait, std::function<void()> then);
   base::Milliseconds Draw(int least, int most);
@@ -105,6 +111,7 @@
   net::EventLoop loop;
   Store store;
   net::HttpServer usage;
+  net::HttpClient balancer;
   std::vector<BackendRun> runs;
   std::vector<std::unique_ptr<Server>> servers;
   std::vector<Gateway> gateways;
