Let requests that are late anyway wait at the gateway

Loads that peers told were 400 ms old with 26 gateways, so that each sent its prompts to the same idle engine. A prompt whose reading failed was read by an engine that generates and held up all of its streams.

Requests that can't be on time wait, by priority and deadline, until an engine has less than 100 ms to read; loads go round every 50 to 110 ms; a failed reading is tried at another reading engine first. Ruled out: the engines' own order by urgency, which holds for admission only.

Counts of usage are told more often, all of them at once to a gateway that has just started, which seals no window in its first 2.5 s.

--- a/core/include/carawayvalve/core/placement.h
+++ b/core/include/carawayvalve/core/placement.h
@@ -75,6 +75,8 @@
   int64_t missing_tokens = 0;
   // Until the first event or the answer.
   base::Duration expected{};
+  // What the target has to read before this request.
+  base::Duration work_ahead{};
 
   bool operator==(const Placement&) const = default;
 };
@@ -119,6 +121,7 @@
   struct Estimate {
     const BackendEntry* entry = nullptr;
     int64_t missing_tokens = 0;
+    base::Duration work_ahead{};
     // Until the first event.
     base::Duration wait{};
     // The wait and what else speaks against the choice.
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -127,6 +127,8 @@
   estimate.missing_tokens = std::max<int64_t>(prompt.prompt_tokens - cached, 0);
   const double tokens =
       static_cast<double>(present.unread_tokens + estimate.missing_tokens);
+  estimate.work_ahead =
+      FromMs(static_cast<double>(present.unread_tokens) / rate * slowness);
   estimate.wait = FromMs(tokens / rate * slowness) +
                   std::chrono::duration_cast<base::Duration>(
                       (this->settings.first_event +
@@ -206,7 +208,7 @@
       best = estimate;
     }
   }
-  return Placement{*best.entry, false, 0, best.wait};
+  return Placement{*best.entry, false, 0, best.wait, {}};
 }
 
 PlacementResult Placer::ChooseEngine(const Candidates& candidates,
@@ -224,10 +226,11 @@
       this->Readers(candidates, *query.prompt), *query.prompt, now);
   if (!query.may_hand_over || reader.entry == nullptr ||
       direct.missing_tokens <= this->settings.direct_tokens) {
-    return Placement{*direct.entry, false, direct.missing_tokens, direct.wait};
+    return Placement{*direct.entry, false, direct.missing_tokens, direct.wait,
+                     direct.work_ahead};
   }
   return Placement{*reader.entry, true, reader.missing_tokens,
-                   reader.wait + this->settings.handover};
+                   reader.wait + this->settings.handover, reader.work_ahead};
 }
 
 PlacementResult Placer::ChooseGenerator(const PlacementQuery& query,
@@ -246,7 +249,7 @@
   if (best.entry == nullptr) {
     return NoBackend{"no engine generates"};
   }
-  return Placement{*best.entry, false, 0, best.wait};
+  return Placement{*best.entry, false, 0, best.wait, {}};
 }
 
 PlacementResult Placer::Choose(const PlacementQuery& query,
--- /dev/null
+++ b/core/src/wait_queue.cc
@@ -0,0 +1,41 @@
+#include "carawayvalve/core/wait_queue.h"
+
+namespace carawayvalve::core {
+
+namespace {
+
+// Half of the time that the shortest objective leaves beside the reading of a
+// prompt.
+constexpr base::Milliseconds kUnnoticedWork(100);
+
+}  // namespace
+
+WaitQueue::Ticket WaitQueue::Add(int64_t priority, base::Instant deadline) {
+  const Key key{priority, deadline, ++this->last_ticket};
+  this->order[key] = key.ticket;
+  this->keys[key.ticket] = key;
+  return key.ticket;
+}
+
+void WaitQueue::Remove(Ticket ticket) {
+  const auto found = this->keys.find(ticket);
+  if (found != this->keys.end()) {
+    this->order.erase(found->second);
+    this->keys.erase(found);
+  }
+}
+
+std::vector<WaitQueue::Ticket> WaitQueue::InOrder() const {
+  std::vector<Ticket> tickets;
+  tickets.reserve(this->order.size());
+  for (const auto& [key, ticket] : this->order) {
+    tickets.push_back(ticket);
+  }
+  return tickets;
+}
+
+bool MayServeLate(base::Duration work_ahead) {
+  return work_ahead <= kUnnoticedWork;
+}
+
+}  // namespace carawayvalve::core
--- /dev/null
+++ b/core/tests/wait_queue_test.cc
@@ -0,0 +1,66 @@
+#include "carawayvalve/core/wait_queue.h"
+
+#include <doctest/doctest.h>
+
+namespace carawayvalve::core {
+
+using base::Instant;
+using base::Milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("WaitQueue") {
+  const Instant now = Instant() + seconds(100);
+  WaitQueue queue;
+  const auto digest = queue.Add(2, now + seconds(3));
+  const auto note = queue.Add(0, now + seconds(4));
+  const auto soon = queue.Add(2, now + seconds(1));
+
+  SUBCASE("serves the most urgent first, then what must be served soonest") {
+    CHECK(queue.InOrder() ==
+          std::vector<WaitQueue::Ticket>{note, soon, digest});
+  }
+  SUBCASE("keeps the order of those that are alike") {
+    const auto later = queue.Add(0, now + seconds(4));
+    CHECK(queue.InOrder().at(1) == later);
+  }
+  SUBCASE("forgets what was served") {
+    queue.Remove(note);
+    queue.Remove(note);
+    CHECK(queue.size() == 2);
+    CHECK(queue.InOrder().front() == soon);
+  }
+}
+
+// The load of an outage's end: all callers come back at once, most of them too
+// late for their objective, while new requests arrive that could be on time.
+TEST_CASE("what is late doesn't delay what can be on time") {
+  constexpr Milliseconds kWork(50);
+  constexpr Milliseconds kObjective(400);
+  const auto play = [&](bool queue_late) {
+    WaitQueue queue;
+    Milliseconds backlog(0);
+    int on_time = 0;
+    for (int i = 0; i < 40; ++i) {
+      queue.Add(1, Instant() + seconds(5));
+    }
+    if (!queue_late) {
+      // All of them are sent to the engine at once.
+      backlog = kWork * 40;
+    }
+    // A new request comes each 60 ms.
+    for (int i = 0; i < 100; ++i) {
+      on_time += backlog + kWork <= kObjective ? 1 : 0;
+      backlog += kWork;
+      backlog -= std::min(backlog, Milliseconds(60));
+      if (queue_late && queue.size() > 0 && MayServeLate(backlog)) {
+        queue.Remove(queue.InOrder().front());
+        backlog += kWork;
+      }
+    }
+    return on_time;
+  };
+  CHECK(play(true) == 100);
+  CHECK(play(false) < 100);
+}
+
+}  // namespace carawayvalve::core
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -9,6 +9,7 @@
 #include "carawayvalve/net/event_loop.h"
 #include "carawayvalve/net/http_client.h"
 #include "gateway_metrics.h"
+#include "waiting_room.h"
 
 namespace carawayvalve::gateway {
 
@@ -25,6 +26,7 @@
   base::Journal& journal;
   GatewayMetrics& metrics;
   net::HttpClient& backends;
+  WaitingRoom& waiting;
   std::mt19937_64& generator;
   std::vector<SentPrefix>& sent_prefixes;
 };
--- a/gateway/src/duty_holder.cc
+++ b/gateway/src/duty_holder.cc
@@ -28,6 +28,8 @@
 constexpr std::chrono::seconds kKeepTime(8);
 // Counts of gateways reach the holder within this time of a window's end.
 constexpr base::Milliseconds kSettle(1500);
+// A process that has just started gets the others' counts within this time.
+constexpr base::Milliseconds kJoinTime(2500);
 // Windows that are kept in memory after they were reported.
 constexpr int64_t kWindowsKept = 4;
 
@@ -70,6 +72,7 @@
 DutyHolder::DutyHolder(Context& context, platform::ObjectClient& objects)
     : context(context),
       objects(objects),
+      started(base::Now()),
       lease(ToTerms(context.beliefs.settings), context.beliefs.boot),
       reports(ToReports(context.beliefs.settings)),
       cloud(context.loop, kKeepTime),
@@ -87,6 +90,9 @@
     return;
   }
   this->roles.Tick(*grant);
+  if (now - this->started < kJoinTime) {
+    return;
+  }
   const base::Duration true_time = beliefs.true_time.At(now);
   for (const core::ReportAction& action :
        this->reports.Tick(beliefs.usage, true_time, now)) {
--- a/gateway/src/duty_holder.h
+++ b/gateway/src/duty_holder.h
@@ -44,6 +44,7 @@
 
   Context& context;
   platform::ObjectClient& objects;
+  base::Instant started;
   core::Lease lease;
   platform::ObjectClient::Handle lease_call;
   bool was_holder = false;
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -45,10 +45,11 @@
       beliefs(settings),
       generator(std::random_device()()),
       backends(this->loop, kBackendKeepTime),
+      waiting(this->loop),
       objects(this->loop, settings.store.address, settings.store.call_timeout),
-      context{this->loop,         this->beliefs,  this->journal,
-              this->metrics,      this->backends, this->generator,
-              this->sent_prefixes},
+      context{this->loop,      this->beliefs,      this->journal,
+              this->metrics,   this->backends,     this->waiting,
+              this->generator, this->sent_prefixes},
       feed(this->context, this->objects),
       peers(this->context, this->objects, this->feed),
       duties(this->context, this->objects),
@@ -140,6 +141,8 @@
                          static_cast<double>(this->plan_version));
   this->metrics.SetGauge("peers_heard",
                          static_cast<double>(this->peers.heard(now)));
+  this->metrics.SetGauge("late_requests_waiting",
+                         static_cast<double>(this->waiting.size()));
   this->metrics.SetGauge("holds_duties", this->duties.holds(now) ? 1 : 0);
   this->metrics.SetGauge("store_calls",
                          static_cast<double>(this->objects.calls()));
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -43,6 +43,7 @@
   std::mt19937_64 generator;
   std::vector<SentPrefix> sent_prefixes;
   net::HttpClient backends;
+  WaitingRoom waiting;
   platform::ObjectClient objects;
   Context context;
   StoreFeed feed;
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -15,11 +15,11 @@
 
 // The kind of the objects in which gateways say where they are.
 constexpr char kHostKind[] = "carawayvalve-hosts";
-// Between two words to each peer while there are few; with more peers it is
-// longer, so that what a gateway sends and reads grows less than their number.
-constexpr base::Milliseconds kTalkInterval(100);
-constexpr int64_t kFewPeers = 6;
-constexpr base::Milliseconds kMostTalkInterval(500);
+// Between two words to each peer. With more peers it is longer, so that what a
+// gateway sends and reads grows less than their number.
+constexpr base::Milliseconds kTalkInterval(50);
+constexpr int64_t kFewPeers = 12;
+constexpr base::Milliseconds kMostTalkInterval(1000);
 // Peers are listed again, for those that started while this one was cut off.
 constexpr std::chrono::seconds kListInterval(10);
 constexpr base::Milliseconds kRetryInterval(700);
@@ -27,8 +27,8 @@
 constexpr std::chrono::seconds kLiveTime(3);
 // Counts of usage go out in each of so many rounds, those of other gateways in
 // each of more: they are only needed once a gateway is gone.
-constexpr int64_t kWindowRounds = 3;
-constexpr int64_t kAllWindowRounds = 12;
+constexpr int64_t kWindowRounds = 4;
+constexpr int64_t kAllWindowRounds = 20;
 // Older windows are sealed.
 constexpr int64_t kWindowsTold = 3;
 // Accounts a datagram; keeps it within what links carry whole.
@@ -199,9 +199,10 @@
     gossip.deaths.push_back(std::move(told));
   }
   this->Send(gossip);
-  if (this->rounds % kWindowRounds == 0) {
-    for (const Gossip& windows :
-         this->WindowMessages(this->rounds % kAllWindowRounds == 0)) {
+  const bool all_sources = std::exchange(this->newcomer, false) ||
+                           this->rounds % kAllWindowRounds == 0;
+  if (all_sources || this->rounds % kWindowRounds == 0) {
+    for (const Gossip& windows : this->WindowMessages(all_sources)) {
       this->Send(windows);
     }
   }
@@ -263,6 +264,9 @@
     beliefs.load.NotePeer(host, {}, now);
     return;
   }
+  // One that has just started knows nothing of what others counted.
+  this->newcomer = this->newcomer || peer.boot != gossip->boot;
+  peer.boot = gossip->boot;
   if (was_silent) {
     this->context.journal.Write(
         base::LogLevel::kInfo, "peer_heard",
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -38,6 +38,7 @@
     // Not set before the first word.
     base::Instant heard;
     int64_t stamp = 0;
+    std::string boot;
     // Listed in the store, or heard.
     bool listed = false;
   };
@@ -70,6 +71,7 @@
   net::Timer list_timer;
   net::Timer register_timer;
   int64_t rounds = 0;
+  bool newcomer = false;
   bool leaving = false;
   // The fetch of a configuration that is under way.
   std::unique_ptr<net::Call> plan_call;
--- a/gateway/src/request_run.cc
+++ b/gateway/src/request_run.cc
@@ -33,6 +33,8 @@
 // A caller that doesn't read its answer makes its backend server wait beyond
 // this many bytes.
 constexpr size_t kMaxUnsentBytes = size_t{256} * 1024;
+// Engines that are tried for the reading of a prompt.
+constexpr int64_t kMostReadings = 3;
 // How often an answer that waits for its caller is looked at.
 constexpr base::Milliseconds kUnsentInterval(50);
 // Events that a model makes of one prompt on average, for its KV cache.
@@ -182,6 +184,57 @@
     this->Refuse(kUnavailable, "no backend server can answer in time", true);
     return;
   }
+  if (this->MustWait(placement, now)) {
+    this->Wait(placement);
+    return;
+  }
+  this->Send(placement);
+}
+
+bool RequestRun::MustWait(const core::Placement& placement,
+                          base::Instant now) const {
+  const bool late =
+      now - this->arrived + placement.expected > this->route->objective;
+  return late && this->caller.prompt.has_value() &&
+         this->progress.attempts == 0 &&
+         !core::MayServeLate(placement.work_ahead);
+}
+
+void RequestRun::Wait(const core::Placement& placement) {
+  const auto self = this->shared_from_this();
+  this->context.journal.Write(
+      base::LogLevel::kInfo, "request_waits",
+      {{"request", this->caller.id.value},
+       {"backend", placement.target.id.value},
+       {"expected_ms", base::ToMilliseconds(placement.expected)},
+       {"work_ahead_ms", base::ToMilliseconds(placement.work_ahead)},
+       {"waiting", this->context.waiting.size()},
+       {"age_ms", this->AgeMs(base::Now())}});
+  this->place_in_queue = this->context.waiting.Enter(
+      this->Priority(), this->deadline, [self] { return self->TryToLeave(); });
+}
+
+bool RequestRun::TryToLeave() {
+  if (this->ended) {
+    return true;
+  }
+  const base::Instant now = base::Now();
+  const core::PlacementResult result =
+      this->context.beliefs.placer.Choose(this->Query(), now);
+  const auto* placement = std::get_if<core::Placement>(&result);
+  if (placement != nullptr) {
+    const bool in_time =
+        placement->expected + kLeastTime <= this->TimeLeft(now);
+    if (in_time && this->MustWait(*placement, now)) {
+      return false;
+    }
+  }
+  this->place_in_queue.reset();
+  this->Attempt();
+  return true;
+}
+
+void RequestRun::Send(const core::Placement& placement) {
   if (placement.reads_only) {
     this->ReadPrompt(placement);
     return;
@@ -190,6 +243,13 @@
             placement.expected);
 }
 
+int64_t RequestRun::Priority() const {
+  if (this->account != nullptr && this->account->priority.has_value()) {
+    return *this->account->priority;
+  }
+  return this->route->priority;
+}
+
 BackendCallPlan RequestRun::PlanCall(const core::BackendEntry& backend,
                                      const platform::RunStage& stage,
                                      int64_t missing_tokens,
@@ -210,13 +270,9 @@
   plan.missing_tokens = missing_tokens;
   plan.expected = expected;
   if (this->caller.prompt.has_value()) {
-    int64_t priority = this->route->priority;
-    if (this->account != nullptr && this->account->priority.has_value()) {
-      priority = *this->account->priority;
-    }
     const bool late = now - this->arrived + expected > this->route->objective;
     plan.order.urgency = late ? kLateUrgency
-                              : std::clamp(kFirstUrgency + priority,
+                              : std::clamp(kFirstUrgency + this->Priority(),
                                            kFirstUrgency, kLastUrgency);
     plan.kv_tokens = this->caller.prompt->prompt_tokens + kOutputTokens;
   }
@@ -294,14 +350,22 @@
       generator.expected);
 }
 
-// The prompt wasn't read: nothing has run, and the request goes to an engine
-// that reads and generates.
+// The prompt wasn't read and nothing has run: another engine reads it. Where
+// all fail, one that generates reads it too, though that delays its streams.
 void RequestRun::ReadFailed(const core::Placement& placement,
                             const std::string& reason) {
   this->LogAttemptEnd("prompt_not_read", reason);
   this->call.reset();
   this->excluded.insert(placement.target.id);
-  this->may_hand_over = false;
+  ++this->failed_readings;
+  Beliefs& beliefs = this->context.beliefs;
+  const bool spent =
+      beliefs.Retries(this->service).TrySpend(beliefs.gateways, base::Now());
+  this->may_hand_over = this->failed_readings < kMostReadings;
+  if (!spent) {
+    this->Refuse(kUnavailable, "the prompt could not be read", true);
+    return;
+  }
   this->Attempt();
 }
 
@@ -580,6 +644,9 @@
        {"age_ms", this->AgeMs(now)}});
   this->deadline_timer.Cancel();
   this->overdue_timer.Cancel();
+  if (this->place_in_queue.has_value()) {
+    this->context.waiting.Leave(*this->place_in_queue);
+  }
   this->exchange->OnGone(nullptr);
   this->call.reset();
 }
--- a/gateway/src/request_run.h
+++ b/gateway/src/request_run.h
@@ -29,6 +29,12 @@
 
   // Chooses backend servers and sends the request to them.
   void Attempt();
+  // Whether a request that is late anyway has to wait for room.
+  bool MustWait(const core::Placement& placement, base::Instant now) const;
+  void Wait(const core::Placement& placement);
+  // Returns whether the wait is over.
+  bool TryToLeave();
+  void Send(const core::Placement& placement);
   void ReadPrompt(const core::Placement& placement);
   void Run(const core::BackendEntry& backend,
            const platform::RunStage& stage,
@@ -74,6 +80,7 @@
   bool IsStream() const;
   core::RequestRules Rules() const;
   core::PlacementQuery Query() const;
+  int64_t Priority() const;
   base::Duration TimeLeft(base::Instant now) const;
   int64_t AgeMs(base::Instant now) const;
 
@@ -93,6 +100,8 @@
   bool earlier_may_have_run = false;
   std::set<base::BackendServerId> excluded;
   bool may_hand_over = true;
+  int64_t failed_readings = 0;
+  std::optional<core::WaitQueue::Ticket> place_in_queue;
   std::unique_ptr<BackendCall> call;
   // The answer to the reading of the prompt.
   std::string reading;
--- /dev/null
+++ b/gateway/src/waiting_room.cc
@@ -0,0 +1,56 @@
+#include "waiting_room.h"
+
+#include <utility>
+
+namespace carawayvalve::gateway {
+
+namespace {
+
+// Between two looks for room; half of what an engine may have to do when a
+// late request is sent there.
+constexpr base::Milliseconds kLookInterval(50);
+// Looks at so many requests at a time; what is behind them is less urgent.
+constexpr int kMostLooks = 64;
+
+}  // namespace
+
+core::WaitQueue::Ticket WaitingRoom::Enter(int64_t priority,
+                                           base::Instant deadline,
+                                           TryToLeave try_to_leave) {
+  const auto ticket = this->queue.Add(priority, deadline);
+  this->requests[ticket] = std::move(try_to_leave);
+  if (!this->ticking) {
+    this->ticking = true;
+    this->timer.Start(kLookInterval, [this] { this->Tick(); });
+  }
+  return ticket;
+}
+
+void WaitingRoom::Leave(core::WaitQueue::Ticket ticket) {
+  this->queue.Remove(ticket);
+  this->requests.erase(ticket);
+}
+
+void WaitingRoom::Tick() {
+  int looks = 0;
+  for (const auto ticket : this->queue.InOrder()) {
+    const auto found = this->requests.find(ticket);
+    if (found == this->requests.end()) {
+      continue;
+    }
+    if (++looks > kMostLooks) {
+      break;
+    }
+    // A copy: the request leaves the room from within.
+    const TryToLeave try_to_leave = found->second;
+    if (try_to_leave()) {
+      this->Leave(ticket);
+    }
+  }
+  this->ticking = this->queue.size() > 0;
+  if (this->ticking) {
+    this->timer.Start(kLookInterval, [this] { this->Tick(); });
+  }
+}
+
+}  // namespace carawayvalve::gateway
