Let the price of a second home follow the waiting work; free prompts that nobody takes

The price now rises from half a reading to four with the work that waits.

Settings are read again at SIGHUP.

--- a/base/include/carawayvalve/base/journal.h
+++ b/base/include/carawayvalve/base/journal.h
@@ -53,6 +53,7 @@
   void Write(LogLevel level,
              const char* event,
              std::initializer_list<JournalField> fields);
+  void SetLevel(LogLevel level) { this->settings.level = level; }
   bool Writes(LogLevel level) const { return level >= this->settings.level; }
 
   // Hands lines over as far as the descriptor takes them without waiting.
--- a/config/include/carawayvalve/config/serving.h
+++ b/config/include/carawayvalve/config/serving.h
@@ -54,36 +54,16 @@
 
 // What the engines of a model service have in common.
 struct EngineTraits {
-  int64_t slots = 1;
   // Tokens whose KV cache fits into an engine.
   int64_t kv_tokens = 0;
-  int64_t kv_bytes_per_token = 0;
-  // Between two engines, in megabits a second.
-  double link_mbps = 0;
-  // How long an engine keeps a prefilled prompt for another one.
-  base::Milliseconds handle_time{0};
-  // How long a change of role takes an engine away.
-  base::Milliseconds role_change{0};
 
   bool operator==(const EngineTraits&) const = default;
 };
 
-// Bounds of the number of backend servers in each data centre.
-struct ScalingBounds {
-  int64_t least = 0;
-  int64_t most = 0;
-
-  bool operator==(const ScalingBounds&) const = default;
-};
-
 struct ServingService {
   base::ServiceId name;
-  // Connections that one backend server takes from all callers together.
-  int64_t max_connections = 0;
   // Only for model services.
   std::optional<EngineTraits> engine;
-  // Only where the number of backend servers may be changed.
-  std::optional<ScalingBounds> scaling;
 
   bool operator==(const ServingService&) const = default;
 };
--- a/core/include/carawayvalve/core/crash_evidence.h
+++ b/core/include/carawayvalve/core/crash_evidence.h
@@ -25,9 +25,6 @@
   std::vector<std::string> TakeVictims(const base::BackendServerId& id,
                                        base::Instant now);
 
-  // Whether a death of the backend server would tell anything.
-  bool Awaits(const base::BackendServerId& id, base::Instant now) const;
-
  private:
   struct Broken {
     base::BackendServerId id;
--- a/core/include/carawayvalve/core/placement.h
+++ b/core/include/carawayvalve/core/placement.h
@@ -32,11 +32,14 @@
   // What the bytes to another data centre are worth, as a delay.
   base::Duration other_data_centre = base::Milliseconds(6);
   // How much longer a shared beginning may take at its first home before its
-  // second home, or any other engine, reads it too; as multiples of the time
-  // that reading it takes. Reading is what binds: each further reading delays
-  // all that comes after it.
-  double second_home_price = 4;
-  double new_home_price = 8;
+  // second home reads it too, as a multiple of the time that reading it takes;
+  // twice as much for any other engine. Rises with the work that waits at the
+  // engines: a further reading costs little while they have time, and delays
+  // all that comes after it while they don't.
+  double least_home_price = 0.5;
+  double most_home_price = 4;
+  // The mean work that waits at an engine for which the multiple is one.
+  base::Duration price_work = base::Milliseconds(75);
   // Prompts of up to so many tokens are short. A share of the reading engines
   // reads nothing else, so that short prompts never wait behind long ones,
   // which take ten times as long.
@@ -117,6 +120,8 @@
     std::vector<PrefixKey> keys;
     const BackendEntry* first = nullptr;
     const BackendEntry* second = nullptr;
+    // For reading at the second home.
+    double price = 0;
   };
   struct Estimate {
     const BackendEntry* entry = nullptr;
@@ -136,6 +141,8 @@
                           const Prompt& prompt,
                           const Homes& homes,
                           base::Instant now) const;
+  // The present price of reading at a second home.
+  double HomePrice(const Candidates& engines, base::Instant now) const;
   // The cheapest of the candidates.
   Estimate BestEngine(const Candidates& candidates,
                       const Prompt& prompt,
--- a/core/include/carawayvalve/core/retry_share.h
+++ b/core/include/carawayvalve/core/retry_share.h
@@ -33,9 +33,6 @@
   // Whether TrySpend would succeed.
   bool HasLeft(int64_t processes, base::Instant now);
 
-  // Retries spent within the window.
-  int64_t spent(base::Instant now);
-
  private:
   void Forget(base::Instant now);
 
--- a/core/src/crash_evidence.cc
+++ b/core/src/crash_evidence.cc
@@ -40,12 +40,4 @@
   return victims;
 }
 
-bool CrashEvidence::Awaits(const base::BackendServerId& id,
-                           base::Instant now) const {
-  return std::any_of(this->broken.begin(), this->broken.end(),
-                     [&](const Broken& one) {
-                       return one.id == id && now - one.at < kEvidenceTime;
-                     });
-}
-
 }  // namespace carawayvalve::core
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -134,11 +134,11 @@
                       (this->settings.first_event +
                        this->settings.step_per_request * present.requests) *
                       slowness);
-  double price = this->settings.new_home_price;
+  double price = 2 * homes_of.price;
   if (&entry == homes_of.first) {
     price = 0;
   } else if (&entry == homes_of.second) {
-    price = this->settings.second_home_price;
+    price = homes_of.price;
   }
   estimate.cost = estimate.wait + this->Penalty(entry, now) +
                   FromMs(price * static_cast<double>(shared - cached) / rate);
@@ -170,10 +170,27 @@
   return readers;
 }
 
+double Placer::HomePrice(const Candidates& engines, base::Instant now) const {
+  int64_t unread = 0;
+  for (const BackendEntry* engine : engines) {
+    unread += this->load.Of(engine->id, now).unread_tokens;
+  }
+  const double engines_rate = this->settings.prefill_tokens_per_ms *
+                              static_cast<double>(engines.size());
+  const base::Duration work =
+      engines.empty() ? base::Duration(0)
+                      : FromMs(static_cast<double>(unread) / engines_rate);
+  return std::clamp(
+      std::chrono::duration<double>(work) /
+          std::chrono::duration<double>(this->settings.price_work),
+      this->settings.least_home_price, this->settings.most_home_price);
+}
+
 Placer::Estimate Placer::BestEngine(const Candidates& candidates,
                                     const Prompt& prompt,
                                     base::Instant now) const {
-  Homes homes_of{PrefixKeysOf(prompt), nullptr, nullptr};
+  Homes homes_of{PrefixKeysOf(prompt), nullptr, nullptr,
+                 this->HomePrice(candidates, now)};
   // Ranks say the same to every process, also to one that has just started.
   uint64_t first = 0;
   uint64_t second = 0;
--- a/core/src/retry_share.cc
+++ b/core/src/retry_share.cc
@@ -43,11 +43,6 @@
   return static_cast<double>(this->retries.size()) + 1 <= allowed;
 }
 
-int64_t RetryShare::spent(base::Instant now) {
-  this->Forget(now);
-  return static_cast<int64_t>(this->retries.size());
-}
-
 void RetryShare::Forget(base::Instant now) {
   DropOlder(this->requests, now - this->settings.window);
   DropOlder(this->retries, now - this->settings.window);
--- a/core/tests/crash_evidence_test.cc
+++ b/core/tests/crash_evidence_test.cc
@@ -13,7 +13,6 @@
   evidence.NoteBroken({"a"}, "digest", start);
 
   SUBCASE("a broken answer of one that lives on accuses nobody") {
-    CHECK(evidence.Awaits({"a"}, start));
     CHECK(evidence.TakeVictims({"b"}, start).empty());
   }
   SUBCASE("one that is down shortly after died of what it ran") {
--- a/core/tests/placement_test.cc
+++ b/core/tests/placement_test.cc
@@ -59,8 +59,8 @@
   SilenceWatch silence;
   FleetLoad load;
   PrefixHomes homes{400000};
-  Placer placer{{.data_centre = {"here"}}, directory, health,
-                silence, load, homes};
+  Placer placer{
+      {.data_centre = {"here"}}, directory, health, silence, load, homes};
 };
 
 Prompt LongPrompt(const std::string& shared, int64_t own = 3700) {
--- a/gateway/include/carawayvalve/gateway/settings.h
+++ b/gateway/include/carawayvalve/gateway/settings.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <string>
-#include <vector>
 
 #include "carawayvalve/base/address.h"
 #include "carawayvalve/base/ids.h"
@@ -41,8 +40,6 @@
 
   struct Duties {
     base::Address address;
-    // What the platform lets gateways do, in its own words.
-    std::vector<std::string> kinds;
     base::Milliseconds usage_window{5000};
     // From a window's end until its report is late.
     base::Milliseconds usage_late{10000};
--- a/gateway/src/backend_call.h
+++ b/gateway/src/backend_call.h
@@ -76,7 +76,6 @@
 
   const BackendCallPlan& plan() const { return this->call_plan; }
   base::Instant sent_at() const { return this->sent; }
-  bool answered() const { return this->got_data; }
   // How long the backend server may be silent before the first data.
   static base::Duration FirstPatience(base::Duration expected);
   // And between two pieces of data.
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -40,8 +40,10 @@
 
 }  // namespace
 
-Gateway::Gateway(const GatewaySettings& settings)
-    : journal(settings.log, STDOUT_FILENO),
+Gateway::Gateway(std::string path)
+    : settings_path(std::move(path)),
+      settings(ReadGatewaySettingsFile(this->settings_path)),
+      journal(settings.log, STDOUT_FILENO),
       beliefs(settings),
       generator(std::random_device()()),
       backends(this->loop, kBackendKeepTime),
@@ -57,19 +59,18 @@
       stop_timer(this->loop) {}
 
 void Gateway::Run() {
-  const GatewaySettings& settings = this->beliefs.settings;
   this->journal.Write(base::LogLevel::kInfo, "started",
-                      {{"host", settings.host.value},
+                      {{"host", this->settings.host.value},
                        {"boot", this->beliefs.boot.value},
-                       {"data_centre", settings.data_centre.value}});
+                       {"data_centre", this->settings.data_centre.value}});
   this->callers = std::make_unique<net::HttpServer>(
-      this->loop, settings.listen.callers,
+      this->loop, this->settings.listen.callers,
       [this](const auto& exchange) { this->OnRequest(exchange); });
   this->readiness = std::make_unique<net::HttpServer>(
-      this->loop, settings.listen.readiness,
+      this->loop, this->settings.listen.readiness,
       [this](const auto& exchange) { this->OnReadiness(exchange); });
   this->metrics_server = std::make_unique<net::HttpServer>(
-      this->loop, settings.listen.metrics,
+      this->loop, this->settings.listen.metrics,
       [this](const auto& exchange) { this->OnMetrics(exchange); });
   this->loop.OnSignals({SIGTERM, SIGINT, SIGHUP},
                        [this](int number) { this->OnSignal(number); });
@@ -197,8 +198,21 @@
   this->BeginStop();
 }
 
+// Takes over what may change while the process runs: bounds and the level of
+// logs. Addresses are in use already.
 void Gateway::Reload() {
-  this->journal.Write(base::LogLevel::kInfo, "reload", {});
+  try {
+    const GatewaySettings changed =
+        ReadGatewaySettingsFile(this->settings_path);
+    this->journal.SetLevel(changed.log.level);
+    this->beliefs.settings.bounds = changed.bounds;
+    this->journal.Write(base::LogLevel::kInfo, "reloaded",
+                        {{"stop_ms", changed.bounds.stop.count()},
+                         {"retry_slack", changed.bounds.retry_slack}});
+  } catch (const base::Error& error) {
+    this->journal.Write(base::LogLevel::kError, "reload_failed",
+                        {{"reason", error.reason()}});
+  }
 }
 
 void Gateway::BeginStop() {
@@ -232,7 +246,7 @@
 
 int Serve(const std::string& settings_path) {
   signal(SIGPIPE, SIG_IGN);
-  Gateway gateway(ReadGatewaySettingsFile(settings_path));
+  Gateway gateway(settings_path);
   gateway.Run();
   return 0;
 }
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -18,7 +18,7 @@
 // One gateway process: its listeners, its feeds and its timers.
 class Gateway {
  public:
-  explicit Gateway(const GatewaySettings& settings);
+  explicit Gateway(std::string settings_path);
 
   // Serves until it was asked to stop and has finished.
   void Run();
@@ -36,7 +36,9 @@
   bool Ready() const;
   std::string Dump() const;
 
+  std::string settings_path;
   net::EventLoop loop;
+  GatewaySettings settings;
   base::Journal journal;
   GatewayMetrics metrics;
   Beliefs beliefs;
--- a/gateway/src/request_run.cc
+++ b/gateway/src/request_run.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "timed_call.h"
+
 namespace carawayvalve::gateway {
 
 namespace {
@@ -33,6 +35,8 @@
 // A caller that doesn't read its answer makes its backend server wait beyond
 // this many bytes.
 constexpr size_t kMaxUnsentBytes = size_t{256} * 1024;
+// An engine frees what nobody takes by itself after some seconds.
+constexpr std::chrono::seconds kFreeTimeout(1);
 // Engines that are tried for the reading of a prompt.
 constexpr int64_t kMostReadings = 3;
 // How often an answer that waits for its caller is looked at.
@@ -58,6 +62,14 @@
   return std::visit(Namer(), end);
 }
 
+// The call keeps itself until it has ended; nobody waits for it.
+void FreePrompt(Context& context, const platform::RunFromHandle& held) {
+  const auto kept = std::make_shared<std::shared_ptr<TimedCall>>();
+  *kept = TimedCall::Start(context.loop, context.backends, held.reader,
+                           platform::EncodeRelease(held.handle), kFreeTimeout,
+                           [kept](const TimedCall::Result&) { kept->reset(); });
+}
+
 }  // namespace
 
 RequestRun::RequestRun(Context& context,
@@ -335,6 +347,8 @@
     return;
   }
   this->LogAttemptEnd("prompt_read", prefilled->handle);
+  this->held_prompt =
+      platform::RunFromHandle{placement.target.address, prefilled->handle};
   this->call.reset();
   const core::PlacementResult result =
       this->context.beliefs.placer.ChooseGenerator(
@@ -350,6 +364,13 @@
       generator.expected);
 }
 
+void RequestRun::ReleasePrompt() {
+  const auto held = std::exchange(this->held_prompt, std::nullopt);
+  if (held.has_value()) {
+    FreePrompt(this->context, *held);
+  }
+}
+
 // The prompt wasn't read and nothing has run: another engine reads it. Where
 // all fail, one that generates reads it too, though that delays its streams.
 void RequestRun::ReadFailed(const core::Placement& placement,
@@ -420,6 +441,8 @@
 
 void RequestRun::On(const BackendAnswerBegun& event) {
   this->head = event.head;
+  // A handle is taken by the run that answers.
+  this->held_prompt.reset();
   if (!this->IsStream()) {
     this->CountUsage(this->call->sent_at());
   }
@@ -534,6 +557,7 @@
 
 void RequestRun::GoOn(const core::AttemptEnd& end, const std::string& reason) {
   this->overdue_timer.Cancel();
+  this->ReleasePrompt();
   this->LogAttemptEnd(KindOf(end), reason);
   if (this->call != nullptr) {
     this->excluded.insert(this->call->plan().backend.id);
@@ -649,6 +673,7 @@
   }
   this->exchange->OnGone(nullptr);
   this->call.reset();
+  this->ReleasePrompt();
 }
 
 void RequestRun::CountUsage(base::Instant at) {
--- a/gateway/src/request_run.h
+++ b/gateway/src/request_run.h
@@ -74,6 +74,8 @@
   void CountUsage(base::Instant at);
   // `kind` is one of few, for the metrics.
   void LogAttemptEnd(const char* kind, const std::string& reason);
+  // Frees the prompt that an engine has read if nobody has taken it.
+  void ReleasePrompt();
   void NoteBrokenContent();
   std::string ContentDigest() const;
 
@@ -105,6 +107,8 @@
   std::unique_ptr<BackendCall> call;
   // The answer to the reading of the prompt.
   std::string reading;
+  // A prompt that was read and not taken yet.
+  std::optional<platform::RunFromHandle> held_prompt;
 
   // The answer of the present attempt.
   net::ResponseHead head;
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -82,7 +82,6 @@
                 GatewaySettings::Duties& duties) {
   FieldReader reader(parent.Object("duties"), parent.PathOf("duties"), faults);
   duties.address = ReadAddress(reader, "address", faults);
-  duties.kinds = reader.Strings("kinds");
   duties.usage_window =
       ReadSeconds(reader, "usage_window_s", duties.usage_window);
   duties.usage_late = ReadSeconds(reader, "usage_late_s", duties.usage_late);
--- a/gateway/src/timed_call.cc
+++ b/gateway/src/timed_call.cc
@@ -42,6 +42,8 @@
 }
 
 void TimedCall::Finish() {
+  // The handler may drop the last reference to this call.
+  const auto self = this->shared_from_this();
   this->timer.Cancel();
   this->call.reset();
   if (const auto tell = std::exchange(this->done, nullptr)) {
--- a/gateway/tests/settings_test.cc
+++ b/gateway/tests/settings_test.cc
@@ -16,8 +16,7 @@
   "listen": {"callers": "10.0.0.1:80", "readiness": "10.0.0.1:81",
              "metrics": "10.0.0.1:82", "peers": "10.0.0.1:83"},
   "store": {"address": "10.0.0.2:80"},
-  "duties": {"address": "10.0.0.3:80", "kinds": ["metering"],
-             "usage_window_s": 2.5, "lease_ms": 3000},
+  "duties": {"address": "10.0.0.3:80", "usage_window_s": 2.5, "lease_ms": 3000},
   "bounds": {"key_withdrawal_ms": 5000, "retry_ratio": 0.25, "retry_slack": 54,
              "stop_s": 8},
   "log": {"level": "warning", "max_buffered_kb": 64}
--- a/net/include/carawayvalve/net/http_client.h
+++ b/net/include/carawayvalve/net/http_client.h
@@ -105,8 +105,6 @@
                               const CallOptions& options,
                               Handler handler);
 
-  // Closes the idle connections to an address.
-  void Forget(const base::Address& address);
   // Closes all connections, also those in use; their calls fail.
   void CloseAll();
 
--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -87,17 +87,6 @@
   this->open.erase(connection);
 }
 
-void ClientState::Forget(const Endpoint& endpoint) {
-  const auto found = this->idle.find(endpoint);
-  if (found == this->idle.end()) {
-    return;
-  }
-  const std::vector<Idle> old = std::exchange(found->second, {});
-  for (const Idle& kept_one : old) {
-    kept_one.connection->Close();
-  }
-}
-
 void ClientState::CloseAll() {
   const auto connections = this->open;
   for (const auto& connection : connections) {
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -27,7 +27,6 @@
   void PutIdle(const std::shared_ptr<ClientConnection>& connection,
                base::Instant until);
   void Remove(const std::shared_ptr<ClientConnection>& connection);
-  void Forget(const Endpoint& endpoint);
   void CloseAll();
   void Sweep();
   int64_t kept() const;
--- a/net/src/http_client.cc
+++ b/net/src/http_client.cc
@@ -65,10 +65,6 @@
   return std::make_unique<Call>(connection, connection->call_number());
 }
 
-void HttpClient::Forget(const base::Address& address) {
-  this->client->Forget(detail::ToEndpoint<detail::Endpoint>(address));
-}
-
 void HttpClient::CloseAll() {
   this->client->CloseAll();
 }
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -244,7 +244,6 @@
       {"store", {{"address", gateway.store_link->address()}}},
       {"duties",
        {{"address", gateway.usage_link->address()},
-        {"kinds", {"metering"}},
         {"usage_window_s", 2},
         {"lease_ms", 1500}}},
       {"bounds", {{"retry_slack", 60}, {"stop_s", kGrace.count()}}}};
