--- a/entry/tests/command_line_test.cc
+++ b/entry/tests/command_line_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdlib>
+
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -17,8 +19,8 @@
 ArgumentValues Nothing() {
   ArgumentValues values;
   for (const char* command :
-       {"serve", "check", "print-defaults", "diff", "apply", "key", "grant",
-        "withdraw", "status", "dump", "--json", "--help"}) {
+       {"serve", "gateway", "check", "print-defaults", "diff", "apply", "key",
+        "grant", "withdraw", "status", "dump", "--json", "--help"}) {
     values[command] = false;
   }
   for (const char* option :
@@ -43,6 +45,8 @@
 
 TEST_CASE("a command line") {
   SUBCASE("asks for its command") {
+    CHECK(ToCommand(With({{"gateway", true}, {"--settings", "s"}})) ==
+          Command(GatewayCommand{"s"}));
     CHECK(ToCommand(With({{"serve", true}, {"--settings", "s"}})) ==
           Command(ServeCommand{"s"}));
     CHECK(ToCommand(With({{"print-defaults", true}})) ==
@@ -80,6 +84,13 @@
           Command(DumpCommand{kStore, false}));
   }
 
+  SUBCASE("finds the settings of a gateway in the environment") {
+    setenv("CARAWAYVALVE_CONFIG", "from-there", 1);
+    CHECK(ToCommand(With({{"gateway", true}})) ==
+          Command(GatewayCommand{"from-there"}));
+    unsetenv("CARAWAYVALVE_CONFIG");
+    CHECK_THROWS_AS(ToCommand(With({{"gateway", true}})), UsageError);
+  }
   SUBCASE("with a malformed value asks for none") {
     CHECK_THROWS_AS(ToCommand(With({{"status", true}, {"--operator", "here"}})),
                     UsageError);
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -30,7 +30,7 @@
     return {};
   }
   try {
-    const base::Address address = base::ParseAddress(text);
+    base::Address address = base::ParseAddress(text);
     base::ToSocketAddress(address);
     return address;
   } catch (const base::Error& error) {
--- a/net/src/loop_state.h
+++ b/net/src/loop_state.h
@@ -31,7 +31,7 @@
 // Returns the IPv4 number of an address. Throws base::Error for a host name.
 inline asio::ip::address_v4 ToIpNumber(const base::Address& address) {
   error_code error;
-  const auto number = asio::ip::make_address_v4(address.host, error);
+  auto number = asio::ip::make_address_v4(address.host, error);
   if (error) {
     throw base::Error("read address", address.host, error.message());
   }
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -93,7 +93,7 @@
   Caller& caller = this->callers[index];
   net::CallOptions options;
   options.connect_timeout = kConnectPatience;
-  const std::string gateway = gateways[this->generator() % gateways.size()];
+  const std::string& gateway = gateways[this->generator() % gateways.size()];
   const auto prompt = static_cast<int>(this->generator() % 100);
   caller.timer->Start(kPatience, [this, index, &call] {
     this->callers[index].call.reset();
--- a/tests/soak/child.cc
+++ b/tests/soak/child.cc
@@ -22,6 +22,7 @@
   dup2(out, STDOUT_FILENO);
   dup2(out, STDERR_FILENO);
   std::vector<char*> arguments;
+  arguments.reserve(words.size() + 1);
   for (const std::string& word : words) {
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
