Refuse at once what hardly fits into its time

Ruled out: the estimate of the first event, which holds on average.

An estimate counts half as much again.

--- a/gateway/src/request_run.cc
+++ b/gateway/src/request_run.cc
@@ -24,6 +24,9 @@
 constexpr base::Milliseconds kDeadlineSlack(80);
 // A request with less time left isn't sent on.
 constexpr base::Milliseconds kLeastTime(20);
+// An estimate may be short by this part of itself, and by what the answer takes
+// after its first event.
+constexpr int64_t kEstimateParts = 2;
 // Callers heed a Retry-After of up to a third of the time that they have left.
 constexpr int64_t kRetryAfterParts = 3;
 // The most urgent priority of a route is sent as this urgency, so that there
@@ -191,8 +194,7 @@
     return;
   }
   const core::Placement& placement = std::get<core::Placement>(result);
-  if (placement.expected + kLeastTime > this->TimeLeft(now) &&
-      !this->progress.may_have_run) {
+  if (!this->FitsIn(placement, now) && !this->progress.may_have_run) {
     this->Refuse(kUnavailable, "no backend server can answer in time", true);
     return;
   }
@@ -203,6 +205,13 @@
   this->Send(placement);
 }
 
+bool RequestRun::FitsIn(const core::Placement& placement,
+                        base::Instant now) const {
+  const base::Duration most =
+      placement.expected + placement.expected / kEstimateParts + kLeastTime;
+  return most <= this->TimeLeft(now);
+}
+
 bool RequestRun::MustWait(const core::Placement& placement,
                           base::Instant now) const {
   const bool late =
@@ -235,9 +244,7 @@
       this->context.beliefs.placer.Choose(this->Query(), now);
   const auto* placement = std::get_if<core::Placement>(&result);
   if (placement != nullptr) {
-    const bool in_time =
-        placement->expected + kLeastTime <= this->TimeLeft(now);
-    if (in_time && this->MustWait(*placement, now)) {
+    if (this->FitsIn(*placement, now) && this->MustWait(*placement, now)) {
       return false;
     }
   }
--- a/gateway/src/request_run.h
+++ b/gateway/src/request_run.h
@@ -29,6 +29,8 @@
 
   // Chooses backend servers and sends the request to them.
   void Attempt();
+  // Whether the answer can be had within the time that is left.
+  bool FitsIn(const core::Placement& placement, base::Instant now) const;
   // Whether a request that is late anyway has to wait for room.
   bool MustWait(const core::Placement& placement, base::Instant now) const;
   void Wait(const core::Placement& placement);
