--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "carawayvalve/base/error.h"
 #include "gossip_format.h"
 
 namespace carawayvalve::gateway {
@@ -27,6 +28,22 @@
   return settings;
 }
 
+// Listens for datagrams and connections at one port, below those that the
+// system gives to outgoing connections of other tests.
+void StartAtFreePort(PeerGossip& gossip, uint16_t& port) {
+  constexpr int kFirstPort = 20000;
+  constexpr int kPorts = 12000;
+  for (int i = 0; i < kPorts; ++i) {
+    port = static_cast<uint16_t>(kFirstPort + (getpid() * 64 + i) % kPorts);
+    try {
+      gossip.Start();
+      return;
+    } catch (const base::Error&) {
+      // Another process has the port.
+    }
+  }
+}
+
 }  // namespace
 
 // All of a grown fleet's gateways have counted in the present windows, and some
@@ -45,14 +62,6 @@
   platform::ObjectClient objects(loop, {"127.0.0.1", 1},
                                  base::Milliseconds(100));
   StoreFeed feed(context, objects);
-  // A port that the system draws is known by a probe only.
-  uint16_t port = 0;
-  {
-    const net::Datagrams probe(loop, {"127.0.0.1", 0},
-                               [](const auto&, const auto&) {});
-    port = probe.port();
-  }
-  beliefs.settings.listen.peers.port = port;
   const int64_t window = beliefs.true_time.At(base::Now()) /
                          base::Duration(beliefs.settings.duties.usage_window);
   for (int source = 0; source < kPeers; ++source) {
@@ -67,7 +76,7 @@
                         {"account" + std::to_string(account)});
   }
   PeerGossip gossip(context, objects, feed);
-  gossip.Start();
+  StartAtFreePort(gossip, beliefs.settings.listen.peers.port);
   int64_t bytes = 0;
   std::vector<std::unique_ptr<net::Datagrams>> peers;
   for (int i = 0; i < kPeers; ++i) {
