Renew watches of the store as often as planned

A watch always waited as long as the settings say: the longer wait that was planned for many gateways was never used. And gateways asked anew whenever a peer knew a later revision of the store, which rises with any write, so that each renewal set off all others.

Change: a watch waits as planned; three gateways prove how fresh the configuration is and the others take their word, or ask when it is late; peers compare the newest change to backend servers; changes are gathered for 0.8 s.

--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -87,6 +87,7 @@
   const base::Instant now = base::Now();
   this->beliefs.true_time.NoteOwn(TimeOfDay(), now);
   this->feed.ExpireBackends();
+  this->feed.RenewProof(now);
   this->beliefs.suspects.Prune(now);
   const int64_t window =
       this->beliefs.true_time.At(now) /
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -21,9 +21,6 @@
 constexpr base::Milliseconds kTalkInterval(50);
 constexpr int64_t kFewPeers = 8;
 constexpr base::Milliseconds kMostTalkInterval(1000);
-// Each so many peers that are heard make a watch wait once more, up to a limit.
-constexpr int64_t kPeersPerWait = 3;
-constexpr int64_t kMostWaits = 4;
 // Peers are listed again, for those that started while this one was cut off.
 constexpr std::chrono::seconds kListInterval(10);
 constexpr base::Milliseconds kRetryInterval(700);
@@ -163,14 +160,11 @@
   this->context.beliefs.gateways = 1 + static_cast<int64_t>(this->peers.size());
 }
 
-// Peers tell of what their watches find, so that with many of them each may
-// ask the store less often.
-void PeerGossip::SetWatchWait() {
-  const base::Milliseconds once =
-      this->context.beliefs.settings.store.watch_wait;
-  const int64_t times = std::clamp<int64_t>(
-      this->heard(base::Now()) / kPeersPerWait, 1, kMostWaits);
-  this->feed.SetWatchWait(once * times);
+void PeerGossip::SetWatchWaits() {
+  const GatewaySettings& settings = this->context.beliefs.settings;
+  this->feed.SetWatchWaits(core::PlanWatches(settings.host,
+                                             this->LiveHosts(base::Now()),
+                                             settings.store.watch_wait));
 }
 
 base::Duration PeerGossip::Interval() const {
@@ -202,7 +196,9 @@
 void PeerGossip::Talk() {
   this->talk_timer.Start(this->Interval(), [this] { this->Talk(); });
   ++this->rounds;
-  this->SetWatchWait();
+  if (this->rounds % kQuietRounds == 0) {
+    this->SetWatchWaits();
+  }
   Gossip gossip = this->Base();
   for (const auto& [id, load] : this->context.beliefs.load.own()) {
     wire::gen::GossipLoad told;
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -48,7 +48,7 @@
   void OnListed(const platform::ListResult& result);
   void Talk();
   void Send(const wire::gen::Gossip& gossip);
-  void SetWatchWait();
+  void SetWatchWaits();
   void AddDeaths(wire::gen::Gossip& gossip) const;
   wire::gen::Gossip Base() const;
   std::vector<wire::gen::Gossip> WindowMessages(bool all_sources) const;
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -14,9 +14,14 @@
 constexpr base::Milliseconds kFirstRetry(100);
 constexpr base::Milliseconds kLastRetry(800);
 constexpr int64_t kMaxDoublings = 3;
-// Changes of backend servers are gathered for this long; the bound for a
-// draining one is two seconds.
-constexpr base::Milliseconds kGathering(250);
+// Changes of backend servers are gathered for this long: less than half of the
+// two seconds after which a draining one gets nothing more.
+constexpr base::Milliseconds kGathering(800);
+// Between two questions that are to be answered at once.
+constexpr base::Milliseconds kAskInterval(1000);
+// Peers usually prove more often how fresh the configuration is: the part of
+// the time within which a withdrawn key must stop working.
+constexpr double kRenewShare = 0.6;
 // A peer's watch may be ahead of this one by so much.
 constexpr base::Milliseconds kPeerLead(700);
 
@@ -65,23 +70,32 @@
   }
   this->NoteSuccess();
   this->revision = page->revision;
+  for (const platform::StoredObject& object : this->listed) {
+    this->changed = std::max(this->changed, object.revision);
+  }
   this->hooks.on_list(std::exchange(this->listed, {}), asked);
-  this->Watch();
+  this->Watch(this->wait);
 }
 
 void KindWatch::NoteRevision(int64_t heard) {
   if (heard > this->revision && this->watching_since.has_value() &&
       base::Now() - *this->watching_since > kPeerLead) {
-    this->Watch();
+    this->Watch(this->wait);
+  }
+}
+
+void KindWatch::AskNow() {
+  if (this->watching_since.has_value() &&
+      base::Now() - *this->watching_since > kAskInterval) {
+    this->Watch(base::Milliseconds(0));
   }
 }
 
-void KindWatch::Watch() {
+void KindWatch::Watch(base::Milliseconds watch_wait) {
   const base::Instant asked = base::Now();
   this->watching_since = asked;
   this->call =
-      this->objects.Watch(this->kind, this->revision,
-                          this->context.beliefs.settings.store.watch_wait,
+      this->objects.Watch(this->kind, this->revision, watch_wait,
                           [this, asked](const platform::WatchResult& result) {
                             this->OnWatched(result, asked);
                           });
@@ -93,11 +107,14 @@
   if (const auto* changes = std::get_if<platform::ObjectChanges>(&result)) {
     this->NoteSuccess();
     this->revision = std::max(this->revision, changes->revision);
+    for (const platform::ObjectChange& change : changes->changes) {
+      this->changed = std::max(this->changed, change.object.revision);
+    }
     this->hooks.on_changes(changes->changes, asked);
     if (changes->changes.empty() || this->gathering.count() == 0) {
-      this->Watch();
+      this->Watch(this->wait);
     } else {
-      this->timer.Start(this->gathering, [this] { this->Watch(); });
+      this->timer.Start(this->gathering, [this] { this->Watch(this->wait); });
     }
     return;
   }
@@ -112,7 +129,7 @@
   this->Retry(refused != nullptr
                   ? "status " + std::to_string(refused->status)
                   : std::get<platform::StoreSilent>(result).reason,
-              [this] { this->Watch(); });
+              [this] { this->Watch(this->wait); });
 }
 
 void KindWatch::Retry(const std::string& reason, std::function<void()> again) {
@@ -199,6 +216,15 @@
   this->backends.Start();
 }
 
+void StoreFeed::RenewProof(base::Instant now) {
+  const Beliefs& beliefs = this->context.beliefs;
+  const auto age = beliefs.freshness.Age(now);
+  if (age.has_value() &&
+      *age > beliefs.settings.bounds.key_withdrawal * kRenewShare) {
+    this->configuration.AskNow();
+  }
+}
+
 void StoreFeed::TakeConfiguration(const platform::StoredObject& object) {
   if (object.name == platform::kConfigurationName) {
     this->TakePlan(object.value, "store");
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "carawayvalve/core/watch_plan.h"
 #include "carawayvalve/platform/objects.h"
 #include "context.h"
 
@@ -36,19 +37,24 @@
 
   void Start() { this->List(""); }
 
+  // From the next watch on.
   void SetWait(base::Milliseconds watch_wait) { this->wait = watch_wait; }
+  // Asks anew for an answer at once, unless a question has just been sent.
+  void AskNow();
   // After changes, waits for so long before it watches again: many backend
   // servers change at about the same time, and each watch is a call.
   void SetGathering(base::Milliseconds time) { this->gathering = time; }
   // A peer has heard of changes up to a revision of the store. Asks anew when
   // this watch should have heard of them too, but may be dead.
   void NoteRevision(int64_t heard);
-  int64_t last_revision() const { return this->revision; }
+  // The revision of the newest change to this kind that is known. The store's
+  // own revision rises with changes to other kinds, too.
+  int64_t newest_change() const { return this->changed; }
 
  private:
   void List(const std::string& after);
   void OnListed(const platform::ListResult& result, base::Instant asked);
-  void Watch();
+  void Watch(base::Milliseconds watch_wait);
   void OnWatched(const platform::WatchResult& result, base::Instant asked);
   // Waits longer after each failure in a row, then goes on with `again`.
   void Retry(const std::string& reason, std::function<void()> again);
@@ -65,7 +71,9 @@
   base::Instant list_asked;
   base::Milliseconds wait;
   base::Milliseconds gathering{0};
+  // Up to which the store's changes are known.
   int64_t revision = 0;
+  int64_t changed = 0;
   int64_t failures = 0;
   // When the watch that is under way was begun; none while there is none.
   std::optional<base::Instant> watching_since;
@@ -85,13 +93,16 @@
   const std::shared_ptr<const nlohmann::json>& plan_value() const {
     return this->plan;
   }
-  void SetWatchWait(base::Milliseconds wait) {
-    this->configuration.SetWait(wait);
-    this->backends.SetWait(wait);
+  void SetWatchWaits(const core::WatchWaits& waits) {
+    this->configuration.SetWait(waits.configuration);
+    this->backends.SetWait(waits.backends);
   }
+  // Asks the store for a new proof that the configuration is the newest, if no
+  // peer has given one for long.
+  void RenewProof(base::Instant now);
   // How far the store's changes of backend servers are known here, and by a
   // peer.
-  int64_t registry_revision() const { return this->backends.last_revision(); }
+  int64_t registry_revision() const { return this->backends.newest_change(); }
   void NoteRegistryRevision(int64_t heard) {
     this->backends.NoteRevision(heard);
   }
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -8,6 +8,7 @@
 
 #include "carawayvalve/base/error.h"
 #include "gossip_format.h"
+#include "test_gateway.h"
 
 namespace carawayvalve::gateway {
 
@@ -49,19 +50,12 @@
 // All of a grown fleet's gateways have counted in the present windows, and some
 // start anew.
 TEST_CASE("words to peers leave the links to the callers") {
-  net::EventLoop loop;
-  base::Journal journal({base::LogLevel::kError, 1024}, STDOUT_FILENO);
-  GatewayMetrics metrics;
-  Beliefs beliefs(Settings());
-  net::HttpClient backends(loop, std::chrono::seconds(1));
-  WaitingRoom waiting(loop);
-  std::mt19937_64 generator(1);
-  std::vector<SentPrefix> sent;
-  Context context{loop,     beliefs, journal,   metrics,
-                  backends, waiting, generator, sent};
+  TestGateway gateway(Settings());
+  net::EventLoop& loop = gateway.loop;
+  Beliefs& beliefs = gateway.beliefs;
   platform::ObjectClient objects(loop, {"127.0.0.1", 1},
                                  base::Milliseconds(100));
-  StoreFeed feed(context, objects);
+  StoreFeed feed(gateway.context, objects);
   const int64_t window = beliefs.true_time.At(base::Now()) /
                          base::Duration(beliefs.settings.duties.usage_window);
   for (int source = 0; source < kPeers; ++source) {
@@ -75,7 +69,7 @@
     beliefs.usage.Count(beliefs.boot, window,
                         {"account" + std::to_string(account)});
   }
-  PeerGossip gossip(context, objects, feed);
+  PeerGossip gossip(gateway.context, objects, feed);
   StartAtFreePort(gossip, beliefs.settings.listen.peers.port);
   int64_t bytes = 0;
   std::vector<std::unique_ptr<net::Datagrams>> peers;
@@ -90,9 +84,7 @@
     hello.boot = "fresh" + std::to_string(i);
     peers.back()->Send(PrintGossip(hello), beliefs.settings.listen.peers);
   }
-  net::Timer end(loop);
-  end.Start(kLength, [&] { loop.Stop(); });
-  loop.Run();
+  gateway.RunFor(kLength);
   CHECK(bytes > 0);
   CHECK(bytes <= kMostBytesPerSecond * kLength.count());
 }
--- /dev/null
+++ b/gateway/tests/store_feed_test.cc
@@ -0,0 +1,93 @@
+#include "store_feed.h"
+
+#include <doctest/doctest.h>
+
+#include "platform/store.h"
+#include "test_gateway.h"
+
+namespace carawayvalve::gateway {
+
+using base::Milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+GatewaySettings Settings() {
+  GatewaySettings settings;
+  settings.host = {"self"};
+  settings.store.watch_wait = Milliseconds(50);
+  settings.bounds.key_withdrawal = Milliseconds(2000);
+  return settings;
+}
+
+nlohmann::json DeskServer() {
+  return {{"service", "desk"}, {"addr", "127.0.0.1:1"}, {"zone", "a"},
+          {"slots", 4},        {"state", "up"},         {"born", 1}};
+}
+
+}  // namespace
+
+TEST_CASE("a gateway that follows the store") {
+  TestGateway gateway(Settings());
+  tests::Store store(gateway.loop);
+  store.Put("config", "main",
+            {{"version", 1},
+             {"routes", nlohmann::json::array()},
+             {"services", nlohmann::json::array()}});
+  platform::ObjectClient objects(
+      gateway.loop, base::ParseAddress(store.address()), Milliseconds(1000));
+  StoreFeed feed(gateway.context, objects);
+
+  SUBCASE("renews its watches no more often than was planned") {
+    feed.SetWatchWaits({Milliseconds(50), seconds(60)});
+    feed.Start();
+    gateway.RunFor(seconds(1));
+    CHECK(store.watches["servers"] == 1);
+    CHECK(store.watches["config"] > 1);
+
+    SUBCASE("and hears of changes at once all the same") {
+      store.Put("servers", "i-1", DeskServer());
+      gateway.RunFor(seconds(1));
+      CHECK(gateway.beliefs.directory.Find({"i-1"}) != nullptr);
+    }
+  }
+  SUBCASE("knows as much as one that has heard of other kinds since") {
+    store.Put("servers", "i-1", DeskServer());
+    feed.SetWatchWaits({seconds(60), seconds(60)});
+    feed.Start();
+    gateway.RunFor(Milliseconds(300));
+    store.Put("leases", "duties", {{"holder", "other"}});
+    StoreFeed later(gateway.context, objects);
+    later.Start();
+    gateway.RunFor(Milliseconds(300));
+    CHECK(later.registry_revision() == feed.registry_revision());
+
+    SUBCASE("but less than one that has heard of a backend server since") {
+      const int64_t before = later.registry_revision();
+      store.Put("servers", "i-2", DeskServer());
+      StoreFeed last(gateway.context, objects);
+      last.Start();
+      gateway.RunFor(Milliseconds(300));
+      CHECK(last.registry_revision() > before);
+    }
+  }
+  SUBCASE("asks for a proof when no peer has given one for long") {
+    feed.SetWatchWaits({seconds(60), seconds(60)});
+    feed.Start();
+    gateway.RunFor(Milliseconds(1500));
+    const base::Instant now = base::Now();
+    CHECK(gateway.beliefs.freshness.Age(now) > Milliseconds(1200));
+    feed.RenewProof(now);
+    gateway.RunFor(Milliseconds(500));
+    CHECK(gateway.beliefs.freshness.Age(now) < Milliseconds(100));
+
+    SUBCASE("and no sooner") {
+      const int asked = store.watches["config"];
+      feed.RenewProof(base::Now());
+      gateway.RunFor(Milliseconds(100));
+      CHECK(store.watches["config"] == asked);
+    }
+  }
+}
+
+}  // namespace carawayvalve::gateway
--- /dev/null
+++ b/gateway/tests/test_gateway.h
@@ -0,0 +1,37 @@
+#ifndef CARAWAYVALVE_GATEWAY_TESTS_TEST_GATEWAY_H_
+#define CARAWAYVALVE_GATEWAY_TESTS_TEST_GATEWAY_H_
+
+#include <unistd.h>
+
+#include <vector>
+
+#include "context.h"
+
+namespace carawayvalve::gateway {
+
+// The parts that a test of one part of a gateway needs beside it.
+struct TestGateway {
+  explicit TestGateway(const GatewaySettings& settings) : beliefs(settings) {}
+
+  // Runs the loop for so long.
+  void RunFor(base::Duration time) {
+    net::Timer end(this->loop);
+    end.Start(time, [this] { this->loop.Stop(); });
+    this->loop.Run();
+  }
+
+  net::EventLoop loop;
+  base::Journal journal{{base::LogLevel::kError, 1024}, STDOUT_FILENO};
+  GatewayMetrics metrics;
+  Beliefs beliefs;
+  net::HttpClient backends{loop, std::chrono::seconds(1)};
+  WaitingRoom waiting{loop};
+  std::mt19937_64 generator{1};
+  std::vector<SentPrefix> sent_prefixes;
+  Context context{loop,     beliefs, journal,   metrics,
+                  backends, waiting, generator, sent_prefixes};
+};
+
+}  // namespace carawayvalve::gateway
+
+#endif  // CARAWAYVALVE_GATEWAY_TESTS_TEST_GATEWAY_H_
--- a/tests/platform/store.cc
+++ b/tests/platform/store.cc
@@ -193,6 +193,7 @@
                   int64_t since,
                   int64_t wait_ms,
                   const std::shared_ptr<net::Exchange>& exchange) {
+  ++this->watches[kind];
   if (since < this->compacted) {
     Respond(*exchange, 410, json::object());
     return;
--- a/tests/platform/store.h
+++ b/tests/platform/store.h
@@ -37,6 +37,8 @@
   bool down = false;
   // Carries out so many of the next writes and loses their answers.
   int lost_writes = 0;
+  // How many watches were asked for, by kind.
+  std::map<std::string, int> watches;
 
  private:
   using Key = std::pair<std::string, std::string>;
