Copy shared beginnings between engines; tell peers of new work at once

And a beginning that another engine had was read again where its home was busy.

Change: the engine that reads a prompt first copies the KV cache of its beginning from an engine that has read it, if that is sooner; gateways tell one another when an engine has read a beginning. A gateway tells its peers of a prompt sent or read within milliseconds, at the most each 10 ms times peers/8.

--- a/core/include/carawayvalve/core/fleet_load.h
+++ b/core/include/carawayvalve/core/fleet_load.h
@@ -63,6 +63,12 @@
   Ticket last_ticket = 0;
 };
 
+// Whether peers that know `told` would place requests otherwise if they knew
+// `present`: an engine has a prompt more or less to read, or a plain service a
+// request more or less to answer. Prompts whose reading goes unnoticed don't
+// count, nor do streams whose prompt was read.
+bool DiffersMuch(const FleetLoad::Loads& told, const FleetLoad::Loads& present);
+
 }  // namespace carawayvalve::core
 
 #endif  // CARAWAYVALVE_CORE_FLEET_LOAD_H_
--- a/core/include/carawayvalve/core/placement.h
+++ b/core/include/carawayvalve/core/placement.h
@@ -50,6 +50,15 @@
   // A decode engine reads so many tokens of a prompt itself: less than its
   // streams would notice, and than handing the KV cache over costs.
   int64_t direct_tokens = 300;
+  // Copying the KV cache of a shared beginning from another engine takes this
+  // long beside its tokens, each so many a millisecond: 740 Gbit/s at 18 KB a
+  // token, from the engines' data sheet. Twice as long between data centres.
+  base::Duration copy_setup = base::Milliseconds(3);
+  double copied_tokens_per_ms = 5000;
+  // What the bytes of a copy are worth, as a delay.
+  base::Duration copy_price = base::Milliseconds(10);
+  // A copy of fewer tokens saves less time than it takes.
+  int64_t least_copied_tokens = 500;
   // The mean time of a plain request.
   base::Duration plain_request = base::Milliseconds(40);
   // Failures count as a delay: this much if all requests fail.
@@ -76,6 +85,9 @@
   bool reads_only = false;
   // Prompt tokens that are probably not cached where the prompt is read.
   int64_t missing_tokens = 0;
+  // The engine from which the target copies the KV cache of the shared
+  // beginning before it reads the rest.
+  std::optional<BackendEntry> copy_from;
   // Until the first event or the answer.
   base::Duration expected{};
   // What the target has to read before this request.
@@ -118,6 +130,9 @@
   // What the homes of one prompt's shared beginning are.
   struct Homes {
     std::vector<PrefixKey> keys;
+    // The engine that has read most of it, and how many tokens.
+    const BackendEntry* source = nullptr;
+    int64_t source_tokens = 0;
     const BackendEntry* first = nullptr;
     const BackendEntry* second = nullptr;
     // For reading at the second home.
@@ -125,6 +140,7 @@
   };
   struct Estimate {
     const BackendEntry* entry = nullptr;
+    const BackendEntry* copy_from = nullptr;
     int64_t missing_tokens = 0;
     base::Duration work_ahead{};
     // Until the first event.
@@ -143,6 +159,14 @@
                           base::Instant now) const;
   // The present price of reading at a second home.
   double HomePrice(const Candidates& engines, base::Instant now) const;
+  Homes FindHomes(const Candidates& candidates,
+                  const Prompt& prompt,
+                  base::Instant now) const;
+  // Finds the engine to copy the shared beginning from.
+  void FindSource(Homes& homes_of, base::Instant now) const;
+  base::Duration CopyTime(const BackendEntry& from,
+                          const BackendEntry& to,
+                          int64_t tokens) const;
   // The cheapest of the candidates.
   Estimate BestEngine(const Candidates& candidates,
                       const Prompt& prompt,
@@ -153,6 +177,7 @@
   Estimate EstimateDecode(const BackendEntry& entry,
                           const BackendEntry& reader,
                           base::Instant now) const;
+  static Placement ToPlacement(const Estimate& estimate);
   base::Duration Penalty(const BackendEntry& entry, base::Instant now) const;
   PlacementResult ChoosePlain(const Candidates& candidates,
                               base::Instant now) const;
--- a/core/include/carawayvalve/core/prefix_homes.h
+++ b/core/include/carawayvalve/core/prefix_homes.h
@@ -36,18 +36,26 @@
   // A prompt with these beginnings was sent to the engine.
   void NoteUse(const base::BackendServerId& id,
                const std::vector<PrefixKey>& keys);
+  // The engine has read such a prompt, so that others can copy from it.
+  void NoteRead(const base::BackendServerId& id,
+                const std::vector<PrefixKey>& keys);
   // The engine was started anew, or is gone.
   void Forget(const base::BackendServerId& id);
 
-  // Returns the tokens of the longest beginning that the engine has.
+  // Returns the tokens of the longest beginning that the engine has, or is
+  // about to read.
   int64_t CachedTokens(const base::BackendServerId& id,
                        const std::vector<PrefixKey>& keys) const;
+  // Returns the tokens of the longest beginning that the engine has read.
+  int64_t ReadTokens(const base::BackendServerId& id,
+                     const std::vector<PrefixKey>& keys) const;
 
  private:
   struct Entry {
     uint64_t hash = 0;
     // Tokens of its last part.
     int64_t tokens = 0;
+    bool read = false;
   };
   using Entries = std::list<Entry>;
   struct Engine {
@@ -57,6 +65,12 @@
     int64_t tokens = 0;
   };
 
+  // Returns the tokens of the longest beginning all of whose entries fit.
+  template <typename Fits>
+  int64_t LongestTokens(const base::BackendServerId& id,
+                        const std::vector<PrefixKey>& keys,
+                        const Fits& fits) const;
+
   std::unordered_map<base::BackendServerId, Engine> engines;
   int64_t capacity;
 };
--- a/core/src/fleet_load.cc
+++ b/core/src/fleet_load.cc
@@ -1,15 +1,43 @@
 #include "carawayvalve/core/fleet_load.h"
 
+#include <algorithm>
+#include <cstdlib>
+
 namespace carawayvalve::core {
 
 namespace {
 
+// Read in about five milliseconds, less than a word is under way.
+constexpr int64_t kUnnoticedTokens = 256;
+
 // A peer that was silent for longer is no longer counted: what it had under
 // way has mostly ended.
 constexpr std::chrono::seconds kPeerTime(2);
 
+bool DiffersMuch(const BackendLoad& told, const BackendLoad& present) {
+  const bool plain = told.kv_tokens == 0 && present.kv_tokens == 0;
+  return std::abs(told.unread_tokens - present.unread_tokens) >
+             kUnnoticedTokens ||
+         (plain && told.requests != present.requests);
+}
+
+// Whether one of `loads` differs much from that in `others`.
+bool AnyDiffersMuch(const FleetLoad::Loads& loads,
+                    const FleetLoad::Loads& others) {
+  return std::any_of(loads.begin(), loads.end(), [&](const auto& load) {
+    const auto other = others.find(load.first);
+    return DiffersMuch(load.second,
+                       other == others.end() ? BackendLoad{} : other->second);
+  });
+}
+
 }  // namespace
 
+bool DiffersMuch(const FleetLoad::Loads& told,
+                 const FleetLoad::Loads& present) {
+  return AnyDiffersMuch(told, present) || AnyDiffersMuch(present, told);
+}
+
 BackendLoad operator+(const BackendLoad& a, const BackendLoad& b) {
   return {a.requests + b.requests, a.unread_tokens + b.unread_tokens,
           a.kv_tokens + b.kv_tokens};
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -120,16 +120,23 @@
                                    : this->settings.decode_tokens_per_ms;
   const double slowness = this->health.Slowness(entry.id, now);
   const std::vector<PrefixKey>& keys = homes_of.keys;
-  const int64_t cached = this->homes.CachedTokens(entry.id, keys);
+  int64_t cached = this->homes.CachedTokens(entry.id, keys);
   const int64_t shared = keys.empty() ? 0 : keys.back().tokens;
   Estimate estimate;
   estimate.entry = &entry;
+  base::Duration copying{};
+  if (homes_of.source_tokens >= cached + this->settings.least_copied_tokens) {
+    estimate.copy_from = homes_of.source;
+    copying = this->CopyTime(*homes_of.source, entry,
+                             homes_of.source_tokens - cached);
+    cached = homes_of.source_tokens;
+  }
   estimate.missing_tokens = std::max<int64_t>(prompt.prompt_tokens - cached, 0);
   const double tokens =
       static_cast<double>(present.unread_tokens + estimate.missing_tokens);
   estimate.work_ahead =
       FromMs(static_cast<double>(present.unread_tokens) / rate * slowness);
-  estimate.wait = FromMs(tokens / rate * slowness) +
+  estimate.wait = copying + FromMs(tokens / rate * slowness) +
                   std::chrono::duration_cast<base::Duration>(
                       (this->settings.first_event +
                        this->settings.step_per_request * present.requests) *
@@ -142,6 +149,9 @@
   }
   estimate.cost = estimate.wait + this->Penalty(entry, now) +
                   FromMs(price * static_cast<double>(shared - cached) / rate);
+  if (estimate.copy_from != nullptr) {
+    estimate.cost += this->settings.copy_price;
+  }
   return estimate;
 }
 
@@ -186,11 +196,32 @@
       this->settings.least_home_price, this->settings.most_home_price);
 }
 
-Placer::Estimate Placer::BestEngine(const Candidates& candidates,
-                                    const Prompt& prompt,
-                                    base::Instant now) const {
-  Homes homes_of{PrefixKeysOf(prompt), nullptr, nullptr,
-                 this->HomePrice(candidates, now)};
+base::Duration Placer::CopyTime(const BackendEntry& from,
+                                const BackendEntry& to,
+                                int64_t tokens) const {
+  const base::Duration time =
+      this->settings.copy_setup +
+      FromMs(static_cast<double>(tokens) / this->settings.copied_tokens_per_ms);
+  return from.data_centre == to.data_centre ? time : 2 * time;
+}
+
+void Placer::FindSource(Homes& homes_of, base::Instant now) const {
+  for (const auto& [id, entry] : this->directory.entries()) {
+    const int64_t tokens = this->homes.ReadTokens(id, homes_of.keys);
+    if (tokens > homes_of.source_tokens && !this->silence.Silent(id, now)) {
+      homes_of.source = &entry;
+      homes_of.source_tokens = tokens;
+    }
+  }
+}
+
+Placer::Homes Placer::FindHomes(const Candidates& candidates,
+                                const Prompt& prompt,
+                                base::Instant now) const {
+  Homes homes_of;
+  homes_of.keys = PrefixKeysOf(prompt);
+  homes_of.price = this->HomePrice(candidates, now);
+  this->FindSource(homes_of, now);
   // Ranks say the same to every process, also to one that has just started.
   uint64_t first = 0;
   uint64_t second = 0;
@@ -205,6 +236,13 @@
       second = rank;
     }
   }
+  return homes_of;
+}
+
+Placer::Estimate Placer::BestEngine(const Candidates& candidates,
+                                    const Prompt& prompt,
+                                    base::Instant now) const {
+  const Homes homes_of = this->FindHomes(candidates, prompt, now);
   Estimate best;
   for (const BackendEntry* entry : candidates) {
     const Estimate estimate =
@@ -216,6 +254,18 @@
   return best;
 }
 
+Placement Placer::ToPlacement(const Estimate& estimate) {
+  Placement placement;
+  placement.target = *estimate.entry;
+  placement.missing_tokens = estimate.missing_tokens;
+  if (estimate.copy_from != nullptr) {
+    placement.copy_from = *estimate.copy_from;
+  }
+  placement.expected = estimate.wait;
+  placement.work_ahead = estimate.work_ahead;
+  return placement;
+}
+
 PlacementResult Placer::ChoosePlain(const Candidates& candidates,
                                     base::Instant now) const {
   Estimate best;
@@ -225,7 +275,7 @@
       best = estimate;
     }
   }
-  return Placement{*best.entry, false, 0, best.wait, {}};
+  return ToPlacement(best);
 }
 
 PlacementResult Placer::ChooseEngine(const Candidates& candidates,
@@ -243,11 +293,12 @@
       this->Readers(candidates, *query.prompt), *query.prompt, now);
   if (!query.may_hand_over || reader.entry == nullptr ||
       direct.missing_tokens <= this->settings.direct_tokens) {
-    return Placement{*direct.entry, false, direct.missing_tokens, direct.wait,
-                     direct.work_ahead};
+    return ToPlacement(direct);
   }
-  return Placement{*reader.entry, true, reader.missing_tokens,
-                   reader.wait + this->settings.handover, reader.work_ahead};
+  Placement placement = ToPlacement(reader);
+  placement.reads_only = true;
+  placement.expected += this->settings.handover;
+  return placement;
 }
 
 PlacementResult Placer::ChooseGenerator(const PlacementQuery& query,
@@ -266,7 +317,7 @@
   if (best.entry == nullptr) {
     return NoBackend{"no engine generates"};
   }
-  return Placement{*best.entry, false, 0, best.wait, {}};
+  return ToPlacement(best);
 }
 
 PlacementResult Placer::Choose(const PlacementQuery& query,
--- a/core/src/prefix_homes.cc
+++ b/core/src/prefix_homes.cc
@@ -45,7 +45,7 @@
                             found->second);
       continue;
     }
-    engine.entries.push_front({key.hash, tokens});
+    engine.entries.push_front({key.hash, tokens, false});
     engine.by_hash[key.hash] = engine.entries.begin();
     engine.tokens += tokens;
   }
@@ -57,24 +57,50 @@
   }
 }
 
+void PrefixHomes::NoteRead(const base::BackendServerId& id,
+                           const std::vector<PrefixKey>& keys) {
+  this->NoteUse(id, keys);
+  Engine& engine = this->engines[id];
+  for (const PrefixKey& key : keys) {
+    const auto found = engine.by_hash.find(key.hash);
+    if (found != engine.by_hash.end()) {
+      found->second->read = true;
+    }
+  }
+}
+
 void PrefixHomes::Forget(const base::BackendServerId& id) {
   this->engines.erase(id);
 }
 
-int64_t PrefixHomes::CachedTokens(const base::BackendServerId& id,
-                                  const std::vector<PrefixKey>& keys) const {
+template <typename Fits>
+int64_t PrefixHomes::LongestTokens(const base::BackendServerId& id,
+                                   const std::vector<PrefixKey>& keys,
+                                   const Fits& fits) const {
   const auto engine = this->engines.find(id);
   if (engine == this->engines.end()) {
     return 0;
   }
-  int64_t cached = 0;
+  int64_t tokens = 0;
   for (const PrefixKey& key : keys) {
-    if (!engine->second.by_hash.contains(key.hash)) {
+    const auto found = engine->second.by_hash.find(key.hash);
+    if (found == engine->second.by_hash.end() || !fits(*found->second)) {
       break;
     }
-    cached = key.tokens;
+    tokens = key.tokens;
   }
-  return cached;
+  return tokens;
+}
+
+int64_t PrefixHomes::CachedTokens(const base::BackendServerId& id,
+                                  const std::vector<PrefixKey>& keys) const {
+  return this->LongestTokens(id, keys, [](const Entry&) { return true; });
+}
+
+int64_t PrefixHomes::ReadTokens(const base::BackendServerId& id,
+                                const std::vector<PrefixKey>& keys) const {
+  return this->LongestTokens(id, keys,
+                             [](const Entry& entry) { return entry.read; });
 }
 
 uint64_t HomeRank(uint64_t prefix_hash, const base::BackendServerId& id) {
--- a/core/tests/placement_test.cc
+++ b/core/tests/placement_test.cc
@@ -140,6 +140,66 @@
   }
 }
 
+TEST_CASE("a prompt whose beginning an engine has read") {
+  Fleet fleet(3, 1, 0);
+  const Prompt prompt = LongPrompt("s");
+  fleet.homes.NoteUse({"reader2"}, PrefixKeysOf(prompt));
+
+  SUBCASE("is read by that engine while it has time") {
+    fleet.homes.NoteRead({"reader2"}, PrefixKeysOf(prompt));
+    CHECK(fleet.Choose(&prompt).target.id.value == "reader2");
+    CHECK_FALSE(fleet.Choose(&prompt).copy_from.has_value());
+  }
+  SUBCASE("is read by another one, which copies the beginning") {
+    fleet.homes.NoteRead({"reader2"}, PrefixKeysOf(prompt));
+    fleet.load.NoteSent({"reader2"}, {2, 8000, 34000});
+    const Placement placement = fleet.Choose(&prompt);
+    CHECK(placement.target.id.value != "reader2");
+    REQUIRE(placement.copy_from.has_value());
+    CHECK(placement.copy_from->id.value == "reader2");
+    CHECK(placement.missing_tokens == 3700);
+    CHECK(placement.expected < Milliseconds(150));
+
+    SUBCASE("unless the one that has it has fallen silent") {
+      fleet.silence.NoteSent({"reader2"}, Milliseconds(300),
+                             fleet.now - Milliseconds(301));
+      CHECK_FALSE(fleet.Choose(&prompt).copy_from.has_value());
+    }
+    SUBCASE("unless it was started anew") {
+      fleet.homes.Forget({"reader2"});
+      CHECK_FALSE(fleet.Choose(&prompt).copy_from.has_value());
+    }
+  }
+  SUBCASE("is not copied before it was read") {
+    fleet.load.NoteSent({"reader2"}, {8, 60000, 60000});
+    const Placement placement = fleet.Choose(&prompt);
+    CHECK(placement.target.id.value != "reader2");
+    CHECK_FALSE(placement.copy_from.has_value());
+    CHECK(placement.missing_tokens == 17000);
+  }
+}
+
+// The load at a start or a burst: a beginning that everyone asks for at once.
+TEST_CASE("a beginning that many ask for is read once and copied") {
+  Fleet fleet(6, 2, 0);
+  const Prompt first = LongPrompt("s");
+  const Placement home = fleet.Choose(&first);
+  fleet.homes.NoteRead(home.target.id, PrefixKeysOf(first));
+  std::map<base::BackendServerId, int64_t> read;
+  for (int i = 0; i < 24; ++i) {
+    const Placement placement = fleet.Choose(&first);
+    fleet.homes.NoteRead(placement.target.id, PrefixKeysOf(first));
+    fleet.load.NoteSent(placement.target.id,
+                        {1, placement.missing_tokens, 17000});
+    read[placement.target.id] += placement.missing_tokens;
+  }
+  // All readers that take long prompts share the work.
+  CHECK(read.size() == 5);
+  for (const auto& [id, tokens] : read) {
+    CHECK(tokens <= 6 * 3700);
+  }
+}
+
 TEST_CASE("a short prompt whose beginning a generator has is read there") {
   Fleet fleet(3, 1, 0);
   const Prompt prompt = LongPrompt("s", 200);
--- a/core/tests/prefix_homes_test.cc
+++ b/core/tests/prefix_homes_test.cc
@@ -55,6 +55,16 @@
     CHECK(homes.CachedTokens(engine, second) == 0);
     CHECK(homes.CachedTokens(engine, third) == 1000);
   }
+  SUBCASE("tells what was read from what is about to be") {
+    CHECK(homes.ReadTokens(engine, first) == 0);
+    homes.NoteRead(engine, first);
+    CHECK(homes.ReadTokens(engine, first) == 1000);
+
+    SUBCASE("also after another prompt with it was sent") {
+      homes.NoteUse(engine, first);
+      CHECK(homes.ReadTokens(engine, first) == 1000);
+    }
+  }
   SUBCASE("forgets all of an engine that was started anew") {
     homes.Forget(engine);
     CHECK(homes.CachedTokens(engine, first) == 0);
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -33,6 +33,7 @@
       plan.backend.id, {1, plan.missing_tokens, plan.kv_tokens});
   this->silence_ticket = context.beliefs.silence.NoteSent(
       plan.backend.id, FirstPatience(plan.expected), this->sent);
+  this->context.on_load_changed();
   net::CallOptions options;
   options.connect_timeout = kConnectTimeout;
   options.echo = platform::EchoOf(caller);
@@ -66,6 +67,7 @@
   if (!this->settled) {
     this->settled = true;
     this->context.beliefs.load.NoteEnded(this->ticket);
+    this->context.on_load_changed();
     this->context.beliefs.silence.NoteEnded(this->call_plan.backend.id,
                                             this->silence_ticket);
   }
@@ -111,6 +113,7 @@
   this->got_data = true;
   Beliefs& beliefs = this->context.beliefs;
   beliefs.load.NoteRead(this->ticket);
+  this->context.on_load_changed();
   beliefs.silence.SetPatience(this->call_plan.backend.id, this->silence_ticket,
                               NextPatience());
   if (this->status < kServerError) {
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -1,6 +1,7 @@
 #ifndef CARAWAYVALVE_GATEWAY_SRC_CONTEXT_H_
 #define CARAWAYVALVE_GATEWAY_SRC_CONTEXT_H_
 
+#include <functional>
 #include <random>
 #include <vector>
 
@@ -13,10 +14,12 @@
 
 namespace carawayvalve::gateway {
 
-// A prompt that was sent to an engine since the last word to the peers.
+// A prompt that was sent to an engine, or read by it, since the last word to
+// the peers.
 struct SentPrefix {
   base::BackendServerId backend_server;
   std::vector<core::PrefixKey> keys;
+  bool read = false;
 };
 
 // What the parts of a gateway share. Lives as long as the process.
@@ -29,6 +32,8 @@
   WaitingRoom& waiting;
   std::mt19937_64& generator;
   std::vector<SentPrefix>& sent_prefixes;
+  // Called when what this gateway has under way has changed.
+  std::function<void()>& on_load_changed;
 };
 
 }  // namespace carawayvalve::gateway
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -44,6 +44,7 @@
   Beliefs beliefs;
   std::mt19937_64 generator;
   std::vector<SentPrefix> sent_prefixes;
+  std::function<void()> on_load_changed = [] {};
   net::HttpClient backends;
   WaitingRoom waiting;
   platform::ObjectClient objects;
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -21,6 +21,13 @@
 constexpr base::Milliseconds kTalkInterval(50);
 constexpr int64_t kFewPeers = 8;
 constexpr base::Milliseconds kMostTalkInterval(1000);
+// Between two words of new work, longer with more peers; what comes meanwhile
+// goes out together. Beyond so many peers news waits for the next round.
+constexpr base::Milliseconds kNewsInterval(10);
+constexpr int64_t kMostNewsPeers = 64;
+// News waits so long for what follows at once, such as the run of a prompt that
+// was read.
+constexpr base::Milliseconds kNewsDelay(1);
 // Peers are listed again, for those that started while this one was cut off.
 constexpr std::chrono::seconds kListInterval(10);
 constexpr base::Milliseconds kRetryInterval(700);
@@ -78,6 +85,7 @@
       feed(feed),
       client(context.loop, kKeepTime),
       talk_timer(context.loop),
+      news_timer(context.loop),
       list_timer(context.loop),
       register_timer(context.loop) {}
 
@@ -93,6 +101,7 @@
       [this](const std::shared_ptr<net::Exchange>& exchange) {
         this->OnCall(exchange);
       });
+  this->context.on_load_changed = [this] { this->OnLoadChanged(); };
   this->Register();
   this->ListPeers();
   this->Talk();
@@ -162,9 +171,8 @@
 
 void PeerGossip::SetWatchWaits() {
   const GatewaySettings& settings = this->context.beliefs.settings;
-  this->feed.SetWatchWaits(core::PlanWatches(settings.host,
-                                             this->LiveHosts(base::Now()),
-                                             settings.store.watch_wait));
+  this->feed.SetWatchWaits(core::PlanWatches(
+      settings.host, this->LiveHosts(base::Now()), settings.store.watch_wait));
 }
 
 base::Duration PeerGossip::Interval() const {
@@ -174,6 +182,25 @@
   return std::min<base::Duration>(interval, kMostTalkInterval);
 }
 
+base::Duration PeerGossip::NewsInterval() const {
+  const auto count = static_cast<int64_t>(this->peers.size());
+  return count > kMostNewsPeers
+             ? this->Interval()
+             : kNewsInterval * std::max(count, kFewPeers) / kFewPeers;
+}
+
+void PeerGossip::OnLoadChanged() {
+  if (this->news_due ||
+      !core::DiffersMuch(this->told_loads, this->context.beliefs.load.own())) {
+    return;
+  }
+  this->news_due = true;
+  const base::Instant now = base::Now();
+  const base::Instant at =
+      std::max(now + kNewsDelay, this->loads_told + this->NewsInterval());
+  this->news_timer.Start(at - now, [this] { this->TellLoads(); });
+}
+
 Gossip PeerGossip::Base() const {
   const Beliefs& beliefs = this->context.beliefs;
   const base::Instant now = base::Now();
@@ -199,6 +226,24 @@
   if (this->rounds % kQuietRounds == 0) {
     this->SetWatchWaits();
   }
+  const bool news = this->told_loads != this->context.beliefs.load.own() ||
+                    !this->context.sent_prefixes.empty();
+  if (news || this->rounds % kQuietRounds == 0) {
+    this->TellLoads();
+  }
+  const bool due = this->rounds % kWindowRounds == 0;
+  if (std::exchange(this->newcomer, false) || due) {
+    for (const Gossip& windows : this->WindowMessages(false)) {
+      this->Send(windows);
+    }
+  }
+}
+
+void PeerGossip::TellLoads() {
+  this->news_timer.Cancel();
+  this->news_due = false;
+  this->loads_told = base::Now();
+  this->told_loads = this->context.beliefs.load.own();
   Gossip gossip = this->Base();
   for (const auto& [id, load] : this->context.beliefs.load.own()) {
     wire::gen::GossipLoad told;
@@ -214,6 +259,7 @@
   for (const SentPrefix& sent : prefixes) {
     wire::gen::GossipPrefix told;
     told.backend_server = sent.backend_server.value;
+    told.was_read = sent.read;
     for (const core::PrefixKey& key : sent.keys) {
       told.hashes.push_back(static_cast<int64_t>(key.hash));
       told.tokens.push_back(static_cast<int32_t>(key.tokens));
@@ -221,18 +267,7 @@
     gossip.prefixes.push_back(std::move(told));
   }
   this->AddDeaths(gossip);
-  const bool news = gossip.loads != this->told_loads ||
-                    !gossip.prefixes.empty() || !gossip.deaths.empty();
-  if (news || this->rounds % kQuietRounds == 0) {
-    this->told_loads = gossip.loads;
-    this->Send(gossip);
-  }
-  const bool due = this->rounds % kWindowRounds == 0;
-  if (std::exchange(this->newcomer, false) || due) {
-    for (const Gossip& windows : this->WindowMessages(false)) {
-      this->Send(windows);
-    }
-  }
+  this->Send(gossip);
 }
 
 void PeerGossip::AddDeaths(Gossip& gossip) const {
@@ -355,7 +390,11 @@
          ++i) {
       keys.push_back({static_cast<uint64_t>(told.hashes[i]), told.tokens[i]});
     }
-    beliefs.homes.NoteUse({told.backend_server}, keys);
+    if (told.was_read) {
+      beliefs.homes.NoteRead({told.backend_server}, keys);
+    } else {
+      beliefs.homes.NoteUse({told.backend_server}, keys);
+    }
   }
   std::vector<core::DeathMark> deaths;
   for (const wire::gen::GossipDeath& told : gossip.deaths) {
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -47,6 +47,9 @@
   void ListPeers();
   void OnListed(const platform::ListResult& result);
   void Talk();
+  // Tells the peers soon if they would place requests otherwise.
+  void OnLoadChanged();
+  void TellLoads();
   void Send(const wire::gen::Gossip& gossip);
   void SetWatchWaits();
   void AddDeaths(wire::gen::Gossip& gossip) const;
@@ -59,6 +62,7 @@
   void OnPlanCall(const net::CallEvent& event);
   void OnCall(const std::shared_ptr<net::Exchange>& exchange);
   base::Duration Interval() const;
+  base::Duration NewsInterval() const;
 
   Context& context;
   platform::ObjectClient& objects;
@@ -70,11 +74,14 @@
   platform::ObjectClient::Handle register_call;
   platform::ObjectClient::Handle list_call;
   net::Timer talk_timer;
+  net::Timer news_timer;
   net::Timer list_timer;
   net::Timer register_timer;
   int64_t rounds = 0;
   bool newcomer = false;
-  std::vector<wire::gen::GossipLoad> told_loads;
+  core::FleetLoad::Loads told_loads;
+  base::Instant loads_told;
+  bool news_due = false;
   bool leaving = false;
   // The fetch of a configuration that is under way.
   std::unique_ptr<net::Call> plan_call;
--- a/gateway/src/request_run.cc
+++ b/gateway/src/request_run.cc
@@ -252,8 +252,7 @@
     this->ReadPrompt(placement);
     return;
   }
-  this->Run(placement.target, platform::WholeRun{}, placement.missing_tokens,
-            placement.expected);
+  this->Run(placement, platform::WholeRun{});
 }
 
 int64_t RequestRun::Priority() const {
@@ -263,14 +262,15 @@
   return this->route->priority;
 }
 
-BackendCallPlan RequestRun::PlanCall(const core::BackendEntry& backend,
-                                     const platform::RunStage& stage,
-                                     int64_t missing_tokens,
-                                     base::Duration expected) const {
+BackendCallPlan RequestRun::PlanCall(const core::Placement& placement,
+                                     const platform::RunStage& stage) const {
   const base::Instant now = base::Now();
   BackendCallPlan plan;
-  plan.backend = backend;
-  plan.order.backend_server = backend.id;
+  plan.backend = placement.target;
+  plan.order.backend_server = placement.target.id;
+  if (placement.copy_from.has_value()) {
+    plan.order.copy_from = placement.copy_from->address;
+  }
   if (this->account != nullptr) {
     plan.order.account = this->account->name;
   }
@@ -280,10 +280,11 @@
   if (this->progress.answer_begun) {
     plan.order.last_event_id = this->cutter.last_id();
   }
-  plan.missing_tokens = missing_tokens;
-  plan.expected = expected;
+  plan.missing_tokens = placement.missing_tokens;
+  plan.expected = placement.expected;
   if (this->caller.prompt.has_value()) {
-    const bool late = now - this->arrived + expected > this->route->objective;
+    const bool late =
+        now - this->arrived + placement.expected > this->route->objective;
     plan.order.urgency = late ? kLateUrgency
                               : std::clamp(kFirstUrgency + this->Priority(),
                                            kFirstUrgency, kLastUrgency);
@@ -292,7 +293,7 @@
   return plan;
 }
 
-void RequestRun::NoteSentPrefix(const core::BackendEntry& backend) {
+void RequestRun::NotePrefix(const base::BackendServerId& id, bool read) {
   if (!this->caller.prompt.has_value()) {
     return;
   }
@@ -300,25 +301,31 @@
   if (keys.empty()) {
     return;
   }
-  this->context.beliefs.homes.NoteUse(backend.id, keys);
-  this->context.sent_prefixes.push_back({backend.id, keys});
+  core::PrefixHomes& homes = this->context.beliefs.homes;
+  if (read) {
+    homes.NoteRead(id, keys);
+  } else {
+    homes.NoteUse(id, keys);
+  }
+  this->context.sent_prefixes.push_back({id, keys, read});
 }
 
 void RequestRun::ReadPrompt(const core::Placement& placement) {
   const auto self = this->shared_from_this();
   this->reading.clear();
-  this->NoteSentPrefix(placement.target);
+  this->NotePrefix(placement.target.id, false);
   this->context.journal.Write(
       base::LogLevel::kInfo, "prompt_sent",
       {{"request", this->caller.id.value},
        {"backend", placement.target.id.value},
        {"missing_tokens", placement.missing_tokens},
+       {"copy_from",
+        placement.copy_from.has_value() ? placement.copy_from->id.value : ""},
        {"expected_ms", base::ToMilliseconds(placement.expected)},
        {"age_ms", this->AgeMs(base::Now())}});
   this->call = std::make_unique<BackendCall>(
       this->context, this->exchange->request(), this->caller,
-      this->PlanCall(placement.target, platform::PromptOnly{},
-                     placement.missing_tokens, placement.expected),
+      this->PlanCall(placement, platform::PromptOnly{}),
       [self, placement](const BackendEvent& event) {
         self->OnReader(placement, event);
       });
@@ -348,6 +355,7 @@
     return;
   }
   this->LogAttemptEnd("prompt_read", prefilled->handle);
+  this->NotePrefix(placement.target.id, true);
   this->held_prompt =
       platform::RunFromHandle{placement.target.address, prefilled->handle};
   this->call.reset();
@@ -358,11 +366,9 @@
     this->GoOn(core::AttemptNotSent{}, none->reason);
     return;
   }
-  const core::Placement& generator = std::get<core::Placement>(result);
   this->Run(
-      generator.target,
-      platform::RunFromHandle{placement.target.address, prefilled->handle}, 0,
-      generator.expected);
+      std::get<core::Placement>(result),
+      platform::RunFromHandle{placement.target.address, prefilled->handle});
 }
 
 void RequestRun::ReleasePrompt() {
@@ -391,36 +397,32 @@
   this->Attempt();
 }
 
-void RequestRun::Run(const core::BackendEntry& backend,
-                     const platform::RunStage& stage,
-                     int64_t missing_tokens,
-                     base::Duration expected) {
+void RequestRun::Run(const core::Placement& placement,
+                     const platform::RunStage& stage) {
   const auto self = this->shared_from_this();
   this->head = {};
   this->body.clear();
-  this->NoteSentPrefix(backend);
+  const base::BackendServerId& id = placement.target.id;
+  this->NotePrefix(id, false);
   const base::Instant now = base::Now();
   this->context.journal.Write(
       base::LogLevel::kInfo, "attempt_sent",
       {{"request", this->caller.id.value},
-       {"backend", backend.id.value},
+       {"backend", id.value},
        {"attempt", this->progress.attempts + 1},
-       {"missing_tokens", missing_tokens},
-       {"expected_ms", base::ToMilliseconds(expected)},
-       {"backend_requests",
-        this->context.beliefs.load.Of(backend.id, now).requests},
+       {"missing_tokens", placement.missing_tokens},
+       {"expected_ms", base::ToMilliseconds(placement.expected)},
+       {"backend_requests", this->context.beliefs.load.Of(id, now).requests},
        {"plan", this->table->version()},
        {"age_ms", this->AgeMs(now)}});
-  const BackendCallPlan plan =
-      this->PlanCall(backend, stage, missing_tokens, expected);
   this->call = std::make_unique<BackendCall>(
-      this->context, this->exchange->request(), this->caller, plan,
-      [self](const BackendEvent& event) {
+      this->context, this->exchange->request(), this->caller,
+      this->PlanCall(placement, stage), [self](const BackendEvent& event) {
         if (!self->ended) {
           std::visit([&](const auto& kind) { self->On(kind); }, event);
         }
       });
-  this->overdue_timer.Start(BackendCall::FirstPatience(expected),
+  this->overdue_timer.Start(BackendCall::FirstPatience(placement.expected),
                             [self] { self->OnOverdue(); });
 }
 
@@ -469,6 +471,7 @@
   this->CountUsage(received);
   if (!this->progress.answer_begun) {
     this->progress.answer_begun = true;
+    this->NotePrefix(this->call->plan().backend.id, true);
     this->exchange->Begin(platform::EncodeForCaller(this->head));
     this->context.metrics.NoteFirstAnswer(this->route->name.value,
                                           received - this->arrived);
--- a/gateway/src/request_run.h
+++ b/gateway/src/request_run.h
@@ -38,15 +38,11 @@
   bool TryToLeave();
   void Send(const core::Placement& placement);
   void ReadPrompt(const core::Placement& placement);
-  void Run(const core::BackendEntry& backend,
-           const platform::RunStage& stage,
-           int64_t missing_tokens,
-           base::Duration expected);
-  BackendCallPlan PlanCall(const core::BackendEntry& backend,
-                           const platform::RunStage& stage,
-                           int64_t missing_tokens,
-                           base::Duration expected) const;
-  void NoteSentPrefix(const core::BackendEntry& backend);
+  void Run(const core::Placement& placement, const platform::RunStage& stage);
+  BackendCallPlan PlanCall(const core::Placement& placement,
+                           const platform::RunStage& stage) const;
+  // The backend server was sent the prompt, or has read it.
+  void NotePrefix(const base::BackendServerId& id, bool read);
 
   void OnReader(const core::Placement& placement, const BackendEvent& event);
   void OnPrefilled(const core::Placement& placement);
--- a/gateway/tests/test_gateway.h
+++ b/gateway/tests/test_gateway.h
@@ -3,6 +3,7 @@
 
 #include <unistd.h>
 
+#include <functional>
 #include <vector>
 
 #include "context.h"
@@ -28,8 +29,9 @@
   WaitingRoom waiting{loop};
   std::mt19937_64 generator{1};
   std::vector<SentPrefix> sent_prefixes;
-  Context context{loop,     beliefs, journal,   metrics,
-                  backends, waiting, generator, sent_prefixes};
+  std::function<void()> on_load_changed = [] {};
+  Context context{loop,    beliefs,   journal,       metrics,        backends,
+                  waiting, generator, sent_prefixes, on_load_changed};
 };
 
 }  // namespace carawayvalve::gateway
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -203,6 +203,10 @@
 void GossipPrefix::__set_tokens(const std::vector<int32_t> & val) {
   this->tokens = val;
 }
+
+void GossipPrefix::__set_was_read(const bool val) {
+  this->was_read = val;
+}
 std::ostream& operator<<(std::ostream& out, const GossipPrefix& obj)
 {
   obj.printTo(out);
@@ -225,6 +229,7 @@
   bool isset_backend_server = false;
   bool isset_hashes = false;
   bool isset_tokens = false;
+  bool isset_was_read = false;
 
   while (true)
   {
@@ -282,6 +287,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->was_read);
+          isset_was_read = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -297,6 +310,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_tokens)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_was_read)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -333,6 +348,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("was_read", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->was_read);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -343,28 +362,33 @@
   swap(a.backend_server, b.backend_server);
   swap(a.hashes, b.hashes);
   swap(a.tokens, b.tokens);
+  swap(a.was_read, b.was_read);
 }
 
 GossipPrefix::GossipPrefix(const GossipPrefix& other16) {
   backend_server = other16.backend_server;
   hashes = other16.hashes;
   tokens = other16.tokens;
+  was_read = other16.was_read;
 }
 GossipPrefix::GossipPrefix(GossipPrefix&& other17) noexcept {
   backend_server = std::move(other17.backend_server);
   hashes = std::move(other17.hashes);
   tokens = std::move(other17.tokens);
+  was_read = other17.was_read;
 }
 GossipPrefix& GossipPrefix::operator=(const GossipPrefix& other18) {
   backend_server = other18.backend_server;
   hashes = other18.hashes;
   tokens = other18.tokens;
+  was_read = other18.was_read;
   return *this;
 }
 GossipPrefix& GossipPrefix::operator=(GossipPrefix&& other19) noexcept {
   backend_server = std::move(other19.backend_server);
   hashes = std::move(other19.hashes);
   tokens = std::move(other19.tokens);
+  was_read = other19.was_read;
   return *this;
 }
 void GossipPrefix::printTo(std::ostream& out) const {
@@ -373,6 +397,7 @@
   out << "backend_server=" << to_string(backend_server);
   out << ", " << "hashes=" << to_string(hashes);
   out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "was_read=" << to_string(was_read);
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -97,13 +97,15 @@
   GossipPrefix& operator=(const GossipPrefix&);
   GossipPrefix& operator=(GossipPrefix&&) noexcept;
   GossipPrefix() noexcept
-               : backend_server() {
+               : backend_server(),
+                 was_read(0) {
   }
 
   virtual ~GossipPrefix() noexcept;
   std::string backend_server;
   std::vector<int64_t>  hashes;
   std::vector<int32_t>  tokens;
+  bool was_read;
 
   void __set_backend_server(const std::string& val);
 
@@ -111,6 +113,8 @@
 
   void __set_tokens(const std::vector<int32_t> & val);
 
+  void __set_was_read(const bool val);
+
   bool operator == (const GossipPrefix & rhs) const
   {
     if (!(backend_server == rhs.backend_server))
@@ -119,6 +123,8 @@
       return false;
     if (!(tokens == rhs.tokens))
       return false;
+    if (!(was_read == rhs.was_read))
+      return false;
     return true;
   }
   bool operator != (const GossipPrefix &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -11,12 +11,14 @@
   4: required i32 kv_tokens,
 }
 
-// The sender sent a prompt with these beginnings to an engine.
+// The sender sent a prompt with these beginnings to an engine, or that has
+// read it.
 struct GossipPrefix {
   1: required string backend_server,
   // Hash and tokens of each beginning, the shortest first.
   2: required list<i64> hashes,
   3: required list<i32> tokens,
+  4: required bool was_read,
 }
 
 // What one process counted in one window of usage.
