Never read a prompt again for nothing; end begun answers truthfully

Cause, from logs: the three engines that generate had crashed together; 484 connections were refused, and each such request let its prompt go and had it read again elsewhere, which counts as a retry and was not counted by us. Now the prompt goes to the next engine that generates, and each reading after the first draws on the retry budget.

Now DecideGivingUp ends such requests, checked over all combinations; and an answer that was begun is broken off by a second one.

The relay of the soak kept bytes of connections that their sender had reset: mended as well.

Ruled out: copies of shared beginnings, which are no arrivals.

--- a/core/include/carawayvalve/core/attempt_policy.h
+++ b/core/include/carawayvalve/core/attempt_policy.h
@@ -104,6 +104,9 @@
                         const AttemptEnd& end,
                         const Means& means);
 
+// Decides how a request ends for which nothing more is tried. Never TryAgain.
+NextStep DecideGivingUp(const RequestProgress& progress);
+
 }  // namespace carawayvalve::core
 
 #endif  // CARAWAYVALVE_CORE_ATTEMPT_POLICY_H_
--- a/core/src/attempt_policy.cc
+++ b/core/src/attempt_policy.cc
@@ -33,12 +33,16 @@
   if (MayRunAgain(rules, progress) && HasMeans(rules, progress, end, means)) {
     return TryAgain{};
   }
+  if (std::holds_alternative<AttemptFailed>(end) && !progress.answer_begun) {
+    return PassFailureOn{};
+  }
+  return DecideGivingUp(progress);
+}
+
+NextStep DecideGivingUp(const RequestProgress& progress) {
   if (progress.answer_begun) {
     return BreakAnswerOff{};
   }
-  if (std::holds_alternative<AttemptFailed>(end)) {
-    return PassFailureOn{};
-  }
   if (progress.may_have_run) {
     return AnswerUnknownOutcome{};
   }
--- a/core/tests/attempt_policy_test.cc
+++ b/core/tests/attempt_policy_test.cc
@@ -110,6 +110,9 @@
               CHECK_FALSE((Is<TryAgain>(step) && begun && !resume));
               CHECK_FALSE((Is<TryAgain>(step) && attempts >= 2));
               CHECK(Is<BreakAnswerOff>(step) == (begun && !Is<TryAgain>(step)));
+              const NextStep last = DecideGivingUp(progress);
+              CHECK(Is<RefuseAsNotRun>(last) == !progress.may_have_run);
+              CHECK(Is<BreakAnswerOff>(last) == begun);
             }
           }
         }
--- a/gateway/src/request_run.cc
+++ b/gateway/src/request_run.cc
@@ -313,6 +313,14 @@
 
 void RequestRun::ReadPrompt(const core::Placement& placement) {
   const auto self = this->shared_from_this();
+  if (this->was_read) {
+    Beliefs& beliefs = this->context.beliefs;
+    if (!beliefs.Retries(this->service)
+             .TrySpend(beliefs.gateways, base::Now())) {
+      this->GiveUp();
+      return;
+    }
+  }
   this->reading.clear();
   this->NotePrefix(placement.target.id, false);
   this->context.journal.Write(
@@ -359,17 +367,23 @@
   this->NotePrefix(placement.target.id, true);
   this->held_prompt =
       platform::RunFromHandle{placement.target.address, prefilled->handle};
+  this->reader = placement.target;
+  this->was_read = true;
   this->call.reset();
+  this->RunHeldPrompt();
+}
+
+void RequestRun::RunHeldPrompt() {
   const core::PlacementResult result =
-      this->context.beliefs.placer.ChooseGenerator(
-          this->Query(), placement.target, base::Now());
+      this->context.beliefs.placer.ChooseGenerator(this->Query(), this->reader,
+                                                   base::Now());
   if (const auto* none = std::get_if<core::NoBackend>(&result)) {
     this->GoOn(core::AttemptNotSent{}, none->reason);
     return;
   }
-  this->Run(
-      std::get<core::Placement>(result),
-      platform::RunFromHandle{placement.target.address, prefilled->handle});
+  // A copy: the prompt is let go when the answer begins.
+  const platform::RunFromHandle held = *this->held_prompt;
+  this->Run(std::get<core::Placement>(result), held);
 }
 
 void RequestRun::ReleasePrompt() {
@@ -392,7 +406,7 @@
       beliefs.Retries(this->service).TrySpend(beliefs.gateways, base::Now());
   this->may_hand_over = this->failed_readings < kMostReadings;
   if (!spent) {
-    this->Refuse(kUnavailable, "the prompt could not be read", true);
+    this->GiveUp();
     return;
   }
   this->Attempt();
@@ -525,7 +539,7 @@
 
 void RequestRun::On(const BackendBroken& event) {
   if (event.not_sent) {
-    this->GoOn(core::AttemptNotSent{}, event.reason);
+    this->OnNotSent(event.reason);
     return;
   }
   if (!this->IsStream()) {
@@ -560,6 +574,29 @@
                             [self] { self->OnOverdue(); });
 }
 
+// A prompt that no engine has taken goes to the next one; reading it again
+// would take longer, and counts as a retry.
+void RequestRun::OnNotSent(const std::string& reason) {
+  const base::BackendServerId failed = this->call->plan().backend.id;
+  this->excluded.insert(failed);
+  const bool other =
+      this->context.beliefs.placer.HasOther(this->Query(), base::Now());
+  if (!this->held_prompt.has_value() || !other) {
+    this->GoOn(core::AttemptNotSent{}, reason);
+    return;
+  }
+  this->overdue_timer.Cancel();
+  this->LogAttemptEnd(KindOf(core::AttemptNotSent{}), reason);
+  this->call.reset();
+  this->RunHeldPrompt();
+}
+
+void RequestRun::GiveUp() {
+  this->ReleasePrompt();
+  std::visit([&](const auto& kind) { this->Do(kind); },
+             core::DecideGivingUp(this->progress));
+}
+
 void RequestRun::GoOn(const core::AttemptEnd& end, const std::string& reason) {
   this->overdue_timer.Cancel();
   this->ReleasePrompt();
--- a/gateway/src/request_run.h
+++ b/gateway/src/request_run.h
@@ -38,6 +38,8 @@
   bool TryToLeave();
   void Send(const core::Placement& placement);
   void ReadPrompt(const core::Placement& placement);
+  // Sends the request to an engine that takes the prompt from its reader.
+  void RunHeldPrompt();
   void Run(const core::Placement& placement, const platform::RunStage& stage);
   BackendCallPlan PlanCall(const core::Placement& placement,
                            const platform::RunStage& stage) const;
@@ -57,8 +59,11 @@
   void OnEvents(const std::string& data);
   void OnWholeAnswer();
   void OnOverdue();
+  void OnNotSent(const std::string& reason);
 
   void GoOn(const core::AttemptEnd& end, const std::string& reason);
+  // Ends a request for which nothing more is tried.
+  void GiveUp();
   void Do(const core::TryAgain& step);
   void Do(const core::RefuseAsNotRun& step);
   void Do(const core::AnswerUnknownOutcome& step);
@@ -101,12 +106,15 @@
   std::set<base::BackendServerId> excluded;
   bool may_hand_over = true;
   int64_t failed_readings = 0;
+  // An engine has read the prompt once; each further time is a retry.
+  bool was_read = false;
   std::optional<core::WaitQueue::Ticket> place_in_queue;
   std::unique_ptr<BackendCall> call;
   // The answer to the reading of the prompt.
   std::string reading;
-  // A prompt that was read and not taken yet.
+  // A prompt that was read and not taken yet, and the engine that has it.
   std::optional<platform::RunFromHandle> held_prompt;
+  core::BackendEntry reader;
 
   // The answer of the present attempt.
   net::ResponseHead head;
--- a/net/include/carawayvalve/net/http_server.h
+++ b/net/include/carawayvalve/net/http_server.h
@@ -38,6 +38,7 @@
   base::Instant read_at() const { return this->complete; }
 
   // Sends a whole answer. A body that the status doesn't allow is left out.
+  // Breaks off an answer that was begun, as its parts and this one don't match.
   void Respond(const Response& response);
 
   // Sends an answer in parts: Begin, any number of Send, Finish.
--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -385,6 +385,9 @@
 
 void ClientConnection::Cancel() {
   this->handler = nullptr;
+  // What the network still holds of the request is not to arrive later.
+  error_code ignored;
+  this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
   this->Close();
 }
 
--- a/net/src/http_server.cc
+++ b/net/src/http_server.cc
@@ -46,6 +46,10 @@
   if (this->answer_ended) {
     return;
   }
+  if (this->answer_begun) {
+    this->Abort();
+    return;
+  }
   HeaderFields framing;
   const bool bodiless = this->message.method == "HEAD";
   const bool may_have_body = MayHaveBody(response.head.status);
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -1,7 +1,11 @@
 #include "carawayvalve/net/http_client.h"
 
 #include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
+#include <cerrno>
 #include <string>
 #include <vector>
 
@@ -183,6 +187,34 @@
     client.loop.Run();
     CHECK_FALSE(told);
   }
+  SUBCASE("leaves nothing on its way to the server") {
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = base::ToSocketAddress({"127.0.0.1", 0});
+    socklen_t size = sizeof(address);
+    REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    REQUIRE(listen(listener, 1) == 0);
+    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+    auto call = client.client.Start(
+        {"127.0.0.1", ntohs(address.sin_port)}, {"GET", "/", {}, {}}, {},
+        [&](const CallEvent& event) {
+          if (std::holds_alternative<CallSent>(event)) {
+            client.loop.Stop();
+          }
+        });
+    client.loop.Run();
+    call.reset();
+    const int taken = accept(listener, nullptr, nullptr);
+    std::array<char, 4096> buffer{};
+    ssize_t got = 1;
+    while (got > 0) {
+      got = recv(taken, buffer.data(), buffer.size(), 0);
+    }
+    // A reset: what the network held of the request is dropped with it.
+    CHECK(got == -1);
+    CHECK(errno == ECONNRESET);
+    close(taken);
+    close(listener);
+  }
   SUBCASE("that had ended leaves its connection to others") {
     client.Call(server.Address());
     client.call.reset();
--- a/net/tests/http_server_test.cc
+++ b/net/tests/http_server_test.cc
@@ -174,6 +174,18 @@
     CHECK(ended);
     CHECK(answer.find("0\r\n\r\n") == std::string::npos);
   }
+  SUBCASE("that is answered anew is broken off") {
+    std::string answer;
+    RunWhile(loop, [&] {
+      RawCaller caller(server.port());
+      caller.Send(kNextRequest);
+      answer = caller.ReadUntil("one\r\n");
+      loop.Post([&] { kept->Respond({{503, {}}, "no"}); });
+      answer += caller.ReadAll();
+    });
+    CHECK(answer.find("503") == std::string::npos);
+    CHECK(answer.find("0\r\n\r\n") == std::string::npos);
+  }
   SUBCASE("is given up when the caller leaves") {
     RunWhile(loop, [&] {
       {
--- a/tests/platform/backend.cc
+++ b/tests/platform/backend.cc
@@ -69,6 +69,7 @@
     return;
   }
   if (this->Field(*exchange, "X-Stage") == "prefill") {
+    ++this->readings;
     exchange->Respond({{200, {{"X-Request-Id", request}}},
                        R"({"kvHandle":"h1","tokens":10,"version":1})"});
     return;
--- a/tests/platform/backend.h
+++ b/tests/platform/backend.h
@@ -50,6 +50,8 @@
   bool mute = false;
   // Runs so many of the next requests and loses their answers.
   int lost_answers = 0;
+  // How many prompts it has read for others.
+  int readings = 0;
   // Declines every request as not run.
   bool declines = false;
 
--- a/tests/soak/link.cc
+++ b/tests/soak/link.cc
@@ -3,11 +3,14 @@
 
 #include "link.h"
 
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
 #include <functional>
 #include <set>
 
@@ -24,6 +27,12 @@
 // How often held bytes look whether they may go on.
 constexpr base::Milliseconds kHoldInterval(20);
 
+bool WasReset(tcp::socket& socket) {
+  char next = 0;
+  return recv(socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         errno != EAGAIN;
+}
+
 }  // namespace
 
 class Link::State : public std::enable_shared_from_this<State> {
@@ -109,6 +118,9 @@
                             (self->mode == Mode::kOneWay && !flow->from_near);
           if (held) {
             self->Wait(flow, kHoldInterval);
+          } else if (flow->from_near && WasReset(flow->pair->near)) {
+            // What the network holds is lost when its sender resets.
+            self->Drop(flow->pair);
           } else {
             self->Write(flow);
           }
