--- a/base/include/carawayvalve/base/log.h
+++ b/base/include/carawayvalve/base/log.h
@@ -7,6 +7,9 @@
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
+// Returns the level as lines and settings write it.
+const char* LogLevelName(LogLevel level);
+
 // What a line is about; empty members are left out of the line.
 struct LogContext {
   std::string request = {};
--- a/base/src/journal.cc
+++ b/base/src/journal.cc
@@ -25,20 +25,6 @@
 // A pipe that has room takes this much without waiting (PIPE_BUF).
 constexpr size_t kMostWritten = 4096;
 
-const char* LevelName(LogLevel level) {
-  switch (level) {
-    case LogLevel::kDebug:
-      return "debug";
-    case LogLevel::kInfo:
-      return "info";
-    case LogLevel::kWarning:
-      return "warning";
-    case LogLevel::kError:
-      return "error";
-  }
-  return "error";
-}
-
 int64_t UnixMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -136,7 +122,7 @@
     return;
   }
   nlohmann::ordered_json line = {
-      {"ts", UnixMs()}, {"level", LevelName(level)}, {"event", event}};
+      {"ts", UnixMs()}, {"level", LogLevelName(level)}, {"event", event}};
   for (const JournalField& field : fields) {
     std::visit([&](const auto& value) { line[field.name] = value; },
                field.value);
--- a/base/src/log.cc
+++ b/base/src/log.cc
@@ -19,20 +19,6 @@
 
 using Source = logging::sources::severity_logger_mt<LogLevel>;
 
-const char* LevelName(LogLevel level) {
-  switch (level) {
-    case LogLevel::kDebug:
-      return "debug";
-    case LogLevel::kInfo:
-      return "info";
-    case LogLevel::kWarning:
-      return "warning";
-    case LogLevel::kError:
-      return "error";
-  }
-  return "error";
-}
-
 // Adds the attribute to the source when it says something.
 void Attach(Source& source, const char* name, const std::string& value) {
   if (value.empty()) {
@@ -44,8 +30,8 @@
 void FormatRecord(const logging::record_view& record,
                   logging::formatting_ostream& out) {
   out << logging::extract<boost::posix_time::ptime>("TimeStamp", record) << ' '
-      << LevelName(logging::extract<LogLevel>("Severity", record).get()) << ' '
-      << logging::extract<std::string>("Part", record) << ": "
+      << LogLevelName(logging::extract<LogLevel>("Severity", record).get())
+      << ' ' << logging::extract<std::string>("Part", record) << ": "
       << record[logging::expressions::smessage];
   for (const char* name :
        {"request", "attempt", "backend_server", "peer", "step"}) {
@@ -71,6 +57,20 @@
 
 }  // namespace
 
+const char* LogLevelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "error";
+}
+
 void SetUpLog(LogLevel level) {
   logging::add_common_attributes();
   auto sink = logging::add_console_log(std::clog);
--- a/core/tests/watch_plan_test.cc
+++ b/core/tests/watch_plan_test.cc
@@ -14,6 +14,7 @@
 
 std::vector<base::HostId> Hosts(int count) {
   std::vector<base::HostId> hosts;
+  hosts.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     hosts.push_back({"host" + std::to_string(i)});
   }
--- a/gateway/tests/request_run_test.cc
+++ b/gateway/tests/request_run_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "platform/backend.h"
+#include "platform/caller.h"
 #include "test_gateway.h"
 
 namespace carawayvalve::gateway {
@@ -69,15 +70,8 @@
     net::HttpClient caller(this->gateway.loop, std::chrono::seconds(1));
     const auto call = caller.Start(
         {"127.0.0.1", this->server.port()},
-        {"POST",
-         "/notes/1",
-         {{"Host", "shop.example"},
-          {"X-Request-Id", "r1"},
-          {"X-Model", "m"},
-          {"X-Token-Count", "17000,100"},
-          {"X-Prompt-Prefix", "aa:13000,bb:4000"}},
-         ""},
-        {}, [&](const net::CallEvent& event) {
+        tests::PromptRequest("shop.example", "/notes/1", "r1"), {},
+        [&](const net::CallEvent& event) {
           if (const auto* head = std::get_if<net::CallHead>(&event)) {
             this->status = head->head.status;
           } else if (const auto* data = std::get_if<net::CallBody>(&event)) {
--- /dev/null
+++ b/tests/platform/caller.cc
@@ -0,0 +1,18 @@
+#include "caller.h"
+
+namespace carawayvalve::tests {
+
+net::Request PromptRequest(const std::string& host,
+                           const std::string& target,
+                           const std::string& id) {
+  return {"POST",
+          target,
+          {{"Host", host},
+           {"X-Request-Id", id},
+           {"X-Model", "m"},
+           {"X-Token-Count", "17000,100"},
+           {"X-Prompt-Prefix", "aa:13000,bb:4000"}},
+          ""};
+}
+
+}  // namespace carawayvalve::tests
--- /dev/null
+++ b/tests/platform/caller.h
@@ -0,0 +1,18 @@
+#ifndef CARAWAYVALVE_TESTS_PLATFORM_CALLER_H_
+#define CARAWAYVALVE_TESTS_PLATFORM_CALLER_H_
+
+#include <string>
+
+#include "carawayvalve/net/message.h"
+
+namespace carawayvalve::tests {
+
+// Returns a model request as the platform's callers send it, whose prompt has
+// a long shared beginning.
+net::Request PromptRequest(const std::string& host,
+                           const std::string& target,
+                           const std::string& id);
+
+}  // namespace carawayvalve::tests
+
+#endif  // CARAWAYVALVE_TESTS_PLATFORM_CALLER_H_
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -26,7 +26,6 @@
 // From the end of the faults to the requests that must be served again.
 constexpr seconds kRecovery(8);
 constexpr seconds kProgressTime(3);
-constexpr int kEvents = 5;
 constexpr size_t kLeastServers = 2;
 
 // Between two questions whether a gateway is ready.
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -15,6 +15,9 @@
 
 namespace carawayvalve::tests {
 
+// Events of each answer that is a stream.
+inline constexpr int kEvents = 5;
+
 struct SoakSettings {
   // The program under test.
   std::string program;
--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -14,7 +14,6 @@
 constexpr seconds kWithdrawalBound(5);
 // Of the requests after the recovery, the part that must be served.
 constexpr double kServedShare = 0.9;
-constexpr int kEvents = 5;
 
 }  // namespace
 
