--- a/core/include/carawayvalve/core/watch_plan.h
+++ b/core/include/carawayvalve/core/watch_plan.h
@@ -19,9 +19,9 @@
 };
 
 // Plans the watches of `self` among the `live` hosts, itself included, where a
-// lone process renews its watches after `shortest`. A few hosts renew the
-// watch of the configuration that often, and prove to the others how fresh
-// theirs is. Processes that know the same live hosts agree on who does.
+// lone process renews its watches after `shortest`. Of many hosts a few renew
+// the watch of the configuration twice that often and prove to the others how
+// fresh theirs is. Processes that know the same live hosts agree on who does.
 WatchWaits PlanWatches(const base::HostId& self,
                        const std::vector<base::HostId>& live,
                        base::Milliseconds shortest);
