Log and count retries with the figures that decide them

Logs could not tell the hypotheses of the retry budget incident apart: nothing said when a retry was charged, to which share, or by how many gateways the slack was divided. retry_charged and retry_denied name the request, the service, what the share had and was allowed; gateways_counted tells each change of the divisor; carawayvalve_retries_total and retry_slack_gateways count them.

--- a/core/include/carawayvalve/core/retry_share.h
+++ b/core/include/carawayvalve/core/retry_share.h
@@ -23,6 +23,17 @@
     bool operator==(const Settings&) const = default;
   };
 
+  // What the share knows at one instant.
+  struct Figures {
+    // Sent within the window.
+    int64_t retries = 0;
+    int64_t requests = 0;
+    // How many retries the window may have.
+    double allowed = 0;
+
+    bool operator==(const Figures&) const = default;
+  };
+
   explicit RetryShare(const Settings& settings) : settings(settings) {}
 
   // Counts a request of a caller.
@@ -32,6 +43,7 @@
   bool TrySpend(int64_t processes, base::Instant now);
   // Whether TrySpend would succeed.
   bool HasLeft(int64_t processes, base::Instant now);
+  Figures At(int64_t processes, base::Instant now);
 
  private:
   void Forget(base::Instant now);
--- a/core/src/retry_share.cc
+++ b/core/src/retry_share.cc
@@ -34,13 +34,20 @@
 }
 
 bool RetryShare::HasLeft(int64_t processes, base::Instant now) {
+  const Figures figures = this->At(processes, now);
+  return static_cast<double>(figures.retries) + 1 <= figures.allowed;
+}
+
+RetryShare::Figures RetryShare::At(int64_t processes, base::Instant now) {
   this->Forget(now);
-  const double allowed =
-      kUsedRatio * this->settings.ratio *
-          static_cast<double>(this->requests.size()) +
-      kUsedSlack * this->settings.slack /
-          static_cast<double>(std::max<int64_t>(processes, 1));
-  return static_cast<double>(this->retries.size()) + 1 <= allowed;
+  Figures figures;
+  figures.retries = static_cast<int64_t>(this->retries.size());
+  figures.requests = static_cast<int64_t>(this->requests.size());
+  figures.allowed = kUsedRatio * this->settings.ratio *
+                        static_cast<double>(figures.requests) +
+                    kUsedSlack * this->settings.slack /
+                        static_cast<double>(std::max<int64_t>(processes, 1));
+  return figures;
 }
 
 void RetryShare::Forget(base::Instant now) {
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -143,6 +143,8 @@
                          static_cast<double>(this->plan_version));
   this->metrics.SetGauge("peers_heard",
                          static_cast<double>(this->peers.heard(now)));
+  this->metrics.SetGauge("retry_slack_gateways",
+                         static_cast<double>(this->beliefs.gateways));
   this->metrics.SetGauge("late_requests_waiting",
                          static_cast<double>(this->waiting.size()));
   this->metrics.SetGauge("holds_duties", this->duties.holds(now) ? 1 : 0);
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -35,6 +35,11 @@
           .Name("carawayvalve_attempts_total")
           .Help("Attempts at backend servers by how they ended")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& retries =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_retries_total")
+          .Help("Retries charged to the shared budget, or denied")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& store_calls =
       prometheus::BuildCounter()
           .Name("carawayvalve_store_calls_total")
@@ -86,6 +91,10 @@
   this->families->attempts.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::CountRetry(const std::string& outcome) {
+  this->families->retries.Add({{"outcome", outcome}}).Increment();
+}
+
 void GatewayMetrics::CountStoreCall(const std::string& outcome) {
   this->families->store_calls.Add({{"outcome", outcome}}).Increment();
 }
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -23,6 +23,8 @@
   // What this process added to the backend server's own time.
   void NoteOwnTime(base::Duration time);
   void CountAttempt(const std::string& outcome);
+  // A retry that was charged to the budget, or denied for want of one.
+  void CountRetry(const std::string& outcome);
   void CountStoreCall(const std::string& outcome);
   // The age of a belief when it was used.
   void NoteBeliefAge(const std::string& source, base::Duration age);
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -166,7 +166,19 @@
           {{"peer", object.name}, {"reason", error.what()}});
     }
   }
-  this->context.beliefs.gateways = 1 + static_cast<int64_t>(this->peers.size());
+  this->CountGateways();
+}
+
+void PeerGossip::CountGateways() {
+  int64_t& gateways = this->context.beliefs.gateways;
+  const int64_t before =
+      std::exchange(gateways, 1 + static_cast<int64_t>(this->peers.size()));
+  if (gateways != before) {
+    this->context.journal.Write(base::LogLevel::kInfo, "gateways_counted",
+                                {{"gateways", gateways},
+                                 {"before", before},
+                                 {"heard", this->heard(base::Now())}});
+  }
 }
 
 void PeerGossip::SetWatchWaits() {
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -46,6 +46,8 @@
   void Register();
   void ListPeers();
   void OnListed(const platform::ListResult& result);
+  // Takes over how many gateways share the slack of the retry budget.
+  void CountGateways();
   void Talk();
   // Tells the peers soon if they would place requests otherwise.
   void OnLoadChanged();
--- a/gateway/src/request_reading.cc
+++ b/gateway/src/request_reading.cc
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "request_run.h"
+#include "retry_charge.h"
 #include "timed_call.h"
 
 namespace carawayvalve::gateway {
@@ -25,9 +26,7 @@
 void RequestRun::ReadPrompt(const core::Placement& placement) {
   const auto self = this->shared_from_this();
   if (this->was_read) {
-    Beliefs& beliefs = this->context.beliefs;
-    if (!beliefs.Retries(this->service)
-             .TrySpend(beliefs.gateways, base::Now())) {
+    if (!ChargeRetry(this->context, this->service, this->caller.id)) {
       this->GiveUp();
       return;
     }
@@ -112,11 +111,8 @@
   this->call.reset();
   this->excluded.insert(placement.target.id);
   ++this->failed_readings;
-  Beliefs& beliefs = this->context.beliefs;
-  const bool spent =
-      beliefs.Retries(this->service).TrySpend(beliefs.gateways, base::Now());
   this->may_hand_over = this->failed_readings < kMostReadings;
-  if (!spent) {
+  if (!ChargeRetry(this->context, this->service, this->caller.id)) {
     this->GiveUp();
     return;
   }
--- a/gateway/src/request_run.cc
+++ b/gateway/src/request_run.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "retry_charge.h"
+
 namespace carawayvalve::gateway {
 
 namespace {
@@ -447,8 +449,7 @@
   const base::Instant now = base::Now();
   const bool could_go_on = this->progress.attempts < rules.max_attempts &&
                            this->context.beliefs.placer.HasOther(query, now) &&
-                           this->context.beliefs.Retries(this->service)
-                               .HasLeft(this->context.beliefs.gateways, now);
+                           HasRetry(this->context, this->service);
   if (could_go_on) {
     this->GoOn(core::AttemptBroken{}, "no answer within the expected time");
     return;
@@ -475,16 +476,16 @@
   }
   this->cutter.TakeRest();
   const base::Instant now = base::Now();
-  Beliefs& beliefs = this->context.beliefs;
-  core::RetryShare& retries = beliefs.Retries(this->service);
-  const core::Means means = {beliefs.placer.HasOther(this->Query(), now),
-                             retries.HasLeft(beliefs.gateways, now),
-                             this->TimeLeft(now) > kLeastTime};
-  const core::NextStep step =
+  core::Means means = {
+      this->context.beliefs.placer.HasOther(this->Query(), now), true,
+      this->TimeLeft(now) > kLeastTime};
+  core::NextStep step =
       core::DecideNextStep(this->Rules(), this->progress, end, means);
   if (std::holds_alternative<core::TryAgain>(step) &&
       this->progress.attempts > 0) {
-    retries.TrySpend(beliefs.gateways, now);
+    means.budget_left =
+        ChargeRetry(this->context, this->service, this->caller.id);
+    step = core::DecideNextStep(this->Rules(), this->progress, end, means);
   }
   std::visit([&](const auto& kind) { this->Do(kind); }, step);
 }
--- /dev/null
+++ b/gateway/src/retry_charge.cc
@@ -0,0 +1,30 @@
+#include "retry_charge.h"
+
+namespace carawayvalve::gateway {
+
+bool HasRetry(Context& context, const base::ServiceId& service) {
+  Beliefs& beliefs = context.beliefs;
+  return beliefs.Retries(service).HasLeft(beliefs.gateways, base::Now());
+}
+
+bool ChargeRetry(Context& context,
+                 const base::ServiceId& service,
+                 const base::RequestId& request) {
+  Beliefs& beliefs = context.beliefs;
+  const base::Instant now = base::Now();
+  core::RetryShare& share = beliefs.Retries(service);
+  const core::RetryShare::Figures figures = share.At(beliefs.gateways, now);
+  const bool charged = share.TrySpend(beliefs.gateways, now);
+  context.metrics.CountRetry(charged ? "charged" : "denied");
+  context.journal.Write(base::LogLevel::kInfo,
+                        charged ? "retry_charged" : "retry_denied",
+                        {{"request", request.value},
+                         {"service", service.value},
+                         {"retries", figures.retries},
+                         {"requests", figures.requests},
+                         {"allowed", figures.allowed},
+                         {"gateways", beliefs.gateways}});
+  return charged;
+}
+
+}  // namespace carawayvalve::gateway
