--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -8,6 +8,7 @@
 
 #include "carawayvalve/base/error.h"
 #include "gossip_format.h"
+#include "platform/store.h"
 #include "test_gateway.h"
 
 namespace carawayvalve::gateway {
@@ -89,4 +90,24 @@
   CHECK(bytes <= kMostBytesPerSecond * kLength.count());
 }
 
+// Gateways that start together list one another before all have registered.
+TEST_CASE("the slack is divided by a gateway that is heard, not listed") {
+  TestGateway gateway(Settings());
+  net::EventLoop& loop = gateway.loop;
+  tests::Store store(loop);
+  platform::ObjectClient objects(loop, base::ParseAddress(store.address()),
+                                 base::Milliseconds(500));
+  StoreFeed feed(gateway.context, objects);
+  PeerGossip gossip(gateway.context, objects, feed);
+  StartAtFreePort(gossip, gateway.beliefs.settings.listen.peers.port);
+  gateway.RunFor(base::Milliseconds(300));
+  net::Datagrams peer(loop, {"127.0.0.1", 0}, [](const auto&, const auto&) {});
+  wire::gen::Gossip hello;
+  hello.host = "peer";
+  hello.boot = "first";
+  peer.Send(PrintGossip(hello), gateway.beliefs.settings.listen.peers);
+  gateway.RunFor(base::Milliseconds(300));
+  CHECK(gateway.beliefs.gateways == 2);
+}
+
 }  // namespace carawayvalve::gateway
--- a/tests/platform/backend.cc
+++ b/tests/platform/backend.cc
@@ -1,5 +1,7 @@
 #include "backend.h"
 
+#include <algorithm>
+
 namespace carawayvalve::tests {
 
 std::string PlainAnswer(const std::string& request,
@@ -59,16 +61,19 @@
     return;
   }
   const std::string request = this->Field(*exchange, "X-Request-Id");
-  if (this->Field(*exchange, "X-Expect-Instance") != this->settings.id) {
-    exchange->Respond({{421, {{"X-Request-Id", request}}}, ""});
-    return;
-  }
-  if (this->declines || this->works.size() >= this->settings.slots) {
+  const bool reads_only = this->Field(*exchange, "X-Stage") == "prefill";
+  const bool other =
+      this->Field(*exchange, "X-Expect-Instance") != this->settings.id;
+  const bool declined =
+      other || this->declines || this->works.size() >= this->settings.slots;
+  this->arrivals.push_back({request, base::Now(), reads_only, declined});
+  if (declined) {
     exchange->Respond(
-        {{503, {{"X-Request-Id", request}, {"X-Not-Run", "1"}}}, ""});
+        {{other ? 421 : 503, {{"X-Request-Id", request}, {"X-Not-Run", "1"}}},
+         ""});
     return;
   }
-  if (this->Field(*exchange, "X-Stage") == "prefill") {
+  if (reads_only) {
     ++this->readings;
     exchange->Respond({{200, {{"X-Request-Id", request}}},
                        R"({"kvHandle":"h1","tokens":10,"version":1})"});
@@ -95,10 +100,18 @@
     exchange->Abort();
     return;
   }
-  work.timer->Start(this->settings.work,
+  work.timer->Start(this->WorkOf(*exchange),
                     [this, number] { this->Answer(number); });
 }
 
+base::Milliseconds Backend::WorkOf(const net::Exchange& exchange) const {
+  const base::Milliseconds work = this->settings.work + this->slowness;
+  const std::string deadline = this->Field(exchange, "X-Deadline-Ms");
+  return deadline.empty()
+             ? work
+             : std::min(work, base::Milliseconds(std::stoll(deadline)));
+}
+
 void Backend::Answer(int64_t number) {
   const auto found = this->works.find(number);
   if (found == this->works.end()) {
@@ -106,7 +119,13 @@
   }
   const auto exchange = found->second.exchange;
   const net::Request& request = exchange->request();
-  if (net::FindField(request.fields, "X-Token-Count") != nullptr) {
+  if (this->WorkOf(*exchange) < this->settings.work + this->slowness) {
+    this->works.erase(found);
+    exchange->Respond({{504, this->Fields(*exchange)}, ""});
+    return;
+  }
+  if (!this->fails &&
+      net::FindField(request.fields, "X-Token-Count") != nullptr) {
     net::HeaderFields fields = this->Fields(*exchange);
     fields.push_back({"Content-Type", "text/event-stream"});
     exchange->Begin({200, fields});
@@ -114,7 +133,7 @@
     return;
   }
   this->works.erase(found);
-  const int status = request.body == "fail" ? 500 : 200;
+  const int status = this->fails || request.body == "fail" ? 500 : 200;
   exchange->Respond(
       {{status, this->Fields(*exchange)},
        PlainAnswer(this->Field(*exchange, "X-Request-Id"), this->settings.id)});
--- a/tests/platform/backend.h
+++ b/tests/platform/backend.h
@@ -23,6 +23,15 @@
   std::string resumed_after;
 };
 
+// A request that reached a backend server, whether it ran or not.
+struct BackendArrival {
+  std::string request;
+  base::Instant at;
+  // Only the prompt was to be read.
+  bool reads_only = false;
+  bool declined = false;
+};
+
 // Stands in for a backend server of the platform: a plain service, or a model
 // whose answers are streams of events. Bodies say what it does: "fail" answers
 // 500, and a number of events for streams.
@@ -54,6 +63,13 @@
   int readings = 0;
   // Declines every request as not run.
   bool declines = false;
+  // Answers every request with a failure.
+  bool fails = false;
+  // Added to the time that each request takes; one whose deadline comes first
+  // ends with 504.
+  base::Milliseconds slowness{0};
+  // What reached it, in order.
+  std::vector<BackendArrival> arrivals;
 
  private:
   struct Work {
@@ -64,6 +80,8 @@
 
   void OnRequest(const std::shared_ptr<net::Exchange>& exchange);
   bool OnControl(const std::shared_ptr<net::Exchange>& exchange);
+  // From the request to the answer, cut short by its deadline.
+  base::Milliseconds WorkOf(const net::Exchange& exchange) const;
   void Answer(int64_t number);
   void NextEvent(int64_t number);
   net::HeaderFields Fields(const net::Exchange& exchange) const;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -14,6 +14,7 @@
 
 Usage:
   carawayvalve-soak --program=FILE --folder=DIR [--seed=N] [--seconds=S]
+                    [--gateways=N] [--callers=N]
 
 Prints a line a seed, and a line for each promise that was broken; then exits
 with 1. Logs of the gateways and of the faults are kept in the folder.
@@ -23,6 +24,8 @@
   --folder=DIR    For settings and logs; made if it isn't there.
   --seed=N        Draws the faults and the requests [default: 1].
   --seconds=S     How long faults go on [default: 10].
+  --gateways=N    Gateways that share the load [default: 3].
+  --callers=N     Callers, each with one request at a time [default: 12].
 )";
 
 }  // namespace
@@ -35,6 +38,8 @@
   settings.folder = arguments["--folder"].asString();
   settings.seed = static_cast<uint32_t>(arguments["--seed"].asLong());
   settings.length = std::chrono::seconds(arguments["--seconds"].asLong());
+  settings.gateways = static_cast<int>(arguments["--gateways"].asLong());
+  settings.callers = static_cast<int>(arguments["--callers"].asLong());
   // Every third seed has planned work alone.
   settings.planned_only = settings.seed % 3 == 0;
   std::filesystem::create_directories(settings.folder);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -27,6 +27,8 @@
 constexpr seconds kRecovery(8);
 constexpr seconds kProgressTime(3);
 constexpr size_t kLeastServers = 2;
+// Longer than the time after which a gateway tries elsewhere.
+constexpr base::Milliseconds kServiceSlowness(1500);
 
 // Between two questions whether a gateway is ready.
 constexpr base::Milliseconds kReadinessInterval(100);
@@ -71,6 +73,7 @@
 Soak::Soak(const SoakSettings& settings)
     : settings(settings),
       generator(settings.seed),
+      service_generator(settings.seed + 1),
       store(this->loop),
       usage(this->loop,
             {"127.0.0.1", 0},
@@ -114,6 +117,9 @@
   this->After(kLead, [this] {
     this->callers->Start();
     this->ScheduleFault();
+    if (!this->settings.planned_only) {
+      this->ScheduleServiceFault();
+    }
   });
   const auto length =
       std::chrono::duration_cast<base::Milliseconds>(this->settings.length);
@@ -129,6 +135,7 @@
   this->CheckRuns();
   this->CheckAnswers();
   this->CheckReports();
+  this->CheckRetries();
   this->CheckProgress(first_call);
   std::cout << "seed " << this->settings.seed << ": "
             << this->callers->calls().size() << " requests, "
@@ -241,7 +248,11 @@
        {{"address", gateway.usage_link->address()},
         {"usage_window_s", 2},
         {"lease_ms", 1500}}},
-      {"bounds", {{"retry_slack", 60}, {"stop_s", kGrace.count()}}}};
+      {"bounds",
+       {{"retry_ratio", this->settings.retries.ratio},
+        {"retry_slack", this->settings.retries.slack},
+        {"retry_window_s", this->settings.retries.window.count()},
+        {"stop_s", kGrace.count()}}}};
   std::ofstream(gateway.settings_path) << written.dump(2);
   this->gateways.push_back(std::move(gateway));
 }
@@ -423,6 +434,35 @@
   });
 }
 
+// All backend servers of a service fail, are slow, or decline for a while, so
+// that every gateway has more to retry than it may.
+void Soak::ScheduleServiceFault() {
+  if (this->faults_over) {
+    return;
+  }
+  const auto draw = [this](int least, int most) {
+    return base::Milliseconds(std::uniform_int_distribution<int>(
+        least, most)(this->service_generator));
+  };
+  const bool engine = this->service_generator() % 2 == 0;
+  const auto kind = this->service_generator() % 3;
+  this->Note(std::string("disturb all of ") + (engine ? "models " : "desk ") +
+             std::to_string(kind));
+  const auto set = [this, engine, kind](bool disturbed) {
+    for (const auto& server : this->servers) {
+      if (server->engine == engine) {
+        server->backend->fails = disturbed && kind == 0;
+        server->backend->slowness =
+            disturbed && kind == 1 ? kServiceSlowness : base::Milliseconds(0);
+        server->backend->declines = disturbed && kind == 2;
+      }
+    }
+  };
+  set(true);
+  this->After(draw(1000, 5000), [set] { set(false); });
+  this->After(draw(2000, 7000), [this] { this->ScheduleServiceFault(); });
+}
+
 // A new backend server starts, an old one drains and goes.
 void Soak::ReplaceServer() {
   Server& old = *this->Pick(this->servers);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,6 +18,17 @@
 // Events of each answer that is a stream.
 inline constexpr int kEvents = 5;
 
+// Retries of all gateways together: at most this part of a service's requests
+// in any window, and the slack more (the platform's rule; the slack is this
+// deployment's).
+struct RetryBounds {
+  double ratio = 0.2;
+  double slack = 60;
+  std::chrono::seconds window{10};
+
+  bool operator==(const RetryBounds&) const = default;
+};
+
 struct SoakSettings {
   // The program under test.
   std::string program;
@@ -30,6 +41,7 @@
   // Only planned work: stops, drains and configurations. Then no request may
   // be lost at all.
   bool planned_only = false;
+  RetryBounds retries;
 };
 
 // Runs gateways as processes between stand-ins, does to them what happens on
@@ -81,6 +93,8 @@
   // Asks each gateway whether it is ready, as the platform's balancer does.
   void AskReadiness();
   void ScheduleFault();
+  // Disturbs whole services beside the other faults.
+  void ScheduleServiceFault();
   void After(base::Milliseconds wait, std::function<void()> then);
   base::Milliseconds Draw(int least, int most);
   template <typename Items>
@@ -106,11 +120,14 @@
   void CheckRuns();
   void CheckAnswers();
   void CheckReports();
+  void CheckRetries();
   void CheckProgress(size_t first_call);
   void Complain(const std::string& what);
 
   SoakSettings settings;
   std::mt19937 generator;
+  // Drawn from apart, so that a seed's other faults stay what they were.
+  std::mt19937 service_generator;
   net::EventLoop loop;
   Store store;
   net::HttpServer usage;
--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "soak.h"
 
@@ -107,6 +108,100 @@
   }
 }
 
+namespace {
+
+// Times in order, for one service.
+struct RetryTimes {
+  std::vector<base::Instant> requests;
+  // Arrivals beyond the first of a request.
+  std::vector<base::Instant> retries;
+};
+
+int64_t CountIn(const std::vector<base::Instant>& times,
+                base::Instant from,
+                base::Instant to) {
+  return std::lower_bound(times.begin(), times.end(), to) -
+         std::lower_bound(times.begin(), times.end(), from);
+}
+
+// What a window had beyond what it may have, negative if less.
+struct RetryExcess {
+  int64_t retries = 0;
+  double allowed = 0;
+
+  double amount() const { return static_cast<double>(this->retries) - allowed; }
+};
+
+RetryExcess ExcessIn(const RetryBounds& bounds,
+                     const RetryTimes& times,
+                     base::Instant from) {
+  const base::Duration window = bounds.window;
+  int64_t requests = 0;
+  for (const base::Duration earlier : {window * 0, window / 2, window}) {
+    const base::Instant start = from - earlier;
+    requests =
+        std::max(requests, CountIn(times.requests, start, start + window));
+  }
+  return {CountIn(times.retries, from, from + window),
+          bounds.ratio * static_cast<double>(requests) + bounds.slack};
+}
+
+// Returns the window with the highest excess.
+RetryExcess WorstExcess(const RetryBounds& bounds, const RetryTimes& times) {
+  RetryExcess worst;
+  for (const base::Instant retry : times.retries) {
+    const base::Instant last = retry - bounds.window + base::Duration(1);
+    for (const base::Instant from : {retry, last}) {
+      const RetryExcess excess = ExcessIn(bounds, times, from);
+      if (worst.retries == 0 || excess.amount() > worst.amount()) {
+        worst = excess;
+      }
+    }
+  }
+  return worst;
+}
+
+}  // namespace
+
+void Soak::CheckRetries() {
+  std::map<bool, RetryTimes> services;
+  for (const auto& call : this->callers->calls()) {
+    const bool engine = call->type == RequestType::kStream ||
+                        call->type == RequestType::kResumableStream;
+    services[engine].requests.push_back(call->sent);
+  }
+  std::vector<std::pair<BackendArrival, bool>> arrivals;
+  for (const auto& server : this->servers) {
+    for (const BackendArrival& arrival : server->backend->arrivals) {
+      arrivals.emplace_back(arrival, server->engine);
+    }
+  }
+  std::sort(arrivals.begin(), arrivals.end(),
+            [](const auto& left, const auto& right) {
+              return left.first.at < right.first.at;
+            });
+  std::set<std::string> read;
+  std::set<std::string> arrived;
+  for (const auto& [arrival, engine] : arrivals) {
+    // The first reading of a prompt that is accepted isn't counted.
+    if (arrival.reads_only && !arrival.declined &&
+        read.insert(arrival.request).second) {
+      continue;
+    }
+    if (!arrived.insert(arrival.request).second) {
+      services[engine].retries.push_back(arrival.at);
+    }
+  }
+  for (const auto& [engine, times] : services) {
+    const RetryExcess worst = WorstExcess(this->settings.retries, times);
+    if (worst.amount() > 0) {
+      this->Complain((engine ? "models had " : "desk had ") +
+                     std::to_string(worst.retries) + " retries, " +
+                     std::to_string(worst.allowed) + " are allowed");
+    }
+  }
+}
+
 void Soak::CheckProgress(size_t first_call) {
   int64_t asked = 0;
   int64_t served = 0;
