Take a part of the retry slack only when the other gateways are known

Callers saw nothing wrong; backend servers got more repeats than a service may have, which turns an overload of theirs into a longer one.

Cause: a gateway divides the slack of the retry budget by the number of gateways and began with 1. The first list of the gateways goes out with its own registration and so misses those that register a moment later; the next one comes 10 s later; gateways that are heard meanwhile were not counted, and while the store didn't answer the number stayed 1. Only the first page of a list was taken, too. So each of n gateways took up to the whole slack.

Why it works: a part is taken only after the own registration and a complete list from after it. Of two gateways the one that registers later lists the earlier one, and its first word has it counted there. The number never falls.

--- a/core/include/carawayvalve/core/retry_share.h
+++ b/core/include/carawayvalve/core/retry_share.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 #include "carawayvalve/base/time.h"
 
@@ -11,8 +12,9 @@
 // This process's share of the retries that all entry processes together may
 // send to one service: in any span of `window`, at most `ratio` of the
 // service's requests in it and `slack` more. Each process takes the ratio of
-// its own requests and an equal part of the slack, so that no word between
-// processes is needed, also while they are cut off from one another.
+// its own requests and, once it knows into how many parts the slack is divided
+// (see RetrySharers), one of them; so that no word between processes is needed
+// for each retry, also while they are cut off from one another.
 class RetryShare {
  public:
   struct Settings {
@@ -39,11 +41,12 @@
   // Counts a request of a caller.
   void NoteRequest(base::Instant now);
 
-  // Spends a retry if one is left, with the slack shared by `processes`.
-  bool TrySpend(int64_t processes, base::Instant now);
+  // Spends a retry if one is left, with the slack divided into `parts`; without
+  // any of it if that isn't known.
+  bool TrySpend(std::optional<int64_t> parts, base::Instant now);
   // Whether TrySpend would succeed.
-  bool HasLeft(int64_t processes, base::Instant now);
-  Figures At(int64_t processes, base::Instant now);
+  bool HasLeft(std::optional<int64_t> parts, base::Instant now);
+  Figures At(std::optional<int64_t> parts, base::Instant now);
 
  private:
   void Forget(base::Instant now);
--- a/core/src/retry_share.cc
+++ b/core/src/retry_share.cc
@@ -25,28 +25,31 @@
   this->requests.push_back(now);
 }
 
-bool RetryShare::TrySpend(int64_t processes, base::Instant now) {
-  if (!this->HasLeft(processes, now)) {
+bool RetryShare::TrySpend(std::optional<int64_t> parts, base::Instant now) {
+  if (!this->HasLeft(parts, now)) {
     return false;
   }
   this->retries.push_back(now);
   return true;
 }
 
-bool RetryShare::HasLeft(int64_t processes, base::Instant now) {
-  const Figures figures = this->At(processes, now);
+bool RetryShare::HasLeft(std::optional<int64_t> parts, base::Instant now) {
+  const Figures figures = this->At(parts, now);
   return static_cast<double>(figures.retries) + 1 <= figures.allowed;
 }
 
-RetryShare::Figures RetryShare::At(int64_t processes, base::Instant now) {
+RetryShare::Figures RetryShare::At(std::optional<int64_t> parts,
+                                   base::Instant now) {
   this->Forget(now);
   Figures figures;
   figures.retries = static_cast<int64_t>(this->retries.size());
   figures.requests = static_cast<int64_t>(this->requests.size());
-  figures.allowed = kUsedRatio * this->settings.ratio *
-                        static_cast<double>(figures.requests) +
-                    kUsedSlack * this->settings.slack /
-                        static_cast<double>(std::max<int64_t>(processes, 1));
+  figures.allowed =
+      kUsedRatio * this->settings.ratio * static_cast<double>(figures.requests);
+  if (parts.has_value()) {
+    figures.allowed += kUsedSlack * this->settings.slack /
+                       static_cast<double>(std::max<int64_t>(*parts, 1));
+  }
   return figures;
 }
 
--- a/gateway/src/beliefs.cc
+++ b/gateway/src/beliefs.cc
@@ -34,7 +34,8 @@
       health(core::BackendHealth::Settings{}),
       homes(kUnknownKvTokens),
       placer(ToPlacement(settings), directory, health, silence, load, homes),
-      suspects(core::Suspects::Settings{}) {}
+      suspects(core::Suspects::Settings{}),
+      sharers(settings.host) {}
 
 core::RetryShare& Beliefs::Retries(const base::ServiceId& service) {
   const GatewaySettings::Bounds& bounds = this->settings.bounds;
--- a/gateway/src/beliefs.h
+++ b/gateway/src/beliefs.h
@@ -13,6 +13,7 @@
 #include "carawayvalve/core/placement.h"
 #include "carawayvalve/core/prefix_homes.h"
 #include "carawayvalve/core/retry_share.h"
+#include "carawayvalve/core/retry_sharers.h"
 #include "carawayvalve/core/serving_table.h"
 #include "carawayvalve/core/silence_watch.h"
 #include "carawayvalve/core/suspects.h"
@@ -51,8 +52,8 @@
   core::CrashEvidence crashes;
   core::WindowCounts usage;
   core::TrueTime true_time;
-  // Gateways that there may be, this one included.
-  int64_t gateways = 1;
+  // The gateways, which share the slack of the retry budget.
+  core::RetrySharers sharers;
   bool stopping = false;
 
  private:
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -103,7 +103,7 @@
       });
   this->context.on_load_changed = [this] { this->OnLoadChanged(); };
   this->Register();
-  this->ListPeers();
+  this->ListPeers("");
   this->Talk();
 }
 
@@ -119,64 +119,86 @@
   const auto replace = [this, value, retry] {
     this->register_call = this->objects.Replace(
         kHostKind, this->context.beliefs.settings.host.value, std::nullopt,
-        value, [retry](const platform::WriteResult& result) {
-          if (!std::holds_alternative<platform::StoredObject>(result)) {
+        value, [this, retry](const platform::WriteResult& result) {
+          if (std::holds_alternative<platform::StoredObject>(result)) {
+            this->OnRegistered();
+          } else {
             retry();
           }
         });
   };
   this->register_call = this->objects.Create(
       kHostKind, beliefs.settings.host.value, value,
-      [replace, retry](const platform::WriteResult& result) {
-        if (std::holds_alternative<platform::WriteConflict>(result)) {
+      [this, replace, retry](const platform::WriteResult& result) {
+        if (std::holds_alternative<platform::StoredObject>(result)) {
+          this->OnRegistered();
+        } else if (std::holds_alternative<platform::WriteConflict>(result)) {
           replace();
-        } else if (!std::holds_alternative<platform::StoredObject>(result)) {
+        } else {
           retry();
         }
       });
 }
 
-void PeerGossip::ListPeers() {
+void PeerGossip::OnRegistered() {
+  this->context.beliefs.sharers.NoteRegistered();
+  // A list from before may lack those who could not list this one either.
+  this->ListPeers("");
+}
+
+void PeerGossip::ListPeers(const std::string& after) {
+  if (after.empty()) {
+    this->listed.clear();
+  }
+  const bool may_be_stale = this->context.beliefs.sharers.Parts().has_value();
   this->list_call = this->objects.List(
-      kHostKind, "", this->rounds > 0,
+      kHostKind, after, may_be_stale,
       [this](const platform::ListResult& result) { this->OnListed(result); });
 }
 
 void PeerGossip::OnListed(const platform::ListResult& result) {
   const auto* page = std::get_if<platform::ObjectPage>(&result);
-  this->list_timer.Start(page == nullptr ? base::Duration(kRetryInterval)
-                                         : base::Duration(kListInterval),
-                         [this] { this->ListPeers(); });
   if (page == nullptr) {
+    this->list_timer.Start(kRetryInterval, [this] { this->ListPeers(""); });
     return;
   }
   for (const platform::StoredObject& object : page->objects) {
-    if (object.name == this->context.beliefs.settings.host.value ||
-        !object.value->is_object() || !object.value->contains("address")) {
-      continue;
-    }
-    try {
-      Peer& peer = this->peers[{object.name}];
-      peer.address =
-          base::ParseAddress((*object.value)["address"].get<std::string>());
-      peer.listed = true;
-    } catch (const std::exception& error) {
-      this->context.journal.Write(
-          base::LogLevel::kWarning, "peer_unreadable",
-          {{"peer", object.name}, {"reason", error.what()}});
-    }
+    this->listed.insert({object.name});
+    this->TakeEntry(object);
+  }
+  if (page->after.has_value()) {
+    this->ListPeers(*page->after);
+    return;
+  }
+  this->list_timer.Start(kListInterval, [this] { this->ListPeers(""); });
+  this->context.beliefs.sharers.NoteListed(this->listed);
+  this->NoteSharers();
+}
+
+void PeerGossip::TakeEntry(const platform::StoredObject& object) {
+  if (object.name == this->context.beliefs.settings.host.value ||
+      !object.value->is_object() || !object.value->contains("address")) {
+    return;
+  }
+  try {
+    Peer& peer = this->peers[{object.name}];
+    peer.address =
+        base::ParseAddress((*object.value)["address"].get<std::string>());
+    peer.listed = true;
+  } catch (const std::exception& error) {
+    this->context.journal.Write(
+        base::LogLevel::kWarning, "peer_unreadable",
+        {{"peer", object.name}, {"reason", error.what()}});
   }
-  this->CountGateways();
 }
 
-void PeerGossip::CountGateways() {
-  int64_t& gateways = this->context.beliefs.gateways;
-  const int64_t before =
-      std::exchange(gateways, 1 + static_cast<int64_t>(this->peers.size()));
-  if (gateways != before) {
+void PeerGossip::NoteSharers() {
+  const auto parts = this->context.beliefs.sharers.Parts();
+  const auto before = std::exchange(this->told_sharers, parts);
+  if (parts != before) {
     this->context.journal.Write(base::LogLevel::kInfo, "gateways_counted",
-                                {{"gateways", gateways},
-                                 {"before", before},
+                                {{"gateways", parts.value_or(0)},
+                                 {"before", before.value_or(0)},
                                  {"heard", this->heard(base::Now())}});
   }
 }
@@ -348,6 +370,8 @@
   const base::Instant now = base::Now();
   Beliefs& beliefs = this->context.beliefs;
   const base::HostId host{gossip->host};
+  beliefs.sharers.NoteHeard(host);
+  this->NoteSharers();
   Peer& peer = this->peers[host];
   const bool was_silent = now - peer.heard > kLiveTime;
   if (gossip->leaving) {
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -3,6 +3,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,10 +46,13 @@
   };
 
   void Register();
-  void ListPeers();
+  void OnRegistered();
+  // Lists the gateways from this name on.
+  void ListPeers(const std::string& after);
   void OnListed(const platform::ListResult& result);
-  // Takes over how many gateways share the slack of the retry budget.
-  void CountGateways();
+  void TakeEntry(const platform::StoredObject& object);
+  // Logs a change of how many gateways share the slack of the retry budget.
+  void NoteSharers();
   void Talk();
   // Tells the peers soon if they would place requests otherwise.
   void OnLoadChanged();
@@ -75,6 +80,10 @@
   std::map<base::HostId, Peer> peers;
   platform::ObjectClient::Handle register_call;
   platform::ObjectClient::Handle list_call;
+  // What the list under way has brought so far.
+  std::set<base::HostId> listed;
+  // As it was logged last.
+  std::optional<int64_t> told_sharers;
   net::Timer talk_timer;
   net::Timer news_timer;
   net::Timer list_timer;
--- a/gateway/src/retry_charge.cc
+++ b/gateway/src/retry_charge.cc
@@ -4,7 +4,7 @@
 
 bool HasRetry(Context& context, const base::ServiceId& service) {
   Beliefs& beliefs = context.beliefs;
-  return beliefs.Retries(service).HasLeft(beliefs.gateways, base::Now());
+  return beliefs.Retries(service).HasLeft(beliefs.sharers.Parts(), base::Now());
 }
 
 bool ChargeRetry(Context& context,
@@ -13,8 +13,9 @@
   Beliefs& beliefs = context.beliefs;
   const base::Instant now = base::Now();
   core::RetryShare& share = beliefs.Retries(service);
-  const core::RetryShare::Figures figures = share.At(beliefs.gateways, now);
-  const bool charged = share.TrySpend(beliefs.gateways, now);
+  const std::optional<int64_t> parts = beliefs.sharers.Parts();
+  const core::RetryShare::Figures figures = share.At(parts, now);
+  const bool charged = share.TrySpend(parts, now);
   context.metrics.CountRetry(charged ? "charged" : "denied");
   context.journal.Write(base::LogLevel::kInfo,
                         charged ? "retry_charged" : "retry_denied",
@@ -23,7 +24,7 @@
                          {"retries", figures.retries},
                          {"requests", figures.requests},
                          {"allowed", figures.allowed},
-                         {"gateways", beliefs.gateways}});
+                         {"gateways", parts.value_or(0)}});
   return charged;
 }
 
--- a/gateway/tests/request_run_test.cc
+++ b/gateway/tests/request_run_test.cc
@@ -51,6 +51,8 @@
 struct Entry {
   explicit Entry(int64_t max_attempts) : gateway(Settings()) {
     this->gateway.beliefs.TakePlan(Plan(max_attempts));
+    this->gateway.beliefs.sharers.NoteRegistered();
+    this->gateway.beliefs.sharers.NoteListed({});
     this->Add("reader", this->reader.port(), EngineRole::kPrefill);
   }
 
