Take no part of the retry slack before what was sent earlier has left the window

Backend servers got more repeats than a service may have when gateways were killed and started again.

Cause: what a gateway has sent is known to that process alone. The next one of its name began with an empty window and took its part of the slack, and with it the predecessor's, within the same 10 s. A gateway with a new name took its part while the others still spent by the old, larger parts.

Why it works: a part is taken only one window after the start, when nothing that the predecessor sent counts any more; a gateway whose name is new waits one interval of lists more, within which all others list it, so that no window has parts by the old number and its own. The ratio of its own requests needs no wait: these are its own.

--- a/core/include/carawayvalve/core/retry_sharers.h
+++ b/core/include/carawayvalve/core/retry_sharers.h
@@ -1,40 +1,63 @@
 #ifndef CARAWAYVALVE_CORE_RETRY_SHARERS_H_
 #define CARAWAYVALVE_CORE_RETRY_SHARERS_H_
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <set>
 #include <utility>
 
 #include "carawayvalve/base/ids.h"
+#include "carawayvalve/base/time.h"
 
 namespace carawayvalve::core {
 
 // Knows which processes share the slack of the retry budget. A process takes a
-// part of it only when it knows the others and they can know of it: it has
+// part of it only when it knows the others and they know of it: it has
 // registered, and listed all that are registered afterwards. Of two processes
-// that register, the later one then lists the earlier one, which hears from it.
+// that register, the later one then lists the earlier one, which hears from it
+// or lists it in turn. Nor does it take a part while a window reaches back to
+// what was sent without it: by its predecessor of the same name, of which it
+// knows nothing, or by processes that didn't count it yet.
 class RetrySharers {
  public:
-  explicit RetrySharers(base::HostId self) : hosts({std::move(self)}) {}
+  struct Settings {
+    // The span of time for which the budget holds.
+    base::Duration window = std::chrono::seconds(10);
+    // Within this time processes list those that have registered.
+    base::Duration list_interval = std::chrono::seconds(10);
 
-  // The others can list this process from now on.
-  void NoteRegistered() { this->registered = true; }
+    bool operator==(const Settings&) const = default;
+  };
+
+  RetrySharers(const Settings& settings,
+               base::HostId self,
+               base::Instant started)
+      : settings(settings), started(started), hosts({std::move(self)}) {}
+
+  // The others can list this process from now on, and could before if it `was`
+  // registered already.
+  void NoteRegistered(bool was, base::Instant now);
   // Takes a complete list, asked for after the registration.
   void NoteListed(const std::set<base::HostId>& listed);
   // A process spoke, whether it is listed or not.
   void NoteHeard(const base::HostId& host) { this->hosts.insert(host); }
 
-  // Into how many parts the slack is divided; none while that isn't known and
-  // this process has no part.
-  std::optional<int64_t> Parts() const;
+  // Whether the others are known.
+  bool Listed() const { return this->listed_all; }
+  // Into how many parts the slack is divided; none while this process has no
+  // part.
+  std::optional<int64_t> Parts(base::Instant now) const;
   // All that are known to share, this process included.
   int64_t known() const { return static_cast<int64_t>(this->hosts.size()); }
 
  private:
+  Settings settings;
+  base::Instant started;
   // Grows only: one that has gone may have spent its part just before.
   std::set<base::HostId> hosts;
-  bool registered = false;
+  // None before the registration.
+  std::optional<base::Instant> part_from;
   bool listed_all = false;
 };
 
--- a/core/tests/retry_share_test.cc
+++ b/core/tests/retry_share_test.cc
@@ -3,15 +3,59 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <deque>
+#include <set>
+#include <string>
 #include <vector>
 
+#include "carawayvalve/core/retry_sharers.h"
+
 namespace carawayvalve::core {
 
 using base::Instant;
 using base::Milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
+int64_t CountIn(const std::vector<Instant>& times, Instant from, Instant to) {
+  return std::lower_bound(times.begin(), times.end(), to) -
+         std::lower_bound(times.begin(), times.end(), from);
+}
+
+// Whether the window that ends with `now` keeps the platform's rule, which
+// takes the requests of the window, of the one half a window before or of the
+// one before, whichever are most.
+bool WithinBound(const RetryShare::Settings& settings,
+                 const std::vector<Instant>& requests,
+                 const std::vector<Instant>& retries,
+                 Instant now) {
+  const Instant from = now - settings.window + base::Duration(1);
+  int64_t most = 0;
+  for (const base::Duration earlier :
+       {settings.window * 0, settings.window / 2, settings.window}) {
+    most = std::max(most, CountIn(requests, from - earlier,
+                                  from - earlier + settings.window));
+  }
+  return static_cast<double>(CountIn(retries, from, from + settings.window)) <=
+         settings.ratio * static_cast<double>(most) + settings.slack;
+}
+
+// Returns what a process knows that has started among so many.
+RetrySharers StartedAmong(size_t processes, Instant started) {
+  RetrySharers sharers({}, {"0"}, started);
+  sharers.NoteRegistered(true, started);
+  std::set<base::HostId> listed;
+  for (size_t i = 0; i < processes; ++i) {
+    listed.insert({std::to_string(i)});
+  }
+  sharers.NoteListed(listed);
+  return sharers;
+}
+
+}  // namespace
+
 TEST_CASE("RetryShare") {
   const Instant start = Instant() + seconds(100);
   RetryShare share({.ratio = 0.2, .slack = 50, .window = seconds(10)});
@@ -69,4 +113,37 @@
   }));
 }
 
+// Requests come to gateways that are killed and start again while each spends
+// all that it may.
+TEST_CASE("a gateway that starts again has not its slack a second time") {
+  CHECK(rc::check("the bound holds over restarts", [] {
+    const RetryShare::Settings settings = {
+        .ratio = 0.2, .slack = 54, .window = seconds(10)};
+    constexpr size_t kProcesses = 4;
+    Instant now = Instant() + seconds(100);
+    std::vector<RetryShare> shares(kProcesses, RetryShare(settings));
+    std::vector<RetrySharers> sharers(kProcesses,
+                                      StartedAmong(kProcesses, Instant()));
+    std::vector<Instant> requests;
+    std::vector<Instant> retries;
+    for (int i = 0; i < 600; ++i) {
+      now += Milliseconds(*rc::gen::inRange(0, 100));
+      const auto process = *rc::gen::inRange<size_t>(0, kProcesses);
+      const int what = *rc::gen::inRange(0, 100);
+      if (what < 2) {
+        shares[process] = RetryShare(settings);
+        sharers[process] = StartedAmong(kProcesses, now);
+      } else if (what < 40) {
+        shares[process].NoteRequest(now);
+        requests.push_back(now);
+      } else {
+        while (shares[process].TrySpend(sharers[process].Parts(now), now)) {
+          retries.push_back(now);
+        }
+      }
+      RC_ASSERT(WithinBound(settings, requests, retries, now));
+    }
+  }));
+}
+
 }  // namespace carawayvalve::core
--- a/core/tests/retry_sharers_test.cc
+++ b/core/tests/retry_sharers_test.cc
@@ -3,70 +3,111 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <deque>
+#include <map>
 #include <set>
 #include <string>
-#include <vector>
+
+#include "carawayvalve/core/retry_share.h"
 
 namespace carawayvalve::core {
 
+using base::Instant;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
 TEST_CASE("RetrySharers") {
-  RetrySharers sharers({"self"});
+  const Instant start = Instant() + seconds(100);
+  RetrySharers sharers({.window = seconds(10), .list_interval = seconds(4)},
+                       {"self"}, start);
 
   SUBCASE("a process that has not registered has no part of the slack") {
     sharers.NoteListed({{"a"}, {"b"}});
-    CHECK_FALSE(sharers.Parts().has_value());
+    CHECK_FALSE(sharers.Parts(start + seconds(60)).has_value());
 
     SUBCASE("nor has it by a list from before its registration") {
-      sharers.NoteRegistered();
-      CHECK_FALSE(sharers.Parts().has_value());
+      sharers.NoteRegistered(true, start + seconds(1));
+      CHECK_FALSE(sharers.Parts(start + seconds(60)).has_value());
     }
   }
-  SUBCASE("one that registered and listed the others counts them and itself") {
-    sharers.NoteRegistered();
+  SUBCASE("one that starts again has none while what it sent may count") {
+    sharers.NoteRegistered(true, start + seconds(1));
     sharers.NoteListed({{"self"}, {"a"}, {"b"}});
-    CHECK(sharers.Parts() == 3);
+    CHECK_FALSE(sharers.Parts(start + milliseconds(9999)).has_value());
 
-    SUBCASE("also one that it hears and has not listed") {
-      sharers.NoteHeard({"late"});
-      CHECK(sharers.Parts() == 4);
-    }
-    SUBCASE(
-        "and those that are listed no more, which may have spent just now") {
-      sharers.NoteListed({{"self"}, {"a"}});
-      CHECK(sharers.Parts() == 3);
+    SUBCASE("then it counts the others and itself") {
+      const Instant later = start + seconds(10);
+      CHECK(sharers.Parts(later) == 3);
+
+      SUBCASE("also one that it hears and has not listed") {
+        sharers.NoteHeard({"late"});
+        CHECK(sharers.Parts(later) == 4);
+      }
+      SUBCASE("and one that is listed no more, as it may have spent its part") {
+        sharers.NoteListed({{"self"}, {"a"}});
+        CHECK(sharers.Parts(later) == 3);
+      }
     }
   }
+  SUBCASE("a new one waits until all others count it as well") {
+    sharers.NoteRegistered(false, start + seconds(1));
+    sharers.NoteListed({{"self"}, {"a"}});
+    CHECK_FALSE(sharers.Parts(start + milliseconds(14999)).has_value());
+    CHECK(sharers.Parts(start + seconds(15)) == 2);
+  }
 }
 
-// Registrations, lists and words in any order. A word takes effect at once; a
-// process speaks to those that it has listed.
-TEST_CASE("the parts of the slack never add up to more than the whole") {
-  CHECK(rc::check("processes that start together", [] {
+// Gateways start, are killed, start again and join; each lists the others now
+// and then and spends all that it may. Some words between them are lost.
+TEST_CASE("no window has more of the slack than there is") {
+  CHECK(rc::check("over restarts and newcomers", [] {
+    const RetryShare::Settings bounds = {
+        .ratio = 0, .slack = 54, .window = seconds(10)};
+    const RetrySharers::Settings settings = {.window = bounds.window,
+                                             .list_interval = seconds(10)};
+    struct Process {
+      RetrySharers sharers;
+      RetryShare share;
+      Instant last_list;
+    };
     constexpr size_t kProcesses = 6;
-    std::vector<RetrySharers> processes;
+    Instant now = Instant() + seconds(100);
+    std::map<size_t, Process> running;
     std::set<base::HostId> registered;
-    for (size_t i = 0; i < kProcesses; ++i) {
-      processes.emplace_back(base::HostId{std::to_string(i)});
-    }
-    for (int step = 0; step < 40; ++step) {
+    std::deque<Instant> retries;
+    const auto list = [&](size_t i) {
+      running.at(i).sharers.NoteListed(registered);
+      running.at(i).last_list = now;
+      for (auto& [other, process] : running) {
+        if (*rc::gen::inRange(0, 2) == 0) {
+          process.sharers.NoteHeard({std::to_string(i)});
+        }
+      }
+    };
+    for (int step = 0; step < 300; ++step) {
+      now += milliseconds(*rc::gen::inRange(0, 400));
       const auto i = *rc::gen::inRange<size_t>(0, kProcesses);
       const base::HostId self{std::to_string(i)};
-      if (*rc::gen::inRange(0, 2) == 0) {
-        registered.insert(self);
-        processes[i].NoteRegistered();
-      } else {
-        processes[i].NoteListed(registered);
-        for (const base::HostId& other : registered) {
-          processes[std::stoul(other.value)].NoteHeard(self);
-        }
+      if (!running.contains(i)) {
+        Process process{{settings, self, now}, RetryShare(bounds), now};
+        process.sharers.NoteRegistered(!registered.insert(self).second, now);
+        running.emplace(i, std::move(process));
+        list(i);
+      } else if (*rc::gen::inRange(0, 8) == 0) {
+        running.erase(i);
       }
-      double whole = 0;
-      for (const RetrySharers& process : processes) {
-        if (const auto parts = process.Parts()) {
-          whole += 1 / static_cast<double>(*parts);
+      for (auto& [other, process] : running) {
+        if (now - process.last_list >= settings.list_interval) {
+          list(other);
+        }
+        while (process.share.TrySpend(process.sharers.Parts(now), now)) {
+          retries.push_back(now);
         }
       }
-      RC_ASSERT(whole <= 1.0001);
+      while (!retries.empty() && retries.front() <= now - bounds.window) {
+        retries.pop_front();
+      }
+      RC_ASSERT(static_cast<double>(retries.size()) <= bounds.slack);
     }
   }));
 }
--- a/gateway/src/beliefs.cc
+++ b/gateway/src/beliefs.cc
@@ -35,7 +35,9 @@
       homes(kUnknownKvTokens),
       placer(ToPlacement(settings), directory, health, silence, load, homes),
       suspects(core::Suspects::Settings{}),
-      sharers(settings.host) {}
+      sharers({.window = settings.bounds.retry_window},
+              settings.host,
+              base::Now()) {}
 
 core::RetryShare& Beliefs::Retries(const base::ServiceId& service) {
   const GatewaySettings::Bounds& bounds = this->settings.bounds;
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -145,7 +145,7 @@
                          static_cast<double>(this->peers.heard(now)));
   this->metrics.SetGauge(
       "retry_slack_gateways",
-      static_cast<double>(this->beliefs.sharers.Parts().value_or(0)));
+      static_cast<double>(this->beliefs.sharers.Parts(now).value_or(0)));
   this->metrics.SetGauge("late_requests_waiting",
                          static_cast<double>(this->waiting.size()));
   this->metrics.SetGauge("holds_duties", this->duties.holds(now) ? 1 : 0);
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -28,8 +28,10 @@
 // News waits so long for what follows at once, such as the run of a prompt that
 // was read.
 constexpr base::Milliseconds kNewsDelay(1);
-// Peers are listed again, for those that started while this one was cut off.
-constexpr std::chrono::seconds kListInterval(10);
+// Peers are listed again, for those that started while this one was cut off;
+// newcomers rely on it.
+const base::Duration kListInterval =
+    core::RetrySharers::Settings().list_interval;
 constexpr base::Milliseconds kRetryInterval(700);
 // A peer that was silent for longer isn't live.
 constexpr std::chrono::seconds kLiveTime(3);
@@ -121,7 +123,7 @@
         kHostKind, this->context.beliefs.settings.host.value, std::nullopt,
         value, [this, retry](const platform::WriteResult& result) {
           if (std::holds_alternative<platform::StoredObject>(result)) {
-            this->OnRegistered();
+            this->OnRegistered(true);
           } else {
             retry();
           }
@@ -131,7 +133,7 @@
       kHostKind, beliefs.settings.host.value, value,
       [this, replace, retry](const platform::WriteResult& result) {
         if (std::holds_alternative<platform::StoredObject>(result)) {
-          this->OnRegistered();
+          this->OnRegistered(false);
         } else if (std::holds_alternative<platform::WriteConflict>(result)) {
           replace();
         } else {
@@ -140,8 +142,8 @@
       });
 }
 
-void PeerGossip::OnRegistered() {
-  this->context.beliefs.sharers.NoteRegistered();
+void PeerGossip::OnRegistered(bool was) {
+  this->context.beliefs.sharers.NoteRegistered(was, base::Now());
   // A list from before may lack those who could not list this one either.
   this->ListPeers("");
 }
@@ -150,7 +152,7 @@
   if (after.empty()) {
     this->listed.clear();
   }
-  const bool may_be_stale = this->context.beliefs.sharers.Parts().has_value();
+  const bool may_be_stale = this->context.beliefs.sharers.Listed();
   this->list_call = this->objects.List(
       kHostKind, after, may_be_stale,
       [this](const platform::ListResult& result) { this->OnListed(result); });
@@ -172,7 +174,6 @@
   }
   this->list_timer.Start(kListInterval, [this] { this->ListPeers(""); });
   this->context.beliefs.sharers.NoteListed(this->listed);
-  this->NoteSharers();
 }
 
 void PeerGossip::TakeEntry(const platform::StoredObject& object) {
@@ -193,7 +194,7 @@
 }
 
 void PeerGossip::NoteSharers() {
-  const auto parts = this->context.beliefs.sharers.Parts();
+  const auto parts = this->context.beliefs.sharers.Parts(base::Now());
   const auto before = std::exchange(this->told_sharers, parts);
   if (parts != before) {
     this->context.journal.Write(base::LogLevel::kInfo, "gateways_counted",
@@ -256,6 +257,7 @@
 
 void PeerGossip::Talk() {
   this->talk_timer.Start(this->Interval(), [this] { this->Talk(); });
+  this->NoteSharers();
   ++this->rounds;
   if (this->rounds % kQuietRounds == 0) {
     this->SetWatchWaits();
@@ -371,7 +373,6 @@
   Beliefs& beliefs = this->context.beliefs;
   const base::HostId host{gossip->host};
   beliefs.sharers.NoteHeard(host);
-  this->NoteSharers();
   Peer& peer = this->peers[host];
   const bool was_silent = now - peer.heard > kLiveTime;
   if (gossip->leaving) {
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -46,7 +46,8 @@
   };
 
   void Register();
-  void OnRegistered();
+  // The entry of this gateway's name was there before, or it is new.
+  void OnRegistered(bool was);
   // Lists the gateways from this name on.
   void ListPeers(const std::string& after);
   void OnListed(const platform::ListResult& result);
--- a/gateway/src/retry_charge.cc
+++ b/gateway/src/retry_charge.cc
@@ -4,7 +4,8 @@
 
 bool HasRetry(Context& context, const base::ServiceId& service) {
   Beliefs& beliefs = context.beliefs;
-  return beliefs.Retries(service).HasLeft(beliefs.sharers.Parts(), base::Now());
+  const base::Instant now = base::Now();
+  return beliefs.Retries(service).HasLeft(beliefs.sharers.Parts(now), now);
 }
 
 bool ChargeRetry(Context& context,
@@ -13,7 +14,7 @@
   Beliefs& beliefs = context.beliefs;
   const base::Instant now = base::Now();
   core::RetryShare& share = beliefs.Retries(service);
-  const std::optional<int64_t> parts = beliefs.sharers.Parts();
+  const std::optional<int64_t> parts = beliefs.sharers.Parts(now);
   const core::RetryShare::Figures figures = share.At(parts, now);
   const bool charged = share.TrySpend(parts, now);
   context.metrics.CountRetry(charged ? "charged" : "denied");
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -107,7 +107,7 @@
   hello.boot = "first";
   peer.Send(PrintGossip(hello), gateway.beliefs.settings.listen.peers);
   gateway.RunFor(base::Milliseconds(300));
-  CHECK(gateway.beliefs.sharers.Parts() == 2);
+  CHECK(gateway.beliefs.sharers.known() == 2);
 }
 
 }  // namespace carawayvalve::gateway
--- a/gateway/tests/request_run_test.cc
+++ b/gateway/tests/request_run_test.cc
@@ -47,12 +47,19 @@
   return plan;
 }
 
+// As if this gateway had run alone for long.
+void TakeSlack(core::RetrySharers& sharers) {
+  sharers =
+      core::RetrySharers({}, {"self"}, base::Now() - std::chrono::seconds(60));
+  sharers.NoteRegistered(true, base::Now());
+  sharers.NoteListed({});
+}
+
 // A gateway whose requests read their prompts at one engine and run at others.
 struct Entry {
   explicit Entry(int64_t max_attempts) : gateway(Settings()) {
     this->gateway.beliefs.TakePlan(Plan(max_attempts));
-    this->gateway.beliefs.sharers.NoteRegistered();
-    this->gateway.beliefs.sharers.NoteListed({});
+    TakeSlack(this->gateway.beliefs.sharers);
     this->Add("reader", this->reader.port(), EngineRole::kPrefill);
   }
 
