Restart a gateway in the soak that was killed after its time to stop

It was paused when it was asked to stop, and again 0.6 s after it went on; the harness then killed it, never started it again and complained at each look. The platform kills at the end of the time whatever the process did; a process that stood still for most of it can't end, so only one that ran all the while is complained of. The trace: paused 1,500 to 6,866 ms and 7,485 to 13,280 ms, asked to stop at 2,397 ms, stopping logged at 6,851 ms.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -269,8 +269,14 @@
 void Soak::Watch() {
   for (Gateway& gateway : this->gateways) {
     if (gateway.stopping && base::Now() - gateway.stop_asked > kGrace) {
-      this->Complain(gateway.name + " didn't end when it was asked to");
+      // One that was paused meanwhile had less time to end.
+      if (gateway.paused_until < gateway.stop_asked) {
+        this->Complain(gateway.name + " didn't end when it was asked to");
+      }
       gateway.process.Kill();
+      gateway.stopping = false;
+      this->After(this->Draw(100, 600),
+                  [this, &gateway] { this->StartGateway(gateway); });
     }
     if (gateway.process.started() && !gateway.process.Alive()) {
       if (!gateway.stopping) {
@@ -335,6 +341,7 @@
   const base::Milliseconds length = this->Draw(200, 6500);
   this->Note("pause " + gateway.name + " for " +
              std::to_string(length.count()) + " ms");
+  gateway.paused_until = std::max(gateway.paused_until, base::Now() + length);
   gateway.process.Signal(SIGSTOP);
   this->After(length, [&gateway] { gateway.process.Signal(SIGCONT); });
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -68,6 +68,8 @@
     std::unique_ptr<Link> usage_link;
     bool stopping = false;
     base::Instant stop_asked;
+    // The end of the last pause.
+    base::Instant paused_until;
   };
   struct Server {
     std::unique_ptr<Backend> backend;
