Let each request earn its retry once, wherever callers move

Backend servers can get more repeats than a service may have while callers move between gateways, as when these are stopped in turn.

Cause: a gateway spent up to the ratio of the requests of its last 10 s. When its callers move, it may still spend for the span that has passed, and the gateway that they move to for the one that follows; a window that has both ends has twice the ratio. The figure of a window was right for each process, and the sum wasn't.

No run of real processes has shown this one: it is found by looking for the same class of fault elsewhere.

Why it works: a request earns 0.16 of a retry for the gateway that it came to, and that lapses after 2.5 s. So the retries of a window belong to the requests of 12.5 s, whichever gateways they came to: 1.25 times 0.16 is the ratio of 0.2. The slack makes up what is left to a whole retry, so that a gateway with few requests loses nothing by rounding.

Figures in the log are now the credit and the slack that were left.

--- a/core/include/carawayvalve/core/retry_share.h
+++ b/core/include/carawayvalve/core/retry_share.h
@@ -11,9 +11,12 @@
 
 // This process's share of the retries that all entry processes together may
 // send to one service: in any span of `window`, at most `ratio` of the
-// service's requests in it and `slack` more. Each process takes the ratio of
-// its own requests and, once it knows into how many parts the slack is divided
-// (see RetrySharers), one of them; so that no word between processes is needed
+// service's requests and `slack` more.
+//
+// Each request earns a part of a retry, which lapses soon: wherever callers
+// move, a request counts once, and only for retries close to it. The slack is
+// for what goes beyond; a process has one part of it once it knows into how
+// many it is divided (see RetrySharers). So no word between processes is needed
 // for each retry, also while they are cut off from one another.
 class RetryShare {
  public:
@@ -25,13 +28,10 @@
     bool operator==(const Settings&) const = default;
   };
 
-  // What the share knows at one instant.
+  // What is left at one instant, in retries.
   struct Figures {
-    // Sent within the window.
-    int64_t retries = 0;
-    int64_t requests = 0;
-    // How many retries the window may have.
-    double allowed = 0;
+    double credit = 0;
+    double slack = 0;
 
     bool operator==(const Figures&) const = default;
   };
@@ -46,14 +46,26 @@
   bool TrySpend(std::optional<int64_t> parts, base::Instant now);
   // Whether TrySpend would succeed.
   bool HasLeft(std::optional<int64_t> parts, base::Instant now);
-  Figures At(std::optional<int64_t> parts, base::Instant now);
+  Figures Left(std::optional<int64_t> parts, base::Instant now);
 
  private:
+  // Parts of a retry in millionths, with the time from which they count.
+  struct Portion {
+    base::Instant at;
+    int64_t millionths = 0;
+  };
+
   void Forget(base::Instant now);
+  int64_t SlackLeft(std::optional<int64_t> parts) const;
+  void SpendCredit(int64_t millionths);
 
   Settings settings;
-  std::deque<base::Instant> requests;
-  std::deque<base::Instant> retries;
+  // Earned and not spent yet, the oldest first.
+  std::deque<Portion> earned;
+  int64_t credit = 0;
+  // Spent of the slack within the window.
+  std::deque<Portion> spent;
+  int64_t slack_spent = 0;
 };
 
 }  // namespace carawayvalve::core
--- a/core/src/retry_share.cc
+++ b/core/src/retry_share.cc
@@ -1,61 +1,91 @@
 #include "carawayvalve/core/retry_share.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace carawayvalve::core {
 
 namespace {
 
+constexpr int64_t kRetry = 1'000'000;
 // A part of the slack that stays unused: a service's counts and ours differ by
 // what is under way.
 constexpr double kUsedSlack = 0.8;
-// The part of the ratio that is used, for the same reason.
-constexpr double kUsedRatio = 0.9;
+// A window may have retries that were earned in the last part of the window
+// before. Both together are 1.25 windows, of which 0.8 are one.
+constexpr int64_t kCreditParts = 4;
+constexpr double kUsedRatio = 0.8;
 
-void DropOlder(std::deque<base::Instant>& times, base::Instant limit) {
-  while (!times.empty() && times.front() <= limit) {
-    times.pop_front();
-  }
+int64_t ToMillionths(double retries) {
+  return std::llround(retries * kRetry);
 }
 
 }  // namespace
 
 void RetryShare::NoteRequest(base::Instant now) {
   this->Forget(now);
-  this->requests.push_back(now);
+  const int64_t part = ToMillionths(kUsedRatio * this->settings.ratio);
+  this->earned.push_back({now, part});
+  this->credit += part;
 }
 
 bool RetryShare::TrySpend(std::optional<int64_t> parts, base::Instant now) {
   if (!this->HasLeft(parts, now)) {
     return false;
   }
-  this->retries.push_back(now);
+  const int64_t from_credit = std::min(this->credit, kRetry);
+  this->SpendCredit(from_credit);
+  this->spent.push_back({now, kRetry - from_credit});
+  this->slack_spent += kRetry - from_credit;
   return true;
 }
 
 bool RetryShare::HasLeft(std::optional<int64_t> parts, base::Instant now) {
-  const Figures figures = this->At(parts, now);
-  return static_cast<double>(figures.retries) + 1 <= figures.allowed;
+  this->Forget(now);
+  return this->credit + this->SlackLeft(parts) >= kRetry;
 }
 
-RetryShare::Figures RetryShare::At(std::optional<int64_t> parts,
-                                   base::Instant now) {
+RetryShare::Figures RetryShare::Left(std::optional<int64_t> parts,
+                                     base::Instant now) {
   this->Forget(now);
-  Figures figures;
-  figures.retries = static_cast<int64_t>(this->retries.size());
-  figures.requests = static_cast<int64_t>(this->requests.size());
-  figures.allowed =
-      kUsedRatio * this->settings.ratio * static_cast<double>(figures.requests);
-  if (parts.has_value()) {
-    figures.allowed += kUsedSlack * this->settings.slack /
-                       static_cast<double>(std::max<int64_t>(*parts, 1));
+  constexpr auto kWhole = static_cast<double>(kRetry);
+  return {static_cast<double>(this->credit) / kWhole,
+          static_cast<double>(this->SlackLeft(parts)) / kWhole};
+}
+
+int64_t RetryShare::SlackLeft(std::optional<int64_t> parts) const {
+  if (!parts.has_value()) {
+    return 0;
+  }
+  const int64_t part = ToMillionths(kUsedSlack * this->settings.slack) /
+                       std::max<int64_t>(*parts, 1);
+  return std::max<int64_t>(part - this->slack_spent, 0);
+}
+
+void RetryShare::SpendCredit(int64_t millionths) {
+  this->credit -= millionths;
+  while (millionths > 0) {
+    Portion& oldest = this->earned.front();
+    const int64_t taken = std::min(millionths, oldest.millionths);
+    oldest.millionths -= taken;
+    millionths -= taken;
+    if (oldest.millionths == 0) {
+      this->earned.pop_front();
+    }
   }
-  return figures;
 }
 
 void RetryShare::Forget(base::Instant now) {
-  DropOlder(this->requests, now - this->settings.window);
-  DropOlder(this->retries, now - this->settings.window);
+  const base::Duration window = this->settings.window;
+  while (!this->earned.empty() &&
+         this->earned.front().at <= now - window / kCreditParts) {
+    this->credit -= this->earned.front().millionths;
+    this->earned.pop_front();
+  }
+  while (!this->spent.empty() && this->spent.front().at <= now - window) {
+    this->slack_spent -= this->spent.front().millionths;
+    this->spent.pop_front();
+  }
 }
 
 }  // namespace carawayvalve::core
--- a/core/tests/retry_share_test.cc
+++ b/core/tests/retry_share_test.cc
@@ -72,6 +72,25 @@
       CHECK(share.HasLeft(4, start + seconds(10)));
     }
   }
+  SUBCASE("requests earn retries without any slack") {
+    for (int i = 0; i < 10; ++i) {
+      share.NoteRequest(start);
+    }
+    CHECK(share.TrySpend(std::nullopt, start));
+    CHECK_FALSE(share.TrySpend(std::nullopt, start));
+
+    SUBCASE("and slack makes up what is left of them to a whole one") {
+      CHECK(share.Left(40, start) ==
+            RetryShare::Figures{.credit = 0.6, .slack = 1.0});
+      CHECK(share.TrySpend(40, start));
+      CHECK(share.Left(40, start) ==
+            RetryShare::Figures{.credit = 0.0, .slack = 0.6});
+    }
+    SUBCASE("but what they earned lapses") {
+      CHECK(share.Left(std::nullopt, start + Milliseconds(2499)).credit == 0.6);
+      CHECK(share.Left(std::nullopt, start + Milliseconds(2500)).credit == 0.0);
+    }
+  }
   SUBCASE("more processes have smaller parts") {
     int64_t spent = 0;
     while (share.TrySpend(25, start)) {
@@ -146,4 +165,41 @@
   }));
 }
 
+// Callers move to other gateways when theirs is stopped, and backend servers
+// fail for a moment now and then, so that all is tried again that may be.
+TEST_CASE("requests that move to another gateway earn no retry twice") {
+  CHECK(rc::check("the bound holds while the load moves", [] {
+    const RetryShare::Settings settings = {
+        .ratio = 0.2, .slack = 54, .window = seconds(10)};
+    constexpr size_t kProcesses = 4;
+    Instant now = Instant() + seconds(100);
+    std::vector<RetryShare> shares(kProcesses, RetryShare(settings));
+    std::vector<Instant> requests;
+    std::vector<Instant> retries;
+    size_t busy = 0;
+    int rate = 1;
+    for (int i = 0; i < 3000; ++i) {
+      now += Milliseconds(10);
+      const int what = *rc::gen::inRange(0, 1000);
+      if (what < 2) {
+        busy = (busy + 1) % kProcesses;
+      } else if (what < 7) {
+        rate = *rc::gen::inRange(1, 4);
+      }
+      for (int request = 0; request < rate; ++request) {
+        shares[busy].NoteRequest(now);
+        requests.push_back(now);
+      }
+      if (what >= 995) {
+        for (RetryShare& share : shares) {
+          while (share.TrySpend(kProcesses, now)) {
+            retries.push_back(now);
+          }
+        }
+      }
+      RC_ASSERT(WithinBound(settings, requests, retries, now));
+    }
+  }));
+}
+
 }  // namespace carawayvalve::core
--- a/gateway/src/retry_charge.cc
+++ b/gateway/src/retry_charge.cc
@@ -15,16 +15,15 @@
   const base::Instant now = base::Now();
   core::RetryShare& share = beliefs.Retries(service);
   const std::optional<int64_t> parts = beliefs.sharers.Parts(now);
-  const core::RetryShare::Figures figures = share.At(parts, now);
+  const core::RetryShare::Figures left = share.Left(parts, now);
   const bool charged = share.TrySpend(parts, now);
   context.metrics.CountRetry(charged ? "charged" : "denied");
   context.journal.Write(base::LogLevel::kInfo,
                         charged ? "retry_charged" : "retry_denied",
                         {{"request", request.value},
                          {"service", service.value},
-                         {"retries", figures.retries},
-                         {"requests", figures.requests},
-                         {"allowed", figures.allowed},
+                         {"credit", left.credit},
+                         {"slack", left.slack},
                          {"gateways", parts.value_or(0)}});
   return charged;
 }
