Tell a gateway that has just started which requests crash backend servers

A request that had crashed backend servers could crash more of them at a gateway that had been killed and started again.

What a process knows of deaths is lost with it, and its peers told old deaths in each 40th round of words only: after 2 s with few gateways, 6.5 s with 26, later than a machine counts as in touch again.

Evidence: the test, in which a peer with a new boot id speaks, had no death told within 0.3 s before (0 == 2) and has both now.

Why it works: the gateways that tell newcomers the counts of usage tell them the newest 256 deaths at once, 16 in a datagram. Such a datagram names the loads as well, since one without says that its sender is idle. After a kill of all gateways nobody is left to tell: that remains.

--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -40,7 +40,8 @@
 // Older windows are sealed.
 constexpr int64_t kWindowsTold = 2;
 // So many gateways tell one that has just started what all have counted, also
-// those that are gone. It may be among them itself.
+// those that are gone, and of which requests backend servers died. It may be
+// among them itself.
 constexpr size_t kTellers = 3;
 // Accounts a datagram; keeps it within what links carry whole.
 constexpr size_t kAccountsPerDatagram = 60;
@@ -53,6 +54,8 @@
 constexpr std::chrono::seconds kNewDeath(2);
 constexpr int64_t kOldDeathRounds = 40;
 constexpr size_t kMaxDeaths = 16;
+// The newest deaths, told to a gateway that has just started.
+constexpr size_t kMaxDeathsOfNewcomer = 256;
 constexpr int kOk = 200;
 constexpr std::chrono::seconds kKeepTime(10);
 
@@ -66,6 +69,14 @@
       .count();
 }
 
+wire::gen::GossipDeath PrintDeath(const core::DeathMark& mark) {
+  wire::gen::GossipDeath told;
+  told.content_digest = mark.content_digest;
+  told.death_id = mark.death_id;
+  told.age_ms = static_cast<int32_t>(base::ToMilliseconds(mark.age));
+  return told;
+}
+
 // Whether `self` tells the gateway with this boot id what all have counted.
 // Processes that know the same live hosts agree on who does.
 bool IsTeller(const base::HostId& self,
@@ -255,6 +266,19 @@
   return gossip;
 }
 
+Gossip PeerGossip::WithLoads() const {
+  Gossip gossip = this->Base();
+  for (const auto& [id, load] : this->context.beliefs.load.own()) {
+    wire::gen::GossipLoad told;
+    told.backend_server = id.value;
+    told.requests = static_cast<int32_t>(load.requests);
+    told.unread_tokens = static_cast<int32_t>(load.unread_tokens);
+    told.kv_tokens = static_cast<int32_t>(load.kv_tokens);
+    gossip.loads.push_back(std::move(told));
+  }
+  return gossip;
+}
+
 void PeerGossip::Talk() {
   this->talk_timer.Start(this->Interval(), [this] { this->Talk(); });
   this->NoteSharers();
@@ -280,15 +304,7 @@
   this->news_due = false;
   this->loads_told = base::Now();
   this->told_loads = this->context.beliefs.load.own();
-  Gossip gossip = this->Base();
-  for (const auto& [id, load] : this->context.beliefs.load.own()) {
-    wire::gen::GossipLoad told;
-    told.backend_server = id.value;
-    told.requests = static_cast<int32_t>(load.requests);
-    told.unread_tokens = static_cast<int32_t>(load.unread_tokens);
-    told.kv_tokens = static_cast<int32_t>(load.kv_tokens);
-    gossip.loads.push_back(std::move(told));
-  }
+  Gossip gossip = this->WithLoads();
   std::vector<SentPrefix> prefixes =
       std::exchange(this->context.sent_prefixes, {});
   prefixes.resize(std::min(prefixes.size(), kMaxPrefixes));
@@ -314,15 +330,29 @@
       return;
     }
     if (old_ones || mark.age < kNewDeath) {
-      wire::gen::GossipDeath told;
-      told.content_digest = mark.content_digest;
-      told.death_id = mark.death_id;
-      told.age_ms = static_cast<int32_t>(base::ToMilliseconds(mark.age));
-      gossip.deaths.push_back(std::move(told));
+      gossip.deaths.push_back(PrintDeath(mark));
     }
   }
 }
 
+std::vector<Gossip> PeerGossip::DeathMessages() const {
+  std::vector<core::DeathMark> marks =
+      this->context.beliefs.suspects.Marks(base::Now());
+  std::sort(marks.begin(), marks.end(),
+            [](const core::DeathMark& left, const core::DeathMark& right) {
+              return left.age < right.age;
+            });
+  marks.resize(std::min(marks.size(), kMaxDeathsOfNewcomer));
+  std::vector<Gossip> messages;
+  for (const core::DeathMark& mark : marks) {
+    if (messages.empty() || messages.back().deaths.size() >= kMaxDeaths) {
+      messages.push_back(this->WithLoads());
+    }
+    messages.back().deaths.push_back(PrintDeath(mark));
+  }
+  return messages;
+}
+
 std::vector<Gossip> PeerGossip::WindowMessages(bool all_sources) const {
   const Beliefs& beliefs = this->context.beliefs;
   const int64_t present = beliefs.true_time.At(base::Now()) /
@@ -388,6 +418,9 @@
       for (const Gossip& windows : this->WindowMessages(true)) {
         this->datagrams->Send(PrintGossip(windows), sender);
       }
+      for (const Gossip& deaths : this->DeathMessages()) {
+        this->datagrams->Send(PrintGossip(deaths), sender);
+      }
     }
   }
   if (was_silent) {
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -61,7 +61,11 @@
   void Send(const wire::gen::Gossip& gossip);
   void SetWatchWaits();
   void AddDeaths(wire::gen::Gossip& gossip) const;
+  std::vector<wire::gen::Gossip> DeathMessages() const;
   wire::gen::Gossip Base() const;
+  // A word with all that this gateway has under way; one without loads would
+  // say that it is idle.
+  wire::gen::Gossip WithLoads() const;
   std::vector<wire::gen::Gossip> WindowMessages(bool all_sources) const;
   void OnDatagram(const std::string& data, const base::Address& sender);
   void TakeLoads(const wire::gen::Gossip& gossip, base::Instant now);
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -20,6 +20,8 @@
 // A tenth of the slowest link of the users' gateways, 10 Mbit/s.
 constexpr int64_t kMostBytesPerSecond = 125000;
 constexpr std::chrono::seconds kLength(4);
+// A few rounds of words.
+constexpr base::Milliseconds kSoon(300);
 
 GatewaySettings Settings() {
   GatewaySettings settings;
@@ -100,14 +102,42 @@
   StoreFeed feed(gateway.context, objects);
   PeerGossip gossip(gateway.context, objects, feed);
   StartAtFreePort(gossip, gateway.beliefs.settings.listen.peers.port);
-  gateway.RunFor(base::Milliseconds(300));
+  gateway.RunFor(kSoon);
   net::Datagrams peer(loop, {"127.0.0.1", 0}, [](const auto&, const auto&) {});
   wire::gen::Gossip hello;
   hello.host = "peer";
   hello.boot = "first";
   peer.Send(PrintGossip(hello), gateway.beliefs.settings.listen.peers);
-  gateway.RunFor(base::Milliseconds(300));
+  gateway.RunFor(kSoon);
   CHECK(gateway.beliefs.sharers.known() == 2);
 }
 
+// A request that crashed backend servers comes again at a gateway that has been
+// killed meanwhile.
+TEST_CASE(
+    "a gateway that starts again soon refuses what others know to crash") {
+  TestGateway gateway(Settings());
+  net::EventLoop& loop = gateway.loop;
+  core::Suspects& suspects = gateway.beliefs.suspects;
+  const base::Instant long_ago = base::Now() - std::chrono::seconds(60);
+  suspects.NoteDeath("content", "first", long_ago);
+  suspects.NoteDeath("content", "second", long_ago);
+  platform::ObjectClient objects(loop, {"127.0.0.1", 1},
+                                 base::Milliseconds(100));
+  StoreFeed feed(gateway.context, objects);
+  PeerGossip gossip(gateway.context, objects, feed);
+  StartAtFreePort(gossip, gateway.beliefs.settings.listen.peers.port);
+  size_t told = 0;
+  net::Datagrams peer(loop, {"127.0.0.1", 0},
+                      [&](const std::string& data, const base::Address&) {
+                        told += ParseGossip(data)->deaths.size();
+                      });
+  wire::gen::Gossip hello;
+  hello.host = "peer";
+  hello.boot = "second";
+  peer.Send(PrintGossip(hello), gateway.beliefs.settings.listen.peers);
+  gateway.RunFor(kSoon);
+  CHECK(told == 2);
+}
+
 }  // namespace carawayvalve::gateway
