Let bounds that are read again take effect

After SIGHUP a gateway said that it had taken over the bounds of its settings and went on with the old ones: how long a withdrawn key may be accepted and the ratio, slack and window of retries had been copied when the process started. Found by looking for other copies of the retry budget's figures.

The test failed for both (keys accepted after the new bound; 7 retries left where 3 are) with the plain assignment that stood there. Now the bounds go to those that hold copies; what was spent stays spent.

--- a/core/include/carawayvalve/core/freshness.h
+++ b/core/include/carawayvalve/core/freshness.h
@@ -19,6 +19,8 @@
   Freshness(base::Duration limit, base::Duration margin)
       : limit(limit), margin(margin) {}
 
+  void SetLimit(base::Duration changed) { this->limit = changed; }
+
   // The store answered a question that was sent at `asked`, and all that it
   // said is in force here.
   void NoteStore(base::Instant asked);
--- a/core/include/carawayvalve/core/retry_share.h
+++ b/core/include/carawayvalve/core/retry_share.h
@@ -38,6 +38,9 @@
 
   explicit RetryShare(const Settings& settings) : settings(settings) {}
 
+  // What was spent stays spent.
+  void SetSettings(const Settings& changed) { this->settings = changed; }
+
   // Counts a request of a caller.
   void NoteRequest(base::Instant now);
 
--- a/gateway/src/beliefs.cc
+++ b/gateway/src/beliefs.cc
@@ -24,6 +24,10 @@
   return placement;
 }
 
+core::RetryShare::Settings ToRetryShare(const GatewaySettings::Bounds& bounds) {
+  return {bounds.retry_ratio, bounds.retry_slack, bounds.retry_window};
+}
+
 }  // namespace
 
 Beliefs::Beliefs(const GatewaySettings& settings)
@@ -40,11 +44,7 @@
               base::Now()) {}
 
 core::RetryShare& Beliefs::Retries(const base::ServiceId& service) {
-  const GatewaySettings::Bounds& bounds = this->settings.bounds;
-  return this->retries
-      .try_emplace(service, core::RetryShare::Settings{bounds.retry_ratio,
-                                                       bounds.retry_slack,
-                                                       bounds.retry_window})
+  return this->retries.try_emplace(service, ToRetryShare(this->settings.bounds))
       .first->second;
 }
 
@@ -57,6 +57,14 @@
   }
 }
 
+void Beliefs::TakeBounds(const GatewaySettings::Bounds& bounds) {
+  this->settings.bounds = bounds;
+  this->freshness.SetLimit(bounds.key_withdrawal);
+  for (auto& [service, share] : this->retries) {
+    share.SetSettings(ToRetryShare(bounds));
+  }
+}
+
 bool Beliefs::TakePlan(const config::ServingPlan& plan) {
   if (this->table != nullptr && plan.version <= this->table->version()) {
     return false;
--- a/gateway/src/beliefs.h
+++ b/gateway/src/beliefs.h
@@ -34,6 +34,8 @@
   // A backend server is down, or has started anew: what it was running may be
   // what it died of.
   void NoteDeath(const base::BackendServerId& id, base::Instant now);
+  // Takes bounds over that have changed while the process runs.
+  void TakeBounds(const GatewaySettings::Bounds& bounds);
   // Puts a plan in force unless a newer one is. Returns whether it did.
   bool TakePlan(const config::ServingPlan& plan);
 
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -209,7 +209,7 @@
     const GatewaySettings changed =
         ReadGatewaySettingsFile(this->settings_path);
     this->journal.SetLevel(changed.log.level);
-    this->beliefs.settings.bounds = changed.bounds;
+    this->beliefs.TakeBounds(changed.bounds);
     this->journal.Write(base::LogLevel::kInfo, "reloaded",
                         {{"stop_ms", changed.bounds.stop.count()},
                          {"retry_slack", changed.bounds.retry_slack}});
--- /dev/null
+++ b/gateway/tests/beliefs_test.cc
@@ -0,0 +1,33 @@
+#include "beliefs.h"
+
+#include <doctest/doctest.h>
+
+namespace carawayvalve::gateway {
+
+using std::chrono::seconds;
+
+TEST_CASE("settings are read again while a gateway runs") {
+  GatewaySettings settings;
+  settings.bounds.key_withdrawal = seconds(5);
+  settings.bounds.retry_ratio = 0;
+  settings.bounds.retry_slack = 10;
+  Beliefs beliefs(settings);
+  const base::Instant now = base::Now();
+  beliefs.freshness.NoteStore(now - seconds(4));
+  REQUIRE(beliefs.Retries({"desk"}).Left(1, now).slack == 8);
+  REQUIRE(beliefs.Retries({"desk"}).TrySpend(1, now));
+
+  GatewaySettings::Bounds changed = settings.bounds;
+  changed.key_withdrawal = seconds(3);
+  changed.retry_slack = 5;
+  beliefs.TakeBounds(changed);
+
+  SUBCASE("keys are refused after the new time of a withdrawal") {
+    CHECK_FALSE(beliefs.freshness.MayAcceptKeys(now));
+  }
+  SUBCASE("retries keep to the new slack, less what was spent of the old one") {
+    CHECK(beliefs.Retries({"desk"}).Left(1, now).slack == 3);
+  }
+}
+
+}  // namespace carawayvalve::gateway
