Divide an account's limit by the entry processes that there are

With n entry processes a client account could have up to n times its max_requests_in_flight under way.

The host list, which names them, was there.

Evidence: read in the code (SetLimits(..., 1), the only caller); the new test needs the changed interface and was not run against the old code.

Why it works: the host list's number is kept beside the accounts, and each change of either sets the parts anew, so that the order in which they come doesn't matter.

--- a/entry/src/gatekeeper.cc
+++ b/entry/src/gatekeeper.cc
@@ -102,7 +102,7 @@
     const std::lock_guard lock(this->mutex);
     this->present = next;
   }
-  this->control.SetLimits(next->configuration->declaration.client_accounts, 1);
+  this->control.SetAccounts(next->configuration->declaration.client_accounts);
   this->dispatcher.SetAgentConfiguration(
       AgentConfigurationOf(*next->configuration));
   this->dispatcher.Withdraw([&](const AdmittedRequest& request) {
--- a/entry/src/peer_watch.cc
+++ b/entry/src/peer_watch.cc
@@ -136,6 +136,7 @@
   this->followers = std::move(kept);
   this->other_hosts =
       addresses.size() - (addresses.contains(this->settings.host) ? 1 : 0);
+  this->control.SetProcesses(static_cast<int64_t>(this->other_hosts) + 1);
 }
 
 bool PeerWatch::IsGone(const base::BootId& boot) const {
--- a/entry/src/traffic_control.cc
+++ b/entry/src/traffic_control.cc
@@ -8,11 +8,17 @@
       suspects(core::Suspects::Settings()),
       generator(base::StableHash(entry.value)) {}
 
-void TrafficControl::SetLimits(
-    const std::vector<config::ClientAccount>& accounts,
-    int64_t processes) {
+void TrafficControl::SetAccounts(
+    const std::vector<config::ClientAccount>& changed) {
   const std::lock_guard lock(this->mutex);
-  this->admission.SetLimits(accounts, processes);
+  this->accounts = changed;
+  this->admission.SetLimits(this->accounts, this->processes);
+}
+
+void TrafficControl::SetProcesses(int64_t count) {
+  const std::lock_guard lock(this->mutex);
+  this->processes = count;
+  this->admission.SetLimits(this->accounts, this->processes);
 }
 
 core::AdmissionResult TrafficControl::Admit(
--- a/entry/src/traffic_control.h
+++ b/entry/src/traffic_control.h
@@ -22,8 +22,10 @@
  public:
   explicit TrafficControl(const base::BootId& entry);
 
-  void SetLimits(const std::vector<config::ClientAccount>& accounts,
-                 int64_t processes);
+  // Takes the accounts' limits from a configuration.
+  void SetAccounts(const std::vector<config::ClientAccount>& accounts);
+  // How many entry processes share these limits, this one included.
+  void SetProcesses(int64_t count);
   core::AdmissionResult Admit(const base::ClientAccountId& account,
                               base::Duration expected_wait,
                               base::Instant deadline);
@@ -44,6 +46,8 @@
  private:
   mutable std::mutex mutex;
   core::Admission admission;
+  std::vector<config::ClientAccount> accounts;
+  int64_t processes = 1;
   core::RetryBudget retries;
   core::Suspects suspects;
   std::mt19937_64 generator;
--- /dev/null
+++ b/entry/tests/traffic_control_test.cc
@@ -0,0 +1,33 @@
+#include "traffic_control.h"
+
+#include <doctest/doctest.h>
+
+namespace carawayvalve::entry {
+
+TEST_CASE("entry processes together hold an account to its limit") {
+  const base::ClientAccountId guild{"guild"};
+  TrafficControl control({"boot"});
+  const auto admits = [&] {
+    const auto result =
+        control.Admit(guild, {}, base::Now() + std::chrono::seconds(1));
+    return std::holds_alternative<core::Admitted>(result);
+  };
+  control.SetAccounts({{.name = guild, .max_requests_in_flight = 3}});
+  control.SetProcesses(6);
+  REQUIRE(admits());
+  CHECK_FALSE(admits());
+
+  SUBCASE("also after a new configuration") {
+    control.SetAccounts({{.name = guild, .max_requests_in_flight = 6}});
+    CHECK(admits());
+    CHECK_FALSE(admits());
+  }
+  SUBCASE("and again alone when the others are gone") {
+    control.SetProcesses(1);
+    CHECK(admits());
+    CHECK(admits());
+    CHECK_FALSE(admits());
+  }
+}
+
+}  // namespace carawayvalve::entry
