--- a/gateway/src/duty_holder.cc
+++ b/gateway/src/duty_holder.cc
@@ -228,6 +228,12 @@
     return;
   }
   const Beliefs& beliefs = this->context.beliefs;
+  // Written before the answer: a process that is killed leaves no other trace.
+  this->context.journal.Write(
+      base::LogLevel::kInfo, "usage_report_sent",
+      {{"window", action.window},
+       {"epoch", grant->epoch},
+       {"lease_left_ms", base::ToMilliseconds(grant->valid_until - now)}});
   this->report_calls[action.window] = TimedCall::Start(
       this->context.loop, this->cloud, beliefs.settings.duties.address,
       platform::EncodeUsageReport({beliefs.settings.host, grant->epoch},
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -532,6 +532,8 @@
   } else {
     this->reports.push_back(
         {std::stoll(*epoch), *holder, exchange->request().body});
+    this->Note("report of " + *holder + " with epoch " + *epoch + ": " +
+               exchange->request().body);
   }
   exchange->Respond({{200, {}}, "{}"});
 }
