Leave reports that a healed link delivers out of the order of epochs

The platform's rule says that calls which arrive within 300 ms after their sender's link healed don't count, so the case is allowed, and no process can take back what it sent before it was killed. The check leaves just these reports out of the order of epochs; they still count for a window's figures and for the holder of an epoch. Reports of processes that were paused are counted as before.

Ruled out: a report sent after the lease (its log has what was left), one of the new process of the same name (its epoch would be higher).

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -66,6 +66,8 @@
     std::unique_ptr<net::Call> question;
     std::unique_ptr<Link> store_link;
     std::unique_ptr<Link> usage_link;
+    // When that link was opened again.
+    base::Instant usage_healed;
     bool stopping = false;
     base::Instant stop_asked;
     // The end of the last pause.
@@ -83,6 +85,8 @@
     int64_t epoch = 0;
     std::string holder;
     std::string body;
+    // It may have waited in a link that has just been opened.
+    bool held_up = false;
   };
   using Step = void (Soak::*)();
 
