Answer calls that free a read prompt in the stand-in backend server

Trace: 264 requests were read, declined by the engine that was to run them, and refused; each time the gateway frees the prompt at its reader, and the stand-in took that call for an arrival of a request without an id, of which all but the first counted as retries.

--- a/tests/platform/backend.cc
+++ b/tests/platform/backend.cc
@@ -49,6 +49,10 @@
     exchange->Respond({{200, {}}, R"({"seq":0,"busy":false})"});
     return true;
   }
+  if (target.starts_with("/api/kv-handle/")) {
+    exchange->Respond({{200, {}}, ""});
+    return true;
+  }
   if (target == "/api/order") {
     exchange->Respond({{202, {}}, ""});
     return true;
