Tell all gateways which engines were ordered to change their roles

Cause: an engine that changes its role declines what has not begun, for three to four seconds. Only the gateway that ordered it knows, and not even that one avoided it; each of 26 or 29 gateways found out by two declined requests of its own, and streams that may not be tried twice were refused.

Why it works: the holder notes the engine as away and tells the peers with each word until the registry names the new role.

The new field of the gossip is optional, so that gateways of both versions can run side by side.

--- a/core/include/carawayvalve/core/backend_health.h
+++ b/core/include/carawayvalve/core/backend_health.h
@@ -42,6 +42,11 @@
   void NoteFailure(const base::BackendServerId& id, base::Instant now);
   // It couldn't be connected to: it is down or cut off.
   void NoteUnreachable(const base::BackendServerId& id, base::Instant now);
+  // It was ordered to change its role and declines what has not begun until
+  // that is done, which is expected before `until`.
+  void NoteAway(const base::BackendServerId& id, base::Instant until);
+  // It has another role now.
+  void NoteBack(const base::BackendServerId& id);
   // It was started anew.
   void Forget(const base::BackendServerId& id);
 
@@ -61,6 +66,7 @@
     double failures = 0;
     int64_t in_a_row = 0;
     base::Instant paused_until;
+    base::Instant away_until;
     base::Instant noted;
   };
 
--- a/core/src/backend_health.cc
+++ b/core/src/backend_health.cc
@@ -74,6 +74,18 @@
   this->Pause(record, now);
 }
 
+void BackendHealth::NoteAway(const base::BackendServerId& id,
+                             base::Instant until) {
+  this->records[id].away_until = until;
+}
+
+void BackendHealth::NoteBack(const base::BackendServerId& id) {
+  const auto found = this->records.find(id);
+  if (found != this->records.end()) {
+    found->second.away_until = {};
+  }
+}
+
 void BackendHealth::Forget(const base::BackendServerId& id) {
   this->records.erase(id);
 }
@@ -86,6 +98,9 @@
     return true;
   }
   const Record& record = found->second;
+  if (now < record.away_until) {
+    return false;
+  }
   const bool on_trial = record.in_a_row >= this->settings.failures_in_a_row;
   return now >= record.paused_until && (!on_trial || under_way == 0);
 }
--- a/core/tests/backend_health_test.cc
+++ b/core/tests/backend_health_test.cc
@@ -72,4 +72,26 @@
   }
 }
 
+// In a grown fleet each gateway sent requests to an engine that another one had
+// ordered to change its role, until two of its own had been declined.
+TEST_CASE("an engine that changes its role gets no requests meanwhile") {
+  BackendHealth health(BackendHealth::Settings{});
+  const base::BackendServerId engine{"engine"};
+  const base::Instant now = base::Instant() + std::chrono::seconds(100);
+  health.NoteAway(engine, now + std::chrono::seconds(4));
+  CHECK_FALSE(health.Usable(engine, 0, now));
+
+  SUBCASE("though what it had begun before is answered") {
+    health.NoteAnswer(engine, {}, {}, now);
+    CHECK_FALSE(health.Usable(engine, 0, now));
+  }
+  SUBCASE("and gets them again when it has the role") {
+    health.NoteBack(engine);
+    CHECK(health.Usable(engine, 0, now));
+  }
+  SUBCASE("or when that took too long") {
+    CHECK(health.Usable(engine, 0, now + std::chrono::seconds(4)));
+  }
+}
+
 }  // namespace carawayvalve::core
--- a/gateway/src/beliefs.h
+++ b/gateway/src/beliefs.h
@@ -54,6 +54,9 @@
   core::CrashEvidence crashes;
   core::WindowCounts usage;
   core::TrueTime true_time;
+  // Engines that this gateway has ordered to change their roles, and until when
+  // they are expected to decline requests.
+  std::map<base::BackendServerId, base::Instant> changing_roles;
   // The gateways, which share the slack of the retry budget.
   core::RetrySharers sharers;
   bool stopping = false;
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -276,18 +276,32 @@
     told.kv_tokens = static_cast<int32_t>(load.kv_tokens);
     gossip.loads.push_back(std::move(told));
   }
+  const base::Instant now = base::Now();
+  for (const auto& [id, until] : this->context.beliefs.changing_roles) {
+    if (until > now) {
+      wire::gen::GossipAbsence told;
+      told.backend_server = id.value;
+      told.left_ms = static_cast<int32_t>(base::ToMilliseconds(until - now));
+      gossip.absences.push_back(std::move(told));
+    }
+  }
+  gossip.__isset.absences = !gossip.absences.empty();
   return gossip;
 }
 
 void PeerGossip::Talk() {
   this->talk_timer.Start(this->Interval(), [this] { this->Talk(); });
   this->NoteSharers();
+  std::erase_if(
+      this->context.beliefs.changing_roles,
+      [now = base::Now()](const auto& change) { return change.second <= now; });
   ++this->rounds;
   if (this->rounds % kQuietRounds == 0) {
     this->SetWatchWaits();
   }
   const bool news = this->told_loads != this->context.beliefs.load.own() ||
-                    !this->context.sent_prefixes.empty();
+                    !this->context.sent_prefixes.empty() ||
+                    !this->context.beliefs.changing_roles.empty();
   if (news || this->rounds % kQuietRounds == 0) {
     this->TellLoads();
   }
@@ -466,6 +480,10 @@
       beliefs.homes.NoteUse({told.backend_server}, keys);
     }
   }
+  for (const wire::gen::GossipAbsence& told : gossip.absences) {
+    beliefs.health.NoteAway({told.backend_server},
+                            now + base::Milliseconds(told.left_ms));
+  }
   std::vector<core::DeathMark> deaths;
   for (const wire::gen::GossipDeath& told : gossip.deaths) {
     deaths.push_back(
--- a/gateway/src/role_keeper.cc
+++ b/gateway/src/role_keeper.cc
@@ -13,6 +13,11 @@
 constexpr base::Milliseconds kOrderTimeout(800);
 // Engines that start together register within this time of one another.
 constexpr base::Milliseconds kSettleTime(1200);
+// An engine that changes its role declines what has not begun meanwhile. The
+// change takes three seconds (the platform's sheets) after its runs have ended;
+// the registry says when it is over.
+constexpr std::chrono::seconds kChangeTime(6);
+constexpr int kAccepted = 202;
 // Connections to engines for orders are hardly used twice.
 constexpr std::chrono::seconds kKeepTime(1);
 
@@ -130,6 +135,12 @@
 
 void RoleKeeper::OnOrdered(const core::RoleChange& change,
                            const TimedCall::Result& result) {
+  if (result.status == kAccepted) {
+    Beliefs& beliefs = this->context.beliefs;
+    const base::Instant until = base::Now() + kChangeTime;
+    beliefs.health.NoteAway(change.backend_server, until);
+    beliefs.changing_roles[change.backend_server] = until;
+  }
   this->context.journal.Write(
       base::LogLevel::kInfo, "role_ordered",
       {{"backend", change.backend_server.value},
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -268,6 +268,10 @@
     beliefs.homes.Forget(entry->id);
     beliefs.health.Forget(entry->id);
   }
+  if (known != nullptr && known->role != entry->role) {
+    beliefs.health.NoteBack(entry->id);
+    beliefs.changing_roles.erase(entry->id);
+  }
   beliefs.directory.NoteEntry(*entry);
   if (changed || restarted) {
     this->context.journal.Write(
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -140,4 +140,37 @@
   CHECK(told == 2);
 }
 
+TEST_CASE("gateways avoid an engine that another one has ordered away") {
+  TestGateway gateway(Settings());
+  net::EventLoop& loop = gateway.loop;
+  platform::ObjectClient objects(loop, {"127.0.0.1", 1},
+                                 base::Milliseconds(100));
+  StoreFeed feed(gateway.context, objects);
+  PeerGossip gossip(gateway.context, objects, feed);
+  StartAtFreePort(gossip, gateway.beliefs.settings.listen.peers.port);
+  int64_t told_ms = 0;
+  net::Datagrams peer(loop, {"127.0.0.1", 0},
+                      [&](const std::string& data, const base::Address&) {
+                        const auto word = ParseGossip(data);
+                        if (!word->absences.empty()) {
+                          told_ms = word->absences.front().left_ms;
+                        }
+                      });
+  wire::gen::Gossip hello;
+  hello.host = "peer";
+  hello.boot = "first";
+  wire::gen::GossipAbsence absence;
+  absence.backend_server = "ordered-there";
+  absence.left_ms = 4000;
+  hello.__set_absences({absence});
+  peer.Send(PrintGossip(hello), gateway.beliefs.settings.listen.peers);
+  gateway.beliefs.changing_roles[{"ordered-here"}] =
+      base::Now() + std::chrono::seconds(4);
+  gateway.RunFor(kSoon);
+
+  CHECK_FALSE(gateway.beliefs.health.Usable({"ordered-there"}, 0, base::Now()));
+  CHECK(told_ms > 0);
+  CHECK(told_ms <= 4000);
+}
+
 }  // namespace carawayvalve::gateway
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -724,6 +724,130 @@
 }
 
 
+GossipAbsence::~GossipAbsence() noexcept {
+}
+
+
+void GossipAbsence::__set_backend_server(const std::string& val) {
+  this->backend_server = val;
+}
+
+void GossipAbsence::__set_left_ms(const int32_t val) {
+  this->left_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipAbsence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipAbsence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_backend_server = false;
+  bool isset_left_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend_server);
+          isset_backend_server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->left_ms);
+          isset_left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_backend_server)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_left_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipAbsence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipAbsence");
+
+  xfer += oprot->writeFieldBegin("backend_server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->backend_server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipAbsence &a, GossipAbsence &b) {
+  using ::std::swap;
+  swap(a.backend_server, b.backend_server);
+  swap(a.left_ms, b.left_ms);
+}
+
+GossipAbsence::GossipAbsence(const GossipAbsence& other36) {
+  backend_server = other36.backend_server;
+  left_ms = other36.left_ms;
+}
+GossipAbsence::GossipAbsence(GossipAbsence&& other37) noexcept {
+  backend_server = std::move(other37.backend_server);
+  left_ms = other37.left_ms;
+}
+GossipAbsence& GossipAbsence::operator=(const GossipAbsence& other38) {
+  backend_server = other38.backend_server;
+  left_ms = other38.left_ms;
+  return *this;
+}
+GossipAbsence& GossipAbsence::operator=(GossipAbsence&& other39) noexcept {
+  backend_server = std::move(other39.backend_server);
+  left_ms = other39.left_ms;
+  return *this;
+}
+void GossipAbsence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipAbsence(";
+  out << "backend_server=" << to_string(backend_server);
+  out << ", " << "left_ms=" << to_string(left_ms);
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -779,6 +903,11 @@
 void Gossip::__set_registry_revision(const int64_t val) {
   this->registry_revision = val;
 }
+
+void Gossip::__set_absences(const std::vector<GossipAbsence> & val) {
+  this->absences = val;
+__isset.absences = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -880,14 +1009,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->loads.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->loads.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
             {
-              xfer += this->loads[_i40].read(iprot);
+              xfer += this->loads[_i44].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -900,14 +1029,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->prefixes.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->prefixes.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
             {
-              xfer += this->prefixes[_i45].read(iprot);
+              xfer += this->prefixes[_i49].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -920,14 +1049,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->windows.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->windows.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->windows.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
             {
-              xfer += this->windows[_i50].read(iprot);
+              xfer += this->windows[_i54].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -940,14 +1069,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->deaths.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size55;
+            ::apache::thrift::protocol::TType _etype58;
+            xfer += iprot->readListBegin(_etype58, _size55);
+            this->deaths.resize(_size55);
+            uint32_t _i59;
+            for (_i59 = 0; _i59 < _size55; ++_i59)
             {
-              xfer += this->deaths[_i55].read(iprot);
+              xfer += this->deaths[_i59].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -972,6 +1101,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->absences.clear();
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->absences.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
+            {
+              xfer += this->absences[_i64].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.absences = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1046,10 +1195,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GossipLoad> ::const_iterator _iter56;
-    for (_iter56 = this->loads.begin(); _iter56 != this->loads.end(); ++_iter56)
+    std::vector<GossipLoad> ::const_iterator _iter65;
+    for (_iter65 = this->loads.begin(); _iter65 != this->loads.end(); ++_iter65)
     {
-      xfer += (*_iter56).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1058,10 +1207,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<GossipPrefix> ::const_iterator _iter57;
-    for (_iter57 = this->prefixes.begin(); _iter57 != this->prefixes.end(); ++_iter57)
+    std::vector<GossipPrefix> ::const_iterator _iter66;
+    for (_iter66 = this->prefixes.begin(); _iter66 != this->prefixes.end(); ++_iter66)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter66).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1070,10 +1219,10 @@
   xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->windows.size()));
-    std::vector<GossipWindow> ::const_iterator _iter58;
-    for (_iter58 = this->windows.begin(); _iter58 != this->windows.end(); ++_iter58)
+    std::vector<GossipWindow> ::const_iterator _iter67;
+    for (_iter67 = this->windows.begin(); _iter67 != this->windows.end(); ++_iter67)
     {
-      xfer += (*_iter58).write(oprot);
+      xfer += (*_iter67).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1082,10 +1231,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<GossipDeath> ::const_iterator _iter59;
-    for (_iter59 = this->deaths.begin(); _iter59 != this->deaths.end(); ++_iter59)
+    std::vector<GossipDeath> ::const_iterator _iter68;
+    for (_iter68 = this->deaths.begin(); _iter68 != this->deaths.end(); ++_iter68)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter68).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1099,6 +1248,19 @@
   xfer += oprot->writeI64(this->registry_revision);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.absences) {
+    xfer += oprot->writeFieldBegin("absences", ::apache::thrift::protocol::T_LIST, 14);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->absences.size()));
+      std::vector<GossipAbsence> ::const_iterator _iter69;
+      for (_iter69 = this->absences.begin(); _iter69 != this->absences.end(); ++_iter69)
+      {
+        xfer += (*_iter69).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1119,68 +1281,78 @@
   swap(a.deaths, b.deaths);
   swap(a.leaving, b.leaving);
   swap(a.registry_revision, b.registry_revision);
-}
-
-Gossip::Gossip(const Gossip& other60) {
-  host = other60.host;
-  boot = other60.boot;
-  stamp = other60.stamp;
-  echo = other60.echo;
-  unix_ms = other60.unix_ms;
-  plan_version = other60.plan_version;
-  proof_age_ms = other60.proof_age_ms;
-  loads = other60.loads;
-  prefixes = other60.prefixes;
-  windows = other60.windows;
-  deaths = other60.deaths;
-  leaving = other60.leaving;
-  registry_revision = other60.registry_revision;
-}
-Gossip::Gossip(Gossip&& other61) noexcept {
-  host = std::move(other61.host);
-  boot = std::move(other61.boot);
-  stamp = other61.stamp;
-  echo = other61.echo;
-  unix_ms = other61.unix_ms;
-  plan_version = other61.plan_version;
-  proof_age_ms = other61.proof_age_ms;
-  loads = std::move(other61.loads);
-  prefixes = std::move(other61.prefixes);
-  windows = std::move(other61.windows);
-  deaths = std::move(other61.deaths);
-  leaving = other61.leaving;
-  registry_revision = other61.registry_revision;
-}
-Gossip& Gossip::operator=(const Gossip& other62) {
-  host = other62.host;
-  boot = other62.boot;
-  stamp = other62.stamp;
-  echo = other62.echo;
-  unix_ms = other62.unix_ms;
-  plan_version = other62.plan_version;
-  proof_age_ms = other62.proof_age_ms;
-  loads = other62.loads;
-  prefixes = other62.prefixes;
-  windows = other62.windows;
-  deaths = other62.deaths;
-  leaving = other62.leaving;
-  registry_revision = other62.registry_revision;
+  swap(a.absences, b.absences);
+  swap(a.__isset, b.__isset);
+}
+
+Gossip::Gossip(const Gossip& other70) {
+  host = other70.host;
+  boot = other70.boot;
+  stamp = other70.stamp;
+  echo = other70.echo;
+  unix_ms = other70.unix_ms;
+  plan_version = other70.plan_version;
+  proof_age_ms = other70.proof_age_ms;
+  loads = other70.loads;
+  prefixes = other70.prefixes;
+  windows = other70.windows;
+  deaths = other70.deaths;
+  leaving = other70.leaving;
+  registry_revision = other70.registry_revision;
+  absences = other70.absences;
+  __isset = other70.__isset;
+}
+Gossip::Gossip(Gossip&& other71) noexcept {
+  host = std::move(other71.host);
+  boot = std::move(other71.boot);
+  stamp = other71.stamp;
+  echo = other71.echo;
+  unix_ms = other71.unix_ms;
+  plan_version = other71.plan_version;
+  proof_age_ms = other71.proof_age_ms;
+  loads = std::move(other71.loads);
+  prefixes = std::move(other71.prefixes);
+  windows = std::move(other71.windows);
+  deaths = std::move(other71.deaths);
+  leaving = other71.leaving;
+  registry_revision = other71.registry_revision;
+  absences = std::move(other71.absences);
+  __isset = other71.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other72) {
+  host = other72.host;
+  boot = other72.boot;
+  stamp = other72.stamp;
+  echo = other72.echo;
+  unix_ms = other72.unix_ms;
+  plan_version = other72.plan_version;
+  proof_age_ms = other72.proof_age_ms;
+  loads = other72.loads;
+  prefixes = other72.prefixes;
+  windows = other72.windows;
+  deaths = other72.deaths;
+  leaving = other72.leaving;
+  registry_revision = other72.registry_revision;
+  absences = other72.absences;
+  __isset = other72.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other63) noexcept {
-  host = std::move(other63.host);
-  boot = std::move(other63.boot);
-  stamp = other63.stamp;
-  echo = other63.echo;
-  unix_ms = other63.unix_ms;
-  plan_version = other63.plan_version;
-  proof_age_ms = other63.proof_age_ms;
-  loads = std::move(other63.loads);
-  prefixes = std::move(other63.prefixes);
-  windows = std::move(other63.windows);
-  deaths = std::move(other63.deaths);
-  leaving = other63.leaving;
-  registry_revision = other63.registry_revision;
+Gossip& Gossip::operator=(Gossip&& other73) noexcept {
+  host = std::move(other73.host);
+  boot = std::move(other73.boot);
+  stamp = other73.stamp;
+  echo = other73.echo;
+  unix_ms = other73.unix_ms;
+  plan_version = other73.plan_version;
+  proof_age_ms = other73.proof_age_ms;
+  loads = std::move(other73.loads);
+  prefixes = std::move(other73.prefixes);
+  windows = std::move(other73.windows);
+  deaths = std::move(other73.deaths);
+  leaving = other73.leaving;
+  registry_revision = other73.registry_revision;
+  absences = std::move(other73.absences);
+  __isset = other73.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -1199,6 +1371,7 @@
   out << ", " << "deaths=" << to_string(deaths);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "registry_revision=" << to_string(registry_revision);
+  out << ", " << "absences="; (__isset.absences ? (out << to_string(absences)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -29,6 +29,8 @@
 
 class GossipDeath;
 
+class GossipAbsence;
+
 class Gossip;
 
 
@@ -245,6 +247,55 @@
 std::ostream& operator<<(std::ostream& out, const GossipDeath& obj);
 
 
+class GossipAbsence : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipAbsence(const GossipAbsence&);
+  GossipAbsence(GossipAbsence&&) noexcept;
+  GossipAbsence& operator=(const GossipAbsence&);
+  GossipAbsence& operator=(GossipAbsence&&) noexcept;
+  GossipAbsence() noexcept
+                : backend_server(),
+                  left_ms(0) {
+  }
+
+  virtual ~GossipAbsence() noexcept;
+  std::string backend_server;
+  int32_t left_ms;
+
+  void __set_backend_server(const std::string& val);
+
+  void __set_left_ms(const int32_t val);
+
+  bool operator == (const GossipAbsence & rhs) const
+  {
+    if (!(backend_server == rhs.backend_server))
+      return false;
+    if (!(left_ms == rhs.left_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipAbsence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipAbsence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipAbsence &a, GossipAbsence &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipAbsence& obj);
+
+typedef struct _Gossip__isset {
+  _Gossip__isset() : absences(false) {}
+  bool absences :1;
+} _Gossip__isset;
+
 class Gossip : public virtual ::apache::thrift::TBase {
  public:
 
@@ -278,6 +329,9 @@
   std::vector<GossipDeath>  deaths;
   bool leaving;
   int64_t registry_revision;
+  std::vector<GossipAbsence>  absences;
+
+  _Gossip__isset __isset;
 
   void __set_host(const std::string& val);
 
@@ -305,6 +359,8 @@
 
   void __set_registry_revision(const int64_t val);
 
+  void __set_absences(const std::vector<GossipAbsence> & val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -333,6 +389,10 @@
       return false;
     if (!(registry_revision == rhs.registry_revision))
       return false;
+    if (__isset.absences != rhs.__isset.absences)
+      return false;
+    else if (__isset.absences && !(absences == rhs.absences))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -35,6 +35,13 @@
   3: required i32 age_ms,
 }
 
+// An engine that the sender has ordered to change its role.
+struct GossipAbsence {
+  1: required string backend_server,
+  // How much longer it is expected to decline requests.
+  2: required i32 left_ms,
+}
+
 struct Gossip {
   1: required string host,
   2: required string boot,
@@ -56,4 +63,5 @@
   12: required bool leaving,
   // The store's revision up to which the sender knows the backend servers.
   13: required i64 registry_revision,
+  14: optional list<GossipAbsence> absences,
 }
