--- /dev/null
+++ b/gateway/src/host_registry.cc
@@ -0,0 +1,118 @@
+#include "host_registry.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+namespace carawayvalve::gateway {
+
+namespace {
+
+// The kind of the objects in which gateways say where they are.
+constexpr char kHostKind[] = "carawayvalve-hosts";
+// Peers are listed again, for those that started while this one was cut off;
+// newcomers rely on it.
+const base::Duration kListInterval =
+    core::RetrySharers::Settings().list_interval;
+constexpr base::Milliseconds kRetryInterval(700);
+
+}  // namespace
+
+HostRegistry::HostRegistry(Context& context,
+                           platform::ObjectClient& objects,
+                           OnHost on_host)
+    : context(context),
+      objects(objects),
+      on_host(std::move(on_host)),
+      list_timer(context.loop),
+      register_timer(context.loop) {}
+
+void HostRegistry::Start() {
+  this->Register();
+  this->List("");
+}
+
+void HostRegistry::Register() {
+  const Beliefs& beliefs = this->context.beliefs;
+  const base::Address& address = beliefs.settings.listen.peers;
+  const nlohmann::json value = {
+      {"address", address.host + ":" + std::to_string(address.port)},
+      {"boot", beliefs.boot.value}};
+  const auto retry = [this] {
+    this->register_timer.Start(kRetryInterval, [this] { this->Register(); });
+  };
+  const auto replace = [this, value, retry] {
+    this->register_call = this->objects.Replace(
+        kHostKind, this->context.beliefs.settings.host.value, std::nullopt,
+        value, [this, retry](const platform::WriteResult& result) {
+          if (std::holds_alternative<platform::StoredObject>(result)) {
+            this->OnRegistered(true);
+          } else {
+            retry();
+          }
+        });
+  };
+  this->register_call = this->objects.Create(
+      kHostKind, beliefs.settings.host.value, value,
+      [this, replace, retry](const platform::WriteResult& result) {
+        if (std::holds_alternative<platform::StoredObject>(result)) {
+          this->OnRegistered(false);
+        } else if (std::holds_alternative<platform::WriteConflict>(result)) {
+          replace();
+        } else {
+          retry();
+        }
+      });
+}
+
+void HostRegistry::OnRegistered(bool was) {
+  this->context.beliefs.sharers.NoteRegistered(was, base::Now());
+  // A list from before may lack those who could not list this one either.
+  this->List("");
+}
+
+void HostRegistry::List(const std::string& after) {
+  if (after.empty()) {
+    this->listed.clear();
+  }
+  const bool may_be_stale = this->context.beliefs.sharers.Listed();
+  this->list_call = this->objects.List(
+      kHostKind, after, may_be_stale,
+      [this](const platform::ListResult& result) { this->OnListed(result); });
+}
+
+void HostRegistry::OnListed(const platform::ListResult& result) {
+  const auto* page = std::get_if<platform::ObjectPage>(&result);
+  if (page == nullptr) {
+    this->list_timer.Start(kRetryInterval, [this] { this->List(""); });
+    return;
+  }
+  for (const platform::StoredObject& object : page->objects) {
+    this->listed.insert({object.name});
+    this->TakeEntry(object);
+  }
+  if (page->after.has_value()) {
+    this->List(*page->after);
+    return;
+  }
+  this->list_timer.Start(kListInterval, [this] { this->List(""); });
+  this->context.beliefs.sharers.NoteListed(this->listed);
+}
+
+void HostRegistry::TakeEntry(const platform::StoredObject& object) {
+  if (object.name == this->context.beliefs.settings.host.value ||
+      !object.value->is_object() || !object.value->contains("address")) {
+    return;
+  }
+  try {
+    this->on_host(
+        {object.name},
+        base::ParseAddress((*object.value)["address"].get<std::string>()));
+  } catch (const std::exception& error) {
+    this->context.journal.Write(
+        base::LogLevel::kWarning, "peer_unreadable",
+        {{"peer", object.name}, {"reason", error.what()}});
+  }
+}
+
+}  // namespace carawayvalve::gateway
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -14,8 +14,6 @@
 
 namespace {
 
-// The kind of the objects in which gateways say where they are.
-constexpr char kHostKind[] = "carawayvalve-hosts";
 // Between two words to each peer. With more peers it is longer, so that what a
 // gateway sends and reads grows less than their number.
 constexpr base::Milliseconds kTalkInterval(50);
@@ -28,11 +26,6 @@
 // News waits so long for what follows at once, such as the run of a prompt that
 // was read.
 constexpr base::Milliseconds kNewsDelay(1);
-// Peers are listed again, for those that started while this one was cut off;
-// newcomers rely on it.
-const base::Duration kListInterval =
-    core::RetrySharers::Settings().list_interval;
-constexpr base::Milliseconds kRetryInterval(700);
 // A peer that was silent for longer isn't live.
 constexpr std::chrono::seconds kLiveTime(3);
 // Counts of usage go out in each of so many rounds.
@@ -94,13 +87,15 @@
                        platform::ObjectClient& objects,
                        StoreFeed& feed)
     : context(context),
-      objects(objects),
+      registry(context,
+               objects,
+               [this](const base::HostId& host, const base::Address& address) {
+                 this->peers[host].address = address;
+               }),
       feed(feed),
       client(context.loop, kKeepTime),
       talk_timer(context.loop),
-      news_timer(context.loop),
-      list_timer(context.loop),
-      register_timer(context.loop) {}
+      news_timer(context.loop) {}
 
 void PeerGossip::Start() {
   const base::Address& address = this->context.beliefs.settings.listen.peers;
@@ -115,95 +110,10 @@
         this->OnCall(exchange);
       });
   this->context.on_load_changed = [this] { this->OnLoadChanged(); };
-  this->Register();
-  this->ListPeers("");
+  this->registry.Start();
   this->Talk();
 }
 
-void PeerGossip::Register() {
-  const Beliefs& beliefs = this->context.beliefs;
-  const base::Address& address = beliefs.settings.listen.peers;
-  const nlohmann::json value = {
-      {"address", address.host + ":" + std::to_string(address.port)},
-      {"boot", beliefs.boot.value}};
-  const auto retry = [this] {
-    this->register_timer.Start(kRetryInterval, [this] { this->Register(); });
-  };
-  const auto replace = [this, value, retry] {
-    this->register_call = this->objects.Replace(
-        kHostKind, this->context.beliefs.settings.host.value, std::nullopt,
-        value, [this, retry](const platform::WriteResult& result) {
-          if (std::holds_alternative<platform::StoredObject>(result)) {
-            this->OnRegistered(true);
-          } else {
-            retry();
-          }
-        });
-  };
-  this->register_call = this->objects.Create(
-      kHostKind, beliefs.settings.host.value, value,
-      [this, replace, retry](const platform::WriteResult& result) {
-        if (std::holds_alternative<platform::StoredObject>(result)) {
-          this->OnRegistered(false);
-        } else if (std::holds_alternative<platform::WriteConflict>(result)) {
-          replace();
-        } else {
-          retry();
-        }
-      });
-}
-
-void PeerGossip::OnRegistered(bool was) {
-  this->context.beliefs.sharers.NoteRegistered(was, base::Now());
-  // A list from before may lack those who could not list this one either.
-  this->ListPeers("");
-}
-
-void PeerGossip::ListPeers(const std::string& after) {
-  if (after.empty()) {
-    this->listed.clear();
-  }
-  const bool may_be_stale = this->context.beliefs.sharers.Listed();
-  this->list_call = this->objects.List(
-      kHostKind, after, may_be_stale,
-      [this](const platform::ListResult& result) { this->OnListed(result); });
-}
-
-void PeerGossip::OnListed(const platform::ListResult& result) {
-  const auto* page = std::get_if<platform::ObjectPage>(&result);
-  if (page == nullptr) {
-    this->list_timer.Start(kRetryInterval, [this] { this->ListPeers(""); });
-    return;
-  }
-  for (const platform::StoredObject& object : page->objects) {
-    this->listed.insert({object.name});
-    this->TakeEntry(object);
-  }
-  if (page->after.has_value()) {
-    this->ListPeers(*page->after);
-    return;
-  }
-  this->list_timer.Start(kListInterval, [this] { this->ListPeers(""); });
-  this->context.beliefs.sharers.NoteListed(this->listed);
-}
-
-void PeerGossip::TakeEntry(const platform::StoredObject& object) {
-  if (object.name == this->context.beliefs.settings.host.value ||
-      !object.value->is_object() || !object.value->contains("address")) {
-    return;
-  }
-  try {
-    Peer& peer = this->peers[{object.name}];
-    peer.address =
-        base::ParseAddress((*object.value)["address"].get<std::string>());
-    peer.listed = true;
-  } catch (const std::exception& error) {
-    this->context.journal.Write(
-        base::LogLevel::kWarning, "peer_unreadable",
-        {{"peer", object.name}, {"reason", error.what()}});
-  }
-}
-
 void PeerGossip::NoteSharers() {
   const auto parts = this->context.beliefs.sharers.Parts(base::Now());
   const auto before = std::exchange(this->told_sharers, parts);
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -4,7 +4,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +12,7 @@
 #include "carawayvalve/platform/objects.h"
 #include "context.h"
 #include "gossip_types.h"
+#include "host_registry.h"
 #include "store_feed.h"
 
 namespace carawayvalve::gateway {
@@ -41,17 +41,8 @@
     base::Instant heard;
     int64_t stamp = 0;
     std::string boot;
-    // Listed in the store, or heard.
-    bool listed = false;
   };
 
-  void Register();
-  // The entry of this gateway's name was there before, or it is new.
-  void OnRegistered(bool was);
-  // Lists the gateways from this name on.
-  void ListPeers(const std::string& after);
-  void OnListed(const platform::ListResult& result);
-  void TakeEntry(const platform::StoredObject& object);
   // Logs a change of how many gateways share the slack of the retry budget.
   void NoteSharers();
   void Talk();
@@ -77,22 +68,16 @@
   base::Duration NewsInterval() const;
 
   Context& context;
-  platform::ObjectClient& objects;
+  HostRegistry registry;
   StoreFeed& feed;
   std::unique_ptr<net::Datagrams> datagrams;
   std::unique_ptr<net::HttpServer> server;
   net::HttpClient client;
   std::map<base::HostId, Peer> peers;
-  platform::ObjectClient::Handle register_call;
-  platform::ObjectClient::Handle list_call;
-  // What the list under way has brought so far.
-  std::set<base::HostId> listed;
   // As it was logged last.
   std::optional<int64_t> told_sharers;
   net::Timer talk_timer;
   net::Timer news_timer;
-  net::Timer list_timer;
-  net::Timer register_timer;
   int64_t rounds = 0;
   bool newcomer = false;
   core::FleetLoad::Loads told_loads;
