Take a gateway for new whose registration was not answered

A new gateway could take its part of the retry slack ten seconds too early.

Cause: the store may carry out a write and lose the answer. The next try found the entry that the first one had made, and the gateway took it for that of a predecessor, which all others count already.

Evidence: the test, with a store that loses the first answer, failed (a part after one window) and passes now.

Why it works: after a creation that may have happened an entry that is there is taken for this process's own. If it was a predecessor's after all, the gateway waits longer than it must.

--- a/gateway/src/host_registry.cc
+++ b/gateway/src/host_registry.cc
@@ -46,7 +46,7 @@
         kHostKind, this->context.beliefs.settings.host.value, std::nullopt,
         value, [this, retry](const platform::WriteResult& result) {
           if (std::holds_alternative<platform::StoredObject>(result)) {
-            this->OnRegistered(true);
+            this->OnRegistered(!this->may_have_created);
           } else {
             retry();
           }
@@ -60,6 +60,8 @@
         } else if (std::holds_alternative<platform::WriteConflict>(result)) {
           replace();
         } else {
+          const auto* silent = std::get_if<platform::StoreSilent>(&result);
+          this->may_have_created |= silent != nullptr && !silent->not_sent;
           retry();
         }
       });
--- a/gateway/src/host_registry.h
+++ b/gateway/src/host_registry.h
@@ -39,6 +39,9 @@
   platform::ObjectClient::Handle list_call;
   net::Timer list_timer;
   net::Timer register_timer;
+  // The entry that is there may be this process's, whose creation was not
+  // answered.
+  bool may_have_created = false;
   // What the list under way has brought so far.
   std::set<base::HostId> listed;
 };
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -112,6 +112,24 @@
   CHECK(gateway.beliefs.sharers.known() == 2);
 }
 
+TEST_CASE("a new gateway is new though its registration was not answered") {
+  TestGateway gateway(Settings());
+  net::EventLoop& loop = gateway.loop;
+  tests::Store store(loop);
+  store.lost_writes = 1;
+  platform::ObjectClient objects(loop, base::ParseAddress(store.address()),
+                                 base::Milliseconds(500));
+  StoreFeed feed(gateway.context, objects);
+  PeerGossip gossip(gateway.context, objects, feed);
+  StartAtFreePort(gossip, gateway.beliefs.settings.listen.peers.port);
+  gateway.RunFor(std::chrono::seconds(1));
+  const core::RetrySharers& sharers = gateway.beliefs.sharers;
+  REQUIRE(sharers.Listed());
+  // Others may list it only an interval later, and spend by that until then.
+  const core::RetrySharers::Settings settings;
+  CHECK_FALSE(sharers.Parts(base::Now() + settings.window).has_value());
+}
+
 // A request that crashed backend servers comes again at a gateway that has been
 // killed meanwhile.
 TEST_CASE(
