--- a/core/include/carawayvalve/core/retry_sharers.h
+++ b/core/include/carawayvalve/core/retry_sharers.h
@@ -35,9 +35,9 @@
                base::Instant started)
       : settings(settings), started(started), hosts({std::move(self)}) {}
 
-  // The others can list this process from now on, and could before if it `was`
-  // registered already.
-  void NoteRegistered(bool was, base::Instant now);
+  // The others can list this process from now on; they could before if an entry
+  // of its name was `known_before`.
+  void NoteRegistered(bool known_before, base::Instant now);
   // Takes a complete list, asked for after the registration.
   void NoteListed(const std::set<base::HostId>& listed);
   // A process spoke, whether it is listed or not.
--- a/core/src/retry_sharers.cc
+++ b/core/src/retry_sharers.cc
@@ -2,10 +2,10 @@
 
 namespace carawayvalve::core {
 
-void RetrySharers::NoteRegistered(bool was, base::Instant now) {
+void RetrySharers::NoteRegistered(bool known_before, base::Instant now) {
   if (!this->part_from.has_value()) {
     const base::Instant known_by_others =
-        was ? this->started : now + this->settings.list_interval;
+        known_before ? this->started : now + this->settings.list_interval;
     this->part_from = known_by_others + this->settings.window;
   }
 }
--- a/gateway/src/host_registry.cc
+++ b/gateway/src/host_registry.cc
@@ -67,8 +67,8 @@
       });
 }
 
-void HostRegistry::OnRegistered(bool was) {
-  this->context.beliefs.sharers.NoteRegistered(was, base::Now());
+void HostRegistry::OnRegistered(bool known_before) {
+  this->context.beliefs.sharers.NoteRegistered(known_before, base::Now());
   // A list from before may lack those who could not list this one either.
   this->List("");
 }
--- a/gateway/src/host_registry.h
+++ b/gateway/src/host_registry.h
@@ -26,7 +26,7 @@
  private:
   void Register();
   // The entry of this gateway's name was there before, or it is new.
-  void OnRegistered(bool was);
+  void OnRegistered(bool known_before);
   // Lists the gateways from this name on.
   void List(const std::string& after);
   void OnListed(const platform::ListResult& result);
