Run gateways that are killed in turn while every request is declined

This one has each gateway killed several times within a window while all backend servers decline, so that all that may be retried is.

--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -14,7 +14,7 @@
 
 Usage:
   carawayvalve-soak --program=FILE --folder=DIR [--seed=N] [--seconds=S]
-                    [--gateways=N] [--callers=N]
+                    [--gateways=N] [--callers=N] [--kills-in-turn]
 
 Prints a line a seed, and a line for each promise that was broken; then exits
 with 1. Logs of the gateways and of the faults are kept in the folder.
@@ -25,6 +25,8 @@
   --seed=N        Draws the faults and the requests [default: 1].
   --seconds=S     How long faults go on [default: 10].
   --gateways=N    Gateways that share the load [default: 3].
+  --kills-in-turn  Kills the gateways in turn while all backend servers decline,
+                  in place of faults that are drawn.
   --callers=N     Callers, each with one request at a time [default: 12].
 )";
 
@@ -40,6 +42,7 @@
   settings.length = std::chrono::seconds(arguments["--seconds"].asLong());
   settings.gateways = static_cast<int>(arguments["--gateways"].asLong());
   settings.callers = static_cast<int>(arguments["--callers"].asLong());
+  settings.kills_in_turn = arguments["--kills-in-turn"].asBool();
   // Every third seed has planned work alone.
   settings.planned_only = settings.seed % 3 == 0;
   std::filesystem::create_directories(settings.folder);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -28,6 +28,9 @@
 constexpr seconds kProgressTime(3);
 constexpr size_t kLeastServers = 2;
 constexpr int kLeastSlots = 16;
+// Between two kills in turn, and from a kill to the new start.
+constexpr base::Milliseconds kKillInterval(800);
+constexpr base::Milliseconds kRestartTime(100);
 // Calls that arrive so soon after their sender's link healed don't count for
 // the order of epochs (the platform's thawMs).
 constexpr base::Milliseconds kHealTime(300);
@@ -120,6 +123,10 @@
   size_t first_call = 0;
   this->After(kLead, [this] {
     this->callers->Start();
+    if (this->settings.kills_in_turn) {
+      this->ScheduleKillsInTurn();
+      return;
+    }
     this->ScheduleFault();
     if (!this->settings.planned_only) {
       this->ScheduleServiceFault();
@@ -454,6 +461,29 @@
   });
 }
 
+void Soak::ScheduleKillsInTurn() {
+  const auto set = [this](bool declines) {
+    for (const auto& server : this->servers) {
+      server->backend->declines = declines;
+    }
+  };
+  const auto length =
+      std::chrono::duration_cast<base::Milliseconds>(this->settings.length);
+  // The gateways know one another well by then.
+  const base::Milliseconds begin = length / 2;
+  this->After(begin, [set] { set(true); });
+  this->After(length, [set] { set(false); });
+  for (size_t i = 0; begin + kKillInterval * (i + 1) < length; ++i) {
+    this->After(begin + kKillInterval * (i + 1), [this, i] {
+      Gateway& gateway = this->gateways[i % this->gateways.size()];
+      this->Note("kill " + gateway.name);
+      gateway.process.Kill();
+      this->After(kRestartTime,
+                  [this, &gateway] { this->StartGateway(gateway); });
+    });
+  }
+}
+
 // All backend servers of a service fail, are slow, or decline for a while, so
 // that every gateway has more to retry than it may.
 void Soak::ScheduleServiceFault() {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -41,6 +41,9 @@
   // Only planned work: stops, drains and configurations. Then no request may
   // be lost at all.
   bool planned_only = false;
+  // In place of faults that are drawn: all backend servers decline while the
+  // gateways are killed in turn.
+  bool kills_in_turn = false;
   RetryBounds retries;
 };
 
@@ -100,6 +103,7 @@
   // Asks each gateway whether it is ready, as the platform's balancer does.
   void AskReadiness();
   void ScheduleFault();
+  void ScheduleKillsInTurn();
   // Disturbs whole services beside the other faults.
   void ScheduleServiceFault();
   void After(base::Milliseconds wait, std::function<void()> then);
