--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -48,6 +48,41 @@
   }
 }
 
+constexpr bool kWithStore = true;
+constexpr bool kWithoutStore = false;
+
+// The gossip of one gateway, with a store or none that it reaches.
+struct GossipTest {
+  explicit GossipTest(bool with_store)
+      : objects(gateway.loop,
+                with_store ? base::ParseAddress(store.address())
+                           : gateway.beliefs.settings.store.address,
+                base::Milliseconds(500)) {}
+
+  void Start() {
+    StartAtFreePort(this->gossip,
+                    this->gateway.beliefs.settings.listen.peers.port);
+  }
+  // Speaks to the gateway as a peer does.
+  void Hear(net::Datagrams& peer, const wire::gen::Gossip& word) {
+    peer.Send(PrintGossip(word), this->gateway.beliefs.settings.listen.peers);
+  }
+
+  TestGateway gateway{Settings()};
+  tests::Store store{gateway.loop};
+  platform::ObjectClient objects;
+  StoreFeed feed{gateway.context, objects};
+  PeerGossip gossip{gateway.context, objects, feed};
+};
+
+// A first word of a peer.
+wire::gen::Gossip Hello(const std::string& host, const std::string& boot) {
+  wire::gen::Gossip hello;
+  hello.host = host;
+  hello.boot = boot;
+  return hello;
+}
+
 }  // namespace
 
 // All of a grown fleet's gateways have counted in the present windows, and some
@@ -94,36 +129,22 @@
 
 // Gateways that start together list one another before all have registered.
 TEST_CASE("the slack is divided by a gateway that is heard, not listed") {
-  TestGateway gateway(Settings());
-  net::EventLoop& loop = gateway.loop;
-  tests::Store store(loop);
-  platform::ObjectClient objects(loop, base::ParseAddress(store.address()),
-                                 base::Milliseconds(500));
-  StoreFeed feed(gateway.context, objects);
-  PeerGossip gossip(gateway.context, objects, feed);
-  StartAtFreePort(gossip, gateway.beliefs.settings.listen.peers.port);
-  gateway.RunFor(kSoon);
-  net::Datagrams peer(loop, {"127.0.0.1", 0}, [](const auto&, const auto&) {});
-  wire::gen::Gossip hello;
-  hello.host = "peer";
-  hello.boot = "first";
-  peer.Send(PrintGossip(hello), gateway.beliefs.settings.listen.peers);
-  gateway.RunFor(kSoon);
-  CHECK(gateway.beliefs.sharers.known() == 2);
+  GossipTest test(kWithStore);
+  test.Start();
+  test.gateway.RunFor(kSoon);
+  net::Datagrams peer(test.gateway.loop, {"127.0.0.1", 0},
+                      [](const auto&, const auto&) {});
+  test.Hear(peer, Hello("peer", "first"));
+  test.gateway.RunFor(kSoon);
+  CHECK(test.gateway.beliefs.sharers.known() == 2);
 }
 
 TEST_CASE("a new gateway is new though its registration was not answered") {
-  TestGateway gateway(Settings());
-  net::EventLoop& loop = gateway.loop;
-  tests::Store store(loop);
-  store.lost_writes = 1;
-  platform::ObjectClient objects(loop, base::ParseAddress(store.address()),
-                                 base::Milliseconds(500));
-  StoreFeed feed(gateway.context, objects);
-  PeerGossip gossip(gateway.context, objects, feed);
-  StartAtFreePort(gossip, gateway.beliefs.settings.listen.peers.port);
-  gateway.RunFor(std::chrono::seconds(1));
-  const core::RetrySharers& sharers = gateway.beliefs.sharers;
+  GossipTest test(kWithStore);
+  test.store.lost_writes = 1;
+  test.Start();
+  test.gateway.RunFor(std::chrono::seconds(1));
+  const core::RetrySharers& sharers = test.gateway.beliefs.sharers;
   REQUIRE(sharers.Listed());
   // Others may list it only an interval later, and spend by that until then.
   const core::RetrySharers::Settings settings;
@@ -134,59 +155,45 @@
 // killed meanwhile.
 TEST_CASE(
     "a gateway that starts again soon refuses what others know to crash") {
-  TestGateway gateway(Settings());
-  net::EventLoop& loop = gateway.loop;
-  core::Suspects& suspects = gateway.beliefs.suspects;
+  GossipTest test(kWithoutStore);
+  core::Suspects& suspects = test.gateway.beliefs.suspects;
   const base::Instant long_ago = base::Now() - std::chrono::seconds(60);
   suspects.NoteDeath("content", "first", long_ago);
   suspects.NoteDeath("content", "second", long_ago);
-  platform::ObjectClient objects(loop, {"127.0.0.1", 1},
-                                 base::Milliseconds(100));
-  StoreFeed feed(gateway.context, objects);
-  PeerGossip gossip(gateway.context, objects, feed);
-  StartAtFreePort(gossip, gateway.beliefs.settings.listen.peers.port);
+  test.Start();
   size_t told = 0;
-  net::Datagrams peer(loop, {"127.0.0.1", 0},
+  net::Datagrams peer(test.gateway.loop, {"127.0.0.1", 0},
                       [&](const std::string& data, const base::Address&) {
                         told += ParseGossip(data)->deaths.size();
                       });
-  wire::gen::Gossip hello;
-  hello.host = "peer";
-  hello.boot = "second";
-  peer.Send(PrintGossip(hello), gateway.beliefs.settings.listen.peers);
-  gateway.RunFor(kSoon);
+  test.Hear(peer, Hello("peer", "second"));
+  test.gateway.RunFor(kSoon);
   CHECK(told == 2);
 }
 
 TEST_CASE("gateways avoid an engine that another one has ordered away") {
-  TestGateway gateway(Settings());
-  net::EventLoop& loop = gateway.loop;
-  platform::ObjectClient objects(loop, {"127.0.0.1", 1},
-                                 base::Milliseconds(100));
-  StoreFeed feed(gateway.context, objects);
-  PeerGossip gossip(gateway.context, objects, feed);
-  StartAtFreePort(gossip, gateway.beliefs.settings.listen.peers.port);
+  GossipTest test(kWithoutStore);
+  test.Start();
+  Beliefs& beliefs = test.gateway.beliefs;
   int64_t told_ms = 0;
-  net::Datagrams peer(loop, {"127.0.0.1", 0},
+  net::Datagrams peer(test.gateway.loop, {"127.0.0.1", 0},
                       [&](const std::string& data, const base::Address&) {
                         const auto word = ParseGossip(data);
                         if (!word->absences.empty()) {
                           told_ms = word->absences.front().left_ms;
                         }
                       });
-  wire::gen::Gossip hello;
-  hello.host = "peer";
-  hello.boot = "first";
   wire::gen::GossipAbsence absence;
   absence.backend_server = "ordered-there";
   absence.left_ms = 4000;
+  wire::gen::Gossip hello = Hello("peer", "first");
   hello.__set_absences({absence});
-  peer.Send(PrintGossip(hello), gateway.beliefs.settings.listen.peers);
-  gateway.beliefs.changing_roles[{"ordered-here"}] =
+  test.Hear(peer, hello);
+  beliefs.changing_roles[{"ordered-here"}] =
       base::Now() + std::chrono::seconds(4);
-  gateway.RunFor(kSoon);
+  test.gateway.RunFor(kSoon);
 
-  CHECK_FALSE(gateway.beliefs.health.Usable({"ordered-there"}, 0, base::Now()));
+  CHECK_FALSE(beliefs.health.Usable({"ordered-there"}, 0, base::Now()));
   CHECK(told_ms > 0);
   CHECK(told_ms <= 4000);
 }
