Report a crash to the peers before what follows it, and count no dead process

Two causes, told apart by the logs of runs beside eight busy processes:

1. crash_request_test.cc:66, 502 where 503 is due: entry-1 answered the first call while its word of the two crashes was still on its way to entry-2 (status long polls of agents, peers' polls each second). An attempt that was started after the last crash and before the backend server has answered again is no evidence now (AttemptService::NoteAlive).

The test prints the logs of all processes when a stream has no end.

--- a/agent/src/attempt_service.cc
+++ b/agent/src/attempt_service.cc
@@ -139,6 +139,7 @@
       this->in_flight.insert(next->attempt);
       AttemptRecord& record = this->records.at(next->attempt);
       record.suspect = next->suspect;
+      record.started = base::Now();
       return record.job;
     }
     if (!next) {
@@ -208,6 +209,7 @@
   this->ledger.Append(attempt, bytes);
   this->update_available.notify_all();
   const AttemptRecord& record = this->records.at(attempt);
+  this->known_alive = std::max(this->known_alive, record.started);
   const bool in_time =
       this->space_available.wait_until(lock, record.job.deadline, [&] {
         return record.cancelled || this->closed ||
@@ -276,11 +278,27 @@
   this->leaving = true;
 }
 
+bool AttemptService::MetDeadProcess(const AttemptRecord& record) const {
+  if (this->crashes.empty()) {
+    return false;
+  }
+  const base::Instant crashed = this->crashes.back().at;
+  return record.started > crashed && this->known_alive <= crashed;
+}
+
+void AttemptService::NoteAlive(base::Instant asked) {
+  const std::lock_guard lock(this->mutex);
+  this->known_alive = std::max(this->known_alive, asked);
+}
+
 void AttemptService::NoteCrash(const base::AttemptId& attempt) {
   const std::lock_guard lock(this->mutex);
   const base::Instant now = base::Now();
   const bool same_crash = !this->crashes.empty() &&
                           now - this->crashes.back().at < kSameCrashWindow;
+  if (this->MetDeadProcess(this->records.at(attempt))) {
+    return;
+  }
   const Job& job = this->records.at(attempt).job;
   this->crashes.push_back(
       {attempt, job.content_digest,
--- a/agent/src/attempt_service.h
+++ b/agent/src/attempt_service.h
@@ -146,8 +146,13 @@
 
   // Records that the backend server crashed while it ran the attempt. Attempts
   // that break off shortly after one another are attributed to the same crash.
-  // Attempts with the same content become suspects, which run one at a time.
+  // Attempts with the same content become suspects, which run one at a time. An
+  // attempt that was started after the last crash, and before the backend
+  // server was reached again, isn't recorded: it met a dead process.
   void NoteCrash(const base::AttemptId& attempt);
+  // Records that the backend server has answered a call that was sent at
+  // `asked`.
+  void NoteAlive(base::Instant asked);
   std::vector<AttemptCrash> RecentCrashes() const;
   void SetAccountLimits(const std::map<base::ClientAccountId, int32_t>& weights,
                         int32_t max_queued_per_account);
@@ -188,6 +193,7 @@
     // Suspected poison request, which runs only while no other suspect does.
     bool suspect = false;
     bool cancelled = false;
+    base::Instant started;
     // Usage to be counted when the attempt ends.
     core::UsageFigures usage = {};
   };
@@ -213,6 +219,7 @@
                             size_t max_bytes);
   void DropConfirmed(Reader& reader,
                      const std::map<base::AttemptId, ReadPosition>& positions);
+  bool MetDeadProcess(const AttemptRecord& record) const;
   std::string DeathIdOf(const base::AttemptId& attempt) const;
   void MarkCancelled(const base::AttemptId& attempt);
   bool Idle() const;
@@ -240,6 +247,8 @@
   core::FairQueue queue;
   std::set<base::AttemptId> in_flight;
   std::vector<AttemptCrash> crashes;
+  // The newest call that the backend server has answered was sent then.
+  base::Instant known_alive;
   Totals current_totals;
   bool leaving = false;
   bool paused = false;
--- a/agent/src/load_poller.cc
+++ b/agent/src/load_poller.cc
@@ -38,8 +38,10 @@
 }
 
 void LoadPoller::Poll() {
+  const base::Instant asked = base::Now();
   try {
     this->handler.SetLoad(this->ReadLoad(), true);
+    this->attempts.NoteAlive(asked);
   } catch (const base::Error&) {
     this->handler.SetLoad({}, false);
   }
--- a/agent/tests/attempt_service_test.cc
+++ b/agent/tests/attempt_service_test.cc
@@ -394,6 +394,45 @@
   }
 }
 
+// Guards against innocent requests that are taken for poison: a second one is
+// started on an engine that the first has just crashed, and its connection is
+// reset.
+TEST_CASE("AttemptService: an attempt is started on a crashed engine") {
+  AttemptService service(MakeOptions());
+  service.Submit(MakeJob("poison"));
+  service.Submit(MakeJob("beside"));
+  REQUIRE(NextAttemptName(service) == "poison");
+  REQUIRE(NextAttemptName(service) == "beside");
+  service.NoteCrash({"poison"});
+  service.Finish({"poison"}, AttemptOutcome::kBrokenOff, "");
+  service.Submit(MakeJob("late"));
+  REQUIRE(NextAttemptName(service) == "late");
+
+  SUBCASE("it isn't recorded as running when the engine crashed") {
+    service.NoteCrash({"late"});
+    CHECK(service.RecentCrashes().size() == 1);
+  }
+  SUBCASE("one that was running before is") {
+    service.NoteCrash({"beside"});
+    CHECK(service.RecentCrashes().size() == 2);
+  }
+  SUBCASE("so is it once the engine has answered since the crash") {
+    service.NoteAlive(base::Now());
+    service.NoteCrash({"late"});
+    CHECK(service.RecentCrashes().size() == 2);
+  }
+  SUBCASE("and once the engine has answered the attempt itself") {
+    service.Append({"late"}, "a token");
+    service.NoteCrash({"late"});
+    CHECK(service.RecentCrashes().size() == 2);
+  }
+  SUBCASE("an answer that was asked for before the crash proves nothing") {
+    service.NoteAlive(base::Now() - std::chrono::seconds(1));
+    service.NoteCrash({"late"});
+    CHECK(service.RecentCrashes().size() == 1);
+  }
+}
+
 TEST_CASE("AttemptService: updates of many attempts fit in one message") {
   AttemptService service(MakeOptions());
   constexpr int kAttempts = 200;
--- a/entry/src/agent_link.cc
+++ b/entry/src/agent_link.cc
@@ -232,10 +232,11 @@
       continue;
     }
     for (const wire::gen::Chunk& chunk : chunks) {
-      if (!chunk.death_id.empty()) {
-        this->events.on_crash({chunk.attempt}, chunk.death_id);
+      if (chunk.death_id.empty()) {
+        this->events.on_event({chunk.attempt}, ToEvent(chunk));
+      } else {
+        this->events.on_crash({chunk.attempt}, chunk.death_id, ToEvent(chunk));
       }
-      this->events.on_event({chunk.attempt}, ToEvent(chunk));
     }
     if (!chunks.empty()) {
       this->Sleep(kReadBatchDelay);
--- a/entry/src/agent_link.h
+++ b/entry/src/agent_link.h
@@ -23,8 +23,11 @@
 struct AgentLinkEvents {
   std::function<void(const base::AttemptId&, const core::RequestEvent&)>
       on_event;
-  // The backend server crashed while it ran the attempt.
-  std::function<void(const base::AttemptId&, const std::string& death_id)>
+  // The backend server crashed while it ran the attempt. Called instead of
+  // on_event.
+  std::function<void(const base::AttemptId&,
+                     const std::string& death_id,
+                     const core::RequestEvent&)>
       on_crash;
   // Returns the next read of each attempt at this agent.
   std::function<std::vector<wire::gen::ReadRequest>()> read_requests;
--- a/entry/src/dispatcher.cc
+++ b/entry/src/dispatcher.cc
@@ -103,8 +103,12 @@
 
 Dispatcher::Dispatcher(const base::BootId& entry,
                        const core::RoutingSettings& routing,
-                       TrafficControl& control)
-    : entry(entry), control(control), log("dispatch") {
+                       TrafficControl& control,
+                       CrashReporter& crash_reporter)
+    : entry(entry),
+      control(control),
+      crash_reporter(crash_reporter),
+      log("dispatch") {
   this->members = std::make_unique<Fleet>(
       entry, routing, [this](const base::BackendServerId& backend_server) {
         return this->EventsFor(backend_server);
@@ -132,9 +136,10 @@
     }
   };
   events.on_crash = [this](const base::AttemptId& attempt,
-                           const std::string& death_id) {
+                           const std::string& death_id,
+                           const core::RequestEvent& event) {
     if (const auto run = this->Find(attempt)) {
-      this->control.NoteCrash(run->request.content_digest, death_id);
+      this->NotifyAfterReport(run, attempt, death_id, event);
     }
   };
   events.read_requests = [this, backend_server] {
@@ -208,6 +213,26 @@
   this->Perform(*run, run->flow.Step(event, base::Now()));
 }
 
+void Dispatcher::NotifyAfterReport(const std::shared_ptr<Run>& run,
+                                   const base::AttemptId& attempt,
+                                   const std::string& death_id,
+                                   const core::RequestEvent& event) {
+  {
+    const std::lock_guard lock(run->mutex);
+    if (run->reported_attempt == attempt) {
+      return;
+    }
+    run->reported_attempt = attempt;
+  }
+  this->log.Info("A backend server crashed during an attempt.",
+                 {.request = run->request.id.value,
+                  .attempt = attempt.value,
+                  .backend_server = run->bound_backend.value});
+  this->control.NoteCrash(run->request.content_digest, death_id);
+  this->crash_reporter.Report(run->request.content_digest, death_id,
+                              [this, run, event] { this->Notify(run, event); });
+}
+
 void Dispatcher::Perform(Run& run,
                          const std::vector<core::RequestAction>& actions) {
   std::vector<core::RequestAction> pending_actions = actions;
@@ -345,7 +370,9 @@
     read_request.attempt = run->flow.attempt().value;
     read_request.offset = run->flow.read_offset();
     const size_t unsent = run->request.writer->exchange()->unsent_bytes();
-    read_request.most_bytes = unsent > kMaxUnsentBytes ? 0 : kMaxBytesPerRead;
+    const bool paused = unsent > kMaxUnsentBytes ||
+                        run->reported_attempt == run->flow.attempt();
+    read_request.most_bytes = paused ? 0 : kMaxBytesPerRead;
     read_requests.push_back(read_request);
   }
   return read_requests;
@@ -385,6 +412,7 @@
 void Dispatcher::RunTimer() {
   while (!this->stopping) {
     std::this_thread::sleep_for(kTimerInterval);
+    this->crash_reporter.Tick();
     for (const auto& run : this->AllRuns()) {
       if (run->request.writer->exchange()->caller_disconnected() &&
           !run->request.outlives_caller) {
--- a/entry/src/dispatcher.h
+++ b/entry/src/dispatcher.h
@@ -14,6 +14,7 @@
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/base/log.h"
 #include "carawayvalve/core/request_flow.h"
+#include "crash_reporter.h"
 #include "fleet.h"
 #include "traffic_control.h"
 
@@ -56,10 +57,11 @@
 // actions and passes it events of agents, callers and timers. Thread-safe.
 class Dispatcher {
  public:
-  // `control` must outlive the dispatcher.
+  // `control` and `crash_reporter` must outlive the dispatcher.
   Dispatcher(const base::BootId& entry,
              const core::RoutingSettings& routing,
-             TrafficControl& control);
+             TrafficControl& control,
+             CrashReporter& crash_reporter);
   ~Dispatcher();
 
   Dispatcher(const Dispatcher&) = delete;
@@ -101,6 +103,9 @@
     int64_t agent_clock_us = 0;
     base::AttemptId bound_attempt;
     base::BackendServerId bound_backend;
+    // The attempt whose crash is being reported to the peers; its end is
+    // handled after that.
+    base::AttemptId reported_attempt;
   };
   using RunsByAttempt = std::map<base::AttemptId, std::shared_ptr<Run>>;
   struct ActionExecutor;
@@ -116,6 +121,11 @@
       const base::BackendServerId& backend_server) const;
 
   void Notify(const std::shared_ptr<Run>& run, const core::RequestEvent& event);
+  // Reports the crash that broke the attempt off, then handles the event.
+  void NotifyAfterReport(const std::shared_ptr<Run>& run,
+                         const base::AttemptId& attempt,
+                         const std::string& death_id,
+                         const core::RequestEvent& event);
   // The run's lock must be held.
   void Perform(Run& run, const std::vector<core::RequestAction>& actions);
   core::RequestEvent Choose(Run& run, const core::ChooseBackend& action);
@@ -130,6 +140,7 @@
 
   base::BootId entry;
   TrafficControl& control;
+  CrashReporter& crash_reporter;
   OnStatus on_status;
   base::Log log;
   mutable std::mutex mutex;
--- a/entry/src/peer_handler.cc
+++ b/entry/src/peer_handler.cc
@@ -56,4 +56,9 @@
   answer = this->sources.usage.CountersSince(since_window);
 }
 
+void PeerHandler::report_deaths(
+    const std::vector<wire::gen::DeathMark>& deaths) {
+  this->sources.control.MergeCrashRecords(FromWire(deaths));
+}
+
 }  // namespace carawayvalve::entry
--- a/entry/src/peer_handler.h
+++ b/entry/src/peer_handler.h
@@ -22,7 +22,7 @@
     const EntrySettings& settings;
     const base::BootId& boot;
     ConfigurationFeed& feed;
-    const TrafficControl& control;
+    TrafficControl& control;
     const std::atomic<bool>& leaving;
     std::function<std::vector<std::string>()> duties_held;
     UsageCollector& usage;
@@ -37,6 +37,7 @@
   void usage(std::vector<wire::gen::UsageCounters>& answer,
              int64_t since_window,
              int64_t open_window) override;
+  void report_deaths(const std::vector<wire::gen::DeathMark>& deaths) override;
 
  private:
   Sources sources;
--- a/entry/src/peer_poller.cc
+++ b/entry/src/peer_poller.cc
@@ -46,6 +46,13 @@
     this->changed.notify_all();
   }
 
+  // Has the peer told of new crashes.
+  void SendReports() {
+    const std::lock_guard lock(this->mutex);
+    this->reports_pending = true;
+    this->changed.notify_all();
+  }
+
   const std::string& address() const { return this->peer_address; }
 
   PeerSnapshot Snapshot() const {
@@ -59,7 +66,9 @@
                                                       kCallTimeout);
     do {
       this->Poll(channel);
-    } while (this->Sleep());
+      this->Report(channel);
+    } while (this->Sleep(channel));
+    this->poller.crash_reporter.NoteReachable(this->host, false);
   }
 
   void Poll(wire::Channel<wire::gen::EntryPeerClient>& channel) {
@@ -70,10 +79,12 @@
         client.status(answer);
       });
     } catch (const base::Error&) {
+      this->poller.crash_reporter.NoteReachable(this->host, false);
       const std::lock_guard lock(this->mutex);
       this->reachable = false;
       return;
     }
+    this->poller.crash_reporter.NoteReachable(this->host, true);
     std::optional<base::Duration> store_age;
     if (answer.store_age_ms >= 0) {
       store_age = base::Milliseconds(answer.store_age_ms);
@@ -86,10 +97,42 @@
     this->status = answer;
   }
 
-  bool Sleep() {
+  // Sends the reports that the peer lacks.
+  void Report(wire::Channel<wire::gen::EntryPeerClient>& channel) {
+    {
+      const std::lock_guard lock(this->mutex);
+      this->reports_pending = false;
+    }
+    const auto batch = this->poller.crash_reporter.Unacknowledged(this->host);
+    if (batch.records.empty()) {
+      return;
+    }
+    try {
+      channel.Invoke("report deaths", [&](wire::gen::EntryPeerClient& client) {
+        client.report_deaths(ToWire(batch.records));
+      });
+    } catch (const base::Error&) {
+      this->poller.crash_reporter.NoteReachable(this->host, false);
+      return;
+    }
+    this->poller.crash_reporter.NoteAcknowledged(this->host, batch.newest);
+  }
+
+  // Waits until the next poll is due, and sends reports meanwhile. Returns
+  // false if the thread is to stop.
+  bool Sleep(wire::Channel<wire::gen::EntryPeerClient>& channel) {
+    const base::Instant until = base::Now() + kPollInterval;
     std::unique_lock lock(this->mutex);
-    return !this->changed.wait_for(lock, kPollInterval,
-                                   [&] { return this->stopping; });
+    while (this->changed.wait_until(
+        lock, until, [&] { return this->stopping || this->reports_pending; })) {
+      if (this->stopping) {
+        return false;
+      }
+      lock.unlock();
+      this->Report(channel);
+      lock.lock();
+    }
+    return true;
   }
 
   PeerPoller& poller;
@@ -98,6 +141,7 @@
   mutable std::mutex mutex;
   std::condition_variable changed;
   bool stopping = false;
+  bool reports_pending = false;
   bool reachable = false;
   wire::gen::PeerStatus status;
   std::thread thread;
@@ -105,10 +149,17 @@
 
 PeerPoller::PeerPoller(const EntrySettings& settings,
                        ConfigurationFeed& feed,
-                       TrafficControl& control)
-    : settings(settings), feed(feed), control(control) {}
+                       TrafficControl& control,
+                       CrashReporter& crash_reporter)
+    : settings(settings),
+      feed(feed),
+      control(control),
+      crash_reporter(crash_reporter) {
+  this->crash_reporter.SetOnReport([this] { this->SendReports(); });
+}
 
 PeerPoller::~PeerPoller() {
+  this->crash_reporter.SetOnReport(nullptr);
   this->SetHosts({});
 }
 
@@ -152,6 +203,13 @@
                      });
 }
 
+void PeerPoller::SendReports() {
+  const std::lock_guard lock(this->mutex);
+  for (const auto& [host, poll_thread] : this->threads) {
+    poll_thread->SendReports();
+  }
+}
+
 size_t PeerPoller::UnfollowedHostCount() const {
   const std::lock_guard lock(this->mutex);
   return this->other_hosts - this->threads.size();
--- a/entry/src/peer_poller.h
+++ b/entry/src/peer_poller.h
@@ -13,6 +13,7 @@
 #include "carawayvalve/systems/host_list.h"
 #include "carawayvalve_types.h"
 #include "configuration_feed.h"
+#include "crash_reporter.h"
 #include "traffic_control.h"
 
 namespace carawayvalve::entry {
@@ -32,12 +33,14 @@
 
 // Polls some of the other entry processes once a second for their status: the
 // age of their configuration and the contents that crashed backend servers.
+// Tells them of crashes that this process has learnt of at once.
 class PeerPoller {
  public:
-  // `feed` and `control` must outlive the poller.
+  // `feed`, `control` and `crash_reporter` must outlive the poller.
   PeerPoller(const EntrySettings& settings,
              ConfigurationFeed& feed,
-             TrafficControl& control);
+             TrafficControl& control,
+             CrashReporter& crash_reporter);
   ~PeerPoller();
 
   PeerPoller(const PeerPoller&) = delete;
@@ -58,9 +61,13 @@
   // delay the polling of others.
   class PollThread;
 
+  // Has all peers told of new crashes.
+  void SendReports();
+
   EntrySettings settings;
   ConfigurationFeed& feed;
   TrafficControl& control;
+  CrashReporter& crash_reporter;
   mutable std::mutex mutex;
   std::map<base::HostId, std::unique_ptr<PollThread>> threads;
   size_t other_hosts = 0;
--- a/entry/src/serve.cc
+++ b/entry/src/serve.cc
@@ -83,6 +83,7 @@
   std::atomic<bool> leaving = false;
   EntryMetrics metrics;
   TrafficControl control;
+  CrashReporter crash_reporter;
   Dispatcher dispatcher;
   ConfigurationFeed feed;
   PeerPoller peers;
@@ -105,9 +106,9 @@
       store(settings.object_api_address,
             base::Milliseconds(settings.store_timeout_ms)),
       control(boot),
-      dispatcher(boot, MakeRoutingSettings(settings), control),
+      dispatcher(boot, MakeRoutingSettings(settings), control, crash_reporter),
       feed(settings),
-      peers(settings, feed, control),
+      peers(settings, feed, control, crash_reporter),
       claims(store,
              boot,
              dispatcher,
--- a/tests/processes/crash_request_test.cc
+++ b/tests/processes/crash_request_test.cc
@@ -73,7 +73,9 @@
 
   SUBCASE("innocent requests beside it complete") {
     for (const auto& call : innocent_requests) {
-      CHECK(HasEndMarker(call->Wait().body));
+      const std::string body = call->Wait().body;
+      INFO(deployment.AllLogs());
+      CHECK(HasEndMarker(body));
     }
   }
 
--- a/wire/carawayvalve.thrift
+++ b/wire/carawayvalve.thrift
@@ -266,4 +266,6 @@
   // the windows from `since_window` on. The caller knows that `open_window` has
   // started.
   list<UsageCounters> usage(1: i64 since_window, 2: i64 open_window),
+  // Tells this process of crashes at once. When it answers, it heeds them.
+  void report_deaths(1: list<DeathMark> deaths),
 }
--- a/wire/gen/EntryPeer.cpp
+++ b/wire/gen/EntryPeer.cpp
@@ -612,6 +612,190 @@
   return xfer;
 }
 
+
+EntryPeer_report_deaths_args::~EntryPeer_report_deaths_args() noexcept {
+}
+
+
+uint32_t EntryPeer_report_deaths_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->deaths.clear();
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->deaths.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
+            {
+              xfer += this->deaths[_i164].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.deaths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EntryPeer_report_deaths_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EntryPeer_report_deaths_args");
+
+  xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
+    std::vector<DeathMark> ::const_iterator _iter165;
+    for (_iter165 = this->deaths.begin(); _iter165 != this->deaths.end(); ++_iter165)
+    {
+      xfer += (*_iter165).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+EntryPeer_report_deaths_pargs::~EntryPeer_report_deaths_pargs() noexcept {
+}
+
+
+uint32_t EntryPeer_report_deaths_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EntryPeer_report_deaths_pargs");
+
+  xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->deaths)).size()));
+    std::vector<DeathMark> ::const_iterator _iter166;
+    for (_iter166 = (*(this->deaths)).begin(); _iter166 != (*(this->deaths)).end(); ++_iter166)
+    {
+      xfer += (*_iter166).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+EntryPeer_report_deaths_result::~EntryPeer_report_deaths_result() noexcept {
+}
+
+
+uint32_t EntryPeer_report_deaths_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EntryPeer_report_deaths_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("EntryPeer_report_deaths_result");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+EntryPeer_report_deaths_presult::~EntryPeer_report_deaths_presult() noexcept {
+}
+
+
+uint32_t EntryPeer_report_deaths_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
 void EntryPeerClient::configuration(ConfigurationCopy& _return, const int64_t known_generation, const int64_t wait_ms)
 {
   send_configuration(known_generation, wait_ms);
@@ -787,6 +971,59 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "usage failed: unknown result");
 }
 
+void EntryPeerClient::report_deaths(const std::vector<DeathMark> & deaths)
+{
+  send_report_deaths(deaths);
+  recv_report_deaths();
+}
+
+void EntryPeerClient::send_report_deaths(const std::vector<DeathMark> & deaths)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("report_deaths", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  EntryPeer_report_deaths_pargs args;
+  args.deaths = &deaths;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void EntryPeerClient::recv_report_deaths()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("report_deaths") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  EntryPeer_report_deaths_presult result;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  return;
+}
+
 bool EntryPeerProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
   ProcessMap::iterator pfn;
   pfn = processMap_.find(fname);
@@ -968,6 +1205,59 @@
   }
 }
 
+void EntryPeerProcessor::process_report_deaths(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("EntryPeer.report_deaths", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "EntryPeer.report_deaths");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "EntryPeer.report_deaths");
+  }
+
+  EntryPeer_report_deaths_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "EntryPeer.report_deaths", bytes);
+  }
+
+  EntryPeer_report_deaths_result result;
+  try {
+    iface_->report_deaths(args.deaths);
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "EntryPeer.report_deaths");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("report_deaths", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "EntryPeer.report_deaths");
+  }
+
+  oprot->writeMessageBegin("report_deaths", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "EntryPeer.report_deaths", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > EntryPeerProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< EntryPeerIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< EntryPeerIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -1228,5 +1518,83 @@
   } // end while(true)
 }
 
+void EntryPeerConcurrentClient::report_deaths(const std::vector<DeathMark> & deaths)
+{
+  int32_t seqid = send_report_deaths(deaths);
+  recv_report_deaths(seqid);
+}
+
+int32_t EntryPeerConcurrentClient::send_report_deaths(const std::vector<DeathMark> & deaths)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("report_deaths", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  EntryPeer_report_deaths_pargs args;
+  args.deaths = &deaths;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void EntryPeerConcurrentClient::recv_report_deaths(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("report_deaths") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      EntryPeer_report_deaths_presult result;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      sentry.commit();
+      return;
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }}} // namespace
 
--- a/wire/gen/EntryPeer.h
+++ b/wire/gen/EntryPeer.h
@@ -25,6 +25,7 @@
   virtual void configuration(ConfigurationCopy& _return, const int64_t known_generation, const int64_t wait_ms) = 0;
   virtual void status(PeerStatus& _return) = 0;
   virtual void usage(std::vector<UsageCounters> & _return, const int64_t since_window, const int64_t open_window) = 0;
+  virtual void report_deaths(const std::vector<DeathMark> & deaths) = 0;
 };
 
 class EntryPeerIfFactory {
@@ -63,6 +64,9 @@
   void usage(std::vector<UsageCounters> & /* _return */, const int64_t /* since_window */, const int64_t /* open_window */) override {
     return;
   }
+  void report_deaths(const std::vector<DeathMark> & /* deaths */) override {
+    return;
+  }
 };
 
 typedef struct _EntryPeer_configuration_args__isset {
@@ -395,6 +399,96 @@
 
 };
 
+typedef struct _EntryPeer_report_deaths_args__isset {
+  _EntryPeer_report_deaths_args__isset() : deaths(false) {}
+  bool deaths :1;
+} _EntryPeer_report_deaths_args__isset;
+
+class EntryPeer_report_deaths_args {
+ public:
+
+  EntryPeer_report_deaths_args(const EntryPeer_report_deaths_args&);
+  EntryPeer_report_deaths_args(EntryPeer_report_deaths_args&&) noexcept;
+  EntryPeer_report_deaths_args& operator=(const EntryPeer_report_deaths_args&);
+  EntryPeer_report_deaths_args& operator=(EntryPeer_report_deaths_args&&) noexcept;
+  EntryPeer_report_deaths_args() noexcept {
+  }
+
+  virtual ~EntryPeer_report_deaths_args() noexcept;
+  std::vector<DeathMark>  deaths;
+
+  _EntryPeer_report_deaths_args__isset __isset;
+
+  void __set_deaths(const std::vector<DeathMark> & val);
+
+  bool operator == (const EntryPeer_report_deaths_args & rhs) const
+  {
+    if (!(deaths == rhs.deaths))
+      return false;
+    return true;
+  }
+  bool operator != (const EntryPeer_report_deaths_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EntryPeer_report_deaths_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class EntryPeer_report_deaths_pargs {
+ public:
+
+
+  virtual ~EntryPeer_report_deaths_pargs() noexcept;
+  const std::vector<DeathMark> * deaths;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class EntryPeer_report_deaths_result {
+ public:
+
+  EntryPeer_report_deaths_result(const EntryPeer_report_deaths_result&) noexcept;
+  EntryPeer_report_deaths_result(EntryPeer_report_deaths_result&&) noexcept;
+  EntryPeer_report_deaths_result& operator=(const EntryPeer_report_deaths_result&) noexcept;
+  EntryPeer_report_deaths_result& operator=(EntryPeer_report_deaths_result&&) noexcept;
+  EntryPeer_report_deaths_result() noexcept {
+  }
+
+  virtual ~EntryPeer_report_deaths_result() noexcept;
+
+  bool operator == (const EntryPeer_report_deaths_result & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const EntryPeer_report_deaths_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EntryPeer_report_deaths_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class EntryPeer_report_deaths_presult {
+ public:
+
+
+  virtual ~EntryPeer_report_deaths_presult() noexcept;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class EntryPeerClient : virtual public EntryPeerIf {
  public:
   EntryPeerClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -429,6 +523,9 @@
   void usage(std::vector<UsageCounters> & _return, const int64_t since_window, const int64_t open_window) override;
   void send_usage(const int64_t since_window, const int64_t open_window);
   void recv_usage(std::vector<UsageCounters> & _return);
+  void report_deaths(const std::vector<DeathMark> & deaths) override;
+  void send_report_deaths(const std::vector<DeathMark> & deaths);
+  void recv_report_deaths();
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -447,12 +544,14 @@
   void process_configuration(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_status(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_usage(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_report_deaths(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   EntryPeerProcessor(::std::shared_ptr<EntryPeerIf> iface) :
     iface_(iface) {
     processMap_["configuration"] = &EntryPeerProcessor::process_configuration;
     processMap_["status"] = &EntryPeerProcessor::process_status;
     processMap_["usage"] = &EntryPeerProcessor::process_usage;
+    processMap_["report_deaths"] = &EntryPeerProcessor::process_report_deaths;
   }
 
   virtual ~EntryPeerProcessor() {}
@@ -511,6 +610,15 @@
     return;
   }
 
+  void report_deaths(const std::vector<DeathMark> & deaths) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->report_deaths(deaths);
+    }
+    ifaces_[i]->report_deaths(deaths);
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -552,6 +660,9 @@
   void usage(std::vector<UsageCounters> & _return, const int64_t since_window, const int64_t open_window) override;
   int32_t send_usage(const int64_t since_window, const int64_t open_window);
   void recv_usage(std::vector<UsageCounters> & _return, const int32_t seqid);
+  void report_deaths(const std::vector<DeathMark> & deaths) override;
+  int32_t send_report_deaths(const std::vector<DeathMark> & deaths);
+  void recv_report_deaths(const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
