--- a/core/include/carawayvalve/core/backend_directory.h
+++ b/core/include/carawayvalve/core/backend_directory.h
@@ -33,10 +33,22 @@
   bool operator==(const BackendEntry&) const = default;
 };
 
+// One run of a backend server that has said that it leaves.
+struct LeavingBackend {
+  base::BackendServerId id;
+  int64_t started_ms = 0;
+  // When this process learnt it.
+  base::Instant noted;
+
+  bool operator==(const LeavingBackend&) const = default;
+};
+
 // The registered backend servers, built from the store's listings and change
-// events. An entry may lapse while the store is failing although its backend
-// server is alive; such an entry is kept for a grace period, since it is
-// registered again soon after the store recovers.
+// events, and from what they say of themselves: one that says it leaves counts
+// as draining whatever its entry says, until it has restarted. An entry may
+// lapse while the store is failing although its backend server is alive; such
+// an entry is kept for a grace period, since it is registered again soon after
+// the store recovers.
 class BackendDirectory {
  public:
   // `grace_period` is the time after a store failure within which a lapsed
@@ -49,6 +61,15 @@
   void NoteEntry(const BackendEntry& entry);
   void NoteRemoved(const base::BackendServerId& id, base::Instant now);
 
+  // Records that this run of a backend server said that it leaves. Returns
+  // whether that is news.
+  bool NoteLeaving(const base::BackendServerId& id,
+                   int64_t started_ms,
+                   base::Instant now);
+
+  // Returns what NoteLeaving has recorded since, the newest first.
+  std::vector<LeavingBackend> LeavingSince(base::Instant since) const;
+
   // Records that the store didn't answer or refused a call.
   void NoteStoreFailure(base::Instant now) { this->store_failed_at = now; }
 
@@ -67,8 +88,13 @@
  private:
   bool InGracePeriod(base::Instant now) const;
 
+  bool IsLeaving(const base::BackendServerId& id, int64_t started_ms) const;
+
   base::Duration grace_period;
   std::map<base::BackendServerId, BackendEntry> known;
+  // Kept when the entry is removed: an older copy of the store may bring it
+  // back.
+  std::map<base::BackendServerId, LeavingBackend> leaving;
   // Time at which each missing entry was first noticed to be missing.
   std::map<base::BackendServerId, base::Instant> lapsed;
   std::optional<base::Instant> store_failed_at;
--- a/core/include/carawayvalve/core/backend_health.h
+++ b/core/include/carawayvalve/core/backend_health.h
@@ -50,6 +50,12 @@
   // begun, and isn't usable.
   void NoteRoleChangeStarted(const base::BackendServerId& id,
                              base::Instant until);
+  // Records that the backend server asked for no requests until then: it isn't
+  // usable, but not ill either. Afterwards, the requests that it may have in
+  // flight from this process start at one and double with each answer.
+  void NoteAskedToWait(const base::BackendServerId& id, base::Instant until);
+  // Returns whether that time hasn't passed yet.
+  bool AskedToWait(const base::BackendServerId& id, base::Instant now) const;
   // Records that the change of role is complete.
   void NoteRoleChangeDone(const base::BackendServerId& id);
   // Drops all that is recorded of a backend server, as it has restarted.
@@ -73,6 +79,9 @@
     int64_t consecutive_failures = 0;
     base::Instant paused_until;
     base::Instant role_change_until;
+    base::Instant wait_until;
+    // Requests that may be in flight after `wait_until`; 0 for any number.
+    int64_t max_in_flight = 0;
     base::Instant updated;
   };
 
--- a/core/src/backend_directory.cc
+++ b/core/src/backend_directory.cc
@@ -1,7 +1,16 @@
 #include "carawayvalve/core/backend_directory.h"
 
+#include <algorithm>
+
 namespace carawayvalve::core {
 
+namespace {
+
+// Beyond this number the oldest records of leaving backend servers are evicted.
+constexpr size_t kMaxLeaving = 8192;
+
+}  // namespace
+
 bool BackendDirectory::InGracePeriod(base::Instant now) const {
   return this->store_failed_at.has_value() &&
          now - *this->store_failed_at < this->grace_period;
@@ -26,10 +35,55 @@
 }
 
 void BackendDirectory::NoteEntry(const BackendEntry& entry) {
-  this->known[entry.id] = entry;
+  BackendEntry& kept = this->known[entry.id];
+  kept = entry;
+  kept.draining = entry.draining || this->IsLeaving(entry.id, entry.started_ms);
   this->lapsed.erase(entry.id);
 }
 
+bool BackendDirectory::IsLeaving(const base::BackendServerId& id,
+                                 int64_t started_ms) const {
+  const auto found = this->leaving.find(id);
+  return found != this->leaving.end() && started_ms <= found->second.started_ms;
+}
+
+bool BackendDirectory::NoteLeaving(const base::BackendServerId& id,
+                                   int64_t started_ms,
+                                   base::Instant now) {
+  if (this->IsLeaving(id, started_ms)) {
+    return false;
+  }
+  this->leaving[id] = {id, started_ms, now};
+  if (this->leaving.size() > kMaxLeaving) {
+    this->leaving.erase(
+        std::min_element(this->leaving.begin(), this->leaving.end(),
+                         [](const auto& one, const auto& other) {
+                           return one.second.noted < other.second.noted;
+                         }));
+  }
+  const auto entry = this->known.find(id);
+  if (entry != this->known.end() &&
+      this->IsLeaving(id, entry->second.started_ms)) {
+    entry->second.draining = true;
+  }
+  return true;
+}
+
+std::vector<LeavingBackend> BackendDirectory::LeavingSince(
+    base::Instant since) const {
+  std::vector<LeavingBackend> recent;
+  for (const auto& [id, left] : this->leaving) {
+    if (left.noted >= since) {
+      recent.push_back(left);
+    }
+  }
+  std::sort(recent.begin(), recent.end(),
+            [](const LeavingBackend& one, const LeavingBackend& other) {
+              return one.noted > other.noted;
+            });
+  return recent;
+}
+
 void BackendDirectory::NoteRemoved(const base::BackendServerId& id,
                                    base::Instant now) {
   const auto found = this->known.find(id);
--- a/core/src/backend_health.cc
+++ b/core/src/backend_health.cc
@@ -13,6 +13,9 @@
 // the speed of a backend server.
 constexpr base::Milliseconds kMinExpected(10);
 constexpr int64_t kMaxDoublings = 6;
+// The number of requests in flight at which a backend server that asked this
+// process to wait gets any number again.
+constexpr int64_t kMaxInFlightAfterWait = 16;
 
 }  // namespace
 
@@ -53,6 +56,12 @@
   record.failure_rate -= newest_weight * record.failure_rate;
   record.consecutive_failures = 0;
   record.paused_until = {};
+  if (record.max_in_flight > 0 && now >= record.wait_until) {
+    record.max_in_flight *= 2;
+    if (record.max_in_flight >= kMaxInFlightAfterWait) {
+      record.max_in_flight = 0;
+    }
+  }
 }
 
 void BackendHealth::NoteFailure(const base::BackendServerId& id,
@@ -90,6 +99,19 @@
   }
 }
 
+void BackendHealth::NoteAskedToWait(const base::BackendServerId& id,
+                                    base::Instant until) {
+  Record& record = this->records[id];
+  record.wait_until = std::max(record.wait_until, until);
+  record.max_in_flight = 1;
+}
+
+bool BackendHealth::AskedToWait(const base::BackendServerId& id,
+                                base::Instant now) const {
+  const auto found = this->records.find(id);
+  return found != this->records.end() && now < found->second.wait_until;
+}
+
 void BackendHealth::Forget(const base::BackendServerId& id) {
   this->records.erase(id);
 }
@@ -102,7 +124,10 @@
     return true;
   }
   const Record& record = found->second;
-  if (now < record.role_change_until) {
+  if (now < record.role_change_until || now < record.wait_until) {
+    return false;
+  }
+  if (record.max_in_flight > 0 && in_flight >= record.max_in_flight) {
     return false;
   }
   const bool half_open =
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -50,7 +50,7 @@
   Candidates unhealthy;
   for (const auto& [id, entry] : this->directory.entries()) {
     if (entry.service != query.service || entry.draining ||
-        query.excluded.contains(id)) {
+        query.excluded.contains(id) || this->health.AskedToWait(id, now)) {
       continue;
     }
     const bool healthy =
@@ -231,7 +231,8 @@
   for (const auto& [id, entry] : this->directory.entries()) {
     const int64_t tokens =
         this->prefix_cache.PrefilledTokens(id, affinity.keys);
-    if (tokens > affinity.source_tokens && !this->silence.IsSilent(id, now)) {
+    if (tokens > affinity.source_tokens && !entry.draining &&
+        !this->silence.IsSilent(id, now)) {
       affinity.source = &entry;
       affinity.source_tokens = tokens;
     }
@@ -351,7 +352,7 @@
                                base::Instant now) const {
   const Candidates candidates = this->FindCandidates(query, now);
   if (candidates.empty()) {
-    return NoBackend{"no backend server of the service is known"};
+    return NoBackend{"no backend server of the service takes requests"};
   }
   return query.prompt == nullptr ? this->ChoosePlain(candidates, now)
                                  : this->ChooseEngine(candidates, query, now);
--- a/core/tests/backend_directory_test.cc
+++ b/core/tests/backend_directory_test.cc
@@ -71,4 +71,56 @@
   }
 }
 
+TEST_CASE("a backend server says that it leaves while its entry says up") {
+  const Instant now = Instant() + seconds(100);
+  BackendDirectory directory(seconds(2));
+  BackendEntry entry = Entry("a");
+  entry.started_ms = 1000;
+  directory.NoteEntry(entry);
+  CHECK(directory.NoteLeaving({"a"}, 1000, now));
+  CHECK(directory.Find({"a"})->draining);
+
+  SUBCASE("hearing it again is no news") {
+    CHECK_FALSE(directory.NoteLeaving({"a"}, 1000, now));
+  }
+  SUBCASE("its entry doesn't take that back") {
+    directory.NoteEntry(entry);
+    CHECK(directory.Find({"a"})->draining);
+    directory.NoteList({entry}, now);
+    CHECK(directory.Find({"a"})->draining);
+  }
+  SUBCASE("nor does an entry of an older run, or one that comes back") {
+    entry.started_ms = 900;
+    directory.NoteEntry(entry);
+    CHECK(directory.Find({"a"})->draining);
+    directory.NoteRemoved({"a"}, now);
+    directory.NoteEntry(entry);
+    CHECK(directory.Find({"a"})->draining);
+  }
+  SUBCASE("a new run takes requests again") {
+    entry.started_ms = 1001;
+    directory.NoteEntry(entry);
+    CHECK_FALSE(directory.Find({"a"})->draining);
+
+    SUBCASE("also when a late word names the run before") {
+      CHECK_FALSE(directory.NoteLeaving({"a"}, 1000, now));
+      CHECK_FALSE(directory.Find({"a"})->draining);
+    }
+  }
+  SUBCASE("peers are told for a while, the newest first") {
+    directory.NoteLeaving({"b"}, 7, now + seconds(1));
+    const auto recent = directory.LeavingSince(now);
+    REQUIRE(recent.size() == 2);
+    CHECK(recent[0] == LeavingBackend{{"b"}, 7, now + seconds(1)});
+    CHECK(directory.LeavingSince(now + seconds(1)).size() == 1);
+  }
+  SUBCASE("it is known before the entry is") {
+    directory.NoteLeaving({"c"}, 5, now);
+    BackendEntry unknown = Entry("c");
+    unknown.started_ms = 5;
+    directory.NoteEntry(unknown);
+    CHECK(directory.Find({"c"})->draining);
+  }
+}
+
 }  // namespace carawayvalve::core
--- a/core/tests/backend_health_test.cc
+++ b/core/tests/backend_health_test.cc
@@ -94,4 +94,48 @@
   }
 }
 
+// A full backend server answers 503 with Retry-After: 2.
+TEST_CASE("a backend server asks to be left alone") {
+  BackendHealth health(BackendHealth::Settings{});
+  const base::BackendServerId id{"full"};
+  const Instant now = Instant() + seconds(100);
+  const Instant until = now + seconds(2);
+  health.NoteAskedToWait(id, until);
+
+  SUBCASE("it gets nothing until then") {
+    CHECK(health.AskedToWait(id, until - Milliseconds(1)));
+    CHECK_FALSE(health.Usable(id, 0, until - Milliseconds(1)));
+    CHECK_FALSE(health.AskedToWait(id, until));
+    CHECK(health.Usable(id, 0, until));
+  }
+  SUBCASE("an answer that was under way doesn't shorten that") {
+    health.NoteAnswer(id, Milliseconds(50), Milliseconds(50), now);
+    CHECK_FALSE(health.Usable(id, 0, now));
+    CHECK_FALSE(health.Usable(id, 1, until));
+  }
+  SUBCASE("a shorter time that it names later doesn't either") {
+    health.NoteAskedToWait(id, now + seconds(1));
+    CHECK(health.AskedToWait(id, now + seconds(1)));
+  }
+  SUBCASE("it doesn't count as ill") {
+    CHECK(health.FailureRate(id, until) == 0);
+    CHECK(health.Slowness(id, until) == 1);
+  }
+  SUBCASE("afterwards requests return one by one") {
+    CHECK(health.Usable(id, 0, until));
+    CHECK_FALSE(health.Usable(id, 1, until));
+    health.NoteAnswer(id, Milliseconds(50), Milliseconds(50), until);
+    CHECK(health.Usable(id, 1, until));
+    CHECK_FALSE(health.Usable(id, 2, until));
+    for (int answers = 0; answers < 3; ++answers) {
+      health.NoteAnswer(id, Milliseconds(50), Milliseconds(50), until);
+    }
+    CHECK(health.Usable(id, 100, until));
+  }
+  SUBCASE("a restart ends it") {
+    health.Forget(id);
+    CHECK(health.Usable(id, 7, now));
+  }
+}
+
 }  // namespace carawayvalve::core
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -88,7 +88,8 @@
 void BackendCall::On(const net::CallHead& event) {
   this->context.state.silence.NoteReceived(this->call_plan.backend.id,
                                            base::Now());
-  this->head = platform::DecodeBackendHead(event.head);
+  this->head =
+      this->context.NoteBackendHead(this->call_plan.backend, event.head);
   this->status = event.head.status;
   // Only a genuine answer counts as begun. The body of a declined request isn't
   // used.
@@ -134,13 +135,13 @@
   if (this->head.declined) {
     // If another backend server has the address now, its answer says nothing
     // about this one's health.
-    if (!this->head.other_backend) {
+    if (!this->head.other_backend && !this->head.wait.has_value()) {
       health.NoteFailure(id, now);
     }
     this->Notify(BackendDeclined{this->status});
     return;
   }
-  if (this->status >= kServerError) {
+  if (this->status >= kServerError && !this->head.wait.has_value()) {
     health.NoteFailure(id, now);
   }
   this->Notify(BackendAnswerDone{});
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -8,6 +8,7 @@
 #include "carawayvalve/base/journal.h"
 #include "carawayvalve/net/event_loop.h"
 #include "carawayvalve/net/http_client.h"
+#include "carawayvalve/platform/requests.h"
 #include "gateway_metrics.h"
 #include "gateway_state.h"
 #include "late_request_scheduler.h"
@@ -34,6 +35,13 @@
   std::vector<SentPrefix>& sent_prefixes;
   // Called when the load that this gateway puts on backend servers changes.
   std::function<void()>& on_load_changed;
+  // Called when a backend server has said that it leaves.
+  std::function<void()>& on_backend_leaving;
+
+  // Applies what the head of a backend server's answer says of that server.
+  // Returns the decoded head.
+  platform::BackendHead NoteBackendHead(const core::BackendEntry& backend,
+                                        const net::ResponseHead& head);
 };
 
 }  // namespace carawayvalve::gateway
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -50,6 +50,13 @@
 constexpr std::chrono::seconds kRecentCrashAge(2);
 constexpr int64_t kRoundsPerOldCrashes = 40;
 constexpr size_t kMaxCrashesPerMessage = 16;
+// Backend servers that said within this time that they leave are named in each
+// message: a gateway that starts meanwhile or misses a few messages learns it.
+constexpr std::chrono::seconds kDepartureAge(10);
+constexpr size_t kMaxDeparturesPerMessage = 32;
+// The minimum interval between two updates about backend servers that leave,
+// with any number of peers.
+constexpr base::Milliseconds kDepartureInterval(100);
 // The number of newest crashes that are sent to a gateway which has just
 // started.
 constexpr size_t kMaxCrashesForNewPeer = 256;
@@ -114,6 +121,9 @@
         this->OnCall(exchange);
       });
   this->context.on_load_changed = [this] { this->OnLoadChanged(); };
+  this->context.on_backend_leaving = [this] {
+    this->ScheduleUpdate(kDepartureInterval);
+  };
   this->registry.Start();
   this->RunRound();
 }
@@ -158,10 +168,14 @@
                               this->context.state.load.own())) {
     return;
   }
+  this->ScheduleUpdate(this->UpdateInterval());
+}
+
+void PeerGossip::ScheduleUpdate(base::Duration interval) {
   this->update_scheduled = true;
   const base::Instant now = base::Now();
-  const base::Instant send_at = std::max(
-      now + kUpdateDelay, this->loads_sent_at + this->UpdateInterval());
+  const base::Instant send_at =
+      std::max(now + kUpdateDelay, this->loads_sent_at + interval);
   this->update_timer.Start(send_at - now, [this] { this->SendLoads(); });
 }
 
@@ -204,9 +218,25 @@
     }
   }
   gossip.__isset.absences = !gossip.absences.empty();
+  this->AddDepartures(gossip);
   return gossip;
 }
 
+void PeerGossip::AddDepartures(Gossip& gossip) const {
+  const auto recent =
+      this->context.state.directory.LeavingSince(base::Now() - kDepartureAge);
+  for (const core::LeavingBackend& left : recent) {
+    if (gossip.departures.size() >= kMaxDeparturesPerMessage) {
+      break;
+    }
+    wire::gen::GossipDeparture encoded;
+    encoded.backend_server = left.id.value;
+    encoded.started_ms = left.started_ms;
+    gossip.departures.push_back(std::move(encoded));
+  }
+  gossip.__isset.departures = !gossip.departures.empty();
+}
+
 void PeerGossip::RunRound() {
   this->round_timer.Start(this->RoundInterval(), [this] { this->RunRound(); });
   this->LogSlackDivisor();
@@ -407,6 +437,7 @@
     state.health.NoteRoleChangeStarted(
         {received.backend_server}, now + base::Milliseconds(received.left_ms));
   }
+  this->ApplyDepartures(gossip, now);
   std::vector<core::CrashRecord> crashes;
   for (const wire::gen::GossipDeath& received : gossip.deaths) {
     crashes.push_back({received.content_digest, received.death_id,
@@ -415,6 +446,18 @@
   state.poison_requests.Merge(crashes, now);
 }
 
+void PeerGossip::ApplyDepartures(const Gossip& gossip, base::Instant now) {
+  for (const wire::gen::GossipDeparture& received : gossip.departures) {
+    const bool is_news = this->context.state.directory.NoteLeaving(
+        {received.backend_server}, received.started_ms, now);
+    if (is_news) {
+      this->context.journal.Write(
+          base::LogLevel::kInfo, "backend_leaves",
+          {{"backend", received.backend_server}, {"source", gossip.host}});
+    }
+  }
+}
+
 void PeerGossip::ApplyFreshness(const Gossip& gossip, const Peer& peer) {
   GatewayState& state = this->context.state;
   const int64_t own_version =
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -51,10 +51,13 @@
   void RunRound();
   // Schedules an update if the change affects how peers place requests.
   void OnLoadChanged();
+  // Schedules an update, at the minimum interval between two.
+  void ScheduleUpdate(base::Duration interval);
   void SendLoads();
   void Send(const wire::gen::Gossip& gossip);
   void SetWatchWaits();
   void AddCrashes(wire::gen::Gossip& gossip) const;
+  void AddDepartures(wire::gen::Gossip& gossip) const;
   std::vector<wire::gen::Gossip> CrashMessages() const;
   wire::gen::Gossip BaseMessage() const;
   // Returns a message with all loads of this gateway. Peers take a message
@@ -63,6 +66,7 @@
   std::vector<wire::gen::Gossip> WindowMessages(bool all_sources) const;
   void OnDatagram(const std::string& data, const base::Address& sender);
   void ApplyLoads(const wire::gen::Gossip& gossip, base::Instant now);
+  void ApplyDepartures(const wire::gen::Gossip& gossip, base::Instant now);
   void ApplyFreshness(const wire::gen::Gossip& gossip, const Peer& peer);
   void FetchPlan(const base::Address& address);
   void OnPlanCall(const net::CallEvent& event);
--- a/gateway/src/request_prefill.cc
+++ b/gateway/src/request_prefill.cc
@@ -15,13 +15,18 @@
 constexpr int64_t kMaxPrefillAttempts = 3;
 
 // Tells the prefill engine to free the prompt. The call owns itself until it
-// has ended, as its result isn't used.
-void SendRelease(Context& context, const platform::DecodeFromHandle& prompt) {
+// has ended, as the caller of this function doesn't wait for it.
+void SendRelease(Context& context,
+                 const core::BackendEntry& engine,
+                 const platform::DecodeFromHandle& prompt) {
   const auto call_holder = std::make_shared<std::shared_ptr<TimedCall>>();
   *call_holder = TimedCall::Start(
       context.loop, context.backends, prompt.prefill_engine,
       platform::EncodeRelease(prompt.handle), kReleaseTimeout,
-      [call_holder](const TimedCall::Result&) { call_holder->reset(); });
+      [&context, engine, call_holder](const TimedCall::Result& result) {
+        context.NoteBackendHead(engine, {result.status, result.fields});
+        call_holder->reset();
+      });
 }
 
 }  // namespace
@@ -101,8 +106,10 @@
 
 void RequestHandler::ReleasePrompt() {
   const auto prompt = std::exchange(this->prefilled_prompt, std::nullopt);
-  if (prompt.has_value()) {
-    SendRelease(this->context, *prompt);
+  const bool may_send = !this->context.state.health.AskedToWait(
+      this->prefill_engine.id, base::Now());
+  if (prompt.has_value() && may_send) {
+    SendRelease(this->context, this->prefill_engine, *prompt);
   }
 }
 
--- a/gateway/src/role_controller.cc
+++ b/gateway/src/role_controller.cc
@@ -90,7 +90,8 @@
 void RoleController::RequestReport(const core::RoleChange& change) {
   const core::BackendEntry* entry =
       this->context.state.directory.Find(change.backend_server);
-  if (entry == nullptr) {
+  if (entry == nullptr || this->context.state.health.AskedToWait(
+                              change.backend_server, base::Now())) {
     return;
   }
   this->calls[change.backend_server] = TimedCall::Start(
@@ -103,6 +104,7 @@
 
 void RoleController::OnReport(const core::RoleChange& change,
                               const TimedCall::Result& result) {
+  this->NoteHead(change, result);
   const auto report = platform::DecodeEngineReport(result.body);
   if (!report.has_value() || report->order_in_progress) {
     this->context.journal.Write(
@@ -115,12 +117,21 @@
   this->SendOrder(change, report->accepted_orders);
 }
 
+void RoleController::NoteHead(const core::RoleChange& change,
+                              const TimedCall::Result& result) {
+  const core::BackendEntry* entry =
+      this->context.state.directory.Find(change.backend_server);
+  if (entry != nullptr) {
+    this->context.NoteBackendHead(*entry, {result.status, result.fields});
+  }
+}
+
 void RoleController::SendOrder(const core::RoleChange& change,
                                int64_t accepted_orders) {
   const core::BackendEntry* entry =
       this->context.state.directory.Find(change.backend_server);
   const base::Instant now = base::Now();
-  if (entry == nullptr || !this->grant.has_value() ||
+  if (entry == nullptr || entry->draining || !this->grant.has_value() ||
       this->grant->valid_until - now < kOrderTimeout) {
     return;
   }
@@ -137,6 +148,7 @@
 
 void RoleController::OnOrdered(const core::RoleChange& change,
                                const TimedCall::Result& result) {
+  this->NoteHead(change, result);
   if (result.status == kAccepted) {
     GatewayState& state = this->context.state;
     const base::Instant until = base::Now() + kRoleChangeTime;
--- a/gateway/src/role_controller.h
+++ b/gateway/src/role_controller.h
@@ -30,6 +30,9 @@
   void RequestReport(const core::RoleChange& change);
   void OnReport(const core::RoleChange& change,
                 const TimedCall::Result& result);
+  // Applies what the head of an engine's answer says of that engine.
+  void NoteHead(const core::RoleChange& change,
+                const TimedCall::Result& result);
   void SendOrder(const core::RoleChange& change, int64_t accepted_orders);
   void OnOrdered(const core::RoleChange& change,
                  const TimedCall::Result& result);
--- a/gateway/src/timed_call.cc
+++ b/gateway/src/timed_call.cc
@@ -31,6 +31,7 @@
 void TimedCall::OnEvent(const net::CallEvent& event) {
   if (const auto* head = std::get_if<net::CallHead>(&event)) {
     this->result.status = head->head.status;
+    this->result.fields = head->head.fields;
   } else if (const auto* body = std::get_if<net::CallBody>(&event)) {
     this->result.body += body->data;
   } else if (std::holds_alternative<net::CallDone>(event)) {
--- a/gateway/src/timed_call.h
+++ b/gateway/src/timed_call.h
@@ -16,6 +16,7 @@
   struct Result {
     // 0 if there was no complete answer.
     int status = 0;
+    net::HeaderFields fields;
     std::string body;
   };
   using Handler = std::function<void(const Result&)>;
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -207,4 +207,47 @@
   CHECK(absence_left_ms <= 4000);
 }
 
+TEST_CASE("gateways tell each other which backend servers leave") {
+  GossipTest test(kWithoutStore);
+  test.Start();
+  GatewayState& state = test.gateway.state;
+  for (const char* id : {"heard-there", "heard-here"}) {
+    core::BackendEntry entry;
+    entry.id = {id};
+    entry.started_ms = 7;
+    state.directory.NoteEntry(entry);
+  }
+  std::string departed;
+  net::DatagramSocket peer(test.gateway.loop, {"127.0.0.1", 0},
+                           [&](const std::string& data, const base::Address&) {
+                             const auto message = ParseGossip(data);
+                             for (const auto& departure : message->departures) {
+                               departed += departure.backend_server + " ";
+                             }
+                             if (!departed.empty()) {
+                               test.gateway.loop.Stop();
+                             }
+                           });
+  test.SendToGateway(peer, FirstMessage("peer", "first"));
+  test.gateway.RunFor(kFewRounds);
+
+  SUBCASE("a peer's word holds for the run that it names") {
+    wire::gen::GossipDeparture departure;
+    departure.backend_server = "heard-there";
+    departure.started_ms = 7;
+    wire::gen::Gossip message = FirstMessage("peer", "first");
+    message.__set_departures({departure});
+    test.SendToGateway(peer, message);
+    test.gateway.RunFor(kFewRounds);
+    CHECK(state.directory.Find({"heard-there"})->draining);
+    CHECK_FALSE(state.directory.Find({"heard-here"})->draining);
+  }
+  SUBCASE("an own answer is told at once") {
+    test.gateway.context.NoteBackendHead(*state.directory.Find({"heard-here"}),
+                                         {200, {{"Server-Leaving", "1"}}});
+    test.gateway.RunFor(base::Milliseconds(150));
+    CHECK(departed == "heard-here ");
+  }
+}
+
 }  // namespace carawayvalve::gateway
--- a/gateway/tests/request_handler_test.cc
+++ b/gateway/tests/request_handler_test.cc
@@ -154,4 +154,78 @@
   }
 }
 
+// While the store is away, an engine's entry says `up` long after the engine
+// has said that it leaves.
+TEST_CASE("the only decode engine says in an answer that it leaves") {
+  RequestFixture fixture(1);
+  Backend decode_engine(fixture.gateway.loop, {.id = "generator"},
+                        fixture.runs);
+  fixture.Add("generator", decode_engine.port(), EngineRole::kDecode);
+  decode_engine.leaves = true;
+  int64_t news = 0;
+  fixture.gateway.on_backend_leaving = [&] { ++news; };
+  fixture.SendRequest([](const std::string&) {});
+  CHECK(fixture.status == 200);
+  CHECK(fixture.complete);
+  CHECK(news == 1);
+
+  SUBCASE("it gets no further request, though its entry is written again") {
+    fixture.Add("generator", decode_engine.port(), EngineRole::kDecode);
+    fixture.SendRequest([](const std::string&) {});
+    CHECK(fixture.status == 503);
+    CHECK(fixture.runs.size() == 1);
+    CHECK(decode_engine.arrivals.size() == 1);
+  }
+  SUBCASE("another one gets them") {
+    Backend other_engine(fixture.gateway.loop, {.id = "other"}, fixture.runs);
+    fixture.Add("other", other_engine.port(), EngineRole::kDecode);
+    fixture.gateway.state.load.NoteSent({"other"}, {5, 0, 1000});
+    fixture.SendRequest([](const std::string&) {});
+    CHECK(fixture.status == 200);
+    CHECK(other_engine.arrivals.size() == 1);
+  }
+}
+
+TEST_CASE("a prefill engine that says it leaves gets no further prompt") {
+  RequestFixture fixture(1);
+  Backend decode_engine(fixture.gateway.loop, {.id = "generator"},
+                        fixture.runs);
+  fixture.Add("generator", decode_engine.port(), EngineRole::kDecode);
+  fixture.prefill_engine.leaves = true;
+  fixture.SendRequest([](const std::string&) {});
+  fixture.SendRequest([](const std::string&) {});
+  CHECK(fixture.status == 200);
+  CHECK(fixture.prefill_engine.arrivals.size() == 1);
+}
+
+TEST_CASE("a full engine asks for no requests for a while") {
+  RequestFixture fixture(1);
+  Backend decode_engine(fixture.gateway.loop, {.id = "generator"},
+                        fixture.runs);
+  fixture.Add("generator", decode_engine.port(), EngineRole::kDecode);
+  decode_engine.declines = true;
+  decode_engine.retry_after = "1.5";
+  fixture.SendRequest([](const std::string&) {});
+  CHECK(fixture.status == 503);
+  REQUIRE(decode_engine.arrivals.size() == 1);
+  const base::Instant asked = base::Now();
+
+  SUBCASE("it gets none, not even as the last one of its service") {
+    for (int i = 0; i < 4; ++i) {
+      fixture.SendRequest([](const std::string&) {});
+      CHECK(fixture.status == 503);
+    }
+    CHECK(base::Now() < asked + Milliseconds(1500));
+    CHECK(decode_engine.arrivals.size() == 1);
+  }
+  SUBCASE("it is served again after that") {
+    decode_engine.declines = false;
+    fixture.gateway.RunFor(Milliseconds(1600));
+    fixture.SendRequest([](const std::string&) {});
+    CHECK(fixture.status == 200);
+    CHECK(fixture.gateway.state.health.FailureRate({"generator"},
+                                                   base::Now()) == 0);
+  }
+}
+
 }  // namespace carawayvalve::gateway
--- a/tests/platform/backend.cc
+++ b/tests/platform/backend.cc
@@ -36,10 +36,21 @@
   return value == nullptr ? "" : *value;
 }
 
+net::HeaderFields Backend::UnsignedFields(const net::Exchange& exchange) const {
+  net::HeaderFields fields = {
+      {"X-Request-Id", this->Field(exchange, "X-Request-Id")}};
+  if (this->leaves) {
+    fields.push_back({"Server-Leaving", "1"});
+  }
+  return fields;
+}
+
 net::HeaderFields Backend::Fields(const net::Exchange& exchange) const {
-  const std::string request = this->Field(exchange, "X-Request-Id");
-  return {{"X-Request-Id", request},
-          {"X-Response-Sig", this->settings.id + "." + request}};
+  net::HeaderFields fields = this->UnsignedFields(exchange);
+  fields.push_back(
+      {"X-Response-Sig",
+       this->settings.id + "." + this->Field(exchange, "X-Request-Id")});
+  return fields;
 }
 
 // Answers the control calls of the platform's engines. Orders are accepted and
@@ -73,14 +84,17 @@
                         this->pending.size() >= this->settings.slots;
   this->arrivals.push_back({request, base::Now(), prefill_only, declined});
   if (declined) {
-    exchange->Respond({{is_for_other_backend ? 421 : 503,
-                        {{"X-Request-Id", request}, {"X-Not-Run", "1"}}},
-                       ""});
+    net::HeaderFields fields = this->UnsignedFields(*exchange);
+    fields.push_back({"X-Not-Run", "1"});
+    if (!this->retry_after.empty()) {
+      fields.push_back({"Retry-After", this->retry_after});
+    }
+    exchange->Respond({{is_for_other_backend ? 421 : 503, fields}, ""});
     return;
   }
   if (prefill_only) {
     ++this->prefill_count;
-    exchange->Respond({{200, {{"X-Request-Id", request}}},
+    exchange->Respond({{200, this->UnsignedFields(*exchange)},
                        R"({"kvHandle":"h1","tokens":10,"version":1})"});
     return;
   }
--- a/tests/platform/backend.h
+++ b/tests/platform/backend.h
@@ -64,6 +64,10 @@
   int prefill_count = 0;
   // Declines every request, reporting it as not run.
   bool declines = false;
+  // Says in every answer that it leaves.
+  bool leaves = false;
+  // The Retry-After of declined requests, in seconds; empty for none.
+  std::string retry_after;
   // Answers every request with 500.
   bool fails = false;
   // Added to the duration of each request. A request whose deadline expires
@@ -86,6 +90,8 @@
   void Answer(int64_t number);
   void NextEvent(int64_t number);
   net::HeaderFields Fields(const net::Exchange& exchange) const;
+  // Returns the fields of an answer without a signature.
+  net::HeaderFields UnsignedFields(const net::Exchange& exchange) const;
   std::string Field(const net::Exchange& exchange, const char* name) const;
 
   net::EventLoop& loop;
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -848,6 +848,130 @@
 }
 
 
+GossipDeparture::~GossipDeparture() noexcept {
+}
+
+
+void GossipDeparture::__set_backend_server(const std::string& val) {
+  this->backend_server = val;
+}
+
+void GossipDeparture::__set_started_ms(const int64_t val) {
+  this->started_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipDeparture& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipDeparture::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_backend_server = false;
+  bool isset_started_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend_server);
+          isset_backend_server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_ms);
+          isset_started_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_backend_server)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_started_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipDeparture::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipDeparture");
+
+  xfer += oprot->writeFieldBegin("backend_server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->backend_server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->started_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipDeparture &a, GossipDeparture &b) {
+  using ::std::swap;
+  swap(a.backend_server, b.backend_server);
+  swap(a.started_ms, b.started_ms);
+}
+
+GossipDeparture::GossipDeparture(const GossipDeparture& other40) {
+  backend_server = other40.backend_server;
+  started_ms = other40.started_ms;
+}
+GossipDeparture::GossipDeparture(GossipDeparture&& other41) noexcept {
+  backend_server = std::move(other41.backend_server);
+  started_ms = other41.started_ms;
+}
+GossipDeparture& GossipDeparture::operator=(const GossipDeparture& other42) {
+  backend_server = other42.backend_server;
+  started_ms = other42.started_ms;
+  return *this;
+}
+GossipDeparture& GossipDeparture::operator=(GossipDeparture&& other43) noexcept {
+  backend_server = std::move(other43.backend_server);
+  started_ms = other43.started_ms;
+  return *this;
+}
+void GossipDeparture::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipDeparture(";
+  out << "backend_server=" << to_string(backend_server);
+  out << ", " << "started_ms=" << to_string(started_ms);
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -908,6 +1032,11 @@
   this->absences = val;
 __isset.absences = true;
 }
+
+void Gossip::__set_departures(const std::vector<GossipDeparture> & val) {
+  this->departures = val;
+__isset.departures = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -1009,14 +1138,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->loads.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->loads.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->loads[_i44].read(iprot);
+              xfer += this->loads[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1029,14 +1158,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size45;
-            ::apache::thrift::protocol::TType _etype48;
-            xfer += iprot->readListBegin(_etype48, _size45);
-            this->prefixes.resize(_size45);
-            uint32_t _i49;
-            for (_i49 = 0; _i49 < _size45; ++_i49)
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->prefixes.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
             {
-              xfer += this->prefixes[_i49].read(iprot);
+              xfer += this->prefixes[_i53].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1049,14 +1178,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->windows.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->windows.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->windows.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->windows[_i54].read(iprot);
+              xfer += this->windows[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1069,14 +1198,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->deaths.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->deaths.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += this->deaths[_i59].read(iprot);
+              xfer += this->deaths[_i63].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1105,14 +1234,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->absences.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->absences.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->absences.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += this->absences[_i64].read(iprot);
+              xfer += this->absences[_i68].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1121,6 +1250,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departures.clear();
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->departures.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
+            {
+              xfer += this->departures[_i73].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1195,10 +1344,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GossipLoad> ::const_iterator _iter65;
-    for (_iter65 = this->loads.begin(); _iter65 != this->loads.end(); ++_iter65)
+    std::vector<GossipLoad> ::const_iterator _iter74;
+    for (_iter74 = this->loads.begin(); _iter74 != this->loads.end(); ++_iter74)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter74).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1207,10 +1356,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<GossipPrefix> ::const_iterator _iter66;
-    for (_iter66 = this->prefixes.begin(); _iter66 != this->prefixes.end(); ++_iter66)
+    std::vector<GossipPrefix> ::const_iterator _iter75;
+    for (_iter75 = this->prefixes.begin(); _iter75 != this->prefixes.end(); ++_iter75)
     {
-      xfer += (*_iter66).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1219,10 +1368,10 @@
   xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->windows.size()));
-    std::vector<GossipWindow> ::const_iterator _iter67;
-    for (_iter67 = this->windows.begin(); _iter67 != this->windows.end(); ++_iter67)
+    std::vector<GossipWindow> ::const_iterator _iter76;
+    for (_iter76 = this->windows.begin(); _iter76 != this->windows.end(); ++_iter76)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1231,10 +1380,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<GossipDeath> ::const_iterator _iter68;
-    for (_iter68 = this->deaths.begin(); _iter68 != this->deaths.end(); ++_iter68)
+    std::vector<GossipDeath> ::const_iterator _iter77;
+    for (_iter77 = this->deaths.begin(); _iter77 != this->deaths.end(); ++_iter77)
     {
-      xfer += (*_iter68).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1252,10 +1401,23 @@
     xfer += oprot->writeFieldBegin("absences", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->absences.size()));
-      std::vector<GossipAbsence> ::const_iterator _iter69;
-      for (_iter69 = this->absences.begin(); _iter69 != this->absences.end(); ++_iter69)
+      std::vector<GossipAbsence> ::const_iterator _iter78;
+      for (_iter78 = this->absences.begin(); _iter78 != this->absences.end(); ++_iter78)
+      {
+        xfer += (*_iter78).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.departures) {
+    xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 15);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
+      std::vector<GossipDeparture> ::const_iterator _iter79;
+      for (_iter79 = this->departures.begin(); _iter79 != this->departures.end(); ++_iter79)
       {
-        xfer += (*_iter69).write(oprot);
+        xfer += (*_iter79).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1282,77 +1444,82 @@
   swap(a.leaving, b.leaving);
   swap(a.registry_revision, b.registry_revision);
   swap(a.absences, b.absences);
+  swap(a.departures, b.departures);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other70) {
-  host = other70.host;
-  boot = other70.boot;
-  stamp = other70.stamp;
-  echo = other70.echo;
-  unix_ms = other70.unix_ms;
-  plan_version = other70.plan_version;
-  proof_age_ms = other70.proof_age_ms;
-  loads = other70.loads;
-  prefixes = other70.prefixes;
-  windows = other70.windows;
-  deaths = other70.deaths;
-  leaving = other70.leaving;
-  registry_revision = other70.registry_revision;
-  absences = other70.absences;
-  __isset = other70.__isset;
-}
-Gossip::Gossip(Gossip&& other71) noexcept {
-  host = std::move(other71.host);
-  boot = std::move(other71.boot);
-  stamp = other71.stamp;
-  echo = other71.echo;
-  unix_ms = other71.unix_ms;
-  plan_version = other71.plan_version;
-  proof_age_ms = other71.proof_age_ms;
-  loads = std::move(other71.loads);
-  prefixes = std::move(other71.prefixes);
-  windows = std::move(other71.windows);
-  deaths = std::move(other71.deaths);
-  leaving = other71.leaving;
-  registry_revision = other71.registry_revision;
-  absences = std::move(other71.absences);
-  __isset = other71.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other72) {
-  host = other72.host;
-  boot = other72.boot;
-  stamp = other72.stamp;
-  echo = other72.echo;
-  unix_ms = other72.unix_ms;
-  plan_version = other72.plan_version;
-  proof_age_ms = other72.proof_age_ms;
-  loads = other72.loads;
-  prefixes = other72.prefixes;
-  windows = other72.windows;
-  deaths = other72.deaths;
-  leaving = other72.leaving;
-  registry_revision = other72.registry_revision;
-  absences = other72.absences;
-  __isset = other72.__isset;
+Gossip::Gossip(const Gossip& other80) {
+  host = other80.host;
+  boot = other80.boot;
+  stamp = other80.stamp;
+  echo = other80.echo;
+  unix_ms = other80.unix_ms;
+  plan_version = other80.plan_version;
+  proof_age_ms = other80.proof_age_ms;
+  loads = other80.loads;
+  prefixes = other80.prefixes;
+  windows = other80.windows;
+  deaths = other80.deaths;
+  leaving = other80.leaving;
+  registry_revision = other80.registry_revision;
+  absences = other80.absences;
+  departures = other80.departures;
+  __isset = other80.__isset;
+}
+Gossip::Gossip(Gossip&& other81) noexcept {
+  host = std::move(other81.host);
+  boot = std::move(other81.boot);
+  stamp = other81.stamp;
+  echo = other81.echo;
+  unix_ms = other81.unix_ms;
+  plan_version = other81.plan_version;
+  proof_age_ms = other81.proof_age_ms;
+  loads = std::move(other81.loads);
+  prefixes = std::move(other81.prefixes);
+  windows = std::move(other81.windows);
+  deaths = std::move(other81.deaths);
+  leaving = other81.leaving;
+  registry_revision = other81.registry_revision;
+  absences = std::move(other81.absences);
+  departures = std::move(other81.departures);
+  __isset = other81.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other82) {
+  host = other82.host;
+  boot = other82.boot;
+  stamp = other82.stamp;
+  echo = other82.echo;
+  unix_ms = other82.unix_ms;
+  plan_version = other82.plan_version;
+  proof_age_ms = other82.proof_age_ms;
+  loads = other82.loads;
+  prefixes = other82.prefixes;
+  windows = other82.windows;
+  deaths = other82.deaths;
+  leaving = other82.leaving;
+  registry_revision = other82.registry_revision;
+  absences = other82.absences;
+  departures = other82.departures;
+  __isset = other82.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other73) noexcept {
-  host = std::move(other73.host);
-  boot = std::move(other73.boot);
-  stamp = other73.stamp;
-  echo = other73.echo;
-  unix_ms = other73.unix_ms;
-  plan_version = other73.plan_version;
-  proof_age_ms = other73.proof_age_ms;
-  loads = std::move(other73.loads);
-  prefixes = std::move(other73.prefixes);
-  windows = std::move(other73.windows);
-  deaths = std::move(other73.deaths);
-  leaving = other73.leaving;
-  registry_revision = other73.registry_revision;
-  absences = std::move(other73.absences);
-  __isset = other73.__isset;
+Gossip& Gossip::operator=(Gossip&& other83) noexcept {
+  host = std::move(other83.host);
+  boot = std::move(other83.boot);
+  stamp = other83.stamp;
+  echo = other83.echo;
+  unix_ms = other83.unix_ms;
+  plan_version = other83.plan_version;
+  proof_age_ms = other83.proof_age_ms;
+  loads = std::move(other83.loads);
+  prefixes = std::move(other83.prefixes);
+  windows = std::move(other83.windows);
+  deaths = std::move(other83.deaths);
+  leaving = other83.leaving;
+  registry_revision = other83.registry_revision;
+  absences = std::move(other83.absences);
+  departures = std::move(other83.departures);
+  __isset = other83.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -1372,6 +1539,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "registry_revision=" << to_string(registry_revision);
   out << ", " << "absences="; (__isset.absences ? (out << to_string(absences)) : (out << "<null>"));
+  out << ", " << "departures="; (__isset.departures ? (out << to_string(departures)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -31,6 +31,8 @@
 
 class GossipAbsence;
 
+class GossipDeparture;
+
 class Gossip;
 
 
@@ -291,9 +293,55 @@
 
 std::ostream& operator<<(std::ostream& out, const GossipAbsence& obj);
 
+
+class GossipDeparture : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipDeparture(const GossipDeparture&);
+  GossipDeparture(GossipDeparture&&) noexcept;
+  GossipDeparture& operator=(const GossipDeparture&);
+  GossipDeparture& operator=(GossipDeparture&&) noexcept;
+  GossipDeparture() noexcept
+                  : backend_server(),
+                    started_ms(0) {
+  }
+
+  virtual ~GossipDeparture() noexcept;
+  std::string backend_server;
+  int64_t started_ms;
+
+  void __set_backend_server(const std::string& val);
+
+  void __set_started_ms(const int64_t val);
+
+  bool operator == (const GossipDeparture & rhs) const
+  {
+    if (!(backend_server == rhs.backend_server))
+      return false;
+    if (!(started_ms == rhs.started_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipDeparture &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipDeparture & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipDeparture &a, GossipDeparture &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipDeparture& obj);
+
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false) {}
+  _Gossip__isset() : absences(false), departures(false) {}
   bool absences :1;
+  bool departures :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -330,6 +378,7 @@
   bool leaving;
   int64_t registry_revision;
   std::vector<GossipAbsence>  absences;
+  std::vector<GossipDeparture>  departures;
 
   _Gossip__isset __isset;
 
@@ -361,6 +410,8 @@
 
   void __set_absences(const std::vector<GossipAbsence> & val);
 
+  void __set_departures(const std::vector<GossipDeparture> & val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -393,6 +444,10 @@
       return false;
     else if (__isset.absences && !(absences == rhs.absences))
       return false;
+    if (__isset.departures != rhs.__isset.departures)
+      return false;
+    else if (__isset.departures && !(departures == rhs.departures))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -42,6 +42,13 @@
   2: required i32 left_ms,
 }
 
+// A run of a backend server that has said that it leaves.
+struct GossipDeparture {
+  1: required string backend_server,
+  // The start of that run in Unix milliseconds.
+  2: required i64 started_ms,
+}
+
 struct Gossip {
   1: required string host,
   2: required string boot,
@@ -65,4 +72,5 @@
   // current.
   13: required i64 registry_revision,
   14: optional list<GossipAbsence> absences,
+  15: optional list<GossipDeparture> departures,
 }
