Estimate the speeds of engines, and reckon with their slots

Now core::SpeedEstimator estimates each service's speeds from the gateway's own requests, placement counts the wait for a slot, a decode engine prefills itself what it can within 25 ms where that costs less, and engines with fewer than 32 slots mostly decode.

The planner's test now names the slots of its engines, which the plan depends on; its checks are as they were.

--- a/core/include/carawayvalve/core/placement.h
+++ b/core/include/carawayvalve/core/placement.h
@@ -2,6 +2,7 @@
 #define CARAWAYVALVE_CORE_PLACEMENT_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -13,6 +14,7 @@
 #include "carawayvalve/core/backend_directory.h"
 #include "carawayvalve/core/backend_health.h"
 #include "carawayvalve/core/caller_request.h"
+#include "carawayvalve/core/engine_speeds.h"
 #include "carawayvalve/core/fleet_load.h"
 #include "carawayvalve/core/prefix_cache_tracker.h"
 #include "carawayvalve/core/silence_detector.h"
@@ -21,18 +23,13 @@
 
 struct PlacementSettings {
   base::DataCentreId data_centre;
-  // Prompt tokens per millisecond that a prefill engine prefills, and that a
-  // decode engine prefills between its decoding steps; from the engines' data
-  // sheet.
-  double prefill_tokens_per_ms = 48.2;
-  double decode_tokens_per_ms = 24.1;
+  // The speeds of services for which none were set.
+  EngineSpeeds speeds;
+  // A decode engine prefills at this part of a prefill engine's speed.
+  double decode_prefill_share = 0.5;
   // Attention compares each token with all earlier ones: a million such pairs
   // take as long to prefill as this many tokens; from the engines' data sheet.
   double tokens_per_million_pairs = 12;
-  // Time from the end of the prefill to the first event.
-  base::Duration first_event = base::Milliseconds(14);
-  // Time by which each running request lengthens a step of its engine.
-  base::Duration step_per_request = base::Milliseconds(1);
   // Cost of traffic to another data centre, expressed as a delay.
   base::Duration cross_data_centre_penalty = base::Milliseconds(6);
   // Affinity penalty factor: how much longer the wait at the first affinity
@@ -52,10 +49,12 @@
   double short_prompt_engine_share = 0.15;
   // Fixed time of handing over a KV cache, without the transfer of its bytes.
   base::Duration handover = base::Milliseconds(8);
-  // A decode engine prefills up to this many tokens of a prompt itself: fewer
-  // than would noticeably delay its streams, and cheaper than handing over the
-  // KV cache.
+  // A decode engine always prefills up to this many tokens of a prompt itself.
   int64_t max_direct_prefill_tokens = 300;
+  // It prefills more if that takes at most this time, which its streams bear
+  // well, and costs less than a prefill elsewhere and the handover of the KV
+  // cache.
+  base::Duration max_direct_prefill = base::Milliseconds(25);
   // Copying the KV cache of a shared prefix from another engine takes this
   // fixed time plus its tokens at this rate: 740 Gbit/s at 18 KB a token, from
   // the engines' data sheet. Twice as long between data centres.
@@ -65,8 +64,6 @@
   base::Duration copy_penalty = base::Milliseconds(10);
   // Copying fewer tokens takes longer than it saves.
   int64_t min_copied_tokens = 500;
-  // Mean duration of a request of a plain service.
-  base::Duration plain_request_duration = base::Milliseconds(40);
   // Delay that is added in proportion to the failure rate; this much if all
   // requests fail.
   base::Duration failure_penalty = base::Milliseconds(800);
@@ -103,8 +100,12 @@
   base::Duration expected{};
   // The same if the target is as fast as its data sheet says.
   base::Duration at_full_speed{};
-  // Time of the prefills that are ahead of this request at the target.
+  // Time that the target needs for what is ahead of this request: prefills, and
+  // the slot that it waits for.
   base::Duration work_ahead{};
+  // The same as requests, and as prefill work in tokens of a short prompt.
+  int64_t requests_ahead = 0;
+  int64_t tokens_ahead = 0;
 
   bool operator==(const Placement&) const = default;
 };
@@ -129,6 +130,9 @@
          const FleetLoad& load,
          const PrefixCacheTracker& prefix_cache);
 
+  // Sets the speeds that are assumed of a service's backend servers.
+  void SetSpeeds(const base::ServiceId& service, const EngineSpeeds& speeds);
+
   PlacementResult Choose(const PlacementQuery& query, base::Instant now) const;
 
   // Chooses the decode engine that takes over the KV cache from
@@ -158,6 +162,8 @@
     const BackendEntry* copy_from = nullptr;
     int64_t missing_tokens = 0;
     int64_t prefill_work = 0;
+    int64_t requests_ahead = 0;
+    int64_t tokens_ahead = 0;
     base::Duration work_ahead{};
     // Expected time until the first event: at data sheet speed, and at the
     // engine's observed speed.
@@ -170,6 +176,15 @@
 
   Candidates FindCandidates(const PlacementQuery& query,
                             base::Instant now) const;
+  const EngineSpeeds& SpeedsOf(const BackendEntry& entry) const;
+  // Returns the prompt tokens per millisecond that the engine prefills.
+  double PrefillRate(const BackendEntry& entry) const;
+  // Returns whether the decode engine of `direct` should prefill the prompt
+  // rather than the engine of `prefill`.
+  bool PrefersDirect(const Estimate& direct, const Estimate& prefill) const;
+  // Returns the time until one of a decode engine's slots is free.
+  base::Duration SlotWait(const BackendEntry& entry,
+                          const BackendLoad& present) const;
   Estimate EstimatePlain(const BackendEntry& entry, base::Instant now) const;
   Estimate EstimateEngine(const BackendEntry& entry,
                           const Prompt& prompt,
@@ -212,6 +227,7 @@
                                base::Instant now) const;
 
   PlacementSettings settings;
+  std::map<base::ServiceId, EngineSpeeds> speeds;
   const BackendDirectory& directory;
   const BackendHealth& health;
   const SilenceDetector& silence;
--- a/core/include/carawayvalve/core/role_share_planner.h
+++ b/core/include/carawayvalve/core/role_share_planner.h
@@ -16,15 +16,20 @@
 //
 // An engine in the prefill role prefills about twice as fast as one that
 // prefills between its decoding steps, where each prefill also delays the
-// streams of that engine. So most engines prefill, and a few decode. Each data
-// centre gets both roles, since KV caches move slowly between data centres. A
-// role change takes an engine out of service for seconds, longer than a swing
-// in demand lasts, so the shares follow the number of engines, not the demand.
+// streams of that engine. So most engines prefill, and a few decode, unless
+// engines have few slots: a stream holds its slot until it ends, so that slots
+// rather than prefills limit what the decode engines serve. Each data centre
+// gets both roles, since KV caches move slowly between data centres. A role
+// change takes an engine out of service for seconds, longer than a swing in
+// demand lasts, so the shares follow the engines, not the demand.
 class RoleSharePlanner {
  public:
   struct Settings {
-    // Share of the engines that prefill.
+    // Share of the engines that prefill if they have many slots. It falls in
+    // proportion to the slots below `many_slots`, towards `min_prefill_share`.
     double prefill_share = 0.75;
+    double min_prefill_share = 0.25;
+    int64_t many_slots = 32;
     // Minimum time between two orders to the same engine.
     base::Duration dwell = std::chrono::seconds(8);
     // Under load, roles in a data centre change only if its number of prefill
@@ -49,6 +54,8 @@
   void NoteOrdered(const RoleChange& change, base::Instant now);
 
  private:
+  // Returns the share of the engines that is to prefill.
+  double PrefillShare(const std::vector<const BackendEntry*>& engines) const;
   struct Order {
     config::EngineRole role = config::EngineRole::kMixed;
     base::Instant at;
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -81,6 +81,32 @@
   return penalty;
 }
 
+void Placer::SetSpeeds(const base::ServiceId& service,
+                       const EngineSpeeds& speeds) {
+  this->speeds[service] = speeds;
+}
+
+const EngineSpeeds& Placer::SpeedsOf(const BackendEntry& entry) const {
+  const auto found = this->speeds.find(entry.service);
+  return found == this->speeds.end() ? this->settings.speeds : found->second;
+}
+
+double Placer::PrefillRate(const BackendEntry& entry) const {
+  const double rate = this->SpeedsOf(entry).prefill_tokens_per_ms;
+  return IsPrefillEngine(entry) ? rate
+                                : rate * this->settings.decode_prefill_share;
+}
+
+base::Duration Placer::SlotWait(const BackendEntry& entry,
+                                const BackendLoad& present) const {
+  const int64_t slots = std::max<int64_t>(entry.slots, 1);
+  const int64_t waiting = present.requests + 1 - slots;
+  if (IsPrefillEngine(entry) || waiting <= 0) {
+    return {};
+  }
+  return this->SpeedsOf(entry).slot_time * waiting / slots;
+}
+
 Placer::Estimate Placer::EstimatePlain(const BackendEntry& entry,
                                        base::Instant now) const {
   const BackendLoad present = this->load.LoadOf(entry.id, now);
@@ -92,7 +118,8 @@
   // Assumes queueing from the first request on: a backend server may slow down
   // well before its slots are taken.
   estimate.at_full_speed = std::chrono::duration_cast<base::Duration>(
-      this->settings.plain_request_duration * (1 + rounds_ahead));
+      this->SpeedsOf(entry).plain_request * (1 + rounds_ahead));
+  estimate.requests_ahead = present.requests;
   estimate.wait = ScaleBySlowness(estimate.at_full_speed,
                                   this->health.Slowness(entry.id, now));
   estimate.cost = estimate.wait + this->Penalty(entry, now);
@@ -105,14 +132,17 @@
   const BackendLoad present = this->load.LoadOf(entry.id, now);
   Estimate estimate;
   estimate.entry = &entry;
-  const base::Duration prefilling =
-      FromMs(static_cast<double>(present.unread_tokens) /
-             this->settings.decode_tokens_per_ms);
-  estimate.at_full_speed = this->settings.first_event +
-                           this->settings.step_per_request * present.requests +
+  const EngineSpeeds& speeds = this->SpeedsOf(entry);
+  const base::Duration prefilling = FromMs(
+      static_cast<double>(present.unread_tokens) / this->PrefillRate(entry));
+  estimate.at_full_speed = speeds.first_event +
+                           speeds.step_per_request * present.requests +
                            prefilling;
+  estimate.requests_ahead = present.requests;
+  estimate.tokens_ahead = present.unread_tokens;
   estimate.wait = ScaleBySlowness(estimate.at_full_speed,
-                                  this->health.Slowness(entry.id, now));
+                                  this->health.Slowness(entry.id, now)) +
+                  this->SlotWait(entry, present);
   estimate.cost = estimate.wait + this->Penalty(entry, now);
   if (entry.data_centre != prefill_engine.data_centre) {
     estimate.cost += this->settings.handover;
@@ -125,9 +155,8 @@
                                         const PrefixAffinity& affinity,
                                         base::Instant now) const {
   const BackendLoad present = this->load.LoadOf(entry.id, now);
-  const double rate = IsPrefillEngine(entry)
-                          ? this->settings.prefill_tokens_per_ms
-                          : this->settings.decode_tokens_per_ms;
+  const EngineSpeeds& speeds = this->SpeedsOf(entry);
+  const double rate = this->PrefillRate(entry);
   const double slowness = this->health.Slowness(entry.id, now);
   const std::vector<PrefixKey>& keys = affinity.keys;
   int64_t cached = this->prefix_cache.CachedTokens(entry.id, keys);
@@ -143,14 +172,20 @@
   }
   estimate.missing_tokens = std::max<int64_t>(prompt.prompt_tokens - cached, 0);
   estimate.prefill_work = this->PrefillWork(estimate.missing_tokens, cached);
+  estimate.requests_ahead = present.requests;
+  estimate.tokens_ahead = present.unread_tokens;
+  const base::Duration slot_wait = this->SlotWait(entry, present);
   estimate.work_ahead =
-      FromMs(static_cast<double>(present.unread_tokens) / rate * slowness);
-  estimate.at_full_speed = copying + this->settings.first_event +
-                           this->settings.step_per_request * present.requests +
-                           FromMs(static_cast<double>(present.unread_tokens +
-                                                      estimate.prefill_work) /
-                                  rate);
-  estimate.wait = ScaleBySlowness(estimate.at_full_speed, slowness);
+      FromMs(static_cast<double>(present.unread_tokens) / rate * slowness) +
+      slot_wait;
+  const base::Duration base =
+      IsPrefillEngine(entry) ? speeds.prefill_base : speeds.first_event;
+  estimate.at_full_speed =
+      copying + base + speeds.step_per_request * present.requests +
+      FromMs(
+          static_cast<double>(present.unread_tokens + estimate.prefill_work) /
+          rate);
+  estimate.wait = ScaleBySlowness(estimate.at_full_speed, slowness) + slot_wait;
   double penalty_factor = 2 * affinity.penalty_factor;
   if (&entry == affinity.first) {
     penalty_factor = 0;
@@ -204,11 +239,11 @@
 double Placer::AffinityPenaltyFactor(const Candidates& engines,
                                      base::Instant now) const {
   int64_t unread = 0;
+  double engines_rate = 0;
   for (const BackendEntry* engine : engines) {
     unread += this->load.LoadOf(engine->id, now).unread_tokens;
+    engines_rate += this->SpeedsOf(*engine).prefill_tokens_per_ms;
   }
-  const double engines_rate = this->settings.prefill_tokens_per_ms *
-                              static_cast<double>(engines.size());
   const base::Duration work =
       engines.empty() ? base::Duration(0)
                       : FromMs(static_cast<double>(unread) / engines_rate);
@@ -290,6 +325,8 @@
   placement.expected = estimate.wait;
   placement.at_full_speed = estimate.at_full_speed;
   placement.work_ahead = estimate.work_ahead;
+  placement.requests_ahead = estimate.requests_ahead;
+  placement.tokens_ahead = estimate.tokens_ahead;
   return placement;
 }
 
@@ -305,6 +342,18 @@
   return ToPlacement(best);
 }
 
+bool Placer::PrefersDirect(const Estimate& direct,
+                           const Estimate& prefill) const {
+  if (direct.missing_tokens <= this->settings.max_direct_prefill_tokens) {
+    return true;
+  }
+  const base::Duration prefill_time =
+      FromMs(static_cast<double>(direct.prefill_work) /
+             this->PrefillRate(*direct.entry));
+  return prefill_time <= this->settings.max_direct_prefill &&
+         direct.cost <= prefill.cost + this->settings.handover;
+}
+
 PlacementResult Placer::ChooseEngine(const Candidates& candidates,
                                      const PlacementQuery& query,
                                      base::Instant now) const {
@@ -319,7 +368,7 @@
   const Estimate prefill_engine = this->BestEngine(
       this->PrefillEngines(candidates, *query.prompt), *query.prompt, now);
   if (!query.may_hand_over || prefill_engine.entry == nullptr ||
-      direct.missing_tokens <= this->settings.max_direct_prefill_tokens) {
+      this->PrefersDirect(direct, prefill_engine)) {
     return ToPlacement(direct);
   }
   Placement placement = ToPlacement(prefill_engine);
--- a/core/src/role_share_planner.cc
+++ b/core/src/role_share_planner.cc
@@ -43,6 +43,21 @@
   return changes;
 }
 
+double RoleSharePlanner::PrefillShare(
+    const std::vector<const BackendEntry*>& engines) const {
+  int64_t slots = 0;
+  for (const BackendEntry* engine : engines) {
+    slots += engine->slots;
+  }
+  const double mean = static_cast<double>(slots) /
+                      static_cast<double>(std::max<size_t>(engines.size(), 1));
+  const double part =
+      std::min(mean / static_cast<double>(this->settings.many_slots), 1.0);
+  const double least =
+      std::min(this->settings.min_prefill_share, this->settings.prefill_share);
+  return least + (this->settings.prefill_share - least) * part;
+}
+
 std::vector<RoleChange> RoleSharePlanner::PlanDataCentre(
     const std::vector<const BackendEntry*>& engines,
     bool under_load,
@@ -50,11 +65,10 @@
   const auto count = static_cast<int64_t>(engines.size());
   // A single engine prefills and decodes, so it gets the decode role.
   const int64_t wanted =
-      count < 2
-          ? 0
-          : std::clamp<int64_t>(std::llround(static_cast<double>(count) *
-                                             this->settings.prefill_share),
-                                1, count - 1);
+      count < 2 ? 0
+                : std::clamp<int64_t>(std::llround(static_cast<double>(count) *
+                                                   this->PrefillShare(engines)),
+                                      1, count - 1);
   const int64_t present = std::count_if(
       engines.begin(), engines.end(), [&](const BackendEntry* engine) {
         return this->IsPrefillEngine(*engine, now);
--- /dev/null
+++ b/core/src/speed_estimator.cc
@@ -0,0 +1,251 @@
+#include "carawayvalve/core/speed_estimator.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace carawayvalve::core {
+
+namespace {
+
+using Ms = std::chrono::duration<double, std::milli>;
+
+// The newest observations that are kept of each group.
+constexpr size_t kGroupSize = 32;
+// Groups with fewer observations are left out.
+constexpr size_t kMinGroupSize = 8;
+// Observations before the first estimate, and between two estimates.
+constexpr int64_t kMinObservations = 16;
+constexpr int64_t kEstimateInterval = 8;
+// The line runs through this quantile of each group.
+constexpr size_t kQuantileDivisor = 4;
+// Estimates within this factor of the prior don't contradict it.
+constexpr double kTolerance = 1.15;
+// Shorter times are raised to this where they divide.
+constexpr double kMinMs = 0.01;
+// The time grows with the load at least so much that this part of the longest
+// time is due to it.
+constexpr double kMinLoadPart = 0.1;
+// Weight of the newest observation in the mean slot time.
+constexpr double kSlotTimeWeight = 1.0 / 32;
+constexpr Ms kMinSlotTime(2);
+constexpr Ms kMaxSlotTime(2000);
+// The slot time changes the estimate only by steps of this part of it.
+constexpr double kSlotTimeStep = 0.1;
+
+base::Duration FromMs(double ms) {
+  return std::chrono::duration_cast<base::Duration>(Ms(ms));
+}
+
+double ToMs(base::Duration duration) {
+  return Ms(duration).count();
+}
+
+struct Weighted {
+  double value = 0;
+  double weight = 0;
+};
+
+double WeightedMedian(std::vector<Weighted> values) {
+  std::sort(values.begin(), values.end(),
+            [](const Weighted& one, const Weighted& other) {
+              return one.value < other.value;
+            });
+  double left = 0;
+  for (const Weighted& value : values) {
+    left += value.weight / 2;
+  }
+  for (const Weighted& value : values) {
+    left -= value.weight;
+    if (left <= 0) {
+      return value.value;
+    }
+  }
+  return values.empty() ? 0 : values.back().value;
+}
+
+}  // namespace
+
+// The lower quartile of one group.
+struct LatencyLine::Point {
+  double units = 0;
+  double ms = 0;
+  double weight = 0;
+};
+
+base::Duration LatencyLine::Estimate::At(double units) const {
+  return this->base + FromMs(ToMs(this->per_unit) * units);
+}
+
+bool LatencyLine::Add(int64_t units, base::Duration time) {
+  const auto width =
+      std::bit_width(static_cast<uint64_t>(std::max<int64_t>(units, 0)));
+  Group& group =
+      this->groups[std::min(static_cast<size_t>(width), kGroups - 1)];
+  if (group.newest.size() < kGroupSize) {
+    group.newest.push_back({units, time});
+  } else {
+    group.newest[group.next] = {units, time};
+    group.next = (group.next + 1) % kGroupSize;
+  }
+  this->count += 1;
+  return this->count >= kMinObservations &&
+         this->count % kEstimateInterval == 0;
+}
+
+std::optional<LatencyLine::Estimate> LatencyLine::Fit(
+    const Estimate& prior) const {
+  std::vector<Point> points;
+  for (const Group& group : this->groups) {
+    if (group.newest.size() < kMinGroupSize) {
+      continue;
+    }
+    std::vector<Observation> sorted = group.newest;
+    const auto quartile =
+        sorted.begin() + static_cast<int64_t>(sorted.size() / kQuantileDivisor);
+    // Within a group, the time that a unit takes is compared, as units differ
+    // by up to two times.
+    std::nth_element(sorted.begin(), quartile, sorted.end(),
+                     [](const Observation& one, const Observation& other) {
+                       return one.time * (other.units + 1) <
+                              other.time * (one.units + 1);
+                     });
+    points.push_back({static_cast<double>(quartile->units),
+                      ToMs(quartile->time),
+                      static_cast<double>(sorted.size())});
+  }
+  if (points.empty() || this->count < kMinObservations) {
+    return std::nullopt;
+  }
+  return FitLine(points, prior);
+}
+
+LatencyLine::Estimate LatencyLine::FitLine(const std::vector<Point>& points,
+                                           const Estimate& prior) {
+  const bool as_expected =
+      std::all_of(points.begin(), points.end(), [&](const Point& point) {
+        const double prior_ms = ToMs(prior.At(point.units));
+        return point.ms < prior_ms * kTolerance &&
+               prior_ms < point.ms * kTolerance;
+      });
+  if (as_expected) {
+    return prior;
+  }
+  std::vector<Weighted> slopes;
+  for (size_t i = 0; i < points.size(); ++i) {
+    for (size_t j = i + 1; j < points.size(); ++j) {
+      const double distance = points[j].units - points[i].units;
+      slopes.push_back({(points[j].ms - points[i].ms) / distance,
+                        std::min(points[i].weight, points[j].weight) *
+                            distance / points[j].units});
+    }
+  }
+  const Point& widest = *std::max_element(
+      points.begin(), points.end(), [](const Point& one, const Point& other) {
+        return one.weight < other.weight;
+      });
+  // One group tells only the sum: the prior tells how it is divided.
+  const double prior_part =
+      ToMs(prior.per_unit) / std::max(ToMs(prior.At(widest.units)), kMinMs);
+  double slope =
+      slopes.empty() ? widest.ms * prior_part : WeightedMedian(slopes);
+  if (widest.units > 0) {
+    slope = std::clamp(slope, kMinLoadPart * widest.ms / widest.units,
+                       widest.ms / widest.units);
+  }
+  std::vector<Weighted> bases;
+  bases.reserve(points.size());
+  for (const Point& point : points) {
+    bases.push_back({point.ms - slope * point.units, point.weight});
+  }
+  return {FromMs(std::max(WeightedMedian(bases), 0.0)), FromMs(slope)};
+}
+
+// Adds one observation to a service's estimate. Returns whether that changed.
+struct SpeedEstimator::Updater {
+  const EngineSpeeds& prior;
+  ServiceSpeeds& service;
+
+  bool operator()(const PrefillObserved& observed) {
+    if (!this->service.prefill.Add(observed.work, observed.time)) {
+      return false;
+    }
+    const LatencyLine::Estimate before = {
+        this->prior.prefill_base,
+        FromMs(1 / this->prior.prefill_tokens_per_ms)};
+    const auto fit = this->service.prefill.Fit(before);
+    if (!fit.has_value() || fit->per_unit.count() <= 0) {
+      return false;
+    }
+    this->service.speeds.prefill_base = fit->base;
+    this->service.speeds.prefill_tokens_per_ms =
+        *fit == before ? this->prior.prefill_tokens_per_ms
+                       : 1 / ToMs(fit->per_unit);
+    return true;
+  }
+
+  bool operator()(const FirstEventObserved& observed) {
+    if (!this->service.first_event.Add(observed.requests, observed.time)) {
+      return false;
+    }
+    const auto fit = this->service.first_event.Fit(
+        {this->prior.first_event, this->prior.step_per_request});
+    if (!fit.has_value()) {
+      return false;
+    }
+    this->service.speeds.first_event = fit->base;
+    this->service.speeds.step_per_request = fit->per_unit;
+    return true;
+  }
+
+  bool operator()(const PlainAnswerObserved& observed) {
+    // The time of one request, if all slots are used in turn.
+    const int64_t slots = std::max<int64_t>(observed.slots, 1);
+    const base::Duration alone =
+        observed.time * slots / (slots + observed.requests);
+    if (!this->service.plain.Add(0, alone)) {
+      return false;
+    }
+    const auto fit = this->service.plain.Fit({this->prior.plain_request, {}});
+    if (!fit.has_value()) {
+      return false;
+    }
+    this->service.speeds.plain_request = fit->base;
+    return true;
+  }
+
+  bool operator()(const SlotTimeObserved& observed) {
+    double& mean = this->service.mean_slot_ms;
+    mean +=
+        kSlotTimeWeight * (std::clamp(ToMs(observed.time), kMinSlotTime.count(),
+                                      kMaxSlotTime.count()) -
+                           mean);
+    const double shown = ToMs(this->service.speeds.slot_time);
+    if (std::abs(mean - shown) < kSlotTimeStep * shown) {
+      return false;
+    }
+    this->service.speeds.slot_time = FromMs(mean);
+    return true;
+  }
+};
+
+bool SpeedEstimator::Note(const base::ServiceId& service,
+                          const SpeedObservation& observed) {
+  const auto [found, is_new] = this->services.try_emplace(service);
+  ServiceSpeeds& estimated = found->second;
+  if (is_new) {
+    estimated.speeds = this->prior;
+    estimated.mean_slot_ms = ToMs(this->prior.slot_time);
+  }
+  const EngineSpeeds before = estimated.speeds;
+  const bool updated = std::visit(Updater{this->prior, estimated}, observed);
+  return updated && estimated.speeds != before;
+}
+
+const EngineSpeeds& SpeedEstimator::SpeedsOf(
+    const base::ServiceId& service) const {
+  const auto found = this->services.find(service);
+  return found == this->services.end() ? this->prior : found->second.speeds;
+}
+
+}  // namespace carawayvalve::core
--- a/core/tests/placement_test.cc
+++ b/core/tests/placement_test.cc
@@ -311,4 +311,63 @@
   }
 }
 
+// The load pattern of an eligibility desk: prompts of 3,000 tokens after a
+// shared part, engines that read twelve times as fast as the first data sheet
+// says, and few slots, which long replies hold for seconds.
+TEST_CASE("Placer: engines with other speeds and few slots") {
+  Fleet fleet(1, 1, 0);
+  EngineSpeeds fast;
+  fast.prefill_tokens_per_ms = 600;
+  fast.first_event = Milliseconds(4);
+  fast.slot_time = Milliseconds(120);
+  const Prompt prompt = MakeLongPrompt("s", 2900);
+  fleet.prefix_cache.NotePrefilled({"reader0"}, PrefixKeysOf(prompt));
+  fleet.prefix_cache.NotePrefilled({"generator0"}, PrefixKeysOf(prompt));
+  CHECK(fleet.Choose(&prompt).prefill_only);
+  fleet.placer.SetSpeeds({"models"}, fast);
+
+  SUBCASE("a decode engine prefills what it can soon") {
+    const Placement placement = fleet.Choose(&prompt);
+    CHECK_FALSE(placement.prefill_only);
+    CHECK(placement.target.id.value == "generator0");
+    CHECK(placement.expected < Milliseconds(20));
+  }
+  SUBCASE("but not what would delay its streams") {
+    const Prompt longer = MakeLongPrompt("s", 12000);
+    CHECK(fleet.Choose(&longer).prefill_only);
+  }
+  SUBCASE("the speeds of another service don't matter") {
+    EngineSpeeds slow;
+    slow.prefill_tokens_per_ms = 1;
+    fleet.placer.SetSpeeds({"others"}, slow);
+    CHECK_FALSE(fleet.Choose(&prompt).prefill_only);
+  }
+  SUBCASE("all slots of the decode engine are taken") {
+    fleet.load.NoteSent({"generator0"}, {6, 0, 60000});
+
+    SUBCASE("a prefill engine has the prompt ready when one is free") {
+      CHECK(fleet.Choose(&prompt).prefill_only);
+    }
+    SUBCASE("another decode engine with a free slot is preferred") {
+      fleet.Add("generator1", "models", EngineRole::kDecode);
+      fleet.load.NoteSent({"generator1"}, {5, 0, 50000});
+      const PlacementResult result = fleet.placer.ChooseDecodeEngine(
+          fleet.MakeQuery(&prompt), *fleet.directory.Find({"reader0"}),
+          fleet.now);
+      CHECK(std::get<Placement>(result).target.id.value == "generator1");
+    }
+    SUBCASE("what waits for a slot is work ahead of a request") {
+      PlacementQuery query = fleet.MakeQuery(&prompt);
+      query.may_hand_over = false;
+      const auto work_ahead = [&] {
+        return std::get<Placement>(fleet.placer.Choose(query, fleet.now))
+            .work_ahead;
+      };
+      CHECK(work_ahead() == Milliseconds(20));
+      fleet.load.NoteSent({"generator0"}, {6, 0, 60000});
+      CHECK(work_ahead() == Milliseconds(140));
+    }
+  }
+}
+
 }  // namespace carawayvalve::core
--- a/core/tests/role_share_planner_test.cc
+++ b/core/tests/role_share_planner_test.cc
@@ -12,14 +12,18 @@
 
 namespace {
 
+constexpr int64_t kManySlots = 64;
+
 std::vector<BackendEntry> Engines(const std::string& centre,
                                   int prefill,
-                                  int decode) {
+                                  int decode,
+                                  int64_t slots = kManySlots) {
   std::vector<BackendEntry> engines;
   for (int i = 0; i < prefill + decode; ++i) {
     BackendEntry engine;
     engine.id = {centre + std::to_string(i)};
     engine.data_centre = {centre};
+    engine.slots = slots;
     engine.role = i < prefill ? EngineRole::kPrefill : EngineRole::kDecode;
     engines.push_back(engine);
   }
@@ -84,4 +88,20 @@
   }
 }
 
+// Guards against streams that fill the few slots of the few decode engines,
+// while requests for which the prefill engines have room wait behind them.
+TEST_CASE("engines with few slots mostly decode") {
+  const Instant now = Instant() + seconds(100);
+  const RoleSharePlanner planner(RoleSharePlanner::Settings{});
+  const auto planned_prefill = [&](int64_t slots) {
+    return CountOf(planner.Plan(Engines("a", 0, 16, slots), false, now),
+                   EngineRole::kPrefill);
+  };
+  CHECK(planned_prefill(64) == 12);
+  CHECK(planned_prefill(32) == 12);
+  CHECK(planned_prefill(16) == 8);
+  CHECK(planned_prefill(8) == 6);
+  CHECK(planned_prefill(1) == 4);
+}
+
 }  // namespace carawayvalve::core
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -124,6 +124,42 @@
     const base::Instant now = base::Now();
     state.health.NoteAnswer(this->call_plan.backend.id, now - this->sent,
                             this->call_plan.at_full_speed, now);
+    if (const auto observed = this->ObserveFirstData(now - this->sent)) {
+      this->context.NoteSpeed(this->call_plan.backend.service, *observed);
+    }
+  }
+}
+
+std::optional<core::SpeedObservation> BackendCall::ObserveFirstData(
+    base::Duration time) const {
+  const BackendCallPlan& plan = this->call_plan;
+  const bool slot_free = plan.requests_ahead < plan.backend.slots;
+  if (plan.kv_tokens == 0) {
+    return core::PlainAnswerObserved{plan.requests_ahead, plan.backend.slots,
+                                     time};
+  }
+  if (std::holds_alternative<platform::PrefillOnly>(plan.order.stage)) {
+    // With more ahead than its own work, the time tells mostly of others.
+    if (plan.order.copy_from.has_value() ||
+        plan.tokens_ahead > plan.prefill_work) {
+      return std::nullopt;
+    }
+    return core::PrefillObserved{plan.tokens_ahead + plan.prefill_work, time};
+  }
+  if (plan.tokens_ahead == 0 && plan.prefill_work == 0 && slot_free) {
+    return core::FirstEventObserved{plan.requests_ahead, time};
+  }
+  return std::nullopt;
+}
+
+void BackendCall::NoteSlotTime() {
+  const bool held_slot = this->call_plan.kv_tokens > 0 &&
+                         this->status < kServerError &&
+                         !std::holds_alternative<platform::PrefillOnly>(
+                             this->call_plan.order.stage);
+  if (held_slot) {
+    this->context.NoteSpeed(this->call_plan.backend.service,
+                            core::SlotTimeObserved{base::Now() - this->sent});
   }
 }
 
@@ -144,6 +180,7 @@
   if (this->status >= kServerError && !this->head.wait.has_value()) {
     health.NoteFailure(id, now);
   }
+  this->NoteSlotTime();
   this->Notify(BackendAnswerDone{});
 }
 
--- a/gateway/src/backend_call.h
+++ b/gateway/src/backend_call.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -57,9 +58,12 @@
   // Prefill work of the call, in tokens of a short prompt.
   int64_t prefill_work = 0;
   int64_t kv_tokens = 0;
+  // What was ahead of the request at the backend server when it was placed.
+  int64_t requests_ahead = 0;
+  int64_t tokens_ahead = 0;
   // Expected time until the first data or the answer.
   base::Duration expected{};
-  // The same if the backend server is as fast as its data sheet says.
+  // The same if the backend server is as fast as its service's usual ones.
   base::Duration at_full_speed{};
 };
 
@@ -100,6 +104,11 @@
   void On(const net::CallDone& event);
   void On(const net::CallFailed& event);
   void NoteFirstData();
+  // Returns what the time to the first data tells of the service's speed.
+  std::optional<core::SpeedObservation> ObserveFirstData(
+      base::Duration time) const;
+  // Records for how long the request held a slot of a decode engine.
+  void NoteSlotTime();
   void RecordEnd();
   void Notify(const BackendEvent& event);
 
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -1,7 +1,16 @@
 #include "context.h"
 
+#include <cmath>
+
 namespace carawayvalve::gateway {
 
+namespace {
+
+// The minimum interval between two logged estimates of a service's speeds.
+constexpr std::chrono::seconds kSpeedLogInterval(5);
+
+}  // namespace
+
 platform::BackendHead Context::NoteBackendHead(
     const core::BackendEntry& backend,
     const net::ResponseHead& head) {
@@ -22,4 +31,27 @@
   return decoded;
 }
 
+void Context::NoteSpeed(const base::ServiceId& service,
+                        const core::SpeedObservation& observed) {
+  if (!this->state.speeds.Note(service, observed)) {
+    return;
+  }
+  const core::EngineSpeeds& speeds = this->state.speeds.SpeedsOf(service);
+  this->state.placer.SetSpeeds(service, speeds);
+  const base::Instant now = base::Now();
+  base::Instant& logged = this->state.speeds_logged[service];
+  if (now - logged < kSpeedLogInterval) {
+    return;
+  }
+  logged = now;
+  this->journal.Write(
+      base::LogLevel::kInfo, "speeds_estimated",
+      {{"service", service.value},
+       {"prefill_tokens_per_ms", std::llround(speeds.prefill_tokens_per_ms)},
+       {"prefill_base_ms", base::ToMilliseconds(speeds.prefill_base)},
+       {"first_event_ms", base::ToMilliseconds(speeds.first_event)},
+       {"plain_request_ms", base::ToMilliseconds(speeds.plain_request)},
+       {"slot_ms", base::ToMilliseconds(speeds.slot_time)}});
+}
+
 }  // namespace carawayvalve::gateway
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -42,6 +42,9 @@
   // Returns the decoded head.
   platform::BackendHead NoteBackendHead(const core::BackendEntry& backend,
                                         const net::ResponseHead& head);
+  // Applies an observation of the speed of a service's backend servers.
+  void NoteSpeed(const base::ServiceId& service,
+                 const core::SpeedObservation& observed);
 };
 
 }  // namespace carawayvalve::gateway
--- a/gateway/src/gateway_state.cc
+++ b/gateway/src/gateway_state.cc
@@ -45,6 +45,7 @@
              silence,
              load,
              prefix_caches),
+      speeds(core::EngineSpeeds{}),
       poison_requests(core::PoisonRequestTracker::Settings{}),
       retry_members({.window = settings.bounds.retry_window},
                     settings.host,
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -17,6 +17,7 @@
 #include "carawayvalve/core/retry_budget_share.h"
 #include "carawayvalve/core/serving_table.h"
 #include "carawayvalve/core/silence_detector.h"
+#include "carawayvalve/core/speed_estimator.h"
 #include "carawayvalve/core/wall_clock_estimator.h"
 #include "carawayvalve/core/window_counts.h"
 #include "carawayvalve/gateway/settings.h"
@@ -53,6 +54,9 @@
   core::FleetLoad load;
   core::PrefixCacheTracker prefix_caches;
   core::Placer placer;
+  core::SpeedEstimator speeds;
+  // When the estimate of each service was last logged.
+  std::map<base::ServiceId, base::Instant> speeds_logged;
   core::PoisonRequestTracker poison_requests;
   core::CrashCorrelator crash_correlator;
   core::WindowCounts usage;
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -275,6 +275,8 @@
     plan.order.last_event_id = this->splitter.last_event_id();
   }
   plan.prefill_work = placement.prefill_work;
+  plan.requests_ahead = placement.requests_ahead;
+  plan.tokens_ahead = placement.tokens_ahead;
   plan.expected = placement.expected;
   plan.at_full_speed = placement.at_full_speed;
   if (this->caller.prompt.has_value()) {
