Count the streams that a direct prefill delays, and let more engines prefill

Two causes: each prefill delays every stream of its engine, which its cost didn't hold; and three eighths of the engines read too little when many prompts aren't cached.

Now the cost of a direct prefill holds its time once for each stream there, and at least four tenths of the engines prefill.

--- a/core/include/carawayvalve/core/role_share_planner.h
+++ b/core/include/carawayvalve/core/role_share_planner.h
@@ -28,7 +28,7 @@
     // Share of the engines that prefill if they have many slots. It falls in
     // proportion to the slots below `many_slots`, towards `min_prefill_share`.
     double prefill_share = 0.75;
-    double min_prefill_share = 0.25;
+    double min_prefill_share = 0.4;
     int64_t many_slots = 32;
     // Minimum time between two orders to the same engine.
     base::Duration dwell = std::chrono::seconds(8);
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -350,8 +350,10 @@
   const base::Duration prefill_time =
       FromMs(static_cast<double>(direct.prefill_work) /
              this->PrefillRate(*direct.entry));
+  // Each stream that runs there is delayed by the prefill.
+  const base::Duration delay = prefill_time * direct.requests_ahead;
   return prefill_time <= this->settings.max_direct_prefill &&
-         direct.cost <= prefill.cost + this->settings.handover;
+         direct.cost + delay <= prefill.cost + this->settings.handover;
 }
 
 PlacementResult Placer::ChooseEngine(const Candidates& candidates,
--- a/core/tests/placement_test.cc
+++ b/core/tests/placement_test.cc
@@ -332,7 +332,11 @@
     CHECK(placement.target.id.value == "generator0");
     CHECK(placement.expected < Milliseconds(20));
   }
-  SUBCASE("but not what would delay its streams") {
+  SUBCASE("but not beside streams, each of which it would delay") {
+    fleet.load.NoteSent({"generator0"}, {4, 0, 40000});
+    CHECK(fleet.Choose(&prompt).prefill_only);
+  }
+  SUBCASE("nor what takes long") {
     const Prompt longer = MakeLongPrompt("s", 12000);
     CHECK(fleet.Choose(&longer).prefill_only);
   }
--- a/core/tests/role_share_planner_test.cc
+++ b/core/tests/role_share_planner_test.cc
@@ -92,7 +92,8 @@
 // while requests for which the prefill engines have room wait behind them.
 TEST_CASE("engines with few slots mostly decode") {
   const Instant now = Instant() + seconds(100);
-  const RoleSharePlanner planner(RoleSharePlanner::Settings{});
+  const RoleSharePlanner planner(
+      {.prefill_share = 0.75, .min_prefill_share = 0.25, .many_slots = 32});
   const auto planned_prefill = [&](int64_t slots) {
     return CountOf(planner.Plan(Engines("a", 0, 16, slots), false, now),
                    EngineRole::kPrefill);
