Log and count how the end of a backend server's answer is marked

The logs couldn't tell an answer that ends with its connection from one that its engine had framed as complete, nor whether a stream ended inside an event.

request_ended and attempt_ended now name the framing, the number of events and the bytes after the last complete event; carawayvalve_backend_answers_total counts answers by framing and end. No decision is changed.

--- a/core/include/carawayvalve/core/server_sent_event_splitter.h
+++ b/core/include/carawayvalve/core/server_sent_event_splitter.h
@@ -20,6 +20,8 @@
   const std::optional<std::string>& last_event_id() const { return this->id; }
   // Number of complete events so far.
   int64_t event_count() const { return this->count; }
+  // The bytes after the last complete event.
+  const std::string& incomplete() const { return this->pending; }
 
  private:
   void RecordEvent(std::string_view event);
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -91,12 +91,13 @@
   this->head =
       this->context.NoteBackendHead(this->call_plan.backend, event.head);
   this->status = event.head.status;
+  this->framing = event.framing;
   // Only a genuine answer counts as begun. The body of a declined request isn't
   // used.
   if (this->head.declined || !this->head.genuine) {
     return;
   }
-  this->Notify(BackendAnswerBegun{event.head});
+  this->Notify(BackendAnswerBegun{event.head, event.framing});
 }
 
 void BackendCall::On(const net::CallBody& event) {
@@ -163,8 +164,15 @@
   }
 }
 
+void BackendCall::CountAnswer(const char* end) {
+  if (this->status != 0) {
+    this->context.metrics.CountBackendAnswer(net::NameOf(this->framing), end);
+  }
+}
+
 void BackendCall::On(const net::CallDone& /*event*/) {
   this->RecordEnd();
+  this->CountAnswer("complete");
   const base::Instant now = base::Now();
   core::BackendHealth& health = this->context.state.health;
   const base::BackendServerId& id = this->call_plan.backend.id;
@@ -186,6 +194,7 @@
 
 void BackendCall::On(const net::CallFailed& event) {
   this->RecordEnd();
+  this->CountAnswer("broken");
   const base::Instant now = base::Now();
   core::BackendHealth& health = this->context.state.health;
   const base::BackendServerId& id = this->call_plan.backend.id;
--- a/gateway/src/backend_call.h
+++ b/gateway/src/backend_call.h
@@ -27,6 +27,7 @@
 // The head of a genuine answer was received.
 struct BackendAnswerBegun {
   net::ResponseHead head;
+  net::BodyFraming framing = net::BodyFraming::kLength;
 };
 
 // A part of the answer's body was received.
@@ -110,6 +111,8 @@
   // Records for how long the request held a slot of a decode engine.
   void NoteSlotTime();
   void RecordEnd();
+  // Counts an answer that has begun; `end` is "complete" or "broken".
+  void CountAnswer(const char* end);
   void Notify(const BackendEvent& event);
 
   Context& context;
@@ -120,7 +123,9 @@
   core::SilenceDetector::Ticket silence_ticket = 0;
   base::Instant sent;
   platform::BackendHead head;
+  // 0 before the head has arrived.
   int status = 0;
+  net::BodyFraming framing = net::BodyFraming::kLength;
   bool got_data = false;
   bool end_recorded = false;
 };
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -35,6 +35,11 @@
           .Name("carawayvalve_attempts_total")
           .Help("Attempts at backend servers by how they ended")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& backend_answers =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_backend_answers_total")
+          .Help("Backend servers' answers by framing and how they ended")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& retries =
       prometheus::BuildCounter()
           .Name("carawayvalve_retries_total")
@@ -91,6 +96,12 @@
   this->families->attempts.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::CountBackendAnswer(const std::string& framing,
+                                        const std::string& end) {
+  this->families->backend_answers.Add({{"framing", framing}, {"end", end}})
+      .Increment();
+}
+
 void GatewayMetrics::CountRetry(const std::string& outcome) {
   this->families->retries.Add({{"outcome", outcome}}).Increment();
 }
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -24,6 +24,9 @@
   // Observes the time that this process adds to a backend server's answer.
   void ObserveOverhead(base::Duration time);
   void CountAttempt(const std::string& outcome);
+  // Counts an answer whose head was received, by how the end of its body is
+  // marked and by whether the body was "complete" or "broken".
+  void CountBackendAnswer(const std::string& framing, const std::string& end);
   // Counts a retry that was "charged" to the retry budget, or "denied".
   void CountRetry(const std::string& outcome);
   void CountStoreCall(const std::string& outcome);
--- a/gateway/src/request_answer.cc
+++ b/gateway/src/request_answer.cc
@@ -106,6 +106,9 @@
        {"outcome", outcome},
        {"attempts", this->progress.attempts},
        {"may_have_run", this->progress.may_have_run},
+       {"framing", this->FramingName()},
+       {"events", this->splitter.event_count()},
+       {"incomplete_bytes", this->splitter.incomplete().size()},
        {"plan", this->table == nullptr ? 0 : this->table->version()},
        {"age_ms", this->AgeMs(now)}});
   this->deadline_timer.Cancel();
@@ -146,12 +149,20 @@
   const std::string backend =
       this->call == nullptr ? "" : this->call->plan().backend.id.value;
   this->context.metrics.CountAttempt(kind);
-  this->context.journal.Write(base::LogLevel::kInfo, "attempt_ended",
-                              {{"request", this->caller.id.value},
-                               {"backend", backend},
-                               {"outcome", kind},
-                               {"reason", reason},
-                               {"age_ms", this->AgeMs(base::Now())}});
+  this->context.journal.Write(
+      base::LogLevel::kInfo, "attempt_ended",
+      {{"request", this->caller.id.value},
+       {"backend", backend},
+       {"outcome", kind},
+       {"reason", reason},
+       {"framing", this->FramingName()},
+       {"events", this->splitter.event_count()},
+       {"incomplete_bytes", this->splitter.incomplete().size()},
+       {"age_ms", this->AgeMs(base::Now())}});
+}
+
+const char* RequestHandler::FramingName() const {
+  return this->head.status == 0 ? "none" : net::NameOf(this->framing);
 }
 
 }  // namespace carawayvalve::gateway
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -355,6 +355,7 @@
 
 void RequestHandler::On(const BackendAnswerBegun& event) {
   this->head = event.head;
+  this->framing = event.framing;
   // The engine that answers has taken the prefilled prompt.
   this->prefilled_prompt.reset();
   if (!this->IsStream()) {
@@ -412,7 +413,7 @@
       this->progress.answer_begun = true;
       this->exchange->Begin(platform::EncodeForCaller(this->head));
     }
-    this->exchange->Send(this->splitter.TakeIncomplete());
+    this->exchange->Send(this->splitter.incomplete());
     this->exchange->Finish();
     this->End(kOk, "answered");
     return;
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -87,6 +87,9 @@
   void CountUsage(base::Instant at);
   // Also counts the end in the metrics, by `kind`, of which there must be few.
   void LogAttemptEnd(const char* kind, const std::string& reason);
+  // Returns how the end of the current answer is marked, "none" before its
+  // head.
+  const char* FramingName() const;
   // Frees a prefilled prompt that no engine has taken.
   void ReleasePrompt();
   void NoteBrokenAnswer();
@@ -129,6 +132,7 @@
 
   // The answer of the current attempt.
   net::ResponseHead head;
+  net::BodyFraming framing = net::BodyFraming::kLength;
   std::string body;
   core::ServerSentEventSplitter splitter;
   bool usage_counted = false;
--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -37,6 +37,13 @@
   return std::chrono::seconds(seconds);
 }
 
+BodyFraming FramingOf(const ResponseParser& parser) {
+  if (parser.need_eof()) {
+    return BodyFraming::kConnectionClose;
+  }
+  return parser.chunked() ? BodyFraming::kChunked : BodyFraming::kLength;
+}
+
 }  // namespace
 
 ClientState::ClientState(EventLoop& loop, base::Duration default_keep_alive)
@@ -302,7 +309,8 @@
     this->skipping_response = echoed != nullptr && *echoed != this->echo.value;
     if (!this->skipping_response) {
       this->head_emitted = true;
-      this->Emit(CallHead{{this->parser->status, this->parser->fields}});
+      this->Emit(CallHead{{this->parser->status, this->parser->fields},
+                          FramingOf(*this->parser)});
       if (this->closed || this->handler == nullptr) {
         return false;
       }
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -24,6 +24,7 @@
   bool sent = false;
   bool kept_connection = false;
   int status = 0;
+  BodyFraming framing = BodyFraming::kLength;
   std::string body;
   bool done = false;
   bool failed = false;
@@ -42,6 +43,7 @@
             outcome.kept_connection = sent->kept_connection;
           } else if (const auto* head = std::get_if<CallHead>(&event)) {
             outcome.status = head->head.status;
+            outcome.framing = head->framing;
           } else if (const auto* body = std::get_if<CallBody>(&event)) {
             outcome.body += body->data;
           } else {
@@ -146,12 +148,14 @@
           true}});
     const Outcome outcome = client.Call(server.Address());
     CHECK(outcome.done);
+    CHECK(outcome.framing == BodyFraming::kChunked);
     CHECK(outcome.body == "onetwo");
   }
   SUBCASE("reads a response that ends with its connection") {
     AnswerServer server({{"HTTP/1.1 200 OK\r\n\r\nall of it", false}});
     const Outcome outcome = client.Call(server.Address());
     CHECK(outcome.done);
+    CHECK(outcome.framing == BodyFraming::kConnectionClose);
     CHECK(outcome.body == "all of it");
   }
   SUBCASE("fails on a response shorter than its Content-Length") {
