Show that streams which end early reach callers as complete

A backend server's event stream ends inside an event, with its connection or its last chunk, or with its connection before the first event. The gateway passes it on as complete and doesn't resume it; on routes of plain requests it does the same, and so does the agent with a plain service's stream.

--- a/agent/tests/runner_test.cc
+++ b/agent/tests/runner_test.cc
@@ -31,6 +31,29 @@
   return job;
 }
 
+Job MakePlainCall(const std::string& name) {
+  Job job = MakeGeneration(name);
+  job.idempotent = true;
+  job.call = PlainJob{"GET", "/events", {}, ""};
+  return job;
+}
+
+// Returns whether the attempt has ended within the test's time.
+bool WaitForEnd(AttemptService& service, const base::AttemptId& attempt) {
+  const base::Instant until = base::Now() + kTestTimeout;
+  int64_t offset = 0;
+  while (base::Now() < until) {
+    for (const AttemptUpdate& update :
+         service.Read(kEntry, {{attempt, offset, 1000}}, kTestTimeout)) {
+      offset += static_cast<int64_t>(update.view.bytes.size());
+      if (update.view.last) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 TEST_CASE("Runner: a generation is cancelled while it runs") {
@@ -67,4 +90,47 @@
   }
 }
 
+// A crash may close a connection in order, which also ends an answer that has
+// neither a length nor chunks.
+TEST_CASE("Runner: a plain service's event stream ends early") {
+  AttemptService service({.slots = 1,
+                          .max_queued_per_account = 10,
+                          .retention = kLongTime,
+                          .on_crash = {}});
+  const auto run = [&](const std::string& head, const std::string& body) {
+    systems::AnswerServer backend(
+        {{"HTTP/1.1 200 OK\r\n" + head + "\r\n" + body, false}});
+    REQUIRE(service.Submit(MakePlainCall("a")).accepted);
+    std::thread runner([&] { Runner(service, backend.Address()).Run(); });
+    const bool has_ended = WaitForEnd(service, {"a"});
+    service.Close();
+    runner.join();
+    REQUIRE(has_ended);
+  };
+  const std::string type = "Content-Type: text/event-stream\r\n";
+
+  SUBCASE("inside an event, with its connection") {
+    run(type, "data: a\n\ndata: b");
+    CHECK(service.totals().broken_off == 1);
+    CHECK(service.RecentCrashes().size() == 1);
+  }
+  SUBCASE("inside an event, with its last chunk") {
+    run(type + "Transfer-Encoding: chunked\r\n",
+        "9\r\ndata: a\n\n\r\n7\r\ndata: b\r\n0\r\n\r\n");
+    CHECK(service.totals().broken_off == 1);
+  }
+  SUBCASE("before the first event, with its connection") {
+    run(type, "");
+    CHECK(service.totals().broken_off == 1);
+  }
+  SUBCASE("after an event it is complete") {
+    run(type, "data: a\n\ndata: b\n\n");
+    CHECK(service.totals().answered == 1);
+  }
+  SUBCASE("other content is complete") {
+    run("Content-Type: text/plain\r\n", "data: a");
+    CHECK(service.totals().answered == 1);
+  }
+}
+
 }  // namespace carawayvalve::agent
--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,7 +1,9 @@
 # Defines the package carawayvalve_<name>: public headers under include/,
-# private ones and sources under src/, tests under tests/.
+# private ones and sources under src/, tests under tests/. RED_CASES is a pattern
+# of test cases that KNOWN-RED.txt lists: they become a test of their own,
+# <name>_red.
 function(carawayvalve_package name)
-  cmake_parse_arguments(ARG "" "" "PUBLIC;PRIVATE" ${ARGN})
+  cmake_parse_arguments(ARG "" "RED_CASES" "PUBLIC;PRIVATE" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS src/*.cc src/*/*.cc)
   list(FILTER sources EXCLUDE REGEX "main\\.cc$")
   if(sources)
@@ -21,9 +23,16 @@
     target_include_directories(${name}_tests PRIVATE src ${CMAKE_SOURCE_DIR}/tests)
     target_link_libraries(${name}_tests PRIVATE carawayvalve_${name}
                           ${ARG_PRIVATE} doctest::doctest rapidcheck)
-    add_test(NAME ${name} COMMAND ${name}_tests)
+    set(ctests ${name})
+    if(ARG_RED_CASES)
+      add_test(NAME ${name} COMMAND ${name}_tests "-tce=${ARG_RED_CASES}")
+      add_test(NAME ${name}_red COMMAND ${name}_tests "-tc=${ARG_RED_CASES}")
+      list(APPEND ctests ${name}_red)
+    else()
+      add_test(NAME ${name} COMMAND ${name}_tests)
+    endif()
     # Fixes rapidcheck's seed, so that every run tests the same cases.
-    set_tests_properties(${name} PROPERTIES ENVIRONMENT
+    set_tests_properties(${ctests} PROPERTIES ENVIRONMENT
                          "RC_PARAMS=seed=20261203 max_success=200")
   endif()
 endfunction()
--- a/gateway/tests/request_handler_test.cc
+++ b/gateway/tests/request_handler_test.cc
@@ -4,6 +4,7 @@
 
 #include <memory>
 
+#include "../../systems/tests/answer_server.h"
 #include "platform/backend.h"
 #include "platform/caller.h"
 #include "test_gateway.h"
@@ -110,6 +111,55 @@
   bool complete = false;
 };
 
+uint16_t PortOf(const systems::AnswerServer& server) {
+  return base::ParseAddress(server.Address()).port;
+}
+
+// Returns one chunk of a chunked body of less than 256 bytes; the empty one is
+// the last.
+std::string Chunk(const std::string& data) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  return std::string({kDigits[data.size() / 16], kDigits[data.size() % 16]}) +
+         "\r\n" + data + "\r\n";
+}
+
+// An answer that ends before its stream does.
+struct BrokenStream {
+  std::string name;
+  std::string answer;
+  // The events that the caller may get.
+  std::string delivered;
+  bool has_content_type = true;
+};
+
+std::vector<BrokenStream> BrokenStreams() {
+  const std::string first = tests::StreamEvent("r1", 1);
+  const std::string half = tests::StreamEvent("r1", 2).substr(0, 10);
+  const std::string type = "Content-Type: text/event-stream\r\n";
+  const std::string chunked = type + "Transfer-Encoding: chunked\r\n";
+  return {
+      {"inside an event, with its connection",
+       tests::AnswerHead(type) + first + half, first},
+      {"inside an event, with its connection, without a content type",
+       tests::AnswerHead("") + first + half, first, false},
+      {"inside an event, with its last chunk",
+       tests::AnswerHead(chunked) + Chunk(first + half) + Chunk(""), first},
+      {"inside the first event, with its connection",
+       tests::AnswerHead(type) + half, ""},
+      {"before the first event, with its connection", tests::AnswerHead(type),
+       ""},
+  };
+}
+
+// Returns all events of a stream of the stand-in.
+std::string WholeStream() {
+  std::string events;
+  for (int number = 1; number <= Backend::Settings().events; ++number) {
+    events += tests::StreamEvent("r1", number);
+  }
+  return events;
+}
+
 }  // namespace
 
 TEST_CASE("the chosen decode engine is unreachable after the prefill") {
@@ -154,6 +204,75 @@
   }
 }
 
+// A crash may close a connection in order, which also ends an answer that has
+// neither a length nor chunks.
+TEST_CASE("an event stream ends early with its backend server") {
+  for (const BrokenStream& stream : BrokenStreams()) {
+    CAPTURE(stream.name);
+    systems::AnswerServer crashing_engine({{stream.answer, false}});
+    RequestFixture fixture(1);
+    fixture.Add("crashing", PortOf(crashing_engine), EngineRole::kDecode);
+    fixture.SendRequest([](const std::string&) {});
+    if (stream.delivered.empty()) {
+      CHECK(fixture.status == 502);
+    } else {
+      CHECK(fixture.status == 200);
+      CHECK(fixture.body == stream.delivered);
+      CHECK_FALSE(fixture.complete);
+    }
+    CHECK(fixture.gateway.state.health.FailureRate({"crashing"}, base::Now()) >
+          0);
+  }
+}
+
+TEST_CASE("an event stream that ended early is resumed") {
+  for (const BrokenStream& stream : BrokenStreams()) {
+    CAPTURE(stream.name);
+    systems::AnswerServer crashing_engine({{stream.answer, false}});
+    RequestFixture fixture(3);
+    fixture.Add("crashing", PortOf(crashing_engine), EngineRole::kDecode);
+    Backend other_engine(fixture.gateway.loop, {.id = "other"}, fixture.runs);
+    fixture.Add("other", other_engine.port(), EngineRole::kDecode);
+    fixture.gateway.state.load.NoteSent({"other"}, {5, 0, 1000});
+    fixture.SendRequest([](const std::string&) {});
+    CHECK(crashing_engine.Requests().size() == 1);
+    CHECK(fixture.complete);
+    CHECK(fixture.body == WholeStream());
+  }
+}
+
+TEST_CASE("an event stream ends early on a route of plain requests") {
+  for (const BrokenStream& stream : BrokenStreams()) {
+    if (!stream.has_content_type) {
+      continue;
+    }
+    CAPTURE(stream.name);
+    systems::AnswerServer crashing_service({{stream.answer, false}});
+    RequestFixture fixture(1);
+    config::ServingPlan plan = Plan(1);
+    plan.routes.front().kind = config::RequestKind::kNonIdempotent;
+    plan.routes.front().resumable = false;
+    fixture.gateway.state.ApplyPlan(plan);
+    fixture.Add("crashing", PortOf(crashing_service), EngineRole::kDecode);
+    fixture.SendRequest([](const std::string&) {});
+    CHECK(fixture.status == 502);
+  }
+}
+
+TEST_CASE("a decode engine's complete answer ends with its connection") {
+  const std::string body =
+      tests::StreamEvent("r1", 1) + tests::StreamEvent("r1", 2);
+  systems::AnswerServer engine(
+      {{tests::AnswerHead("Content-Type: text/event-stream\r\n") + body,
+        false}});
+  RequestFixture fixture(1);
+  fixture.Add("generator", PortOf(engine), EngineRole::kDecode);
+  fixture.SendRequest([](const std::string&) {});
+  CHECK(fixture.status == 200);
+  CHECK(fixture.complete);
+  CHECK(fixture.body == body);
+}
+
 // While the store is away, an engine's entry says `up` long after the engine
 // has said that it leaves.
 TEST_CASE("the only decode engine says in an answer that it leaves") {
--- a/tests/platform/backend.cc
+++ b/tests/platform/backend.cc
@@ -4,6 +4,10 @@
 
 namespace carawayvalve::tests {
 
+std::string AnswerHead(const std::string& fields) {
+  return "HTTP/1.1 200 OK\r\nX-Response-Sig: s\r\n" + fields + "\r\n";
+}
+
 std::string PlainAnswer(const std::string& request,
                         const std::string& backend) {
   return "answer to " + request + " by " + backend;
--- a/tests/platform/backend.h
+++ b/tests/platform/backend.h
@@ -102,6 +102,8 @@
   net::HttpServer server;
 };
 
+// Returns the head of a genuine 200 answer with `fields`, as it is sent.
+std::string AnswerHead(const std::string& fields);
 // Returns the body of a backend server's answer to a plain request.
 std::string PlainAnswer(const std::string& request, const std::string& backend);
 // Returns one event of the answer to a streaming request.
