Take a stream that ends inside an event as broken off

Cause: an answer that has neither a length nor chunks ends with its connection, and a backend server that crashes may close its connection in order. The end of the transfer was taken for the end of the answer: the gateway sent the rest of the event and the last chunk, logged 'answered' and neither resumed the stream nor counted a failure. The class: an end of the transport taken as proof that the content is complete.

An engine that frames a cut stream as complete itself is covered by the same check.

core::AnswerCompleteness judges the content: an event stream is complete only between two events and, if it ends with its connection, after one event at least. The gateway applies it to every answer of a backend server, of whatever kind of request and stage, the agent to those of plain services. What it finds incomplete is a broken attempt: resumed or repeated where the route allows it, else broken off or 502, and a failure of that backend server.

Looked at and found safe: an agent's engines send an end line; prefills, the store, the configuration of peers and the stand-ins' systems answer with JSON documents, which a cut makes unreadable. A plain body that ends with its connection has no mark of its own end; there only a reset shows the break, and that was heeded before.

gateway_red and agent_red fail before (22 and 4 checks) and pass now.

--- a/agent/src/runner.cc
+++ b/agent/src/runner.cc
@@ -4,18 +4,38 @@
 #include <utility>
 
 #include "carawayvalve/base/error.h"
+#include "carawayvalve/core/answer_completeness.h"
 #include "carawayvalve/core/answer_stream.h"
 
 namespace carawayvalve::agent {
 
 namespace {
 
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+constexpr const char* kCallStep = "call backend server";
+
 base::Milliseconds RemainingTime(const Job& job) {
   const auto remaining = std::chrono::duration_cast<base::Milliseconds>(
       job.deadline - base::Now());
   return std::max(remaining, base::Milliseconds(1));
 }
 
+// Returns the judge of an answer with this head.
+core::AnswerCompleteness JudgeOf(
+    const std::string& method,
+    int status,
+    const std::vector<systems::HttpHeader>& headers) {
+  const std::string type = systems::FindHeader(headers, "Content-Type");
+  const bool has_body =
+      method != "HEAD" && status != kNoContent && status != kNotModified;
+  const bool ends_with_connection =
+      has_body && systems::FindHeader(headers, "Content-Length").empty() &&
+      systems::FindHeader(headers, "Transfer-Encoding").empty();
+  return {type.empty() ? std::nullopt : std::optional(type), false,
+          ends_with_connection};
+}
+
 core::AnswerEnd ToRecord(const systems::GenerationEnd& end) {
   return {end.finish_reason, end.prompt_tokens, end.output_tokens,
           end.cached_tokens};
@@ -65,22 +85,28 @@
   request.timeout = RemainingTime(job);
   request.at_most_once = !job.idempotent;
 
+  core::AnswerCompleteness completeness;
   systems::HttpSink sink;
   sink.head = [&](int status, const std::vector<systems::HttpHeader>& headers) {
+    completeness = JudgeOf(call.method, status, headers);
     return this->attempts.Append(
         job.attempt, core::EncodeRecord(core::AnswerHead{status, headers}));
   };
   sink.body = [&](const char* bytes, size_t count) {
+    completeness.Feed({bytes, count});
     return this->attempts.Append(
         job.attempt,
         core::EncodeRecord(core::AnswerChunk{std::string(bytes, count)}));
   };
   sink.cancelled = [&] { return this->attempts.Cancelled(job.attempt); };
-  if (!systems::HttpStream("call backend server", request, sink)) {
+  if (!systems::HttpStream(kCallStep, request, sink)) {
     this->attempts.Finish(job.attempt, core::AttemptOutcome::kCancelled,
                           "cancelled");
     return;
   }
+  if (const auto fault = completeness.Fault()) {
+    throw base::UnknownOutcomeError(kCallStep, this->backend_address, *fault);
+  }
   this->attempts.AppendEnd(job.attempt, core::AnswerEnd{});
   this->attempts.Finish(job.attempt, core::AttemptOutcome::kAnswered, "");
 }
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -9,6 +9,7 @@
 // A connection takes a few milliseconds; a backend server that takes longer
 // than this to accept one counts as unreachable.
 constexpr base::Milliseconds kConnectTimeout(400);
+constexpr int kOk = 200;
 constexpr int kServerError = 500;
 // The timeout of the first data is this many halves of the expected time, plus
 // a fixed margin. After the timeout, the backend server counts as silent,
@@ -92,6 +93,11 @@
       this->context.NoteBackendHead(this->call_plan.backend, event.head);
   this->status = event.head.status;
   this->framing = event.framing;
+  const std::string* type = net::FindField(event.head.fields, "Content-Type");
+  this->completeness = core::AnswerCompleteness(
+      type == nullptr ? std::nullopt : std::optional(*type),
+      this->call_plan.expects_events && this->status == kOk,
+      event.framing == net::BodyFraming::kConnectionClose);
   // Only a genuine answer counts as begun. The body of a declined request isn't
   // used.
   if (this->head.declined || !this->head.genuine) {
@@ -104,6 +110,7 @@
   if (this->head.declined) {
     return;
   }
+  this->completeness.Feed(event.data);
   this->context.state.silence.NoteReceived(this->call_plan.backend.id,
                                            base::Now());
   if (!this->got_data) {
@@ -171,6 +178,11 @@
 }
 
 void BackendCall::On(const net::CallDone& /*event*/) {
+  const auto fault = this->completeness.Fault();
+  if (fault.has_value() && !this->head.declined) {
+    this->On(net::CallFailed{false, false, false, *fault});
+    return;
+  }
   this->RecordEnd();
   this->CountAnswer("complete");
   const base::Instant now = base::Now();
--- a/gateway/src/backend_call.h
+++ b/gateway/src/backend_call.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <variant>
 
+#include "carawayvalve/core/answer_completeness.h"
 #include "carawayvalve/net/http_client.h"
 #include "carawayvalve/platform/requests.h"
 #include "context.h"
@@ -66,6 +67,8 @@
   base::Duration expected{};
   // The same if the backend server is as fast as its service's usual ones.
   base::Duration at_full_speed{};
+  // A successful answer is an event stream unless its content type differs.
+  bool expects_events = false;
 };
 
 // Sends one request to one backend server and records its effect on the backend
@@ -126,6 +129,7 @@
   // 0 before the head has arrived.
   int status = 0;
   net::BodyFraming framing = net::BodyFraming::kLength;
+  core::AnswerCompleteness completeness;
   bool got_data = false;
   bool end_recorded = false;
 };
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -279,6 +279,8 @@
   plan.tokens_ahead = placement.tokens_ahead;
   plan.expected = placement.expected;
   plan.at_full_speed = placement.at_full_speed;
+  plan.expects_events =
+      this->IsStream() && !std::holds_alternative<platform::PrefillOnly>(stage);
   if (this->caller.prompt.has_value()) {
     const bool late =
         now - this->arrived + placement.expected > this->route->objective;
