Let the soak end streams inside an event

The HTTP server can now end a body with its connection, the stand-in of an engine uses it, and the soak cuts streams of one engine at a time. Its draws have a generator of their own, so that older seeds keep their other faults.

--- a/net/include/carawayvalve/net/http_client.h
+++ b/net/include/carawayvalve/net/http_client.h
@@ -39,18 +39,6 @@
   base::Duration connect_time{};
 };
 
-// How the end of a response's body is marked.
-enum class BodyFraming {
-  kLength,
-  kChunked,
-  // The body ends with its connection, so that a server that crashes may end it
-  // early without an error.
-  kConnectionClose,
-};
-
-// Returns the framing's name in logs and metrics.
-const char* NameOf(BodyFraming framing);
-
 // The head of the response has arrived.
 struct CallHead {
   ResponseHead head;
--- a/net/include/carawayvalve/net/http_server.h
+++ b/net/include/carawayvalve/net/http_server.h
@@ -42,8 +42,10 @@
   // combined.
   void Respond(const Response& response);
 
-  // Send an answer in parts: Begin, any number of Send, then Finish.
-  void Begin(const ResponseHead& head);
+  // Send an answer in parts: Begin, any number of Send, then Finish. The body
+  // is chunked, or ends with its connection, which is closed then.
+  void Begin(const ResponseHead& head,
+             BodyFraming framing = BodyFraming::kChunked);
   void Send(std::string_view data);
   void Finish();
 
@@ -66,6 +68,7 @@
   Request message;
   base::Instant arrived_at;
   base::Instant completed_at;
+  BodyFraming framing = BodyFraming::kLength;
   std::function<void()> on_disconnect;
   bool caller_disconnected = false;
   bool started = false;
--- a/net/include/carawayvalve/net/message.h
+++ b/net/include/carawayvalve/net/message.h
@@ -50,6 +50,18 @@
   bool operator==(const ResponseHead&) const = default;
 };
 
+// How the end of a response's body is marked.
+enum class BodyFraming {
+  kLength,
+  kChunked,
+  // The body ends with its connection, so that a server that crashes may end it
+  // early without an error.
+  kConnectionClose,
+};
+
+// Returns the framing's name in logs and metrics.
+const char* NameOf(BodyFraming framing);
+
 // A complete response.
 struct Response {
   ResponseHead head;
--- a/net/src/http_client.cc
+++ b/net/src/http_client.cc
@@ -6,18 +6,6 @@
 
 namespace carawayvalve::net {
 
-const char* NameOf(BodyFraming framing) {
-  switch (framing) {
-    case BodyFraming::kLength:
-      return "length";
-    case BodyFraming::kChunked:
-      return "chunked";
-    case BodyFraming::kConnectionClose:
-      return "connection";
-  }
-  return "connection";
-}
-
 Call::Call(std::weak_ptr<detail::ClientConnection> connection, int64_t number)
     : connection(std::move(connection)), number(number) {}
 
--- a/net/src/http_server.cc
+++ b/net/src/http_server.cc
@@ -69,18 +69,29 @@
   this->connection->EndAnswer();
 }
 
-void Exchange::Begin(const ResponseHead& head) {
-  HeaderFields framing = {{"Transfer-Encoding", "chunked"}};
+void Exchange::Begin(const ResponseHead& head, BodyFraming body_framing) {
+  this->framing = body_framing;
+  HeaderFields fields;
+  if (this->framing == BodyFraming::kChunked) {
+    fields.push_back({"Transfer-Encoding", "chunked"});
+  } else {
+    this->connection->CloseAfterAnswer();
+  }
   if (this->connection->DecideClose()) {
-    framing.push_back({"Connection", "close"});
+    fields.push_back({"Connection", "close"});
   }
   this->started = true;
-  this->connection->Write(PrintResponseHead(head, framing));
+  this->connection->Write(PrintResponseHead(head, fields));
 }
 
 void Exchange::Send(std::string_view data) {
-  if (!data.empty() && !this->ended) {
+  if (data.empty() || this->ended) {
+    return;
+  }
+  if (this->framing == BodyFraming::kChunked) {
     this->connection->Write(PrintChunk(data));
+  } else {
+    this->connection->Write(data);
   }
 }
 
@@ -89,7 +100,9 @@
     return;
   }
   this->ended = true;
-  this->connection->Write("0\r\n\r\n");
+  if (this->framing == BodyFraming::kChunked) {
+    this->connection->Write("0\r\n\r\n");
+  }
   this->connection->EndAnswer();
 }
 
--- a/net/src/message.cc
+++ b/net/src/message.cc
@@ -48,6 +48,18 @@
 
 }  // namespace
 
+const char* NameOf(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunked:
+      return "chunked";
+    case BodyFraming::kConnectionClose:
+      return "connection";
+  }
+  return "connection";
+}
+
 bool SameFieldName(std::string_view a, std::string_view b) {
   return beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
 }
--- a/net/src/server_connection.h
+++ b/net/src/server_connection.h
@@ -67,6 +67,8 @@
     this->closing = !this->keep_alive || this->server->close_after_answers;
     return this->closing;
   }
+  // Closes the connection after the current answer.
+  void CloseAfterAnswer() { this->keep_alive = false; }
   size_t unsent_bytes() const { return this->output.size(); }
 
  private:
--- a/net/tests/http_server_test.cc
+++ b/net/tests/http_server_test.cc
@@ -76,6 +76,21 @@
     });
     CHECK(answer.find("/a|xyz") != std::string::npos);
   }
+  SUBCASE("with a body that ends with its connection") {
+    HttpServer server(echo.loop, {"127.0.0.1", 0}, [](const auto& exchange) {
+      exchange->Begin({200, {}}, BodyFraming::kConnectionClose);
+      exchange->Send("all ");
+      exchange->Send("of it");
+      exchange->Finish();
+    });
+    std::string answer;
+    RunWhile(echo.loop, [&] {
+      RawCaller caller(server.port());
+      caller.Send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+      answer = caller.ReadAll();
+    });
+    CHECK(answer == "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it");
+  }
   SUBCASE("with Connection: close after CloseAfterAnswers") {
     echo.server.CloseAfterAnswers();
     const std::string answer =
--- a/tests/platform/backend.cc
+++ b/tests/platform/backend.cc
@@ -153,7 +153,7 @@
       net::FindField(request.fields, "X-Token-Count") != nullptr) {
     net::HeaderFields fields = this->Fields(*exchange);
     fields.push_back({"Content-Type", "text/event-stream"});
-    exchange->Begin({200, fields});
+    exchange->Begin({200, fields}, this->stream_framing);
     this->NextEvent(number);
     return;
   }
@@ -176,8 +176,16 @@
     exchange->Finish();
     return;
   }
-  exchange->Send(StreamEvent(this->Field(*exchange, "X-Request-Id"),
-                             pending_request.next_event));
+  const std::string event = StreamEvent(this->Field(*exchange, "X-Request-Id"),
+                                        pending_request.next_event);
+  if (this->cut_streams > 0 && pending_request.next_event == 2) {
+    --this->cut_streams;
+    this->pending.erase(found);
+    exchange->Send(event.substr(0, event.size() / 2));
+    exchange->Finish();
+    return;
+  }
+  exchange->Send(event);
   ++pending_request.next_event;
   // Sending may have detected that the caller has closed the connection.
   const auto remaining = this->pending.find(number);
--- a/tests/platform/backend.h
+++ b/tests/platform/backend.h
@@ -70,6 +70,10 @@
   std::string retry_after;
   // Answers every request with 500.
   bool fails = false;
+  // How the end of a stream is marked.
+  net::BodyFraming stream_framing = net::BodyFraming::kChunked;
+  // Number of upcoming streams that end inside their second event.
+  int cut_streams = 0;
   // Added to the duration of each request. A request whose deadline expires
   // first is answered with 504.
   base::Milliseconds extra_duration{0};
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -106,6 +106,8 @@
   void ScheduleKillsInTurn();
   // Disturbs all backend servers of a service, independently of other faults.
   void ScheduleServiceFault();
+  // Ends streams of an engine inside an event, independently of other faults.
+  void ScheduleCutStreams();
   void RunAfter(base::Milliseconds wait, std::function<void()> then);
   base::Milliseconds RandomDuration(int min, int max);
   template <typename Items>
@@ -137,9 +139,10 @@
 
   SoakSettings settings;
   std::mt19937 generator;
-  // Separate generator for service faults, so that they don't change which
-  // other faults a seed draws.
+  // Separate generators for service faults and cut streams, so that they don't
+  // change which other faults a seed draws.
   std::mt19937 service_generator;
+  std::mt19937 stream_generator;
   net::EventLoop loop;
   Store store;
   net::HttpServer usage;
