--- a/core/include/carawayvalve/core/caller_request.h
+++ b/core/include/carawayvalve/core/caller_request.h
@@ -31,6 +31,10 @@
   bool operator==(const Prompt&) const = default;
 };
 
+// Returns the identities of the parts that other requests for the model may
+// share: all but the last.
+std::vector<std::string> SharedPartsOf(const Prompt& prompt);
+
 // The properties of a caller's request that routing and retries depend on.
 struct CallerRequest {
   base::RequestId id;
--- a/core/include/carawayvalve/core/crash_correlator.h
+++ b/core/include/carawayvalve/core/crash_correlator.h
@@ -10,26 +10,39 @@
 
 namespace carawayvalve::core {
 
-// Determines which contents were running when a backend server crashed. A
+// A request whose answer broke off.
+struct BrokenRequest {
+  base::RequestId id;
+  std::string content_digest;
+  // The parts of its prompt that other requests may share.
+  std::vector<std::string> parts;
+  // Number of events received before the break.
+  int64_t events = 0;
+
+  bool operator==(const BrokenRequest&) const = default;
+};
+
+// Determines which requests were running when a backend server crashed. A
 // broken answer alone is no sign of a crash, as answers are also lost in
 // transit. It counts if the backend server is found down or restarted shortly
 // afterwards.
 class CrashCorrelator {
  public:
-  // Records that an answer broke off while the content was running.
+  // Records that the answer to the request broke off.
   void NoteBrokenAnswer(const base::BackendServerId& id,
-                        const std::string& content_digest,
+                        const BrokenRequest& request,
                         base::Instant now);
 
   // Called when the backend server is down or has restarted. Returns the
-  // distinct contents that it was running and removes their answers.
-  std::vector<std::string> TakeRunningContents(const base::BackendServerId& id,
-                                               base::Instant now);
+  // requests that it was running, one of each content, and removes them.
+  std::vector<BrokenRequest> TakeRunningRequests(
+      const base::BackendServerId& id,
+      base::Instant now);
 
  private:
   struct BrokenAnswer {
     base::BackendServerId id;
-    std::string content_digest;
+    BrokenRequest request;
     base::Instant at;
   };
 
--- a/core/src/crash_correlator.cc
+++ b/core/src/crash_correlator.cc
@@ -15,29 +15,31 @@
 }  // namespace
 
 void CrashCorrelator::NoteBrokenAnswer(const base::BackendServerId& id,
-                                       const std::string& content_digest,
+                                       const BrokenRequest& request,
                                        base::Instant now) {
-  this->broken_answers.push_back({id, content_digest, now});
+  this->broken_answers.push_back({id, request, now});
   if (this->broken_answers.size() > kMaxBrokenAnswers) {
     this->broken_answers.pop_front();
   }
 }
 
-std::vector<std::string> CrashCorrelator::TakeRunningContents(
+std::vector<BrokenRequest> CrashCorrelator::TakeRunningRequests(
     const base::BackendServerId& id,
     base::Instant now) {
-  std::vector<std::string> contents;
+  std::vector<BrokenRequest> requests;
   for (const BrokenAnswer& answer : this->broken_answers) {
-    const bool known = std::find(contents.begin(), contents.end(),
-                                 answer.content_digest) != contents.end();
+    const bool known = std::any_of(
+        requests.begin(), requests.end(), [&](const BrokenRequest& request) {
+          return request.content_digest == answer.request.content_digest;
+        });
     if (answer.id == id && now - answer.at < kDetectionTime && !known) {
-      contents.push_back(answer.content_digest);
+      requests.push_back(answer.request);
     }
   }
   std::erase_if(this->broken_answers, [&](const BrokenAnswer& answer) {
     return answer.id == id || now - answer.at >= kDetectionTime;
   });
-  return contents;
+  return requests;
 }
 
 }  // namespace carawayvalve::core
--- a/core/tests/crash_correlator_test.cc
+++ b/core/tests/crash_correlator_test.cc
@@ -7,26 +7,34 @@
 using base::Instant;
 using std::chrono::seconds;
 
+namespace {
+
+BrokenRequest RequestOf(const std::string& content_digest) {
+  return {{"request of " + content_digest}, content_digest, {"m/part"}, 2};
+}
+
+}  // namespace
+
 TEST_CASE("CrashCorrelator") {
   const Instant start = Instant() + seconds(100);
   CrashCorrelator correlator;
-  correlator.NoteBrokenAnswer({"a"}, "digest", start);
+  correlator.NoteBrokenAnswer({"a"}, RequestOf("digest"), start);
 
   SUBCASE("a broken answer of another backend server doesn't count") {
-    CHECK(correlator.TakeRunningContents({"b"}, start).empty());
+    CHECK(correlator.TakeRunningRequests({"b"}, start).empty());
   }
-  SUBCASE("contents running shortly before a crash are returned") {
-    correlator.NoteBrokenAnswer({"a"}, "other", start);
-    correlator.NoteBrokenAnswer({"a"}, "digest", start);
-    CHECK(correlator.TakeRunningContents({"a"}, start + seconds(1)) ==
-          std::vector<std::string>{"digest", "other"});
+  SUBCASE("requests running shortly before a crash are returned") {
+    correlator.NoteBrokenAnswer({"a"}, RequestOf("other"), start);
+    correlator.NoteBrokenAnswer({"a"}, RequestOf("digest"), start);
+    CHECK(correlator.TakeRunningRequests({"a"}, start + seconds(1)) ==
+          std::vector<BrokenRequest>{RequestOf("digest"), RequestOf("other")});
 
     SUBCASE("only once") {
-      CHECK(correlator.TakeRunningContents({"a"}, start + seconds(1)).empty());
+      CHECK(correlator.TakeRunningRequests({"a"}, start + seconds(1)).empty());
     }
   }
   SUBCASE("answers that broke long before a crash don't count") {
-    CHECK(correlator.TakeRunningContents({"a"}, start + seconds(5)).empty());
+    CHECK(correlator.TakeRunningRequests({"a"}, start + seconds(5)).empty());
   }
 }
 
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -212,7 +212,7 @@
   const base::BackendServerId& id = this->call_plan.backend.id;
   if (event.not_sent) {
     health.NoteUnreachable(id, now);
-    this->context.state.NoteBackendCrash(id, now);
+    this->context.NoteBackendCrash(id, "unreachable");
   } else {
     health.NoteFailure(id, now);
   }
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -31,6 +31,23 @@
   return decoded;
 }
 
+void Context::NoteBackendCrash(const base::BackendServerId& id,
+                               const char* sign) {
+  for (const core::BrokenRequest& request :
+       this->state.NoteBackendCrash(id, base::Now())) {
+    std::string parts;
+    for (const std::string& part : request.parts) {
+      parts += (parts.empty() ? "" : ",") + part;
+    }
+    this->journal.Write(base::LogLevel::kInfo, "ran_during_crash",
+                        {{"request", request.id.value},
+                         {"backend", id.value},
+                         {"sign", sign},
+                         {"events", request.events},
+                         {"parts", parts}});
+  }
+}
+
 void Context::NoteSpeed(const base::ServiceId& service,
                         const core::SpeedObservation& observed) {
   if (!this->state.speeds.Note(service, observed)) {
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -42,6 +42,9 @@
   // Returns the decoded head.
   platform::BackendHead NoteBackendHead(const core::BackendEntry& backend,
                                         const net::ResponseHead& head);
+  // Records that a backend server crashed or restarted; `sign` says how that
+  // was noticed.
+  void NoteBackendCrash(const base::BackendServerId& id, const char* sign);
   // Applies an observation of the speed of a service's backend servers.
   void NoteSpeed(const base::ServiceId& service,
                  const core::SpeedObservation& observed);
--- a/gateway/src/gateway_state.cc
+++ b/gateway/src/gateway_state.cc
@@ -58,15 +58,18 @@
       .first->second;
 }
 
-void GatewayState::NoteBackendCrash(const base::BackendServerId& id,
-                                    base::Instant now) {
+std::vector<core::BrokenRequest> GatewayState::NoteBackendCrash(
+    const base::BackendServerId& id,
+    base::Instant now) {
   const core::BackendEntry* entry = this->directory.Find(id);
   const int64_t started = entry == nullptr ? 0 : entry->started_ms;
   const std::string crash_id = id.value + "/" + std::to_string(started);
-  for (const std::string& digest :
-       this->crash_correlator.TakeRunningContents(id, now)) {
-    this->poison_requests.NoteCrash(digest, crash_id, now);
+  std::vector<core::BrokenRequest> running =
+      this->crash_correlator.TakeRunningRequests(id, now);
+  for (const core::BrokenRequest& request : running) {
+    this->poison_requests.NoteCrash(request.content_digest, crash_id, now);
   }
+  return running;
 }
 
 void GatewayState::ApplyBounds(const GatewaySettings::Bounds& bounds) {
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -34,9 +34,11 @@
   // Returns this gateway's share of the retry budget of a service, which is
   // created on first use.
   core::RetryBudgetShare& RetryBudget(const base::ServiceId& service);
-  // Records that a backend server crashed or restarted: each of the requests
-  // that it was running may be the cause.
-  void NoteBackendCrash(const base::BackendServerId& id, base::Instant now);
+  // Records that a backend server crashed or restarted. Returns the requests
+  // that it was running: each may be the cause.
+  std::vector<core::BrokenRequest> NoteBackendCrash(
+      const base::BackendServerId& id,
+      base::Instant now);
   // Applies bounds that were reloaded while the process runs.
   void ApplyBounds(const GatewaySettings::Bounds& bounds);
   // Applies a serving plan. Returns false, without applying it, unless it is
--- a/gateway/src/request_answer.cc
+++ b/gateway/src/request_answer.cc
@@ -140,8 +140,13 @@
 }
 
 void RequestHandler::NoteBrokenAnswer() {
+  core::BrokenRequest request{
+      this->caller.id, this->ContentDigest(), {}, this->splitter.event_count()};
+  if (this->caller.prompt.has_value()) {
+    request.parts = core::SharedPartsOf(*this->caller.prompt);
+  }
   this->context.state.crash_correlator.NoteBrokenAnswer(
-      this->call->plan().backend.id, this->ContentDigest(), base::Now());
+      this->call->plan().backend.id, request, base::Now());
 }
 
 void RequestHandler::LogAttemptEnd(const char* kind,
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -269,7 +269,7 @@
       previous != nullptr && previous->started_ms != entry->started_ms;
   const bool changed = previous == nullptr || *previous != *entry;
   if (restarted) {
-    state.NoteBackendCrash(entry->id, base::Now());
+    this->context.NoteBackendCrash(entry->id, "restarted");
     state.prefix_caches.Forget(entry->id);
     state.health.Forget(entry->id);
   }
@@ -297,7 +297,7 @@
   state.directory.NoteRemoved(id, now);
   const bool dropped = state.directory.Find(id) == nullptr;
   if (dropped) {
-    state.NoteBackendCrash(id, now);
+    this->context.NoteBackendCrash(id, "removed");
     state.prefix_caches.Forget(id);
     state.health.Forget(id);
   }
