--- a/gateway/tests/request_handler_test.cc
+++ b/gateway/tests/request_handler_test.cc
@@ -82,11 +82,13 @@
 
   // Sends a request and runs the loop until it has ended. Calls `on_data` with
   // the body received so far.
-  void SendRequest(const std::function<void(const std::string&)>& on_data) {
+  void SendRequest(const std::function<void(const std::string&)>& on_data,
+                   const net::Request& request =
+                       tests::PromptRequest("shop.example", "/notes/1", "r1")) {
+    this->body.clear();
     net::HttpClient caller(this->gateway.loop, std::chrono::seconds(1));
     const auto call = caller.Start(
-        {"127.0.0.1", this->server.port()},
-        tests::PromptRequest("shop.example", "/notes/1", "r1"), {},
+        {"127.0.0.1", this->server.port()}, request, {},
         [&](const net::CallEvent& event) {
           if (const auto* head = std::get_if<net::CallHead>(&event)) {
             this->status = head->head.status;
@@ -280,6 +282,56 @@
   CHECK(fixture.body == body);
 }
 
+// The rest of these requests differs, so that no content crashes two engines.
+TEST_CASE("requests with one prompt part keep crashing engines") {
+  constexpr int kEngines = 12;
+  constexpr int kCrashes = 5;
+  constexpr int kFurtherRequests = 5;
+  RequestFixture fixture(1);
+  int crashes = 0;
+  std::vector<std::unique_ptr<Backend>> engines;
+  for (int i = 0; i < kEngines; ++i) {
+    const std::string id = "decoder" + std::to_string(i);
+    engines.push_back(std::make_unique<Backend>(
+        fixture.gateway.loop, Backend::Settings{.id = id}, fixture.runs));
+    engines.back()->crashing_part = "dd";
+    engines.back()->on_crash = [&] { ++crashes; };
+    fixture.Add(id, engines.back()->port(), EngineRole::kDecode);
+  }
+  int requests = 0;
+  const auto send = [&](const std::string& shared_parts) {
+    const std::string id = std::to_string(++requests);
+    fixture.SendRequest(
+        [](const std::string&) {},
+        tests::PromptRequest("shop.example", "/notes/1", id,
+                             shared_parts + ",u" + id + ":4000"));
+  };
+  send("aa:13000");
+  REQUIRE(fixture.status == 200);
+  for (int i = 0; i < kCrashes; ++i) {
+    send("aa:13000,dd:100");
+    // Crashes at the same time may have one cause outside the requests.
+    fixture.gateway.RunFor(Milliseconds(300));
+  }
+  const size_t prefills = fixture.prefill_engine.arrivals.size();
+
+  SUBCASE("further ones reach no engine") {
+    for (int i = 0; i < kFurtherRequests; ++i) {
+      send("aa:13000,dd:100");
+      CHECK(fixture.status == 503);
+    }
+    CHECK(crashes <= kCrashes);
+    CHECK(fixture.prefill_engine.arrivals.size() == prefills);
+  }
+  SUBCASE("sound ones that begin with the same part are served") {
+    send("aa:13000,dd:100");
+    send("aa:13000");
+    CHECK(fixture.status == 200);
+    send("aa:13000,ee:100");
+    CHECK(fixture.status == 200);
+  }
+}
+
 // While the store is away, an engine's entry says `up` long after the engine
 // has said that it leaves.
 TEST_CASE("the only decode engine says in an answer that it leaves") {
--- a/tests/platform/backend.cc
+++ b/tests/platform/backend.cc
@@ -24,9 +24,11 @@
     : loop(loop),
       settings(settings),
       runs(runs),
-      server(loop, {"127.0.0.1", 0}, [this](const auto& exchange) {
-        this->OnRequest(exchange);
-      }) {}
+      server(std::make_unique<net::HttpServer>(
+          loop,
+          base::Address{"127.0.0.1", 0},
+          [this](const auto& exchange) { this->OnRequest(exchange); })),
+      listening_port(this->server->port()) {}
 
 Backend::~Backend() {
   // Destroying an exchange closes its connection, which the server must
@@ -149,6 +151,12 @@
     exchange->Respond({{504, this->Fields(*exchange)}, ""});
     return;
   }
+  if (!this->crashing_part.empty() &&
+      this->Field(*exchange, "X-Prompt-Prefix")
+              .find(this->crashing_part + ":") != std::string::npos) {
+    this->Crash();
+    return;
+  }
   if (!this->fails &&
       net::FindField(request.fields, "X-Token-Count") != nullptr) {
     net::HeaderFields fields = this->Fields(*exchange);
@@ -164,6 +172,16 @@
        PlainAnswer(this->Field(*exchange, "X-Request-Id"), this->settings.id)});
 }
 
+void Backend::Crash() {
+  for (auto& [number, request] : this->pending) {
+    request.exchange->OnDisconnect(nullptr);
+  }
+  this->pending.clear();
+  // Posted, as the server is calling this object.
+  this->loop.Post([this] { this->server.reset(); });
+  this->on_crash();
+}
+
 void Backend::NextEvent(int64_t number) {
   const auto found = this->pending.find(number);
   if (found == this->pending.end()) {
--- a/tests/platform/backend.h
+++ b/tests/platform/backend.h
@@ -1,6 +1,7 @@
 #ifndef CARAWAYVALVE_TESTS_PLATFORM_BACKEND_H_
 #define CARAWAYVALVE_TESTS_PLATFORM_BACKEND_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -53,7 +54,7 @@
           std::vector<BackendRun>& runs);
   ~Backend();
 
-  uint16_t port() const { return this->server.port(); }
+  uint16_t port() const { return this->listening_port; }
   const std::string& id() const { return this->settings.id; }
 
   // Accepts requests and never answers them.
@@ -74,6 +75,11 @@
   net::BodyFraming stream_framing = net::BodyFraming::kChunked;
   // Number of upcoming streams that end inside their second event.
   int cut_streams = 0;
+  // The model crashes when it begins to answer a prompt with this part; empty
+  // for none.
+  std::string crashing_part;
+  // Called when it crashes.
+  std::function<void()> on_crash = [] {};
   // Added to the duration of each request. A request whose deadline expires
   // first is answered with 504.
   base::Milliseconds extra_duration{0};
@@ -93,6 +99,8 @@
   base::Milliseconds DurationOf(const net::Exchange& exchange) const;
   void Answer(int64_t number);
   void NextEvent(int64_t number);
+  // Closes all connections and refuses further ones.
+  void Crash();
   net::HeaderFields Fields(const net::Exchange& exchange) const;
   // Returns the fields of an answer without a signature.
   net::HeaderFields UnsignedFields(const net::Exchange& exchange) const;
@@ -103,7 +111,8 @@
   std::vector<BackendRun>& runs;
   std::map<int64_t, PendingRequest> pending;
   int64_t last_number = 0;
-  net::HttpServer server;
+  std::unique_ptr<net::HttpServer> server;
+  uint16_t listening_port;
 };
 
 // Returns the head of a genuine 200 answer with `fields`, as it is sent.
--- a/tests/platform/caller.cc
+++ b/tests/platform/caller.cc
@@ -4,14 +4,15 @@
 
 net::Request PromptRequest(const std::string& host,
                            const std::string& target,
-                           const std::string& id) {
+                           const std::string& id,
+                           const std::string& parts) {
   return {"POST",
           target,
           {{"Host", host},
            {"X-Request-Id", id},
            {"X-Model", "m"},
            {"X-Token-Count", "17000,100"},
-           {"X-Prompt-Prefix", "aa:13000,bb:4000"}},
+           {"X-Prompt-Prefix", parts}},
           ""};
 }
 
--- a/tests/platform/caller.h
+++ b/tests/platform/caller.h
@@ -7,11 +7,12 @@
 
 namespace carawayvalve::tests {
 
-// Returns a model request as the platform's callers send it, with a long shared
-// prompt prefix.
+// Returns a model request as the platform's callers send it. `parts` are those
+// of its prompt; by default the first is long and shared.
 net::Request PromptRequest(const std::string& host,
                            const std::string& target,
-                           const std::string& id);
+                           const std::string& id,
+                           const std::string& parts = "aa:13000,bb:4000");
 
 }  // namespace carawayvalve::tests
 
