--- a/core/include/carawayvalve/core/crash_correlator.h
+++ b/core/include/carawayvalve/core/crash_correlator.h
@@ -7,17 +7,19 @@
 
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/base/time.h"
+#include "carawayvalve/core/poison_request_tracker.h"
 
 namespace carawayvalve::core {
 
 // A request whose answer broke off.
 struct BrokenRequest {
   base::RequestId id;
-  std::string content_digest;
-  // The parts of its prompt that other requests may share.
-  std::vector<std::string> parts;
+  RequestContent content;
   // Number of events received before the break.
   int64_t events = 0;
+  // The start of the backend server's run, in Unix milliseconds.
+  int64_t backend_started_ms = 0;
+  base::Instant broken_at;
 
   bool operator==(const BrokenRequest&) const = default;
 };
@@ -30,8 +32,7 @@
  public:
   // Records that the answer to the request broke off.
   void NoteBrokenAnswer(const base::BackendServerId& id,
-                        const BrokenRequest& request,
-                        base::Instant now);
+                        const BrokenRequest& request);
 
   // Called when the backend server is down or has restarted. Returns the
   // requests that it was running, one of each content, and removes them.
@@ -43,7 +44,6 @@
   struct BrokenAnswer {
     base::BackendServerId id;
     BrokenRequest request;
-    base::Instant at;
   };
 
   std::deque<BrokenAnswer> broken_answers;
--- /dev/null
+++ b/core/include/carawayvalve/core/poison_parts.h
@@ -0,0 +1,52 @@
+#ifndef CARAWAYVALVE_CORE_POISON_PARTS_H_
+#define CARAWAYVALVE_CORE_POISON_PARTS_H_
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "carawayvalve/base/time.h"
+
+namespace carawayvalve::core {
+
+// A part that explains fewer crashes isn't blamed.
+inline constexpr size_t kCrashesToBlame = 3;
+
+// A request that may have crashed a backend server.
+struct CrashEvidence {
+  // Identifies the crash.
+  std::string crash_id;
+  base::Instant crashed_at;
+  // The parts of the request that others may share, in order.
+  std::vector<std::string> parts;
+
+  bool operator==(const CrashEvidence&) const = default;
+};
+
+// A part of a request's content that crashes backend servers, whatever else the
+// request holds.
+struct PoisonPart {
+  // Number of crashes that it explains, those at about the same time counted
+  // once.
+  size_t crashes = 0;
+  base::Instant last_crash;
+
+  bool operator==(const PoisonPart&) const = default;
+};
+
+// Returns the parts that crash backend servers, by the requests that were about
+// to be answered when backend servers crashed. `served` tells when a request
+// with the part was last answered completely: crashes before that don't count.
+//
+// The part with the most crashes explains all crashes that it occurs in, so
+// that the parts that accompany it aren't blamed. Among parts with equal
+// evidence that is one that was never served, then one further back in the
+// prompt, which fewer requests share.
+std::map<std::string, PoisonPart> FindPoisonParts(
+    const std::vector<CrashEvidence>& evidence,
+    const std::map<std::string, base::Instant>& served);
+
+}  // namespace carawayvalve::core
+
+#endif  // CARAWAYVALVE_CORE_POISON_PARTS_H_
--- a/core/include/carawayvalve/core/poison_request_tracker.h
+++ b/core/include/carawayvalve/core/poison_request_tracker.h
@@ -2,6 +2,7 @@
 #define CARAWAYVALVE_CORE_POISON_REQUEST_TRACKER_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/base/time.h"
+#include "carawayvalve/core/poison_parts.h"
 
 namespace carawayvalve::core {
 
@@ -18,6 +20,16 @@
 std::string ContentDigest(const base::ClientAccountId& account,
                           const std::string& body);
 
+// The content of a request, as far as crashes are traced to it.
+struct RequestContent {
+  // See ContentDigest.
+  std::string digest;
+  // The parts that requests with another content may share, in order.
+  std::vector<std::string> parts;
+
+  bool operator==(const RequestContent&) const = default;
+};
+
 // Records that a content was running when a backend server crashed.
 struct CrashRecord {
   std::string content_digest;
@@ -25,14 +37,35 @@
   std::string death_id;
   // Time since the crash when the record was copied.
   base::Duration age{};
+  // The content's parts, each of which may be the cause; empty if none can be.
+  std::vector<std::string> parts;
 
   bool operator==(const CrashRecord&) const = default;
 };
 
+// A part of contents that were running when backend servers crashed, and that
+// has been answered completely.
+struct ServedPart {
+  std::string part;
+  // Time since the last complete answer when this was copied.
+  base::Duration age{};
+
+  bool operator==(const ServedPart&) const = default;
+};
+
+enum class ContentAdmission {
+  kAdmitted,
+  // The content has a quarantined part, of which a trial is due.
+  kOnTrial,
+  kQuarantined,
+};
+
 // Tracks contents that were running when backend servers crashed, and
 // quarantines poison requests: one crash may be chance, after two the content
-// is refused for a while. Records of other processes can be merged in any order
-// and any number of times; only the choice of evicted records may then differ.
+// is refused for a while. Contents that are never the same twice are
+// quarantined by a part that they share (see FindPoisonParts). Records of other
+// processes can be merged in any order and any number of times; only the choice
+// of evicted records may then differ.
 class PoisonRequestTracker {
  public:
   struct Settings {
@@ -40,6 +73,13 @@
     base::Duration time_to_live = std::chrono::minutes(10);
     // Beyond this number the oldest records are evicted.
     size_t max_records = 4096;
+    // Beyond this number the parts that were served longest ago are forgotten.
+    size_t max_served_parts = 4096;
+    // Time from the last crash of a poison part until one request with it is
+    // tried, to find out whether it still crashes backend servers. It grows by
+    // `trial_factor` with each further crash.
+    base::Duration first_trial = std::chrono::seconds(30);
+    int64_t trial_factor = 4;
 
     bool operator==(const Settings&) const = default;
   };
@@ -47,22 +87,45 @@
   explicit PoisonRequestTracker(const Settings& settings);
 
   // Records that a backend server crashed while it ran the content.
-  void NoteCrash(const std::string& content_digest,
+  void NoteCrash(const RequestContent& content,
                  const std::string& death_id,
                  base::Instant now);
 
+  // Records that a request with these parts was answered completely.
+  void NoteServed(const std::vector<std::string>& parts, base::Instant now);
+
   // Returns the number of distinct crashes that still count.
   int CountCrashes(const std::string& content_digest, base::Instant now) const;
 
   // Returns for how long the content is still refused, nothing if it isn't.
-  std::optional<base::Duration> QuarantineLeft(
-      const std::string& content_digest,
+  std::optional<base::Duration> QuarantineLeft(const RequestContent& content,
+                                               base::Instant now) const;
+
+  // Decides whether the content may be sent to a backend server now. A trial is
+  // counted by this call. `may_try` returns whether this process makes the
+  // trials of a part, so that one is made among all processes.
+  using MayTry = std::function<bool(const std::string& part)>;
+  ContentAdmission Admit(const RequestContent& content,
+                         base::Instant now,
+                         const MayTry& may_try);
+
+  // Returns the parts that are quarantined.
+  const std::map<std::string, PoisonPart>& poison_parts(
       base::Instant now) const;
 
   // Returns the records that still count, to be sent to other processes.
   std::vector<CrashRecord> Records(base::Instant now) const;
+  // Returns those of crashes that this process noticed itself within `max_age`.
+  std::vector<CrashRecord> OwnRecords(base::Instant now,
+                                      base::Duration max_age) const;
   void Merge(const std::vector<CrashRecord>& records, base::Instant now);
 
+  // Returns the suspected parts that were served within `max_age`, or that were
+  // served at all and came under suspicion within it.
+  std::vector<ServedPart> ServedParts(base::Instant now,
+                                      base::Duration max_age) const;
+  void MergeServed(const std::vector<ServedPart>& parts, base::Instant now);
+
   // Removes old records. They are kept for another `time_to_live` after they
   // have expired: a copy looks younger by its time in transit, and would
   // otherwise circulate between processes for ever.
@@ -73,12 +136,32 @@
  private:
   // Content digest and crash identifier.
   using Key = std::pair<std::string, std::string>;
+  struct Crash {
+    base::Instant at;
+    std::vector<std::string> parts;
+    // This process has noticed the crash itself.
+    bool own = false;
+  };
 
-  void Add(const Key& key, base::Instant crashed_at);
+  void Add(const Key& key, const Crash& crash);
+  void AddServed(const std::string& part, base::Instant at);
+  void DropOldestServed();
   bool Counts(base::Instant crashed_at, base::Instant now) const;
+  std::optional<base::Duration> DigestQuarantineLeft(
+      const std::string& content_digest,
+      base::Instant now) const;
+  base::Instant TrialDueAt(const std::string& part,
+                           const PoisonPart& poison) const;
 
   Settings settings;
-  std::map<Key, base::Instant> crashes;
+  std::map<Key, Crash> crashes;
+  // When each part was last served.
+  std::map<std::string, base::Instant> served;
+  // When each part came under suspicion, by the newest of its crashes.
+  std::map<std::string, base::Instant> suspected;
+  std::map<std::string, base::Instant> trials;
+  // The result of the last search for poison parts; out of date if absent.
+  mutable std::optional<std::map<std::string, PoisonPart>> found;
 };
 
 }  // namespace carawayvalve::core
--- a/core/include/carawayvalve/core/request_flow.h
+++ b/core/include/carawayvalve/core/request_flow.h
@@ -172,6 +172,10 @@
            (this->phase == Phase::kSettling && this->reading_after_deadline);
   }
   int32_t attempts() const { return this->attempt_count; }
+  // Returns the number of tokens that the current attempt has delivered.
+  int32_t attempt_tokens() const {
+    return this->tokens_so_far - this->earlier_tokens;
+  }
   const char* phase_name() const;
 
  private:
@@ -235,6 +239,8 @@
   bool withdrawn = false;
   std::string text_so_far;
   int32_t tokens_so_far = 0;
+  // Number of tokens before the current attempt.
+  int32_t earlier_tokens = 0;
 };
 
 }  // namespace carawayvalve::core
--- a/core/src/crash_correlator.cc
+++ b/core/src/crash_correlator.cc
@@ -15,9 +15,8 @@
 }  // namespace
 
 void CrashCorrelator::NoteBrokenAnswer(const base::BackendServerId& id,
-                                       const BrokenRequest& request,
-                                       base::Instant now) {
-  this->broken_answers.push_back({id, request, now});
+                                       const BrokenRequest& request) {
+  this->broken_answers.push_back({id, request});
   if (this->broken_answers.size() > kMaxBrokenAnswers) {
     this->broken_answers.pop_front();
   }
@@ -30,14 +29,15 @@
   for (const BrokenAnswer& answer : this->broken_answers) {
     const bool known = std::any_of(
         requests.begin(), requests.end(), [&](const BrokenRequest& request) {
-          return request.content_digest == answer.request.content_digest;
+          return request.content.digest == answer.request.content.digest;
         });
-    if (answer.id == id && now - answer.at < kDetectionTime && !known) {
+    if (answer.id == id && now - answer.request.broken_at < kDetectionTime &&
+        !known) {
       requests.push_back(answer.request);
     }
   }
   std::erase_if(this->broken_answers, [&](const BrokenAnswer& answer) {
-    return answer.id == id || now - answer.at >= kDetectionTime;
+    return answer.id == id || now - answer.request.broken_at >= kDetectionTime;
   });
   return requests;
 }
--- a/core/src/poison_request_tracker.cc
+++ b/core/src/poison_request_tracker.cc
@@ -21,10 +21,17 @@
 PoisonRequestTracker::PoisonRequestTracker(const Settings& settings)
     : settings(settings) {}
 
-void PoisonRequestTracker::NoteCrash(const std::string& content_digest,
+void PoisonRequestTracker::NoteCrash(const RequestContent& content,
                                      const std::string& death_id,
                                      base::Instant now) {
-  this->Add({content_digest, death_id}, now);
+  this->Add({content.digest, death_id}, {now, content.parts, true});
+}
+
+void PoisonRequestTracker::NoteServed(const std::vector<std::string>& parts,
+                                      base::Instant now) {
+  for (const std::string& part : parts) {
+    this->AddServed(part, now);
+  }
 }
 
 int PoisonRequestTracker::CountCrashes(const std::string& content_digest,
@@ -33,20 +40,20 @@
   for (auto crash = this->crashes.lower_bound({content_digest, ""});
        crash != this->crashes.end() && crash->first.first == content_digest;
        ++crash) {
-    count += this->Counts(crash->second, now) ? 1 : 0;
+    count += this->Counts(crash->second.at, now) ? 1 : 0;
   }
   return count;
 }
 
-std::optional<base::Duration> PoisonRequestTracker::QuarantineLeft(
+std::optional<base::Duration> PoisonRequestTracker::DigestQuarantineLeft(
     const std::string& content_digest,
     base::Instant now) const {
   std::vector<base::Instant> crash_times;
   for (auto crash = this->crashes.lower_bound({content_digest, ""});
        crash != this->crashes.end() && crash->first.first == content_digest;
        ++crash) {
-    if (this->Counts(crash->second, now)) {
-      crash_times.push_back(crash->second);
+    if (this->Counts(crash->second.at, now)) {
+      crash_times.push_back(crash->second.at);
     }
   }
   if (crash_times.size() < kCrashesToQuarantine) {
@@ -57,12 +64,93 @@
          now;
 }
 
+std::optional<base::Duration> PoisonRequestTracker::QuarantineLeft(
+    const RequestContent& content,
+    base::Instant now) const {
+  if (const auto left = this->DigestQuarantineLeft(content.digest, now)) {
+    return left;
+  }
+  const auto& poison = this->poison_parts(now);
+  for (const std::string& part : content.parts) {
+    const auto match = poison.find(part);
+    if (match != poison.end()) {
+      return match->second.last_crash + this->settings.time_to_live - now;
+    }
+  }
+  return std::nullopt;
+}
+
+ContentAdmission PoisonRequestTracker::Admit(const RequestContent& content,
+                                             base::Instant now,
+                                             const MayTry& may_try) {
+  if (this->DigestQuarantineLeft(content.digest, now).has_value()) {
+    return ContentAdmission::kQuarantined;
+  }
+  const auto& poison = this->poison_parts(now);
+  const std::string* on_trial = nullptr;
+  for (const std::string& part : content.parts) {
+    const auto match = poison.find(part);
+    if (match == poison.end()) {
+      continue;
+    }
+    if (now < this->TrialDueAt(part, match->second) || !may_try(part)) {
+      return ContentAdmission::kQuarantined;
+    }
+    on_trial = &part;
+  }
+  if (on_trial == nullptr) {
+    return ContentAdmission::kAdmitted;
+  }
+  this->trials[*on_trial] = now;
+  return ContentAdmission::kOnTrial;
+}
+
+base::Instant PoisonRequestTracker::TrialDueAt(const std::string& part,
+                                               const PoisonPart& poison) const {
+  base::Duration wait = this->settings.first_trial;
+  for (size_t crash = kCrashesToBlame;
+       crash < poison.crashes && wait < this->settings.time_to_live; ++crash) {
+    wait *= this->settings.trial_factor;
+  }
+  const auto trial = this->trials.find(part);
+  return std::max(poison.last_crash, trial == this->trials.end()
+                                         ? base::Instant()
+                                         : trial->second) +
+         wait;
+}
+
+const std::map<std::string, PoisonPart>& PoisonRequestTracker::poison_parts(
+    base::Instant now) const {
+  if (!this->found.has_value()) {
+    std::vector<CrashEvidence> evidence;
+    for (const auto& [key, crash] : this->crashes) {
+      if (!crash.parts.empty() && this->Counts(crash.at, now)) {
+        evidence.push_back({key.second, crash.at, crash.parts});
+      }
+    }
+    this->found = FindPoisonParts(evidence, this->served);
+  }
+  return *this->found;
+}
+
 std::vector<CrashRecord> PoisonRequestTracker::Records(
     base::Instant now) const {
   std::vector<CrashRecord> records;
-  for (const auto& [key, crashed_at] : this->crashes) {
-    if (this->Counts(crashed_at, now)) {
-      records.push_back({key.first, key.second, now - crashed_at});
+  for (const auto& [key, crash] : this->crashes) {
+    if (this->Counts(crash.at, now)) {
+      records.push_back({key.first, key.second, now - crash.at, crash.parts});
+    }
+  }
+  return records;
+}
+
+std::vector<CrashRecord> PoisonRequestTracker::OwnRecords(
+    base::Instant now,
+    base::Duration max_age) const {
+  std::vector<CrashRecord> records;
+  for (const auto& [key, crash] : this->crashes) {
+    if (crash.own && now - crash.at < max_age) {
+      records.push_back({key.first, key.second, now - crash.at, crash.parts});
     }
   }
   return records;
@@ -71,32 +159,102 @@
 void PoisonRequestTracker::Merge(const std::vector<CrashRecord>& records,
                                  base::Instant now) {
   for (const CrashRecord& record : records) {
-    this->Add({record.content_digest, record.death_id}, now - record.age);
+    this->Add({record.content_digest, record.death_id},
+              {now - record.age, record.parts, false});
+  }
+}
+
+std::vector<ServedPart> PoisonRequestTracker::ServedParts(
+    base::Instant now,
+    base::Duration max_age) const {
+  std::vector<ServedPart> parts;
+  for (const auto& [part, suspected_at] : this->suspected) {
+    const auto answer = this->served.find(part);
+    if (answer != this->served.end() &&
+        now - std::max(answer->second, suspected_at) < max_age) {
+      parts.push_back({part, now - answer->second});
+    }
+  }
+  return parts;
+}
+
+void PoisonRequestTracker::MergeServed(const std::vector<ServedPart>& parts,
+                                       base::Instant now) {
+  for (const ServedPart& served_part : parts) {
+    this->AddServed(served_part.part, now - served_part.age);
   }
 }
 
 void PoisonRequestTracker::Prune(base::Instant now) {
   std::erase_if(this->crashes, [&](const auto& crash) {
-    return now - crash.second >= 2 * this->settings.time_to_live;
+    return now - crash.second.at >= 2 * this->settings.time_to_live;
   });
+  const auto is_old = [&](const auto& item) {
+    return now - item.second >= this->settings.time_to_live;
+  };
+  std::erase_if(this->served, is_old);
+  std::erase_if(this->suspected, is_old);
+  std::erase_if(this->trials, is_old);
+  this->found.reset();
 }
 
 // Keeps the earlier time of two copies: time in transit makes a crash look
-// later than it was.
-void PoisonRequestTracker::Add(const Key& key, base::Instant crashed_at) {
-  const auto [place, added] = this->crashes.emplace(key, crashed_at);
-  place->second = std::min(place->second, crashed_at);
+// later than it was. Of two copies with different parts, one may have been made
+// by a process that doesn't know them.
+void PoisonRequestTracker::Add(const Key& key, const Crash& crash) {
+  const auto [place, added] = this->crashes.emplace(key, crash);
+  Crash& kept = place->second;
+  if (!added && crash.at >= kept.at && crash.parts <= kept.parts) {
+    kept.own = kept.own || crash.own;
+    return;
+  }
+  kept.at = std::min(kept.at, crash.at);
+  kept.own = kept.own || crash.own;
+  kept.parts = std::max(kept.parts, crash.parts);
+  for (const std::string& part : kept.parts) {
+    base::Instant& suspicion = this->suspected[part];
+    suspicion = std::max(suspicion, kept.at);
+  }
+  this->found.reset();
   if (this->crashes.size() <= this->settings.max_records) {
     return;
   }
   this->crashes.erase(
       std::min_element(this->crashes.begin(), this->crashes.end(),
                        [](const auto& one, const auto& other) {
-                         return std::pair(one.second, one.first) <
-                                std::pair(other.second, other.first);
+                         return std::pair(one.second.at, one.first) <
+                                std::pair(other.second.at, other.first);
                        }));
 }
 
+void PoisonRequestTracker::AddServed(const std::string& part,
+                                     base::Instant at) {
+  base::Instant& last = this->served[part];
+  if (at <= last) {
+    return;
+  }
+  last = at;
+  if (this->suspected.contains(part)) {
+    this->found.reset();
+  }
+  if (this->served.size() > this->settings.max_served_parts) {
+    this->DropOldestServed();
+  }
+}
+
+// Drops half, so that the next addition doesn't have to search again.
+void PoisonRequestTracker::DropOldestServed() {
+  std::vector<base::Instant> times;
+  times.reserve(this->served.size());
+  for (const auto& [part, at] : this->served) {
+    times.push_back(at);
+  }
+  const auto middle = times.begin() + static_cast<int64_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  std::erase_if(this->served,
+                [&](const auto& item) { return item.second < *middle; });
+}
+
 bool PoisonRequestTracker::Counts(base::Instant crashed_at,
                                   base::Instant now) const {
   return now - crashed_at < this->settings.time_to_live;
--- a/core/src/request_flow.cc
+++ b/core/src/request_flow.cc
@@ -67,6 +67,7 @@
   this->current_backend = event.backend_server;
   this->tried_backends.insert(event.backend_server);
   this->attempt_count += 1;
+  this->earlier_tokens = this->tokens_so_far;
   this->next_offset = 0;
   this->stream = AnswerStreamReader();
   return {SubmitAttempt{event.attempt, event.backend_server, this->text_so_far,
--- a/entry/src/crash_records.h
+++ b/entry/src/crash_records.h
@@ -16,6 +16,12 @@
 std::vector<wire::gen::DeathMark> ToWire(
     const std::vector<core::CrashRecord>& records);
 
+// The same for the suspected parts that were served.
+std::vector<core::ServedPart> FromWire(
+    const std::vector<wire::gen::ServedPart>& wire_parts);
+std::vector<wire::gen::ServedPart> ToWire(
+    const std::vector<core::ServedPart>& parts);
+
 }  // namespace carawayvalve::entry
 
 #endif  // CARAWAYVALVE_ENTRY_SRC_CRASH_RECORDS_H_
--- a/entry/src/crash_reporter.cc
+++ b/entry/src/crash_reporter.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "carawayvalve/base/time.h"
+#include "carawayvalve/core/duty.h"
 
 namespace carawayvalve::entry {
 
@@ -14,19 +15,20 @@
 
 }  // namespace
 
-CrashReporter::CrashReporter() : tracker(kReportLimit) {}
+CrashReporter::CrashReporter(const base::HostId& self)
+    : self(self), tracker(kReportLimit) {}
 
 void CrashReporter::SetOnReport(Task on_report) {
   this->on_report = std::move(on_report);
 }
 
-void CrashReporter::Report(const std::string& content_digest,
+void CrashReporter::Report(const core::RequestContent& content,
                            const std::string& death_id,
                            Task then) {
   {
     std::unique_lock lock(this->mutex);
-    const auto id =
-        this->tracker.Add({content_digest, death_id, {}}, base::Now());
+    const auto id = this->tracker.Add(
+        {content.digest, death_id, {}, content.parts}, base::Now());
     this->tasks[id] = std::move(then);
     this->RunDone(std::move(lock));
   }
@@ -35,6 +37,14 @@
   }
 }
 
+bool CrashReporter::MakesTrialsOf(const std::string& part) const {
+  const std::lock_guard lock(this->mutex);
+  std::vector<base::HostId> hosts(this->reachable_peers.begin(),
+                                  this->reachable_peers.end());
+  hosts.push_back(this->self);
+  return core::PreferredHolder("trial/" + part, hosts) == this->self;
+}
+
 void CrashReporter::NoteReachable(const base::HostId& peer, bool reachable) {
   std::unique_lock lock(this->mutex);
   const bool changed = reachable ? this->reachable_peers.insert(peer).second
--- a/entry/src/crash_reporter.h
+++ b/entry/src/crash_reporter.h
@@ -18,17 +18,21 @@
  public:
   using Task = std::function<void()>;
 
-  CrashReporter();
+  explicit CrashReporter(const base::HostId& self);
 
   // Sets the function that has the peers told soon, and which is called without
   // a lock held. To be set before the first report.
   void SetOnReport(Task on_report);
 
   // Reports the crash to all reachable peers, then runs `then`, on any thread.
-  void Report(const std::string& content_digest,
+  void Report(const core::RequestContent& content,
               const std::string& death_id,
               Task then);
 
+  // Returns whether this process, among the reachable ones, makes the trials of
+  // a part that crashed backend servers.
+  bool MakesTrialsOf(const std::string& part) const;
+
   // Called by the poller of each peer: it was reached, or couldn't be.
   void NoteReachable(const base::HostId& peer, bool reachable);
   core::CrashReportTracker::Batch Unacknowledged(
@@ -45,6 +49,7 @@
   // releases.
   void RunDone(std::unique_lock<std::mutex> lock);
 
+  const base::HostId self;
   mutable std::mutex mutex;
   Task on_report;
   core::CrashReportTracker tracker;
--- a/entry/src/dispatcher.cc
+++ b/entry/src/dispatcher.cc
@@ -14,6 +14,9 @@
 // Reads from the agent pause while more than this is unsent to the caller.
 constexpr size_t kMaxUnsentBytes = 1024 * 1024;
 constexpr int64_t kMaxBytesPerRead = 256 * 1024;
+// A part that crashes engines does so when they begin to answer. Of a request
+// with more tokens, no part can be the cause.
+constexpr int32_t kMaxTokensOfCrash = 1;
 
 wire::gen::Submission MakeSubmission(const AdmittedRequest& request,
                                      const core::SubmitAttempt& action) {
@@ -25,7 +28,7 @@
   submission.idempotent = request.options.idempotent;
   submission.remaining_ms =
       base::ToMilliseconds(request.options.deadline - base::Now());
-  submission.content_digest = request.content_digest;
+  submission.content_digest = request.content.digest;
   submission.cost_tokens = request.cost_tokens;
   if (const auto* model = std::get_if<wire::gen::ModelCall>(&request.call)) {
     wire::gen::ModelCall call = *model;
@@ -228,8 +231,15 @@
                  {.request = run->request.id.value,
                   .attempt = attempt.value,
                   .backend_server = run->bound_backend.value});
-  this->control.NoteCrash(run->request.content_digest, death_id);
-  this->crash_reporter.Report(run->request.content_digest, death_id,
+  core::RequestContent content = run->request.content;
+  {
+    const std::lock_guard lock(run->mutex);
+    if (run->flow.attempt_tokens() > kMaxTokensOfCrash) {
+      content.parts.clear();
+    }
+  }
+  this->control.NoteCrash(content, death_id);
+  this->crash_reporter.Report(content, death_id,
                               [this, run, event] { this->Notify(run, event); });
 }
 
@@ -248,11 +258,16 @@
 
 core::RequestEvent Dispatcher::Choose(Run& run,
                                       const core::ChooseBackend& action) {
-  if (const auto quarantine_left =
-          this->control.QuarantineLeft(run.request.content_digest)) {
+  const core::RequestContent& content = run.request.content;
+  const auto admission =
+      this->control.AdmitContent(content, [this](const std::string& part) {
+        return this->crash_reporter.MakesTrialsOf(part);
+      });
+  if (admission == core::ContentAdmission::kQuarantined) {
     return core::NoBackendAvailable{
         "backend servers died while they ran this request",
-        std::chrono::duration_cast<base::Milliseconds>(*quarantine_left)};
+        std::chrono::duration_cast<base::Milliseconds>(
+            this->control.QuarantineLeft(content).value_or(base::Duration(0)))};
   }
   if (action.is_retry && !this->control.TrySpendRetry()) {
     return core::NoBackendAvailable{"no retry is left to spend",
@@ -282,7 +297,7 @@
   }
   wire::gen::Submission submission = MakeSubmission(run.request, action);
   submission.known_deaths =
-      this->control.CountCrashes(run.request.content_digest);
+      this->control.CountCrashes(run.request.content.digest);
   submission.agent_boot = run.agent.value;
   submission.agent_clock_us = run.agent_clock_us;
   submission.entry_boot = this->entry.value;
@@ -319,6 +334,9 @@
                     .attempt = run.flow.attempt().value,
                     .backend_server = run.flow.backend_server().value});
   }
+  if (action.whole) {
+    this->control.NoteServed(run.request.content.parts);
+  }
   run.request.writer->Finish(action);
   if (run.request.on_finish) {
     run.request.on_finish(action);
--- a/entry/src/dispatcher.h
+++ b/entry/src/dispatcher.h
@@ -29,7 +29,7 @@
   std::string key_sha256;
   core::RequestOptions options;
   std::variant<wire::gen::PlainCall, wire::gen::ModelCall> call;
-  std::string content_digest;
+  core::RequestContent content;
   // Of the prompt; 0 and empty for plain calls.
   int64_t prompt_tokens = 0;
   std::vector<core::PrefixHash> prefix_hashes;
--- a/entry/src/http_mapping.cc
+++ b/entry/src/http_mapping.cc
@@ -17,6 +17,8 @@
 constexpr int32_t kMaxTokensLimit = 1000000;
 constexpr char kBearer[] = "Bearer ";
 constexpr size_t kMaxKeyBytes = 512;
+// Hexadecimal digits of the digests that identify messages.
+constexpr size_t kPartDigestDigits = 16;
 constexpr base::Milliseconds kMinRetryAfter{1000};
 
 std::string Lower(const std::string& text) {
@@ -99,20 +101,29 @@
   return text;
 }
 
-std::string ChatPrompt(const json& object) {
+std::string MessageText(const json& message) {
+  if (!message.is_object() || Find(message, "content") == nullptr) {
+    throw InvalidMember("each message must have 'role' and 'content'");
+  }
+  return RequiredString(message, "role") + ": " +
+         ContentText(message["content"]) + "\n";
+}
+
+// Sets the prompt of a chat and the parts that other chats may share.
+void ReadMessages(const json& object, CompletionRequest& request) {
   const json* messages = Find(object, "messages");
   if (messages == nullptr || !messages->is_array() || messages->empty()) {
     throw InvalidMember("'messages' must be an array that isn't empty");
   }
-  std::string prompt;
   for (const json& message : *messages) {
-    if (!message.is_object() || Find(message, "content") == nullptr) {
-      throw InvalidMember("each message must have 'role' and 'content'");
-    }
-    prompt += RequiredString(message, "role") + ": " +
-              ContentText(message["content"]) + "\n";
+    const std::string text = MessageText(message);
+    request.prompt += text;
+    request.shared_parts.push_back(
+        request.model.value + "/" +
+        base::Sha256(text).substr(0, kPartDigestDigits));
   }
-  return prompt + "assistant:";
+  request.shared_parts.pop_back();
+  request.prompt += "assistant:";
 }
 
 void RefuseSeveralChoices(const json& object) {
@@ -132,7 +143,11 @@
   CompletionRequest request;
   request.chat = chat;
   request.model = {RequiredString(object, "model")};
-  request.prompt = chat ? ChatPrompt(object) : RequiredString(object, "prompt");
+  if (chat) {
+    ReadMessages(object, request);
+  } else {
+    request.prompt = RequiredString(object, "prompt");
+  }
   request.max_tokens = ReadMaxTokens(object);
   request.stream = OptionalBoolean(object, "stream");
   request.include_usage = IncludeUsage(object);
--- a/entry/src/http_mapping.h
+++ b/entry/src/http_mapping.h
@@ -41,6 +41,8 @@
 struct CompletionRequest {
   base::ModelId model;
   std::string prompt;
+  // Identities of the messages that other chats may share: all but the last.
+  std::vector<std::string> shared_parts = {};
   int32_t max_tokens = 0;
   bool chat = false;
   bool stream = false;
--- a/entry/src/peer_handler.cc
+++ b/entry/src/peer_handler.cc
@@ -47,6 +47,7 @@
       copy.store_age ? base::ToMilliseconds(*copy.store_age) : -1;
   answer.duties_held = this->sources.duties_held();
   answer.deaths = ToWire(this->sources.control.CrashRecords());
+  answer.__set_served_parts(ToWire(this->sources.control.ServedParts()));
 }
 
 void PeerHandler::usage(std::vector<wire::gen::UsageCounters>& answer,
--- a/entry/src/peer_poller.cc
+++ b/entry/src/peer_poller.cc
@@ -92,6 +92,7 @@
     this->poller.feed.NotePeerAnswer(this->host, sent_at, store_age,
                                      answer.generation);
     this->poller.control.MergeCrashRecords(FromWire(answer.deaths));
+    this->poller.control.MergeServedParts(FromWire(answer.served_parts));
     const std::lock_guard lock(this->mutex);
     this->reachable = true;
     this->status = answer;
--- a/entry/src/request_admitter.cc
+++ b/entry/src/request_admitter.cc
@@ -251,8 +251,9 @@
   admitted.options.continuable = true;
   admitted.options.deadline = base::Now() + kDefaultCompletionDeadline;
   admitted.call = ToCall(completion);
-  admitted.content_digest =
-      core::ContentDigest(admitted.client_account, completion.prompt);
+  admitted.content = {
+      core::ContentDigest(admitted.client_account, completion.prompt),
+      completion.shared_parts};
   admitted.prompt_tokens = core::CountTokens(completion.prompt);
   admitted.prefix_hashes = core::PrefixHashes(completion.prompt);
   admitted.cost_tokens = admitted.prompt_tokens + completion.max_tokens;
@@ -288,8 +289,9 @@
   admitted.options.deadline =
       base::Now() + base::Milliseconds(route.deadline_ms);
   admitted.call = ToCall(request);
-  admitted.content_digest = core::ContentDigest(admitted.client_account,
-                                                request.target + request.body);
+  admitted.content = {core::ContentDigest(admitted.client_account,
+                                          request.target + request.body),
+                      {}};
   admitted.cost_tokens = kPlainCostTokens;
   admitted.writer = std::make_shared<AnswerWriter>(id, PlainFormat{}, exchange);
   return admitted;
--- a/entry/src/serve.cc
+++ b/entry/src/serve.cc
@@ -106,6 +106,7 @@
       store(settings.object_api_address,
             base::Milliseconds(settings.store_timeout_ms)),
       control(boot),
+      crash_reporter(settings.host),
       dispatcher(boot, MakeRoutingSettings(settings), control, crash_reporter),
       feed(settings),
       peers(settings, feed, control, crash_reporter),
--- a/entry/src/traffic_control.cc
+++ b/entry/src/traffic_control.cc
@@ -2,6 +2,13 @@
 
 namespace carawayvalve::entry {
 
+namespace {
+
+// No process remembers for longer that a part was served.
+constexpr base::Duration kMaxServedAge = std::chrono::minutes(10);
+
+}  // namespace
+
 TrafficControl::TrafficControl(const base::BootId& entry)
     : admission(core::Admission::Settings()),
       retry_budget(core::RetryBudget::Settings(), base::Now()),
@@ -45,10 +52,15 @@
   return this->retry_budget.TrySpend(base::Now());
 }
 
-void TrafficControl::NoteCrash(const std::string& content_digest,
+void TrafficControl::NoteCrash(const core::RequestContent& content,
                                const std::string& death_id) {
   const std::lock_guard lock(this->mutex);
-  this->poison_requests.NoteCrash(content_digest, death_id, base::Now());
+  this->poison_requests.NoteCrash(content, death_id, base::Now());
+}
+
+void TrafficControl::NoteServed(const std::vector<std::string>& parts) {
+  const std::lock_guard lock(this->mutex);
+  this->poison_requests.NoteServed(parts, base::Now());
 }
 
 void TrafficControl::MergeCrashRecords(
@@ -58,20 +70,38 @@
   this->poison_requests.Prune(base::Now());
 }
 
+void TrafficControl::MergeServedParts(
+    const std::vector<core::ServedPart>& parts) {
+  const std::lock_guard lock(this->mutex);
+  this->poison_requests.MergeServed(parts, base::Now());
+}
+
 std::vector<core::CrashRecord> TrafficControl::CrashRecords() const {
   const std::lock_guard lock(this->mutex);
   return this->poison_requests.Records(base::Now());
 }
 
+std::vector<core::ServedPart> TrafficControl::ServedParts() const {
+  const std::lock_guard lock(this->mutex);
+  return this->poison_requests.ServedParts(base::Now(), kMaxServedAge);
+}
+
 int TrafficControl::CountCrashes(const std::string& content_digest) const {
   const std::lock_guard lock(this->mutex);
   return this->poison_requests.CountCrashes(content_digest, base::Now());
 }
 
+core::ContentAdmission TrafficControl::AdmitContent(
+    const core::RequestContent& content,
+    const core::PoisonRequestTracker::MayTry& may_try) {
+  const std::lock_guard lock(this->mutex);
+  return this->poison_requests.Admit(content, base::Now(), may_try);
+}
+
 std::optional<base::Duration> TrafficControl::QuarantineLeft(
-    const std::string& content_digest) const {
+    const core::RequestContent& content) const {
   const std::lock_guard lock(this->mutex);
-  return this->poison_requests.QuarantineLeft(content_digest, base::Now());
+  return this->poison_requests.QuarantineLeft(content, base::Now());
 }
 
 }  // namespace carawayvalve::entry
--- a/entry/src/traffic_control.h
+++ b/entry/src/traffic_control.h
@@ -37,14 +37,24 @@
   bool TrySpendRetry();
 
   // Records that a backend server crashed while it ran the content.
-  void NoteCrash(const std::string& content_digest,
+  void NoteCrash(const core::RequestContent& content,
                  const std::string& death_id);
+  // Records that a request with these parts was answered completely.
+  void NoteServed(const std::vector<std::string>& parts);
   void MergeCrashRecords(const std::vector<core::CrashRecord>& records);
+  void MergeServedParts(const std::vector<core::ServedPart>& parts);
   std::vector<core::CrashRecord> CrashRecords() const;
+  // Returns the suspected parts that were served.
+  std::vector<core::ServedPart> ServedParts() const;
   int CountCrashes(const std::string& content_digest) const;
+  // Decides whether the content may be sent to a backend server now, see
+  // PoisonRequestTracker::Admit.
+  core::ContentAdmission AdmitContent(
+      const core::RequestContent& content,
+      const core::PoisonRequestTracker::MayTry& may_try);
   // Returns for how long the content is still refused, nothing if it isn't.
   std::optional<base::Duration> QuarantineLeft(
-      const std::string& content_digest) const;
+      const core::RequestContent& content) const;
 
  private:
   mutable std::mutex mutex;
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -212,7 +212,9 @@
   const base::BackendServerId& id = this->call_plan.backend.id;
   if (event.not_sent) {
     health.NoteUnreachable(id, now);
-    this->context.NoteBackendCrash(id, "unreachable");
+    if (event.reset) {
+      this->context.NoteBackendCrash(id, "refused");
+    }
   } else {
     health.NoteFailure(id, now);
   }
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -8,6 +8,18 @@
 
 // The minimum interval between two logged estimates of a service's speeds.
 constexpr std::chrono::seconds kSpeedLogInterval(5);
+// A backend server that takes longer to accept a connection isn't known to have
+// crashed.
+constexpr base::Milliseconds kProbeTimeout(400);
+constexpr base::Milliseconds kProbeInterval(500);
+
+std::string Join(const std::vector<std::string>& texts) {
+  std::string joined;
+  for (const std::string& text : texts) {
+    joined += (joined.empty() ? "" : ",") + text;
+  }
+  return joined;
+}
 
 }  // namespace
 
@@ -26,26 +38,63 @@
       this->state.directory.NoteLeaving(backend.id, backend.started_ms, now)) {
     this->journal.Write(base::LogLevel::kInfo, "backend_leaves",
                         {{"backend", backend.id.value}, {"source", "answer"}});
-    this->on_backend_leaving();
+    this->on_urgent_news();
   }
   return decoded;
 }
 
 void Context::NoteBackendCrash(const base::BackendServerId& id,
                                const char* sign) {
-  for (const core::BrokenRequest& request :
-       this->state.NoteBackendCrash(id, base::Now())) {
-    std::string parts;
-    for (const std::string& part : request.parts) {
-      parts += (parts.empty() ? "" : ",") + part;
-    }
+  const auto running = this->state.NoteBackendCrash(id, base::Now());
+  for (const core::BrokenRequest& request : running) {
     this->journal.Write(base::LogLevel::kInfo, "ran_during_crash",
                         {{"request", request.id.value},
                          {"backend", id.value},
                          {"sign", sign},
                          {"events", request.events},
-                         {"parts", parts}});
+                         {"parts", Join(request.content.parts)}});
   }
+  if (!running.empty()) {
+    this->LogPoisonParts();
+    this->on_urgent_news();
+  }
+}
+
+void Context::ProbeBackend(const core::BackendEntry& backend) {
+  const base::Instant now = base::Now();
+  std::erase_if(this->state.probed, [&](const auto& probe) {
+    return now - probe.second >= kProbeInterval;
+  });
+  if (!this->state.probed.emplace(backend.id, now).second) {
+    return;
+  }
+  this->backends.Connect(backend.address, kProbeTimeout,
+                         [this, id = backend.id](net::ConnectResult result) {
+                           if (result == net::ConnectResult::kRefused) {
+                             this->state.health.NoteUnreachable(id,
+                                                                base::Now());
+                             this->NoteBackendCrash(id, "refused");
+                           }
+                         });
+}
+
+void Context::LogPoisonParts() {
+  const auto& poison = this->state.poison_requests.poison_parts(base::Now());
+  std::set<std::string>& logged = this->state.logged_poison_parts;
+  for (const auto& [part, evidence] : poison) {
+    if (logged.insert(part).second) {
+      this->journal.Write(base::LogLevel::kWarning, "part_quarantined",
+                          {{"part", part}, {"crashes", evidence.crashes}});
+    }
+  }
+  std::erase_if(logged, [&](const std::string& part) {
+    if (poison.contains(part)) {
+      return false;
+    }
+    this->journal.Write(base::LogLevel::kInfo, "part_released",
+                        {{"part", part}});
+    return true;
+  });
 }
 
 void Context::NoteSpeed(const base::ServiceId& service,
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -35,8 +35,9 @@
   std::vector<SentPrefix>& sent_prefixes;
   // Called when the load that this gateway puts on backend servers changes.
   std::function<void()>& on_load_changed;
-  // Called when a backend server has said that it leaves.
-  std::function<void()>& on_backend_leaving;
+  // Called when this gateway has learned what its peers must know at once: that
+  // a backend server leaves, or what ran when one crashed.
+  std::function<void()>& on_urgent_news;
 
   // Applies what the head of a backend server's answer says of that server.
   // Returns the decoded head.
@@ -45,6 +46,10 @@
   // Records that a backend server crashed or restarted; `sign` says how that
   // was noticed.
   void NoteBackendCrash(const base::BackendServerId& id, const char* sign);
+  // Connects to a backend server whose answer broke off: a crashed one refuses.
+  void ProbeBackend(const core::BackendEntry& backend);
+  // Logs the parts that came under quarantine or left it since the last call.
+  void LogPoisonParts();
   // Applies an observation of the speed of a service's backend servers.
   void NoteSpeed(const base::ServiceId& service,
                  const core::SpeedObservation& observed);
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -45,7 +45,7 @@
   std::mt19937_64 generator;
   std::vector<SentPrefix> sent_prefixes;
   std::function<void()> on_load_changed = [] {};
-  std::function<void()> on_backend_leaving = [] {};
+  std::function<void()> on_urgent_news = [] {};
   net::HttpClient backends;
   LateRequestScheduler waiting;
   platform::ObjectClient objects;
--- a/gateway/src/gateway_state.cc
+++ b/gateway/src/gateway_state.cc
@@ -61,13 +61,13 @@
 std::vector<core::BrokenRequest> GatewayState::NoteBackendCrash(
     const base::BackendServerId& id,
     base::Instant now) {
-  const core::BackendEntry* entry = this->directory.Find(id);
-  const int64_t started = entry == nullptr ? 0 : entry->started_ms;
-  const std::string crash_id = id.value + "/" + std::to_string(started);
   std::vector<core::BrokenRequest> running =
       this->crash_correlator.TakeRunningRequests(id, now);
   for (const core::BrokenRequest& request : running) {
-    this->poison_requests.NoteCrash(request.content_digest, crash_id, now);
+    const std::string crash_id =
+        id.value + "/" + std::to_string(request.backend_started_ms);
+    this->poison_requests.NoteCrash(request.content, crash_id,
+                                    request.broken_at);
   }
   return running;
 }
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -3,7 +3,9 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "carawayvalve/core/backend_directory.h"
 #include "carawayvalve/core/backend_health.h"
@@ -66,6 +68,13 @@
   // The engines that this gateway has ordered to change their roles, with the
   // time until which they are expected to decline requests.
   std::map<base::BackendServerId, base::Instant> changing_roles;
+  // When each backend server was last connected to, to find out whether it has
+  // crashed.
+  std::map<base::BackendServerId, base::Instant> probed;
+  // The poison parts that were logged.
+  std::set<std::string> logged_poison_parts;
+  // This gateway and the live peers.
+  std::vector<base::HostId> live_hosts;
   // The gateways that share the slack of the retry budget.
   core::RetryBudgetMembers retry_members;
   bool stopping = false;
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -45,18 +45,22 @@
 constexpr int64_t kRoundsPerIdleMessage = 4;
 // Further prefixes are dropped.
 constexpr size_t kMaxPrefixesPerMessage = 64;
-// Crashes younger than this are sent in each message, older ones only once in
-// kRoundsPerOldCrashes rounds.
+// What ran during crashes that this gateway noticed within this time is sent in
+// each message, as are the parts served within it. Those of all gateways are
+// sent once in kRoundsPerOldCrashes rounds. What doesn't fit takes turns.
 constexpr std::chrono::seconds kRecentCrashAge(2);
 constexpr int64_t kRoundsPerOldCrashes = 40;
 constexpr size_t kMaxCrashesPerMessage = 16;
+constexpr size_t kMaxServedPartsPerMessage = 32;
+// No gateway remembers for longer that a part was served.
+constexpr base::Duration kMaxServedAge = std::chrono::minutes(10);
 // Backend servers that said within this time that they leave are named in each
 // message: a gateway that starts meanwhile or misses a few messages learns it.
 constexpr std::chrono::seconds kDepartureAge(10);
 constexpr size_t kMaxDeparturesPerMessage = 32;
-// The minimum interval between two updates about backend servers that leave,
-// with any number of peers.
-constexpr base::Milliseconds kDepartureInterval(100);
+// The minimum interval between two updates about urgent news, with any number
+// of peers.
+constexpr base::Milliseconds kUrgentNewsInterval(100);
 // The number of newest crashes that are sent to a gateway which has just
 // started.
 constexpr size_t kMaxCrashesForNewPeer = 256;
@@ -78,9 +82,20 @@
   encoded.content_digest = record.content_digest;
   encoded.death_id = record.death_id;
   encoded.age_ms = static_cast<int32_t>(base::ToMilliseconds(record.age));
+  if (!record.parts.empty()) {
+    encoded.__set_parts(record.parts);
+  }
   return encoded;
 }
 
+void AddServedPart(Gossip& gossip, const core::ServedPart& served) {
+  wire::gen::GossipServedPart encoded;
+  encoded.part = served.part;
+  encoded.age_ms = static_cast<int32_t>(base::ToMilliseconds(served.age));
+  gossip.served_parts.push_back(std::move(encoded));
+  gossip.__isset.served_parts = true;
+}
+
 // Returns whether `self` sends the counts of all gateways to the gateway with
 // this boot id. Processes with the same live hosts choose the same senders.
 bool IsBootstrapPeer(const base::HostId& self,
@@ -121,8 +136,8 @@
         this->OnCall(exchange);
       });
   this->context.on_load_changed = [this] { this->OnLoadChanged(); };
-  this->context.on_backend_leaving = [this] {
-    this->ScheduleUpdate(kDepartureInterval);
+  this->context.on_urgent_news = [this] {
+    this->ScheduleUpdate(kUrgentNewsInterval);
   };
   this->registry.Start();
   this->RunRound();
@@ -142,8 +157,10 @@
 
 void PeerGossip::SetWatchWaits() {
   const GatewaySettings& settings = this->context.state.settings;
-  this->feed.SetWatchWaits(core::PlanWatches(
-      settings.host, this->LiveHosts(base::Now()), settings.store.watch_wait));
+  this->context.state.live_hosts = this->LiveHosts(base::Now());
+  this->feed.SetWatchWaits(core::PlanWatches(settings.host,
+                                             this->context.state.live_hosts,
+                                             settings.store.watch_wait));
 }
 
 base::Duration PeerGossip::RoundInterval() const {
@@ -284,16 +301,24 @@
   this->Send(gossip);
 }
 
-void PeerGossip::AddCrashes(Gossip& gossip) const {
+void PeerGossip::AddCrashes(Gossip& gossip) {
+  const core::PoisonRequestTracker& poison =
+      this->context.state.poison_requests;
+  const base::Instant now = base::Now();
   const bool include_old = this->rounds % kRoundsPerOldCrashes == 0;
-  for (const core::CrashRecord& record :
-       this->context.state.poison_requests.Records(base::Now())) {
-    if (gossip.deaths.size() >= kMaxCrashesPerMessage) {
-      return;
-    }
-    if (include_old || record.age < kRecentCrashAge) {
-      gossip.deaths.push_back(ToGossipDeath(record));
-    }
+  const auto records = include_old ? poison.Records(now)
+                                   : poison.OwnRecords(now, kRecentCrashAge);
+  const size_t count = std::min(records.size(), kMaxCrashesPerMessage);
+  for (size_t i = 0; i < count; ++i) {
+    gossip.deaths.push_back(
+        ToGossipDeath(records[this->next_crash++ % records.size()]));
+  }
+  const auto served = poison.ServedParts(
+      now, include_old ? kMaxServedAge : base::Duration(kRecentCrashAge));
+  const size_t served_count =
+      std::min(served.size(), kMaxServedPartsPerMessage);
+  for (size_t i = 0; i < served_count; ++i) {
+    AddServedPart(gossip, served[this->next_served_part++ % served.size()]);
   }
 }
 
@@ -313,6 +338,15 @@
     }
     messages.back().deaths.push_back(ToGossipDeath(record));
   }
+  for (const core::ServedPart& served :
+       this->context.state.poison_requests.ServedParts(base::Now(),
+                                                       kMaxServedAge)) {
+    if (messages.empty() ||
+        messages.back().served_parts.size() >= kMaxServedPartsPerMessage) {
+      messages.push_back(this->LoadMessage());
+    }
+    AddServedPart(messages.back(), served);
+  }
   return messages;
 }
 
@@ -441,9 +475,18 @@
   std::vector<core::CrashRecord> crashes;
   for (const wire::gen::GossipDeath& received : gossip.deaths) {
     crashes.push_back({received.content_digest, received.death_id,
-                       base::Milliseconds(received.age_ms)});
+                       base::Milliseconds(received.age_ms), received.parts});
+  }
+  std::vector<core::ServedPart> served;
+  for (const wire::gen::GossipServedPart& received : gossip.served_parts) {
+    served.push_back({received.part, base::Milliseconds(received.age_ms)});
+  }
+  if (crashes.empty() && served.empty()) {
+    return;
   }
   state.poison_requests.Merge(crashes, now);
+  state.poison_requests.MergeServed(served, now);
+  this->context.LogPoisonParts();
 }
 
 void PeerGossip::ApplyDepartures(const Gossip& gossip, base::Instant now) {
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -56,7 +56,7 @@
   void SendLoads();
   void Send(const wire::gen::Gossip& gossip);
   void SetWatchWaits();
-  void AddCrashes(wire::gen::Gossip& gossip) const;
+  void AddCrashes(wire::gen::Gossip& gossip);
   void AddDepartures(wire::gen::Gossip& gossip) const;
   std::vector<wire::gen::Gossip> CrashMessages() const;
   wire::gen::Gossip BaseMessage() const;
@@ -86,6 +86,10 @@
   net::Timer round_timer;
   net::Timer update_timer;
   int64_t rounds = 0;
+  // The crash record to send next, counted over all messages.
+  size_t next_crash = 0;
+  // The same of the served parts.
+  size_t next_served_part = 0;
   bool new_peer_seen = false;
   core::FleetLoad::Loads sent_loads;
   base::Instant loads_sent_at;
--- a/gateway/src/request_answer.cc
+++ b/gateway/src/request_answer.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "carawayvalve/core/duty.h"
 #include "request_handler.h"
 
 namespace carawayvalve::gateway {
@@ -16,6 +17,9 @@
 // Callers honour a Retry-After of up to a third of the time that they have
 // left.
 constexpr int64_t kRetryAfterDivisor = 3;
+// A part that crashes backend servers does so when they begin to answer. Of a
+// request with more events, no part can be the cause.
+constexpr int64_t kMaxEventsOfCrash = 1;
 
 }  // namespace
 
@@ -132,21 +136,69 @@
   state.usage.Count(state.boot, window, this->account->name);
 }
 
-std::string RequestHandler::ContentDigest() const {
-  const net::Request& request = this->exchange->request();
-  const base::ClientAccountId name =
-      this->account == nullptr ? base::ClientAccountId{} : this->account->name;
-  return core::ContentDigest(name, request.target + '\n' + request.body);
+core::RequestContent RequestHandler::Content() {
+  if (this->content_digest.empty()) {
+    const net::Request& request = this->exchange->request();
+    this->content_digest =
+        core::ContentDigest(this->account == nullptr ? base::ClientAccountId{}
+                                                     : this->account->name,
+                            request.target + '\n' + request.body);
+  }
+  return {this->content_digest, this->shared_parts};
+}
+
+bool RequestHandler::AdmitContent() {
+  GatewayState& state = this->context.state;
+  if (state.poison_requests.size() == 0 || this->on_trial) {
+    return true;
+  }
+  const auto may_try = [&](const std::string& part) {
+    return core::PreferredHolder("trial/" + part, state.live_hosts) ==
+           state.settings.host;
+  };
+  const core::ContentAdmission admission =
+      state.poison_requests.Admit(this->Content(), base::Now(), may_try);
+  if (admission == core::ContentAdmission::kQuarantined) {
+    this->RefuseQuarantined();
+    return false;
+  }
+  this->on_trial = admission == core::ContentAdmission::kOnTrial;
+  if (this->on_trial) {
+    this->context.journal.Write(base::LogLevel::kInfo, "part_tried",
+                                {{"request", this->caller.id.value}});
+  }
+  return true;
+}
+
+void RequestHandler::RefuseQuarantined() {
+  if (this->progress.answer_begun || this->progress.may_have_run) {
+    this->GiveUp();
+    return;
+  }
+  this->ReleasePrompt();
+  this->Refuse(kUnavailable, "backend servers died of this request", false);
 }
 
 void RequestHandler::NoteBrokenAnswer() {
-  core::BrokenRequest request{
-      this->caller.id, this->ContentDigest(), {}, this->splitter.event_count()};
-  if (this->caller.prompt.has_value()) {
-    request.parts = core::SharedPartsOf(*this->caller.prompt);
+  const core::BackendEntry& backend = this->call->plan().backend;
+  const int64_t events = this->splitter.event_count() - this->earlier_events;
+  core::RequestContent content = this->Content();
+  if (events > kMaxEventsOfCrash) {
+    content.parts.clear();
   }
   this->context.state.crash_correlator.NoteBrokenAnswer(
-      this->call->plan().backend.id, request, base::Now());
+      backend.id, {this->caller.id, std::move(content), events,
+                   backend.started_ms, base::Now()});
+  this->context.ProbeBackend(backend);
+}
+
+void RequestHandler::NoteServed() {
+  if (this->shared_parts.empty()) {
+    return;
+  }
+  core::PoisonRequestTracker& poison = this->context.state.poison_requests;
+  poison.NoteServed(this->shared_parts, base::Now());
+  this->context.LogPoisonParts();
 }
 
 void RequestHandler::LogAttemptEnd(const char* kind,
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -66,14 +66,18 @@
       table(context.state.table),
       arrived(this->exchange->first_byte_at()),
       deadline_timer(context.loop),
-      overdue_timer(context.loop) {}
+      overdue_timer(context.loop) {
+  if (this->caller.prompt.has_value()) {
+    this->shared_parts = core::SharedPartsOf(*this->caller.prompt);
+  }
+}
 
 void RequestHandler::Start() {
   if (this->table == nullptr) {
     this->Refuse(kUnavailable, "no configuration is known yet", true);
     return;
   }
-  if (!this->FindRoute() || !this->CheckKey() || !this->CheckQuarantine()) {
+  if (!this->FindRoute() || !this->CheckKey()) {
     return;
   }
   base::Duration timeout = this->route->timeout;
@@ -126,20 +130,6 @@
   return true;
 }
 
-bool RequestHandler::CheckQuarantine() {
-  core::PoisonRequestTracker& poison_requests =
-      this->context.state.poison_requests;
-  if (poison_requests.size() == 0) {
-    return true;
-  }
-  if (!poison_requests.QuarantineLeft(this->ContentDigest(), base::Now())
-           .has_value()) {
-    return true;
-  }
-  this->Refuse(kUnavailable, "backend servers died of this request", false);
-  return false;
-}
-
 core::RequestRules RequestHandler::Rules() const {
   const config::RequestKind kind = this->route->kind;
   return {kind == config::RequestKind::kIdempotent,
@@ -171,6 +161,9 @@
 }
 
 void RequestHandler::Attempt() {
+  if (!this->AdmitContent()) {
+    return;
+  }
   const base::Instant now = base::Now();
   const core::PlacementResult result =
       this->context.state.placer.Choose(this->Query(), now);
@@ -315,6 +308,7 @@
   const auto self = this->shared_from_this();
   this->head = {};
   this->body.clear();
+  this->earlier_events = this->splitter.event_count();
   const base::BackendServerId& id = placement.target.id;
   this->NotePrefix(id, false);
   const base::Instant now = base::Now();
@@ -415,6 +409,7 @@
       this->progress.answer_begun = true;
       this->exchange->Begin(platform::EncodeForCaller(this->head));
     }
+    this->NoteServed();
     this->exchange->Send(this->splitter.incomplete());
     this->exchange->Finish();
     this->End(kOk, "answered");
@@ -434,6 +429,9 @@
                      "failed with " + std::to_string(this->head.status));
     return;
   }
+  if (this->head.status == kOk) {
+    this->NoteServed();
+  }
   this->Perform(core::ForwardFailure{});
 }
 
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "backend_call.h"
 #include "carawayvalve/core/attempt_policy.h"
@@ -27,7 +28,6 @@
   // Return whether the request may proceed. If not, it has been answered.
   bool FindRoute();
   bool CheckKey();
-  bool CheckQuarantine();
 
   // Chooses a backend server and sends the request to it, queues the request,
   // or ends it.
@@ -93,7 +93,14 @@
   // Frees a prefilled prompt that no engine has taken.
   void ReleasePrompt();
   void NoteBrokenAnswer();
-  std::string ContentDigest() const;
+  core::RequestContent Content();
+  // Returns whether the content may be sent to a backend server now. If not,
+  // the request is ended.
+  bool AdmitContent();
+  // Ends a request whose content is quarantined.
+  void RefuseQuarantined();
+  // Records that the request's parts were answered completely.
+  void NoteServed();
 
   bool IsStream() const;
   core::RequestRules Rules() const;
@@ -113,6 +120,13 @@
   base::Instant arrived;
   base::Instant deadline;
 
+  // The parts of the prompt that other requests may share.
+  std::vector<std::string> shared_parts;
+  // Empty until it is needed.
+  std::string content_digest;
+  // The request tries whether one of them still crashes backend servers.
+  bool on_trial = false;
+
   core::RequestProgress progress;
   // Whether an attempt before the current one may have run.
   bool earlier_may_have_run = false;
@@ -135,6 +149,8 @@
   net::BodyFraming framing = net::BodyFraming::kLength;
   std::string body;
   core::ServerSentEventSplitter splitter;
+  // Number of events before the current attempt.
+  int64_t earlier_events = 0;
   bool usage_counted = false;
   // Time from reading the request to sending the first attempt.
   base::Duration overhead{};
--- a/gateway/src/request_prefill.cc
+++ b/gateway/src/request_prefill.cc
@@ -92,6 +92,9 @@
 }
 
 void RequestHandler::RunPrefilledPrompt() {
+  if (!this->AdmitContent()) {
+    return;
+  }
   const core::PlacementResult result =
       this->context.state.placer.ChooseDecodeEngine(
           this->Query(), this->prefill_engine, base::Now());
--- a/net/include/carawayvalve/net/http_client.h
+++ b/net/include/carawayvalve/net/http_client.h
@@ -58,7 +58,8 @@
   // Nothing of the request was sent.
   bool not_sent = false;
   bool kept_connection = false;
-  // The peer reset the connection, as opposed to an orderly close or a timeout.
+  // The peer refused or reset the connection, as opposed to an orderly close or
+  // a timeout.
   bool reset = false;
   std::string reason;
 };
@@ -89,6 +90,8 @@
   int64_t number;
 };
 
+enum class ConnectResult { kConnected, kRefused, kNoAnswer };
+
 // Calls HTTP/1.1 servers over persistent connections. Never retries a request.
 class HttpClient {
  public:
@@ -106,6 +109,13 @@
                               const CallOptions& options,
                               Handler handler);
 
+  // Opens a new connection, which is kept for a later call, and passes the
+  // result to `handler` from the loop.
+  using ConnectHandler = std::function<void(ConnectResult)>;
+  void Connect(const base::Address& address,
+               base::Duration timeout,
+               ConnectHandler handler);
+
   // Closes all connections, including those in use, whose calls fail.
   void CloseAll();
 
--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -162,6 +162,12 @@
   });
 }
 
+void ClientConnection::Open(base::Duration timeout,
+                            HttpClient::ConnectHandler on_opened) {
+  this->on_open = std::move(on_opened);
+  this->Connect(timeout);
+}
+
 void ClientConnection::ResetParser() {
   this->parser.emplace();
   this->parser->header_limit(kMaxHeaderBytes);
@@ -188,13 +194,21 @@
   }
   this->connect_timer.Cancel();
   if (error) {
-    this->Fail("connect: " + error.message(), false);
+    this->Fail("connect: " + error.message(),
+               error == asio::error::connection_refused);
     return;
   }
   SetUpSocket(this->socket);
   error_code ignored;
   this->socket.non_blocking(true, ignored);
   this->connected = true;
+  if (const auto opened = std::exchange(this->on_open, nullptr)) {
+    this->Receive();
+    this->client->PutIdle(this->shared_from_this(),
+                          base::Now() + this->client->default_keep_alive);
+    opened(ConnectResult::kConnected);
+    return;
+  }
   this->SendRequest();
 }
 
@@ -388,8 +402,12 @@
 
 void ClientConnection::Fail(const std::string& reason, bool reset) {
   const auto on_event = std::exchange(this->handler, nullptr);
+  const auto opened = std::exchange(this->on_open, nullptr);
   const bool was_sent = this->sent;
   this->Close();
+  if (opened != nullptr) {
+    opened(reset ? ConnectResult::kRefused : ConnectResult::kNoAnswer);
+  }
   if (on_event != nullptr) {
     on_event(CallFailed{!was_sent, this->used_before, reset, reason});
   }
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -56,6 +56,8 @@
   void Begin(const Request& request,
              const CallOptions& options,
              HttpClient::Handler handler);
+  // Connects without a call and keeps the connection for a later one.
+  void Open(base::Duration timeout, HttpClient::ConnectHandler handler);
   // Ends the call without an event and resets the connection.
   void Cancel();
   void Close();
@@ -100,6 +102,9 @@
   std::string input;
   std::optional<ResponseParser> parser;
 
+  // Set while the connection is opened without a call.
+  HttpClient::ConnectHandler on_open;
+
   // The call in flight; null when there is none.
   HttpClient::Handler handler;
   int64_t call_count = 0;
--- a/net/src/http_client.cc
+++ b/net/src/http_client.cc
@@ -65,6 +65,15 @@
   return std::make_unique<Call>(connection, connection->call_number());
 }
 
+void HttpClient::Connect(const base::Address& address,
+                         base::Duration timeout,
+                         ConnectHandler handler) {
+  const auto connection = std::make_shared<detail::ClientConnection>(
+      this->client, detail::ToEndpoint<detail::Endpoint>(address));
+  this->client->open.insert(connection);
+  connection->Open(timeout, std::move(handler));
+}
+
 void HttpClient::CloseAll() {
   this->client->CloseAll();
 }
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cerrno>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -122,6 +123,33 @@
   }
 }
 
+TEST_CASE("HttpClient connecting without a call") {
+  Client client;
+  const auto connect = [&](const std::string& address) {
+    std::optional<ConnectResult> result;
+    client.client.Connect(base::ParseAddress(address), std::chrono::seconds(5),
+                          [&](ConnectResult connected) {
+                            result = connected;
+                            client.loop.Stop();
+                          });
+    client.loop.Run();
+    return result;
+  };
+
+  SUBCASE("keeps the connection for a call") {
+    AnswerServer server({Answer("", "one")});
+    CHECK(connect(server.Address()) == ConnectResult::kConnected);
+    CHECK(client.client.idle_connections() == 1);
+    CHECK(client.Call(server.Address()).body == "one");
+    CHECK(client.client.connections_opened() == 1);
+  }
+  SUBCASE("reports that it was refused") {
+    systems::Listener unreachable(systems::kNotListening);
+    CHECK(connect(unreachable.Address()) == ConnectResult::kRefused);
+    CHECK(client.client.idle_connections() == 0);
+  }
+}
+
 TEST_CASE("HttpClient reading responses") {
   Client client;
 
--- a/wire/carawayvalve.thrift
+++ b/wire/carawayvalve.thrift
@@ -122,6 +122,15 @@
   3: required i64 age_ms,
   // Identifies the crash, so that one reported twice counts once.
   4: required string death_id,
+  // The parts of the content that contents which differ otherwise may share.
+  // Each may be the cause.
+  5: optional list<string> parts,
+}
+
+// A suspected part of contents that has been answered completely.
+struct ServedPart {
+  1: required string part,
+  2: required i64 age_ms,
 }
 
 struct AgentStatus {
@@ -256,6 +265,7 @@
   6: required i64 store_age_ms,
   7: required list<DeathMark> deaths,
   8: required list<string> duties_held,
+  9: optional list<ServedPart> served_parts,
 }
 
 service EntryPeer {
--- a/wire/gen/Agent.cpp
+++ b/wire/gen/Agent.cpp
@@ -233,14 +233,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size131;
-            ::apache::thrift::protocol::TType _etype134;
-            xfer += iprot->readListBegin(_etype134, _size131);
-            this->requests.resize(_size131);
-            uint32_t _i135;
-            for (_i135 = 0; _i135 < _size131; ++_i135)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->requests.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              xfer += this->requests[_i135].read(iprot);
+              xfer += this->requests[_i151].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -281,10 +281,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<ReadRequest> ::const_iterator _iter136;
-    for (_iter136 = this->requests.begin(); _iter136 != this->requests.end(); ++_iter136)
+    std::vector<ReadRequest> ::const_iterator _iter152;
+    for (_iter152 = this->requests.begin(); _iter152 != this->requests.end(); ++_iter152)
     {
-      xfer += (*_iter136).write(oprot);
+      xfer += (*_iter152).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -316,10 +316,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->requests)).size()));
-    std::vector<ReadRequest> ::const_iterator _iter137;
-    for (_iter137 = (*(this->requests)).begin(); _iter137 != (*(this->requests)).end(); ++_iter137)
+    std::vector<ReadRequest> ::const_iterator _iter153;
+    for (_iter153 = (*(this->requests)).begin(); _iter153 != (*(this->requests)).end(); ++_iter153)
     {
-      xfer += (*_iter137).write(oprot);
+      xfer += (*_iter153).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -364,14 +364,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->success.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->success.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->success[_i142].read(iprot);
+              xfer += this->success[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -402,10 +402,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<Chunk> ::const_iterator _iter143;
-      for (_iter143 = this->success.begin(); _iter143 != this->success.end(); ++_iter143)
+      std::vector<Chunk> ::const_iterator _iter159;
+      for (_iter159 = this->success.begin(); _iter159 != this->success.end(); ++_iter159)
       {
-        xfer += (*_iter143).write(oprot);
+        xfer += (*_iter159).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -446,14 +446,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            (*(this->success)).resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            (*(this->success)).resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += (*(this->success))[_i148].read(iprot);
+              xfer += (*(this->success))[_i164].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
--- a/wire/gen/EntryPeer.cpp
+++ b/wire/gen/EntryPeer.cpp
@@ -502,14 +502,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size149;
-            ::apache::thrift::protocol::TType _etype152;
-            xfer += iprot->readListBegin(_etype152, _size149);
-            this->success.resize(_size149);
-            uint32_t _i153;
-            for (_i153 = 0; _i153 < _size149; ++_i153)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->success.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              xfer += this->success[_i153].read(iprot);
+              xfer += this->success[_i169].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -540,10 +540,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<UsageCounters> ::const_iterator _iter154;
-      for (_iter154 = this->success.begin(); _iter154 != this->success.end(); ++_iter154)
+      std::vector<UsageCounters> ::const_iterator _iter170;
+      for (_iter170 = this->success.begin(); _iter170 != this->success.end(); ++_iter170)
       {
-        xfer += (*_iter154).write(oprot);
+        xfer += (*_iter170).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -584,14 +584,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size155;
-            ::apache::thrift::protocol::TType _etype158;
-            xfer += iprot->readListBegin(_etype158, _size155);
-            (*(this->success)).resize(_size155);
-            uint32_t _i159;
-            for (_i159 = 0; _i159 < _size155; ++_i159)
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            (*(this->success)).resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
             {
-              xfer += (*(this->success))[_i159].read(iprot);
+              xfer += (*(this->success))[_i175].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -642,14 +642,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size160;
-            ::apache::thrift::protocol::TType _etype163;
-            xfer += iprot->readListBegin(_etype163, _size160);
-            this->deaths.resize(_size160);
-            uint32_t _i164;
-            for (_i164 = 0; _i164 < _size160; ++_i164)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->deaths.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->deaths[_i164].read(iprot);
+              xfer += this->deaths[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -678,10 +678,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<DeathMark> ::const_iterator _iter165;
-    for (_iter165 = this->deaths.begin(); _iter165 != this->deaths.end(); ++_iter165)
+    std::vector<DeathMark> ::const_iterator _iter181;
+    for (_iter181 = this->deaths.begin(); _iter181 != this->deaths.end(); ++_iter181)
     {
-      xfer += (*_iter165).write(oprot);
+      xfer += (*_iter181).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -705,10 +705,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->deaths)).size()));
-    std::vector<DeathMark> ::const_iterator _iter166;
-    for (_iter166 = (*(this->deaths)).begin(); _iter166 != (*(this->deaths)).end(); ++_iter166)
+    std::vector<DeathMark> ::const_iterator _iter182;
+    for (_iter182 = (*(this->deaths)).begin(); _iter182 != (*(this->deaths)).end(); ++_iter182)
     {
-      xfer += (*_iter166).write(oprot);
+      xfer += (*_iter182).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
--- a/wire/gen/carawayvalve_types.cpp
+++ b/wire/gen/carawayvalve_types.cpp
@@ -1927,6 +1927,11 @@
 void DeathMark::__set_death_id(const std::string& val) {
   this->death_id = val;
 }
+
+void DeathMark::__set_parts(const std::vector<std::string> & val) {
+  this->parts = val;
+__isset.parts = true;
+}
 std::ostream& operator<<(std::ostream& out, const DeathMark& obj)
 {
   obj.printTo(out);
@@ -1991,6 +1996,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->parts.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
+            {
+              xfer += iprot->readString(this->parts[_i50]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2032,6 +2057,19 @@
   xfer += oprot->writeString(this->death_id);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.parts) {
+    xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parts.size()));
+      std::vector<std::string> ::const_iterator _iter51;
+      for (_iter51 = this->parts.begin(); _iter51 != this->parts.end(); ++_iter51)
+      {
+        xfer += oprot->writeString((*_iter51));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2043,32 +2081,42 @@
   swap(a.deaths, b.deaths);
   swap(a.age_ms, b.age_ms);
   swap(a.death_id, b.death_id);
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
 }
 
-DeathMark::DeathMark(const DeathMark& other46) {
-  content_digest = other46.content_digest;
-  deaths = other46.deaths;
-  age_ms = other46.age_ms;
-  death_id = other46.death_id;
-}
-DeathMark::DeathMark(DeathMark&& other47) noexcept {
-  content_digest = std::move(other47.content_digest);
-  deaths = other47.deaths;
-  age_ms = other47.age_ms;
-  death_id = std::move(other47.death_id);
-}
-DeathMark& DeathMark::operator=(const DeathMark& other48) {
-  content_digest = other48.content_digest;
-  deaths = other48.deaths;
-  age_ms = other48.age_ms;
-  death_id = other48.death_id;
+DeathMark::DeathMark(const DeathMark& other52) {
+  content_digest = other52.content_digest;
+  deaths = other52.deaths;
+  age_ms = other52.age_ms;
+  death_id = other52.death_id;
+  parts = other52.parts;
+  __isset = other52.__isset;
+}
+DeathMark::DeathMark(DeathMark&& other53) noexcept {
+  content_digest = std::move(other53.content_digest);
+  deaths = other53.deaths;
+  age_ms = other53.age_ms;
+  death_id = std::move(other53.death_id);
+  parts = std::move(other53.parts);
+  __isset = other53.__isset;
+}
+DeathMark& DeathMark::operator=(const DeathMark& other54) {
+  content_digest = other54.content_digest;
+  deaths = other54.deaths;
+  age_ms = other54.age_ms;
+  death_id = other54.death_id;
+  parts = other54.parts;
+  __isset = other54.__isset;
   return *this;
 }
-DeathMark& DeathMark::operator=(DeathMark&& other49) noexcept {
-  content_digest = std::move(other49.content_digest);
-  deaths = other49.deaths;
-  age_ms = other49.age_ms;
-  death_id = std::move(other49.death_id);
+DeathMark& DeathMark::operator=(DeathMark&& other55) noexcept {
+  content_digest = std::move(other55.content_digest);
+  deaths = other55.deaths;
+  age_ms = other55.age_ms;
+  death_id = std::move(other55.death_id);
+  parts = std::move(other55.parts);
+  __isset = other55.__isset;
   return *this;
 }
 void DeathMark::printTo(std::ostream& out) const {
@@ -2078,6 +2126,131 @@
   out << ", " << "deaths=" << to_string(deaths);
   out << ", " << "age_ms=" << to_string(age_ms);
   out << ", " << "death_id=" << to_string(death_id);
+  out << ", " << "parts="; (__isset.parts ? (out << to_string(parts)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ServedPart::~ServedPart() noexcept {
+}
+
+
+void ServedPart::__set_part(const std::string& val) {
+  this->part = val;
+}
+
+void ServedPart::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServedPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServedPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_part = false;
+  bool isset_age_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->part);
+          isset_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_part)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ServedPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServedPart");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServedPart &a, ServedPart &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.age_ms, b.age_ms);
+}
+
+ServedPart::ServedPart(const ServedPart& other56) {
+  part = other56.part;
+  age_ms = other56.age_ms;
+}
+ServedPart::ServedPart(ServedPart&& other57) noexcept {
+  part = std::move(other57.part);
+  age_ms = other57.age_ms;
+}
+ServedPart& ServedPart::operator=(const ServedPart& other58) {
+  part = other58.part;
+  age_ms = other58.age_ms;
+  return *this;
+}
+ServedPart& ServedPart::operator=(ServedPart&& other59) noexcept {
+  part = std::move(other59.part);
+  age_ms = other59.age_ms;
+  return *this;
+}
+void ServedPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServedPart(";
+  out << "part=" << to_string(part);
+  out << ", " << "age_ms=" << to_string(age_ms);
   out << ")";
 }
 
@@ -2309,14 +2482,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->deaths.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->deaths.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->deaths[_i54].read(iprot);
+              xfer += this->deaths[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2441,10 +2614,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<DeathMark> ::const_iterator _iter55;
-    for (_iter55 = this->deaths.begin(); _iter55 != this->deaths.end(); ++_iter55)
+    std::vector<DeathMark> ::const_iterator _iter65;
+    for (_iter65 = this->deaths.begin(); _iter65 != this->deaths.end(); ++_iter65)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2479,78 +2652,78 @@
   swap(a.draining, b.draining);
 }
 
-AgentStatus::AgentStatus(const AgentStatus& other56) {
-  agent_boot = other56.agent_boot;
-  backend_server = other56.backend_server;
-  service_name = other56.service_name;
-  leaving = other56.leaving;
-  ready = other56.ready;
-  queued = other56.queued;
-  running = other56.running;
-  slots = other56.slots;
-  generation = other56.generation;
-  load = other56.load;
-  revision = other56.revision;
-  clock_us = other56.clock_us;
-  highest_epoch = other56.highest_epoch;
-  highest_sequence = other56.highest_sequence;
-  deaths = other56.deaths;
-  draining = other56.draining;
-}
-AgentStatus::AgentStatus(AgentStatus&& other57) noexcept {
-  agent_boot = std::move(other57.agent_boot);
-  backend_server = std::move(other57.backend_server);
-  service_name = std::move(other57.service_name);
-  leaving = other57.leaving;
-  ready = other57.ready;
-  queued = other57.queued;
-  running = other57.running;
-  slots = other57.slots;
-  generation = other57.generation;
-  load = std::move(other57.load);
-  revision = other57.revision;
-  clock_us = other57.clock_us;
-  highest_epoch = other57.highest_epoch;
-  highest_sequence = other57.highest_sequence;
-  deaths = std::move(other57.deaths);
-  draining = other57.draining;
-}
-AgentStatus& AgentStatus::operator=(const AgentStatus& other58) {
-  agent_boot = other58.agent_boot;
-  backend_server = other58.backend_server;
-  service_name = other58.service_name;
-  leaving = other58.leaving;
-  ready = other58.ready;
-  queued = other58.queued;
-  running = other58.running;
-  slots = other58.slots;
-  generation = other58.generation;
-  load = other58.load;
-  revision = other58.revision;
-  clock_us = other58.clock_us;
-  highest_epoch = other58.highest_epoch;
-  highest_sequence = other58.highest_sequence;
-  deaths = other58.deaths;
-  draining = other58.draining;
+AgentStatus::AgentStatus(const AgentStatus& other66) {
+  agent_boot = other66.agent_boot;
+  backend_server = other66.backend_server;
+  service_name = other66.service_name;
+  leaving = other66.leaving;
+  ready = other66.ready;
+  queued = other66.queued;
+  running = other66.running;
+  slots = other66.slots;
+  generation = other66.generation;
+  load = other66.load;
+  revision = other66.revision;
+  clock_us = other66.clock_us;
+  highest_epoch = other66.highest_epoch;
+  highest_sequence = other66.highest_sequence;
+  deaths = other66.deaths;
+  draining = other66.draining;
+}
+AgentStatus::AgentStatus(AgentStatus&& other67) noexcept {
+  agent_boot = std::move(other67.agent_boot);
+  backend_server = std::move(other67.backend_server);
+  service_name = std::move(other67.service_name);
+  leaving = other67.leaving;
+  ready = other67.ready;
+  queued = other67.queued;
+  running = other67.running;
+  slots = other67.slots;
+  generation = other67.generation;
+  load = std::move(other67.load);
+  revision = other67.revision;
+  clock_us = other67.clock_us;
+  highest_epoch = other67.highest_epoch;
+  highest_sequence = other67.highest_sequence;
+  deaths = std::move(other67.deaths);
+  draining = other67.draining;
+}
+AgentStatus& AgentStatus::operator=(const AgentStatus& other68) {
+  agent_boot = other68.agent_boot;
+  backend_server = other68.backend_server;
+  service_name = other68.service_name;
+  leaving = other68.leaving;
+  ready = other68.ready;
+  queued = other68.queued;
+  running = other68.running;
+  slots = other68.slots;
+  generation = other68.generation;
+  load = other68.load;
+  revision = other68.revision;
+  clock_us = other68.clock_us;
+  highest_epoch = other68.highest_epoch;
+  highest_sequence = other68.highest_sequence;
+  deaths = other68.deaths;
+  draining = other68.draining;
   return *this;
 }
-AgentStatus& AgentStatus::operator=(AgentStatus&& other59) noexcept {
-  agent_boot = std::move(other59.agent_boot);
-  backend_server = std::move(other59.backend_server);
-  service_name = std::move(other59.service_name);
-  leaving = other59.leaving;
-  ready = other59.ready;
-  queued = other59.queued;
-  running = other59.running;
-  slots = other59.slots;
-  generation = other59.generation;
-  load = std::move(other59.load);
-  revision = other59.revision;
-  clock_us = other59.clock_us;
-  highest_epoch = other59.highest_epoch;
-  highest_sequence = other59.highest_sequence;
-  deaths = std::move(other59.deaths);
-  draining = other59.draining;
+AgentStatus& AgentStatus::operator=(AgentStatus&& other69) noexcept {
+  agent_boot = std::move(other69.agent_boot);
+  backend_server = std::move(other69.backend_server);
+  service_name = std::move(other69.service_name);
+  leaving = other69.leaving;
+  ready = other69.ready;
+  queued = other69.queued;
+  running = other69.running;
+  slots = other69.slots;
+  generation = other69.generation;
+  load = std::move(other69.load);
+  revision = other69.revision;
+  clock_us = other69.clock_us;
+  highest_epoch = other69.highest_epoch;
+  highest_sequence = other69.highest_sequence;
+  deaths = std::move(other69.deaths);
+  draining = other69.draining;
   return *this;
 }
 void AgentStatus::printTo(std::ostream& out) const {
@@ -2634,17 +2807,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->account_weights.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _ktype61;
-            ::apache::thrift::protocol::TType _vtype62;
-            xfer += iprot->readMapBegin(_ktype61, _vtype62, _size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _ktype71;
+            ::apache::thrift::protocol::TType _vtype72;
+            xfer += iprot->readMapBegin(_ktype71, _vtype72, _size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              std::string _key65;
-              xfer += iprot->readString(_key65);
-              int32_t& _val66 = this->account_weights[_key65];
-              xfer += iprot->readI32(_val66);
+              std::string _key75;
+              xfer += iprot->readString(_key75);
+              int32_t& _val76 = this->account_weights[_key75];
+              xfer += iprot->readI32(_val76);
             }
             xfer += iprot->readMapEnd();
           }
@@ -2691,11 +2864,11 @@
   xfer += oprot->writeFieldBegin("account_weights", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->account_weights.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter67;
-    for (_iter67 = this->account_weights.begin(); _iter67 != this->account_weights.end(); ++_iter67)
+    std::map<std::string, int32_t> ::const_iterator _iter77;
+    for (_iter77 = this->account_weights.begin(); _iter77 != this->account_weights.end(); ++_iter77)
     {
-      xfer += oprot->writeString(_iter67->first);
-      xfer += oprot->writeI32(_iter67->second);
+      xfer += oprot->writeString(_iter77->first);
+      xfer += oprot->writeI32(_iter77->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -2717,26 +2890,26 @@
   swap(a.max_queued_per_account, b.max_queued_per_account);
 }
 
-AgentConfiguration::AgentConfiguration(const AgentConfiguration& other68) {
-  generation = other68.generation;
-  account_weights = other68.account_weights;
-  max_queued_per_account = other68.max_queued_per_account;
+AgentConfiguration::AgentConfiguration(const AgentConfiguration& other78) {
+  generation = other78.generation;
+  account_weights = other78.account_weights;
+  max_queued_per_account = other78.max_queued_per_account;
 }
-AgentConfiguration::AgentConfiguration(AgentConfiguration&& other69) noexcept {
-  generation = other69.generation;
-  account_weights = std::move(other69.account_weights);
-  max_queued_per_account = other69.max_queued_per_account;
+AgentConfiguration::AgentConfiguration(AgentConfiguration&& other79) noexcept {
+  generation = other79.generation;
+  account_weights = std::move(other79.account_weights);
+  max_queued_per_account = other79.max_queued_per_account;
 }
-AgentConfiguration& AgentConfiguration::operator=(const AgentConfiguration& other70) {
-  generation = other70.generation;
-  account_weights = other70.account_weights;
-  max_queued_per_account = other70.max_queued_per_account;
+AgentConfiguration& AgentConfiguration::operator=(const AgentConfiguration& other80) {
+  generation = other80.generation;
+  account_weights = other80.account_weights;
+  max_queued_per_account = other80.max_queued_per_account;
   return *this;
 }
-AgentConfiguration& AgentConfiguration::operator=(AgentConfiguration&& other71) noexcept {
-  generation = other71.generation;
-  account_weights = std::move(other71.account_weights);
-  max_queued_per_account = other71.max_queued_per_account;
+AgentConfiguration& AgentConfiguration::operator=(AgentConfiguration&& other81) noexcept {
+  generation = other81.generation;
+  account_weights = std::move(other81.account_weights);
+  max_queued_per_account = other81.max_queued_per_account;
   return *this;
 }
 void AgentConfiguration::printTo(std::ostream& out) const {
@@ -2986,50 +3159,50 @@
   swap(a.version, b.version);
 }
 
-Order::Order(const Order& other72) {
-  duty = other72.duty;
-  epoch = other72.epoch;
-  sequence = other72.sequence;
-  agent_boot = other72.agent_boot;
-  stamp_us = other72.stamp_us;
-  term_ms = other72.term_ms;
-  role = other72.role;
-  model = other72.model;
-  version = other72.version;
-}
-Order::Order(Order&& other73) noexcept {
-  duty = std::move(other73.duty);
-  epoch = other73.epoch;
-  sequence = other73.sequence;
-  agent_boot = std::move(other73.agent_boot);
-  stamp_us = other73.stamp_us;
-  term_ms = other73.term_ms;
-  role = std::move(other73.role);
-  model = std::move(other73.model);
-  version = std::move(other73.version);
-}
-Order& Order::operator=(const Order& other74) {
-  duty = other74.duty;
-  epoch = other74.epoch;
-  sequence = other74.sequence;
-  agent_boot = other74.agent_boot;
-  stamp_us = other74.stamp_us;
-  term_ms = other74.term_ms;
-  role = other74.role;
-  model = other74.model;
-  version = other74.version;
+Order::Order(const Order& other82) {
+  duty = other82.duty;
+  epoch = other82.epoch;
+  sequence = other82.sequence;
+  agent_boot = other82.agent_boot;
+  stamp_us = other82.stamp_us;
+  term_ms = other82.term_ms;
+  role = other82.role;
+  model = other82.model;
+  version = other82.version;
+}
+Order::Order(Order&& other83) noexcept {
+  duty = std::move(other83.duty);
+  epoch = other83.epoch;
+  sequence = other83.sequence;
+  agent_boot = std::move(other83.agent_boot);
+  stamp_us = other83.stamp_us;
+  term_ms = other83.term_ms;
+  role = std::move(other83.role);
+  model = std::move(other83.model);
+  version = std::move(other83.version);
+}
+Order& Order::operator=(const Order& other84) {
+  duty = other84.duty;
+  epoch = other84.epoch;
+  sequence = other84.sequence;
+  agent_boot = other84.agent_boot;
+  stamp_us = other84.stamp_us;
+  term_ms = other84.term_ms;
+  role = other84.role;
+  model = other84.model;
+  version = other84.version;
   return *this;
 }
-Order& Order::operator=(Order&& other75) noexcept {
-  duty = std::move(other75.duty);
-  epoch = other75.epoch;
-  sequence = other75.sequence;
-  agent_boot = std::move(other75.agent_boot);
-  stamp_us = other75.stamp_us;
-  term_ms = other75.term_ms;
-  role = std::move(other75.role);
-  model = std::move(other75.model);
-  version = std::move(other75.version);
+Order& Order::operator=(Order&& other85) noexcept {
+  duty = std::move(other85.duty);
+  epoch = other85.epoch;
+  sequence = other85.sequence;
+  agent_boot = std::move(other85.agent_boot);
+  stamp_us = other85.stamp_us;
+  term_ms = other85.term_ms;
+  role = std::move(other85.role);
+  model = std::move(other85.model);
+  version = std::move(other85.version);
   return *this;
 }
 void Order::printTo(std::ostream& out) const {
@@ -3091,9 +3264,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast76;
-          xfer += iprot->readI32(ecast76);
-          this->outcome = static_cast<OrderOutcome::type>(ecast76);
+          int32_t ecast86;
+          xfer += iprot->readI32(ecast86);
+          this->outcome = static_cast<OrderOutcome::type>(ecast86);
           isset_outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3147,22 +3320,22 @@
   swap(a.reason, b.reason);
 }
 
-OrderAnswer::OrderAnswer(const OrderAnswer& other77) {
-  outcome = other77.outcome;
-  reason = other77.reason;
+OrderAnswer::OrderAnswer(const OrderAnswer& other87) {
+  outcome = other87.outcome;
+  reason = other87.reason;
 }
-OrderAnswer::OrderAnswer(OrderAnswer&& other78) noexcept {
-  outcome = other78.outcome;
-  reason = std::move(other78.reason);
+OrderAnswer::OrderAnswer(OrderAnswer&& other88) noexcept {
+  outcome = other88.outcome;
+  reason = std::move(other88.reason);
 }
-OrderAnswer& OrderAnswer::operator=(const OrderAnswer& other79) {
-  outcome = other79.outcome;
-  reason = other79.reason;
+OrderAnswer& OrderAnswer::operator=(const OrderAnswer& other89) {
+  outcome = other89.outcome;
+  reason = other89.reason;
   return *this;
 }
-OrderAnswer& OrderAnswer::operator=(OrderAnswer&& other80) noexcept {
-  outcome = other80.outcome;
-  reason = std::move(other80.reason);
+OrderAnswer& OrderAnswer::operator=(OrderAnswer&& other90) noexcept {
+  outcome = other90.outcome;
+  reason = std::move(other90.reason);
   return *this;
 }
 void OrderAnswer::printTo(std::ostream& out) const {
@@ -3331,34 +3504,34 @@
   swap(a.output_tokens, b.output_tokens);
 }
 
-UsageCounter::UsageCounter(const UsageCounter& other81) {
-  client_account = other81.client_account;
-  window = other81.window;
-  requests = other81.requests;
-  prompt_tokens = other81.prompt_tokens;
-  output_tokens = other81.output_tokens;
-}
-UsageCounter::UsageCounter(UsageCounter&& other82) noexcept {
-  client_account = std::move(other82.client_account);
-  window = other82.window;
-  requests = other82.requests;
-  prompt_tokens = other82.prompt_tokens;
-  output_tokens = other82.output_tokens;
-}
-UsageCounter& UsageCounter::operator=(const UsageCounter& other83) {
-  client_account = other83.client_account;
-  window = other83.window;
-  requests = other83.requests;
-  prompt_tokens = other83.prompt_tokens;
-  output_tokens = other83.output_tokens;
+UsageCounter::UsageCounter(const UsageCounter& other91) {
+  client_account = other91.client_account;
+  window = other91.window;
+  requests = other91.requests;
+  prompt_tokens = other91.prompt_tokens;
+  output_tokens = other91.output_tokens;
+}
+UsageCounter::UsageCounter(UsageCounter&& other92) noexcept {
+  client_account = std::move(other92.client_account);
+  window = other92.window;
+  requests = other92.requests;
+  prompt_tokens = other92.prompt_tokens;
+  output_tokens = other92.output_tokens;
+}
+UsageCounter& UsageCounter::operator=(const UsageCounter& other93) {
+  client_account = other93.client_account;
+  window = other93.window;
+  requests = other93.requests;
+  prompt_tokens = other93.prompt_tokens;
+  output_tokens = other93.output_tokens;
   return *this;
 }
-UsageCounter& UsageCounter::operator=(UsageCounter&& other84) noexcept {
-  client_account = std::move(other84.client_account);
-  window = other84.window;
-  requests = other84.requests;
-  prompt_tokens = other84.prompt_tokens;
-  output_tokens = other84.output_tokens;
+UsageCounter& UsageCounter::operator=(UsageCounter&& other94) noexcept {
+  client_account = std::move(other94.client_account);
+  window = other94.window;
+  requests = other94.requests;
+  prompt_tokens = other94.prompt_tokens;
+  output_tokens = other94.output_tokens;
   return *this;
 }
 void UsageCounter::printTo(std::ostream& out) const {
@@ -3439,14 +3612,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counters.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->counters.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->counters.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
             {
-              xfer += this->counters[_i89].read(iprot);
+              xfer += this->counters[_i99].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3489,10 +3662,10 @@
   xfer += oprot->writeFieldBegin("counters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counters.size()));
-    std::vector<UsageCounter> ::const_iterator _iter90;
-    for (_iter90 = this->counters.begin(); _iter90 != this->counters.end(); ++_iter90)
+    std::vector<UsageCounter> ::const_iterator _iter100;
+    for (_iter100 = this->counters.begin(); _iter100 != this->counters.end(); ++_iter100)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3510,26 +3683,26 @@
   swap(a.counters, b.counters);
 }
 
-UsageCounters::UsageCounters(const UsageCounters& other91) {
-  agent_boot = other91.agent_boot;
-  backend_server = other91.backend_server;
-  counters = other91.counters;
+UsageCounters::UsageCounters(const UsageCounters& other101) {
+  agent_boot = other101.agent_boot;
+  backend_server = other101.backend_server;
+  counters = other101.counters;
 }
-UsageCounters::UsageCounters(UsageCounters&& other92) noexcept {
-  agent_boot = std::move(other92.agent_boot);
-  backend_server = std::move(other92.backend_server);
-  counters = std::move(other92.counters);
+UsageCounters::UsageCounters(UsageCounters&& other102) noexcept {
+  agent_boot = std::move(other102.agent_boot);
+  backend_server = std::move(other102.backend_server);
+  counters = std::move(other102.counters);
 }
-UsageCounters& UsageCounters::operator=(const UsageCounters& other93) {
-  agent_boot = other93.agent_boot;
-  backend_server = other93.backend_server;
-  counters = other93.counters;
+UsageCounters& UsageCounters::operator=(const UsageCounters& other103) {
+  agent_boot = other103.agent_boot;
+  backend_server = other103.backend_server;
+  counters = other103.counters;
   return *this;
 }
-UsageCounters& UsageCounters::operator=(UsageCounters&& other94) noexcept {
-  agent_boot = std::move(other94.agent_boot);
-  backend_server = std::move(other94.backend_server);
-  counters = std::move(other94.counters);
+UsageCounters& UsageCounters::operator=(UsageCounters&& other104) noexcept {
+  agent_boot = std::move(other104.agent_boot);
+  backend_server = std::move(other104.backend_server);
+  counters = std::move(other104.counters);
   return *this;
 }
 void UsageCounters::printTo(std::ostream& out) const {
@@ -3613,14 +3786,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->added.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->added.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->added.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += iprot->readString(this->added[_i99]);
+              xfer += iprot->readString(this->added[_i109]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3633,14 +3806,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->dropped.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->dropped.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->dropped.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += iprot->readString(this->dropped[_i104]);
+              xfer += iprot->readString(this->dropped[_i114]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3685,10 +3858,10 @@
   xfer += oprot->writeFieldBegin("added", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->added.size()));
-    std::vector<std::string> ::const_iterator _iter105;
-    for (_iter105 = this->added.begin(); _iter105 != this->added.end(); ++_iter105)
+    std::vector<std::string> ::const_iterator _iter115;
+    for (_iter115 = this->added.begin(); _iter115 != this->added.end(); ++_iter115)
     {
-      xfer += oprot->writeString((*_iter105));
+      xfer += oprot->writeString((*_iter115));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3697,10 +3870,10 @@
   xfer += oprot->writeFieldBegin("dropped", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->dropped.size()));
-    std::vector<std::string> ::const_iterator _iter106;
-    for (_iter106 = this->dropped.begin(); _iter106 != this->dropped.end(); ++_iter106)
+    std::vector<std::string> ::const_iterator _iter116;
+    for (_iter116 = this->dropped.begin(); _iter116 != this->dropped.end(); ++_iter116)
     {
-      xfer += oprot->writeString((*_iter106));
+      xfer += oprot->writeString((*_iter116));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3719,30 +3892,30 @@
   swap(a.dropped, b.dropped);
 }
 
-CacheEvents::CacheEvents(const CacheEvents& other107) {
-  next_event = other107.next_event;
-  gap = other107.gap;
-  added = other107.added;
-  dropped = other107.dropped;
+CacheEvents::CacheEvents(const CacheEvents& other117) {
+  next_event = other117.next_event;
+  gap = other117.gap;
+  added = other117.added;
+  dropped = other117.dropped;
 }
-CacheEvents::CacheEvents(CacheEvents&& other108) noexcept {
-  next_event = other108.next_event;
-  gap = other108.gap;
-  added = std::move(other108.added);
-  dropped = std::move(other108.dropped);
+CacheEvents::CacheEvents(CacheEvents&& other118) noexcept {
+  next_event = other118.next_event;
+  gap = other118.gap;
+  added = std::move(other118.added);
+  dropped = std::move(other118.dropped);
 }
-CacheEvents& CacheEvents::operator=(const CacheEvents& other109) {
-  next_event = other109.next_event;
-  gap = other109.gap;
-  added = other109.added;
-  dropped = other109.dropped;
+CacheEvents& CacheEvents::operator=(const CacheEvents& other119) {
+  next_event = other119.next_event;
+  gap = other119.gap;
+  added = other119.added;
+  dropped = other119.dropped;
   return *this;
 }
-CacheEvents& CacheEvents::operator=(CacheEvents&& other110) noexcept {
-  next_event = other110.next_event;
-  gap = other110.gap;
-  added = std::move(other110.added);
-  dropped = std::move(other110.dropped);
+CacheEvents& CacheEvents::operator=(CacheEvents&& other120) noexcept {
+  next_event = other120.next_event;
+  gap = other120.gap;
+  added = std::move(other120.added);
+  dropped = std::move(other120.dropped);
   return *this;
 }
 void CacheEvents::printTo(std::ostream& out) const {
@@ -3913,34 +4086,34 @@
   swap(a.store_age_ms, b.store_age_ms);
 }
 
-ConfigurationCopy::ConfigurationCopy(const ConfigurationCopy& other111) {
-  generation = other111.generation;
-  text = other111.text;
-  base_generation = other111.base_generation;
-  is_patch = other111.is_patch;
-  store_age_ms = other111.store_age_ms;
-}
-ConfigurationCopy::ConfigurationCopy(ConfigurationCopy&& other112) noexcept {
-  generation = other112.generation;
-  text = std::move(other112.text);
-  base_generation = other112.base_generation;
-  is_patch = other112.is_patch;
-  store_age_ms = other112.store_age_ms;
-}
-ConfigurationCopy& ConfigurationCopy::operator=(const ConfigurationCopy& other113) {
-  generation = other113.generation;
-  text = other113.text;
-  base_generation = other113.base_generation;
-  is_patch = other113.is_patch;
-  store_age_ms = other113.store_age_ms;
+ConfigurationCopy::ConfigurationCopy(const ConfigurationCopy& other121) {
+  generation = other121.generation;
+  text = other121.text;
+  base_generation = other121.base_generation;
+  is_patch = other121.is_patch;
+  store_age_ms = other121.store_age_ms;
+}
+ConfigurationCopy::ConfigurationCopy(ConfigurationCopy&& other122) noexcept {
+  generation = other122.generation;
+  text = std::move(other122.text);
+  base_generation = other122.base_generation;
+  is_patch = other122.is_patch;
+  store_age_ms = other122.store_age_ms;
+}
+ConfigurationCopy& ConfigurationCopy::operator=(const ConfigurationCopy& other123) {
+  generation = other123.generation;
+  text = other123.text;
+  base_generation = other123.base_generation;
+  is_patch = other123.is_patch;
+  store_age_ms = other123.store_age_ms;
   return *this;
 }
-ConfigurationCopy& ConfigurationCopy::operator=(ConfigurationCopy&& other114) noexcept {
-  generation = other114.generation;
-  text = std::move(other114.text);
-  base_generation = other114.base_generation;
-  is_patch = other114.is_patch;
-  store_age_ms = other114.store_age_ms;
+ConfigurationCopy& ConfigurationCopy::operator=(ConfigurationCopy&& other124) noexcept {
+  generation = other124.generation;
+  text = std::move(other124.text);
+  base_generation = other124.base_generation;
+  is_patch = other124.is_patch;
+  store_age_ms = other124.store_age_ms;
   return *this;
 }
 void ConfigurationCopy::printTo(std::ostream& out) const {
@@ -3990,6 +4163,11 @@
 void PeerStatus::__set_duties_held(const std::vector<std::string> & val) {
   this->duties_held = val;
 }
+
+void PeerStatus::__set_served_parts(const std::vector<ServedPart> & val) {
+  this->served_parts = val;
+__isset.served_parts = true;
+}
 std::ostream& operator<<(std::ostream& out, const PeerStatus& obj)
 {
   obj.printTo(out);
@@ -4078,14 +4256,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _etype118;
-            xfer += iprot->readListBegin(_etype118, _size115);
-            this->deaths.resize(_size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->deaths.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += this->deaths[_i119].read(iprot);
+              xfer += this->deaths[_i129].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4098,14 +4276,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->duties_held.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->duties_held.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->duties_held.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += iprot->readString(this->duties_held[_i124]);
+              xfer += iprot->readString(this->duties_held[_i134]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4114,6 +4292,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->served_parts.clear();
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->served_parts.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
+            {
+              xfer += this->served_parts[_i139].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.served_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4174,10 +4372,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<DeathMark> ::const_iterator _iter125;
-    for (_iter125 = this->deaths.begin(); _iter125 != this->deaths.end(); ++_iter125)
+    std::vector<DeathMark> ::const_iterator _iter140;
+    for (_iter140 = this->deaths.begin(); _iter140 != this->deaths.end(); ++_iter140)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter140).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4186,15 +4384,28 @@
   xfer += oprot->writeFieldBegin("duties_held", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->duties_held.size()));
-    std::vector<std::string> ::const_iterator _iter126;
-    for (_iter126 = this->duties_held.begin(); _iter126 != this->duties_held.end(); ++_iter126)
+    std::vector<std::string> ::const_iterator _iter141;
+    for (_iter141 = this->duties_held.begin(); _iter141 != this->duties_held.end(); ++_iter141)
     {
-      xfer += oprot->writeString((*_iter126));
+      xfer += oprot->writeString((*_iter141));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.served_parts) {
+    xfer += oprot->writeFieldBegin("served_parts", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->served_parts.size()));
+      std::vector<ServedPart> ::const_iterator _iter142;
+      for (_iter142 = this->served_parts.begin(); _iter142 != this->served_parts.end(); ++_iter142)
+      {
+        xfer += (*_iter142).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4210,48 +4421,58 @@
   swap(a.store_age_ms, b.store_age_ms);
   swap(a.deaths, b.deaths);
   swap(a.duties_held, b.duties_held);
+  swap(a.served_parts, b.served_parts);
+  swap(a.__isset, b.__isset);
 }
 
-PeerStatus::PeerStatus(const PeerStatus& other127) {
-  host = other127.host;
-  data_centre = other127.data_centre;
-  boot = other127.boot;
-  generation = other127.generation;
-  leaving = other127.leaving;
-  store_age_ms = other127.store_age_ms;
-  deaths = other127.deaths;
-  duties_held = other127.duties_held;
-}
-PeerStatus::PeerStatus(PeerStatus&& other128) noexcept {
-  host = std::move(other128.host);
-  data_centre = std::move(other128.data_centre);
-  boot = std::move(other128.boot);
-  generation = other128.generation;
-  leaving = other128.leaving;
-  store_age_ms = other128.store_age_ms;
-  deaths = std::move(other128.deaths);
-  duties_held = std::move(other128.duties_held);
-}
-PeerStatus& PeerStatus::operator=(const PeerStatus& other129) {
-  host = other129.host;
-  data_centre = other129.data_centre;
-  boot = other129.boot;
-  generation = other129.generation;
-  leaving = other129.leaving;
-  store_age_ms = other129.store_age_ms;
-  deaths = other129.deaths;
-  duties_held = other129.duties_held;
+PeerStatus::PeerStatus(const PeerStatus& other143) {
+  host = other143.host;
+  data_centre = other143.data_centre;
+  boot = other143.boot;
+  generation = other143.generation;
+  leaving = other143.leaving;
+  store_age_ms = other143.store_age_ms;
+  deaths = other143.deaths;
+  duties_held = other143.duties_held;
+  served_parts = other143.served_parts;
+  __isset = other143.__isset;
+}
+PeerStatus::PeerStatus(PeerStatus&& other144) noexcept {
+  host = std::move(other144.host);
+  data_centre = std::move(other144.data_centre);
+  boot = std::move(other144.boot);
+  generation = other144.generation;
+  leaving = other144.leaving;
+  store_age_ms = other144.store_age_ms;
+  deaths = std::move(other144.deaths);
+  duties_held = std::move(other144.duties_held);
+  served_parts = std::move(other144.served_parts);
+  __isset = other144.__isset;
+}
+PeerStatus& PeerStatus::operator=(const PeerStatus& other145) {
+  host = other145.host;
+  data_centre = other145.data_centre;
+  boot = other145.boot;
+  generation = other145.generation;
+  leaving = other145.leaving;
+  store_age_ms = other145.store_age_ms;
+  deaths = other145.deaths;
+  duties_held = other145.duties_held;
+  served_parts = other145.served_parts;
+  __isset = other145.__isset;
   return *this;
 }
-PeerStatus& PeerStatus::operator=(PeerStatus&& other130) noexcept {
-  host = std::move(other130.host);
-  data_centre = std::move(other130.data_centre);
-  boot = std::move(other130.boot);
-  generation = other130.generation;
-  leaving = other130.leaving;
-  store_age_ms = other130.store_age_ms;
-  deaths = std::move(other130.deaths);
-  duties_held = std::move(other130.duties_held);
+PeerStatus& PeerStatus::operator=(PeerStatus&& other146) noexcept {
+  host = std::move(other146.host);
+  data_centre = std::move(other146.data_centre);
+  boot = std::move(other146.boot);
+  generation = other146.generation;
+  leaving = other146.leaving;
+  store_age_ms = other146.store_age_ms;
+  deaths = std::move(other146.deaths);
+  duties_held = std::move(other146.duties_held);
+  served_parts = std::move(other146.served_parts);
+  __isset = other146.__isset;
   return *this;
 }
 void PeerStatus::printTo(std::ostream& out) const {
@@ -4265,6 +4486,7 @@
   out << ", " << "store_age_ms=" << to_string(store_age_ms);
   out << ", " << "deaths=" << to_string(deaths);
   out << ", " << "duties_held=" << to_string(duties_held);
+  out << ", " << "served_parts="; (__isset.served_parts ? (out << to_string(served_parts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/carawayvalve_types.h
+++ b/wire/gen/carawayvalve_types.h
@@ -87,6 +87,8 @@
 
 class DeathMark;
 
+class ServedPart;
+
 class AgentStatus;
 
 class AgentConfiguration;
@@ -660,6 +662,10 @@
 
 std::ostream& operator<<(std::ostream& out, const ModelLoad& obj);
 
+typedef struct _DeathMark__isset {
+  _DeathMark__isset() : parts(false) {}
+  bool parts :1;
+} _DeathMark__isset;
 
 class DeathMark : public virtual ::apache::thrift::TBase {
  public:
@@ -680,6 +686,9 @@
   int32_t deaths;
   int64_t age_ms;
   std::string death_id;
+  std::vector<std::string>  parts;
+
+  _DeathMark__isset __isset;
 
   void __set_content_digest(const std::string& val);
 
@@ -689,6 +698,8 @@
 
   void __set_death_id(const std::string& val);
 
+  void __set_parts(const std::vector<std::string> & val);
+
   bool operator == (const DeathMark & rhs) const
   {
     if (!(content_digest == rhs.content_digest))
@@ -699,6 +710,10 @@
       return false;
     if (!(death_id == rhs.death_id))
       return false;
+    if (__isset.parts != rhs.__isset.parts)
+      return false;
+    else if (__isset.parts && !(parts == rhs.parts))
+      return false;
     return true;
   }
   bool operator != (const DeathMark &rhs) const {
@@ -718,6 +733,51 @@
 std::ostream& operator<<(std::ostream& out, const DeathMark& obj);
 
 
+class ServedPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServedPart(const ServedPart&);
+  ServedPart(ServedPart&&) noexcept;
+  ServedPart& operator=(const ServedPart&);
+  ServedPart& operator=(ServedPart&&) noexcept;
+  ServedPart() noexcept
+             : part(),
+               age_ms(0) {
+  }
+
+  virtual ~ServedPart() noexcept;
+  std::string part;
+  int64_t age_ms;
+
+  void __set_part(const std::string& val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const ServedPart & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const ServedPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServedPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServedPart &a, ServedPart &b);
+
+std::ostream& operator<<(std::ostream& out, const ServedPart& obj);
+
+
 class AgentStatus : public virtual ::apache::thrift::TBase {
  public:
 
@@ -1261,6 +1321,10 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigurationCopy& obj);
 
+typedef struct _PeerStatus__isset {
+  _PeerStatus__isset() : served_parts(false) {}
+  bool served_parts :1;
+} _PeerStatus__isset;
 
 class PeerStatus : public virtual ::apache::thrift::TBase {
  public:
@@ -1287,6 +1351,9 @@
   int64_t store_age_ms;
   std::vector<DeathMark>  deaths;
   std::vector<std::string>  duties_held;
+  std::vector<ServedPart>  served_parts;
+
+  _PeerStatus__isset __isset;
 
   void __set_host(const std::string& val);
 
@@ -1304,6 +1371,8 @@
 
   void __set_duties_held(const std::vector<std::string> & val);
 
+  void __set_served_parts(const std::vector<ServedPart> & val);
+
   bool operator == (const PeerStatus & rhs) const
   {
     if (!(host == rhs.host))
@@ -1322,6 +1391,10 @@
       return false;
     if (!(duties_held == rhs.duties_held))
       return false;
+    if (__isset.served_parts != rhs.__isset.served_parts)
+      return false;
+    else if (__isset.served_parts && !(served_parts == rhs.served_parts))
+      return false;
     return true;
   }
   bool operator != (const PeerStatus &rhs) const {
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -590,6 +590,11 @@
 void GossipDeath::__set_age_ms(const int32_t val) {
   this->age_ms = val;
 }
+
+void GossipDeath::__set_parts(const std::vector<std::string> & val) {
+  this->parts = val;
+__isset.parts = true;
+}
 std::ostream& operator<<(std::ostream& out, const GossipDeath& obj)
 {
   obj.printTo(out);
@@ -645,6 +650,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->parts.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
+            {
+              xfer += iprot->readString(this->parts[_i36]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -680,6 +705,19 @@
   xfer += oprot->writeI32(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.parts) {
+    xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parts.size()));
+      std::vector<std::string> ::const_iterator _iter37;
+      for (_iter37 = this->parts.begin(); _iter37 != this->parts.end(); ++_iter37)
+      {
+        xfer += oprot->writeString((*_iter37));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -690,28 +728,38 @@
   swap(a.content_digest, b.content_digest);
   swap(a.death_id, b.death_id);
   swap(a.age_ms, b.age_ms);
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
 }
 
-GossipDeath::GossipDeath(const GossipDeath& other32) {
-  content_digest = other32.content_digest;
-  death_id = other32.death_id;
-  age_ms = other32.age_ms;
-}
-GossipDeath::GossipDeath(GossipDeath&& other33) noexcept {
-  content_digest = std::move(other33.content_digest);
-  death_id = std::move(other33.death_id);
-  age_ms = other33.age_ms;
-}
-GossipDeath& GossipDeath::operator=(const GossipDeath& other34) {
-  content_digest = other34.content_digest;
-  death_id = other34.death_id;
-  age_ms = other34.age_ms;
+GossipDeath::GossipDeath(const GossipDeath& other38) {
+  content_digest = other38.content_digest;
+  death_id = other38.death_id;
+  age_ms = other38.age_ms;
+  parts = other38.parts;
+  __isset = other38.__isset;
+}
+GossipDeath::GossipDeath(GossipDeath&& other39) noexcept {
+  content_digest = std::move(other39.content_digest);
+  death_id = std::move(other39.death_id);
+  age_ms = other39.age_ms;
+  parts = std::move(other39.parts);
+  __isset = other39.__isset;
+}
+GossipDeath& GossipDeath::operator=(const GossipDeath& other40) {
+  content_digest = other40.content_digest;
+  death_id = other40.death_id;
+  age_ms = other40.age_ms;
+  parts = other40.parts;
+  __isset = other40.__isset;
   return *this;
 }
-GossipDeath& GossipDeath::operator=(GossipDeath&& other35) noexcept {
-  content_digest = std::move(other35.content_digest);
-  death_id = std::move(other35.death_id);
-  age_ms = other35.age_ms;
+GossipDeath& GossipDeath::operator=(GossipDeath&& other41) noexcept {
+  content_digest = std::move(other41.content_digest);
+  death_id = std::move(other41.death_id);
+  age_ms = other41.age_ms;
+  parts = std::move(other41.parts);
+  __isset = other41.__isset;
   return *this;
 }
 void GossipDeath::printTo(std::ostream& out) const {
@@ -720,6 +768,131 @@
   out << "content_digest=" << to_string(content_digest);
   out << ", " << "death_id=" << to_string(death_id);
   out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "parts="; (__isset.parts ? (out << to_string(parts)) : (out << "<null>"));
+  out << ")";
+}
+
+
+GossipServedPart::~GossipServedPart() noexcept {
+}
+
+
+void GossipServedPart::__set_part(const std::string& val) {
+  this->part = val;
+}
+
+void GossipServedPart::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipServedPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipServedPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_part = false;
+  bool isset_age_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->part);
+          isset_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_part)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipServedPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipServedPart");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipServedPart &a, GossipServedPart &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.age_ms, b.age_ms);
+}
+
+GossipServedPart::GossipServedPart(const GossipServedPart& other42) {
+  part = other42.part;
+  age_ms = other42.age_ms;
+}
+GossipServedPart::GossipServedPart(GossipServedPart&& other43) noexcept {
+  part = std::move(other43.part);
+  age_ms = other43.age_ms;
+}
+GossipServedPart& GossipServedPart::operator=(const GossipServedPart& other44) {
+  part = other44.part;
+  age_ms = other44.age_ms;
+  return *this;
+}
+GossipServedPart& GossipServedPart::operator=(GossipServedPart&& other45) noexcept {
+  part = std::move(other45.part);
+  age_ms = other45.age_ms;
+  return *this;
+}
+void GossipServedPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipServedPart(";
+  out << "part=" << to_string(part);
+  out << ", " << "age_ms=" << to_string(age_ms);
   out << ")";
 }
 
@@ -821,22 +994,22 @@
   swap(a.left_ms, b.left_ms);
 }
 
-GossipAbsence::GossipAbsence(const GossipAbsence& other36) {
-  backend_server = other36.backend_server;
-  left_ms = other36.left_ms;
+GossipAbsence::GossipAbsence(const GossipAbsence& other46) {
+  backend_server = other46.backend_server;
+  left_ms = other46.left_ms;
 }
-GossipAbsence::GossipAbsence(GossipAbsence&& other37) noexcept {
-  backend_server = std::move(other37.backend_server);
-  left_ms = other37.left_ms;
+GossipAbsence::GossipAbsence(GossipAbsence&& other47) noexcept {
+  backend_server = std::move(other47.backend_server);
+  left_ms = other47.left_ms;
 }
-GossipAbsence& GossipAbsence::operator=(const GossipAbsence& other38) {
-  backend_server = other38.backend_server;
-  left_ms = other38.left_ms;
+GossipAbsence& GossipAbsence::operator=(const GossipAbsence& other48) {
+  backend_server = other48.backend_server;
+  left_ms = other48.left_ms;
   return *this;
 }
-GossipAbsence& GossipAbsence::operator=(GossipAbsence&& other39) noexcept {
-  backend_server = std::move(other39.backend_server);
-  left_ms = other39.left_ms;
+GossipAbsence& GossipAbsence::operator=(GossipAbsence&& other49) noexcept {
+  backend_server = std::move(other49.backend_server);
+  left_ms = other49.left_ms;
   return *this;
 }
 void GossipAbsence::printTo(std::ostream& out) const {
@@ -945,22 +1118,22 @@
   swap(a.started_ms, b.started_ms);
 }
 
-GossipDeparture::GossipDeparture(const GossipDeparture& other40) {
-  backend_server = other40.backend_server;
-  started_ms = other40.started_ms;
+GossipDeparture::GossipDeparture(const GossipDeparture& other50) {
+  backend_server = other50.backend_server;
+  started_ms = other50.started_ms;
 }
-GossipDeparture::GossipDeparture(GossipDeparture&& other41) noexcept {
-  backend_server = std::move(other41.backend_server);
-  started_ms = other41.started_ms;
+GossipDeparture::GossipDeparture(GossipDeparture&& other51) noexcept {
+  backend_server = std::move(other51.backend_server);
+  started_ms = other51.started_ms;
 }
-GossipDeparture& GossipDeparture::operator=(const GossipDeparture& other42) {
-  backend_server = other42.backend_server;
-  started_ms = other42.started_ms;
+GossipDeparture& GossipDeparture::operator=(const GossipDeparture& other52) {
+  backend_server = other52.backend_server;
+  started_ms = other52.started_ms;
   return *this;
 }
-GossipDeparture& GossipDeparture::operator=(GossipDeparture&& other43) noexcept {
-  backend_server = std::move(other43.backend_server);
-  started_ms = other43.started_ms;
+GossipDeparture& GossipDeparture::operator=(GossipDeparture&& other53) noexcept {
+  backend_server = std::move(other53.backend_server);
+  started_ms = other53.started_ms;
   return *this;
 }
 void GossipDeparture::printTo(std::ostream& out) const {
@@ -1037,6 +1210,11 @@
   this->departures = val;
 __isset.departures = true;
 }
+
+void Gossip::__set_served_parts(const std::vector<GossipServedPart> & val) {
+  this->served_parts = val;
+__isset.served_parts = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -1138,14 +1316,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->loads.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->loads.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->loads[_i48].read(iprot);
+              xfer += this->loads[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1158,14 +1336,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->prefixes.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->prefixes.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += this->prefixes[_i53].read(iprot);
+              xfer += this->prefixes[_i63].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1178,14 +1356,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->windows.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->windows.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->windows.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += this->windows[_i58].read(iprot);
+              xfer += this->windows[_i68].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1198,14 +1376,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->deaths.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->deaths.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += this->deaths[_i63].read(iprot);
+              xfer += this->deaths[_i73].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1234,14 +1412,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->absences.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->absences.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->absences.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->absences[_i68].read(iprot);
+              xfer += this->absences[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1254,14 +1432,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departures.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->departures.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->departures.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += this->departures[_i73].read(iprot);
+              xfer += this->departures[_i83].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1270,6 +1448,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->served_parts.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->served_parts.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->served_parts[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.served_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1344,10 +1542,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GossipLoad> ::const_iterator _iter74;
-    for (_iter74 = this->loads.begin(); _iter74 != this->loads.end(); ++_iter74)
+    std::vector<GossipLoad> ::const_iterator _iter89;
+    for (_iter89 = this->loads.begin(); _iter89 != this->loads.end(); ++_iter89)
     {
-      xfer += (*_iter74).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1356,10 +1554,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<GossipPrefix> ::const_iterator _iter75;
-    for (_iter75 = this->prefixes.begin(); _iter75 != this->prefixes.end(); ++_iter75)
+    std::vector<GossipPrefix> ::const_iterator _iter90;
+    for (_iter90 = this->prefixes.begin(); _iter90 != this->prefixes.end(); ++_iter90)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1368,10 +1566,10 @@
   xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->windows.size()));
-    std::vector<GossipWindow> ::const_iterator _iter76;
-    for (_iter76 = this->windows.begin(); _iter76 != this->windows.end(); ++_iter76)
+    std::vector<GossipWindow> ::const_iterator _iter91;
+    for (_iter91 = this->windows.begin(); _iter91 != this->windows.end(); ++_iter91)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1380,10 +1578,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<GossipDeath> ::const_iterator _iter77;
-    for (_iter77 = this->deaths.begin(); _iter77 != this->deaths.end(); ++_iter77)
+    std::vector<GossipDeath> ::const_iterator _iter92;
+    for (_iter92 = this->deaths.begin(); _iter92 != this->deaths.end(); ++_iter92)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter92).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1401,10 +1599,10 @@
     xfer += oprot->writeFieldBegin("absences", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->absences.size()));
-      std::vector<GossipAbsence> ::const_iterator _iter78;
-      for (_iter78 = this->absences.begin(); _iter78 != this->absences.end(); ++_iter78)
+      std::vector<GossipAbsence> ::const_iterator _iter93;
+      for (_iter93 = this->absences.begin(); _iter93 != this->absences.end(); ++_iter93)
       {
-        xfer += (*_iter78).write(oprot);
+        xfer += (*_iter93).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1414,10 +1612,23 @@
     xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
-      std::vector<GossipDeparture> ::const_iterator _iter79;
-      for (_iter79 = this->departures.begin(); _iter79 != this->departures.end(); ++_iter79)
+      std::vector<GossipDeparture> ::const_iterator _iter94;
+      for (_iter94 = this->departures.begin(); _iter94 != this->departures.end(); ++_iter94)
+      {
+        xfer += (*_iter94).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.served_parts) {
+    xfer += oprot->writeFieldBegin("served_parts", ::apache::thrift::protocol::T_LIST, 16);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->served_parts.size()));
+      std::vector<GossipServedPart> ::const_iterator _iter95;
+      for (_iter95 = this->served_parts.begin(); _iter95 != this->served_parts.end(); ++_iter95)
       {
-        xfer += (*_iter79).write(oprot);
+        xfer += (*_iter95).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1445,81 +1656,86 @@
   swap(a.registry_revision, b.registry_revision);
   swap(a.absences, b.absences);
   swap(a.departures, b.departures);
+  swap(a.served_parts, b.served_parts);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other80) {
-  host = other80.host;
-  boot = other80.boot;
-  stamp = other80.stamp;
-  echo = other80.echo;
-  unix_ms = other80.unix_ms;
-  plan_version = other80.plan_version;
-  proof_age_ms = other80.proof_age_ms;
-  loads = other80.loads;
-  prefixes = other80.prefixes;
-  windows = other80.windows;
-  deaths = other80.deaths;
-  leaving = other80.leaving;
-  registry_revision = other80.registry_revision;
-  absences = other80.absences;
-  departures = other80.departures;
-  __isset = other80.__isset;
-}
-Gossip::Gossip(Gossip&& other81) noexcept {
-  host = std::move(other81.host);
-  boot = std::move(other81.boot);
-  stamp = other81.stamp;
-  echo = other81.echo;
-  unix_ms = other81.unix_ms;
-  plan_version = other81.plan_version;
-  proof_age_ms = other81.proof_age_ms;
-  loads = std::move(other81.loads);
-  prefixes = std::move(other81.prefixes);
-  windows = std::move(other81.windows);
-  deaths = std::move(other81.deaths);
-  leaving = other81.leaving;
-  registry_revision = other81.registry_revision;
-  absences = std::move(other81.absences);
-  departures = std::move(other81.departures);
-  __isset = other81.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other82) {
-  host = other82.host;
-  boot = other82.boot;
-  stamp = other82.stamp;
-  echo = other82.echo;
-  unix_ms = other82.unix_ms;
-  plan_version = other82.plan_version;
-  proof_age_ms = other82.proof_age_ms;
-  loads = other82.loads;
-  prefixes = other82.prefixes;
-  windows = other82.windows;
-  deaths = other82.deaths;
-  leaving = other82.leaving;
-  registry_revision = other82.registry_revision;
-  absences = other82.absences;
-  departures = other82.departures;
-  __isset = other82.__isset;
+Gossip::Gossip(const Gossip& other96) {
+  host = other96.host;
+  boot = other96.boot;
+  stamp = other96.stamp;
+  echo = other96.echo;
+  unix_ms = other96.unix_ms;
+  plan_version = other96.plan_version;
+  proof_age_ms = other96.proof_age_ms;
+  loads = other96.loads;
+  prefixes = other96.prefixes;
+  windows = other96.windows;
+  deaths = other96.deaths;
+  leaving = other96.leaving;
+  registry_revision = other96.registry_revision;
+  absences = other96.absences;
+  departures = other96.departures;
+  served_parts = other96.served_parts;
+  __isset = other96.__isset;
+}
+Gossip::Gossip(Gossip&& other97) noexcept {
+  host = std::move(other97.host);
+  boot = std::move(other97.boot);
+  stamp = other97.stamp;
+  echo = other97.echo;
+  unix_ms = other97.unix_ms;
+  plan_version = other97.plan_version;
+  proof_age_ms = other97.proof_age_ms;
+  loads = std::move(other97.loads);
+  prefixes = std::move(other97.prefixes);
+  windows = std::move(other97.windows);
+  deaths = std::move(other97.deaths);
+  leaving = other97.leaving;
+  registry_revision = other97.registry_revision;
+  absences = std::move(other97.absences);
+  departures = std::move(other97.departures);
+  served_parts = std::move(other97.served_parts);
+  __isset = other97.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other98) {
+  host = other98.host;
+  boot = other98.boot;
+  stamp = other98.stamp;
+  echo = other98.echo;
+  unix_ms = other98.unix_ms;
+  plan_version = other98.plan_version;
+  proof_age_ms = other98.proof_age_ms;
+  loads = other98.loads;
+  prefixes = other98.prefixes;
+  windows = other98.windows;
+  deaths = other98.deaths;
+  leaving = other98.leaving;
+  registry_revision = other98.registry_revision;
+  absences = other98.absences;
+  departures = other98.departures;
+  served_parts = other98.served_parts;
+  __isset = other98.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other83) noexcept {
-  host = std::move(other83.host);
-  boot = std::move(other83.boot);
-  stamp = other83.stamp;
-  echo = other83.echo;
-  unix_ms = other83.unix_ms;
-  plan_version = other83.plan_version;
-  proof_age_ms = other83.proof_age_ms;
-  loads = std::move(other83.loads);
-  prefixes = std::move(other83.prefixes);
-  windows = std::move(other83.windows);
-  deaths = std::move(other83.deaths);
-  leaving = other83.leaving;
-  registry_revision = other83.registry_revision;
-  absences = std::move(other83.absences);
-  departures = std::move(other83.departures);
-  __isset = other83.__isset;
+Gossip& Gossip::operator=(Gossip&& other99) noexcept {
+  host = std::move(other99.host);
+  boot = std::move(other99.boot);
+  stamp = other99.stamp;
+  echo = other99.echo;
+  unix_ms = other99.unix_ms;
+  plan_version = other99.plan_version;
+  proof_age_ms = other99.proof_age_ms;
+  loads = std::move(other99.loads);
+  prefixes = std::move(other99.prefixes);
+  windows = std::move(other99.windows);
+  deaths = std::move(other99.deaths);
+  leaving = other99.leaving;
+  registry_revision = other99.registry_revision;
+  absences = std::move(other99.absences);
+  departures = std::move(other99.departures);
+  served_parts = std::move(other99.served_parts);
+  __isset = other99.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -1540,6 +1756,7 @@
   out << ", " << "registry_revision=" << to_string(registry_revision);
   out << ", " << "absences="; (__isset.absences ? (out << to_string(absences)) : (out << "<null>"));
   out << ", " << "departures="; (__isset.departures ? (out << to_string(departures)) : (out << "<null>"));
+  out << ", " << "served_parts="; (__isset.served_parts ? (out << to_string(served_parts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -29,6 +29,8 @@
 
 class GossipDeath;
 
+class GossipServedPart;
+
 class GossipAbsence;
 
 class GossipDeparture;
@@ -197,6 +199,10 @@
 
 std::ostream& operator<<(std::ostream& out, const GossipWindow& obj);
 
+typedef struct _GossipDeath__isset {
+  _GossipDeath__isset() : parts(false) {}
+  bool parts :1;
+} _GossipDeath__isset;
 
 class GossipDeath : public virtual ::apache::thrift::TBase {
  public:
@@ -215,6 +221,9 @@
   std::string content_digest;
   std::string death_id;
   int32_t age_ms;
+  std::vector<std::string>  parts;
+
+  _GossipDeath__isset __isset;
 
   void __set_content_digest(const std::string& val);
 
@@ -222,6 +231,8 @@
 
   void __set_age_ms(const int32_t val);
 
+  void __set_parts(const std::vector<std::string> & val);
+
   bool operator == (const GossipDeath & rhs) const
   {
     if (!(content_digest == rhs.content_digest))
@@ -230,6 +241,10 @@
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
+    if (__isset.parts != rhs.__isset.parts)
+      return false;
+    else if (__isset.parts && !(parts == rhs.parts))
+      return false;
     return true;
   }
   bool operator != (const GossipDeath &rhs) const {
@@ -249,6 +264,51 @@
 std::ostream& operator<<(std::ostream& out, const GossipDeath& obj);
 
 
+class GossipServedPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipServedPart(const GossipServedPart&);
+  GossipServedPart(GossipServedPart&&) noexcept;
+  GossipServedPart& operator=(const GossipServedPart&);
+  GossipServedPart& operator=(GossipServedPart&&) noexcept;
+  GossipServedPart() noexcept
+                   : part(),
+                     age_ms(0) {
+  }
+
+  virtual ~GossipServedPart() noexcept;
+  std::string part;
+  int32_t age_ms;
+
+  void __set_part(const std::string& val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const GossipServedPart & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipServedPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipServedPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipServedPart &a, GossipServedPart &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipServedPart& obj);
+
+
 class GossipAbsence : public virtual ::apache::thrift::TBase {
  public:
 
@@ -339,9 +399,10 @@
 std::ostream& operator<<(std::ostream& out, const GossipDeparture& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false) {}
   bool absences :1;
   bool departures :1;
+  bool served_parts :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -379,6 +440,7 @@
   int64_t registry_revision;
   std::vector<GossipAbsence>  absences;
   std::vector<GossipDeparture>  departures;
+  std::vector<GossipServedPart>  served_parts;
 
   _Gossip__isset __isset;
 
@@ -412,6 +474,8 @@
 
   void __set_departures(const std::vector<GossipDeparture> & val);
 
+  void __set_served_parts(const std::vector<GossipServedPart> & val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -448,6 +512,10 @@
       return false;
     else if (__isset.departures && !(departures == rhs.departures))
       return false;
+    if (__isset.served_parts != rhs.__isset.served_parts)
+      return false;
+    else if (__isset.served_parts && !(served_parts == rhs.served_parts))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -33,6 +33,15 @@
   1: required string content_digest,
   2: required string death_id,
   3: required i32 age_ms,
+  // The parts of the content that contents which differ otherwise may share.
+  // Each may be the cause.
+  4: optional list<string> parts,
+}
+
+// A suspected part of contents that has been answered completely.
+struct GossipServedPart {
+  1: required string part,
+  2: required i32 age_ms,
 }
 
 // An engine that the sender has ordered to change its role.
@@ -73,4 +82,5 @@
   13: required i64 registry_revision,
   14: optional list<GossipAbsence> absences,
   15: optional list<GossipDeparture> departures,
+  16: optional list<GossipServedPart> served_parts,
 }
