Let the soak play a part of prompts that crashes engines

--poison-part: one request to a model in twenty has the part, whatever else it holds; connections to backend servers are reset meanwhile, so that answers break off without a crash. Requests to models have a body of their own now: with the same one, the digest of a content named them all.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -26,6 +26,10 @@
   return "/";
 }
 
+bool IsForModel(RequestType type) {
+  return type == RequestType::kStream || type == RequestType::kResumableStream;
+}
+
 net::Request MakeRequest(const CallerCall& call, int prompt) {
   net::Request request{
       "POST",
@@ -35,13 +39,15 @@
        {"X-Credential", call.key},
        {"X-Deadline-Ms", std::to_string(kAnswerTimeout.count())}},
       call.type == RequestType::kPayment ? "pay" : ""};
-  if (call.type == RequestType::kStream ||
-      call.type == RequestType::kResumableStream) {
+  if (IsForModel(call.type)) {
     const std::string shared = std::to_string(prompt % 4);
     request.fields.push_back({"X-Model", "m"});
     request.fields.push_back({"X-Token-Count", "2000,50"});
+    const std::string poison =
+        call.poison ? std::string(kPoisonPart) + ":10," : "";
     request.fields.push_back(
-        {"X-Prompt-Prefix", shared + ":1500," + call.id + ":500"});
+        {"X-Prompt-Prefix", shared + ":1500," + poison + call.id + ":500"});
+    request.body = call.id;
   }
   return request;
 }
@@ -52,7 +58,10 @@
                  uint32_t seed,
                  int count,
                  Environment environment)
-    : loop(loop), generator(seed), environment(std::move(environment)) {
+    : loop(loop),
+      generator(seed),
+      poison_generator(seed),
+      environment(std::move(environment)) {
   for (int i = 0; i < count; ++i) {
     this->callers.push_back(
         {std::make_unique<net::HttpClient>(loop, std::chrono::seconds(3)),
@@ -89,6 +98,9 @@
   call.type = static_cast<RequestType>(this->generator() % 4);
   call.account = account.name;
   call.key = account.key;
+  call.poison = IsForModel(call.type) &&
+                std::uniform_real_distribution<double>()(
+                    this->poison_generator) < this->environment.poison_fraction;
   call.sent = base::Now();
   ++this->in_flight_count;
   Caller& caller = this->callers[index];
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -28,8 +28,13 @@
   bool complete = false;
   // The request was sent on a connection that had carried others.
   bool kept_connection = false;
+  // Its prompt has the part that crashes engines.
+  bool poison = false;
 };
 
+// The part of a prompt that crashes engines.
+inline constexpr char kPoisonPart[] = "poison";
+
 // Callers that send one request at a time, each over its own kept connections,
 // to randomly chosen gateways.
 class Callers {
@@ -42,6 +47,8 @@
     // Returns the addresses of the gateways that accept new requests.
     std::function<std::vector<std::string>()> gateways;
     std::function<std::vector<Account>()> accounts;
+    // The fraction of the requests to models that have the poison part.
+    double poison_fraction = 0;
   };
 
   Callers(net::EventLoop& loop,
@@ -70,6 +77,8 @@
 
   net::EventLoop& loop;
   std::mt19937 generator;
+  // Separate, so that poison requests don't change the other draws of a seed.
+  std::mt19937 poison_generator;
   Environment environment;
   std::vector<Caller> callers;
   std::vector<std::unique_ptr<CallerCall>> all_calls;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -14,7 +14,8 @@
 
 Usage:
   carawayvalve-soak --program=FILE --folder=DIR [--seed=N] [--seconds=S]
-                    [--gateways=N] [--callers=N] [--kills-in-turn]
+                    [--gateways=N] [--callers=N]
+                    [--kills-in-turn | --poison-part]
 
 Prints a line per seed and a line per violated guarantee; exits with 1 if there
 was a violation. Logs of the gateways and of the faults are kept in the folder.
@@ -27,6 +28,8 @@
   --gateways=N    Gateways that share the load [default: 3].
   --kills-in-turn  Kills the gateways in turn while all backend servers decline,
                   instead of injecting random faults.
+  --poison-part   Some prompts have a part that crashes engines, and connections
+                  to backend servers are reset, instead of random faults.
   --callers=N     Callers, each with one request at a time [default: 12].
 )";
 
@@ -43,6 +46,7 @@
   settings.gateways = static_cast<int>(arguments["--gateways"].asLong());
   settings.callers = static_cast<int>(arguments["--callers"].asLong());
   settings.kills_in_turn = arguments["--kills-in-turn"].asBool();
+  settings.poison_part = arguments["--poison-part"].asBool();
   // Every third seed has only planned operations.
   settings.planned_only = settings.seed % 3 == 0;
   std::filesystem::create_directories(settings.folder);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -27,6 +27,7 @@
 constexpr seconds kRecoveryTime(8);
 constexpr seconds kProgressTime(3);
 constexpr int kMinSlots = 16;
+constexpr double kPoisonFraction = 0.05;
 // Reports that arrive this soon after their sender's link was reopened are
 // exempt from the check of the order of epochs (the platform's thawMs).
 constexpr base::Milliseconds kReopenedLinkTime(300);
@@ -103,7 +104,8 @@
                              }
                              return addresses;
                            },
-                           [this] { return this->accounts; }});
+                           [this] { return this->accounts; },
+                           settings.poison_part ? kPoisonFraction : 0});
 }
 
 Soak::~Soak() = default;
@@ -122,6 +124,10 @@
       this->ScheduleKillsInTurn();
       return;
     }
+    if (this->settings.poison_part) {
+      this->ScheduleResets();
+      return;
+    }
     this->ScheduleFault();
     if (!this->settings.planned_only) {
       this->ScheduleServiceFault();
@@ -144,6 +150,7 @@
   this->CheckAnswers();
   this->CheckReports();
   this->CheckRetries();
+  this->CheckPoisonPart();
   this->CheckProgress(first_call);
   std::cout << "seed " << this->settings.seed << ": "
             << this->callers->calls().size() << " requests, "
@@ -219,6 +226,12 @@
   server->engine = engine;
   server->prefill = prefill;
   this->Register(*server, false);
+  if (this->settings.poison_part) {
+    server->backend->crashing_part = kPoisonPart;
+    server->backend->on_crash = [this, crashed = server.get()] {
+      this->OnEngineCrash(*crashed);
+    };
+  }
   this->servers.push_back(std::move(server));
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -44,6 +44,9 @@
   // Replaces the random faults: all backend servers decline while the gateways
   // are killed in turn.
   bool kills_in_turn = false;
+  // Replaces the random faults: some prompts have a part that crashes engines,
+  // and connections to backend servers are reset.
+  bool poison_part = false;
   RetryBounds retries;
 };
 
@@ -108,6 +111,9 @@
   void ScheduleServiceFault();
   // Ends streams of an engine inside an event, independently of other faults.
   void ScheduleCutStreams();
+  void ScheduleResets();
+  // Makes the engine unreachable and starts another one later.
+  void OnEngineCrash(Server& server);
   void RunAfter(base::Milliseconds wait, std::function<void()> then);
   base::Milliseconds RandomDuration(int min, int max);
   template <typename Items>
@@ -134,6 +140,7 @@
   void CheckAnswers();
   void CheckReports();
   void CheckRetries();
+  void CheckPoisonPart();
   void CheckProgress(size_t first_call);
   void AddComplaint(const std::string& what);
 
@@ -156,6 +163,7 @@
   // When each key was withdrawn.
   std::map<std::string, base::Instant> withdrawn;
   std::vector<Report> reports;
+  std::vector<base::Instant> crashes;
   std::vector<std::string> complaints;
   int64_t plan_version = 0;
   int64_t last_server = 0;
--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -15,6 +16,14 @@
 constexpr seconds kMaxWithdrawalTime(5);
 // Fraction of the requests after the recovery that must be served.
 constexpr double kMinServedFraction = 0.9;
+// From this time after the fifth crash by a part of prompts on, at most
+// kMaxPoisonArrivals requests with it may reach engines; twice as long after
+// the last crash, half of the sound ones must be served (the platform's
+// contactMs).
+constexpr seconds kContactTime(3);
+constexpr size_t kCrashesToLearn = 5;
+constexpr int64_t kMaxPoisonArrivals = 3;
+constexpr double kMinServedBesidePoison = 0.5;
 
 }  // namespace
 
@@ -206,12 +215,52 @@
   }
 }
 
+void Soak::CheckPoisonPart() {
+  if (this->crashes.empty()) {
+    return;
+  }
+  std::set<std::string> poison;
+  int64_t sound = 0;
+  int64_t served = 0;
+  const base::Instant learned = this->crashes.back() + 2 * kContactTime;
+  for (const auto& call : this->callers->calls()) {
+    if (call->poison) {
+      poison.insert(call->id);
+    } else if (call->sent > learned) {
+      ++sound;
+      served += call->complete && call->status == 200 ? 1 : 0;
+    }
+  }
+  int64_t arrivals = 0;
+  for (const auto& server : this->servers) {
+    for (const BackendArrival& arrival : server->backend->arrivals) {
+      const bool late =
+          this->crashes.size() >= kCrashesToLearn &&
+          arrival.at > this->crashes[kCrashesToLearn - 1] + kContactTime;
+      arrivals += late && poison.contains(arrival.request) ? 1 : 0;
+    }
+  }
+  std::cout << this->crashes.size() << " engines crashed; then " << served
+            << " of " << sound << " sound requests were served\n";
+  if (arrivals > kMaxPoisonArrivals) {
+    this->AddComplaint(std::to_string(arrivals) +
+                       " requests with a part that had crashed five engines "
+                       "reached engines");
+  }
+  if (static_cast<double>(served) <
+      kMinServedBesidePoison * static_cast<double>(sound)) {
+    this->AddComplaint("beside a poison part " + std::to_string(served) +
+                       " of " + std::to_string(sound) +
+                       " sound requests were served");
+  }
+}
+
 void Soak::CheckProgress(size_t first_call) {
   int64_t total = 0;
   int64_t served = 0;
   const auto& calls = this->callers->calls();
   for (size_t i = first_call; i < calls.size(); ++i) {
-    if (!this->withdrawn.contains(calls[i]->key)) {
+    if (!this->withdrawn.contains(calls[i]->key) && !calls[i]->poison) {
       ++total;
       served += calls[i]->complete && calls[i]->status == 200 ? 1 : 0;
     }
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -16,6 +16,8 @@
 // Time between two successive kills, and from a kill to the restart.
 constexpr base::Milliseconds kKillInterval(800);
 constexpr base::Milliseconds kRestartTime(100);
+// How long the entry of a crashed backend server stays in the store.
+constexpr base::Milliseconds kEntryLifetime(3600);
 // Longer than the time after which a gateway tries another backend server.
 constexpr base::Milliseconds kSlowServiceDelay(1500);
 
@@ -236,6 +238,32 @@
                  [this] { this->ScheduleCutStreams(); });
 }
 
+void Soak::ScheduleResets() {
+  if (this->faults_over) {
+    return;
+  }
+  const Server& server = *this->Pick(this->servers);
+  if (server.link != nullptr) {
+    this->LogEvent("reset connections of " + server.backend->id());
+    server.link->Reset();
+  }
+  this->RunAfter(this->RandomDuration(300, 1200),
+                 [this] { this->ScheduleResets(); });
+}
+
+void Soak::OnEngineCrash(Server& server) {
+  this->crashes.push_back(base::Now());
+  this->LogEvent("crash of " + server.backend->id());
+  // Later, as the crash is noticed while a connection is in use.
+  this->RunAfter(base::Milliseconds(0), [&server] { server.link.reset(); });
+  this->RunAfter(kEntryLifetime, [this, id = server.backend->id()] {
+    this->store.Remove("servers", id);
+  });
+  this->RunAfter(this->RandomDuration(1000, 2500), [this, &server] {
+    this->AddServer(server.engine, server.prefill);
+  });
+}
+
 // Starts a new backend server, drains an old one and removes it.
 void Soak::ReplaceServer() {
   Server& old = *this->Pick(this->servers);
