Never expect less time with more load

While most requests met an idle engine, the line through the times of first events could fall with the number of requests: -4 ms each in the new test, and waits of -23 and -356 ms in the logs of the large site (mix). After 1.5 times a negative wait and 0.3 s an engine counted as silent at once, and its requests were given up or sent elsewhere.

The test fails before (-4,000,000 ns a request).

--- a/core/src/speed_estimator.cc
+++ b/core/src/speed_estimator.cc
@@ -153,6 +153,8 @@
     slope = std::clamp(slope, kMinLoadPart * widest.ms / widest.units,
                        widest.ms / widest.units);
   }
+  // More load makes nothing faster.
+  slope = std::max(slope, 0.0);
   std::vector<Weighted> bases;
   bases.reserve(points.size());
   for (const Point& point : points) {
--- a/core/tests/speed_estimator_test.cc
+++ b/core/tests/speed_estimator_test.cc
@@ -153,6 +153,21 @@
   CHECK(speeds.prefill_tokens_per_ms == EngineSpeeds{}.prefill_tokens_per_ms);
 }
 
+// Guards against waits that are expected to be negative, after which an engine
+// counts as silent at once: most requests meet an idle engine, and those that
+// don't were lucky.
+TEST_CASE("first events never come sooner with more requests") {
+  SpeedEstimator estimator(EngineSpeeds{});
+  for (int i = 0; i < 200; ++i) {
+    const int64_t requests = i % 8 == 0 ? 10 : 0;
+    estimator.Note(
+        kModels, FirstEventObserved{requests, FromMs(requests == 0 ? 60 : 20)});
+  }
+  const EngineSpeeds& speeds = estimator.SpeedsOf(kModels);
+  CHECK(speeds.step_per_request.count() >= 0);
+  CHECK(speeds.first_event.count() >= 0);
+}
+
 TEST_CASE("plain services have a duration each") {
   SpeedEstimator estimator(EngineSpeeds{});
   for (int i = 0; i < 100; ++i) {
