Give up a paused stream only if there are retries to resume it

A stream that had paused for 0.4 s was ended for another engine. The first retry was charged, the second one, for the prefill there, was denied, and the stream was broken off while its engine was at work.

A stream whose prompt was prefilled needs two retries to be resumed, and is left alone without them.

The test fails before.

--- a/core/include/carawayvalve/core/retry_budget_share.h
+++ b/core/include/carawayvalve/core/retry_budget_share.h
@@ -48,8 +48,10 @@
   // Spends a retry and returns true if one is left. The slack is divided by
   // `slack_divisor`; if that is nothing, only credit is spent.
   bool TrySpend(std::optional<int64_t> slack_divisor, base::Instant now);
-  // Returns whether TrySpend would succeed.
-  bool CanSpend(std::optional<int64_t> slack_divisor, base::Instant now);
+  // Returns whether TrySpend would succeed `count` times.
+  bool CanSpend(std::optional<int64_t> slack_divisor,
+                base::Instant now,
+                int64_t count = 1);
   Balance Remaining(std::optional<int64_t> slack_divisor, base::Instant now);
 
  private:
--- a/core/src/retry_budget_share.cc
+++ b/core/src/retry_budget_share.cc
@@ -43,10 +43,11 @@
 }
 
 bool RetryBudgetShare::CanSpend(std::optional<int64_t> slack_divisor,
-                                base::Instant now) {
+                                base::Instant now,
+                                int64_t count) {
   this->DropExpired(now);
   return this->credit + this->RemainingSlack(slack_divisor) >=
-         kMillionthsPerRetry;
+         count * kMillionthsPerRetry;
 }
 
 RetryBudgetShare::Balance RetryBudgetShare::Remaining(
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -458,10 +458,12 @@
   core::PlacementQuery query = this->Query();
   query.excluded.insert(this->call->plan().backend.id);
   const base::Instant now = base::Now();
+  // A prompt that was prefilled for this attempt is prefilled again.
+  const int64_t retries = this->prefilled_once ? 2 : 1;
   const bool can_retry =
       this->progress.attempts < rules.max_attempts &&
       this->context.state.placer.HasAlternative(query, now) &&
-      HasRetryBudget(this->context, this->service);
+      HasRetryBudget(this->context, this->service, retries);
   if (can_retry) {
     this->EndAttempt(core::AttemptInterrupted{},
                      "no answer within the expected time");
--- a/gateway/src/retry_charge.cc
+++ b/gateway/src/retry_charge.cc
@@ -2,11 +2,13 @@
 
 namespace carawayvalve::gateway {
 
-bool HasRetryBudget(Context& context, const base::ServiceId& service) {
+bool HasRetryBudget(Context& context,
+                    const base::ServiceId& service,
+                    int64_t count) {
   GatewayState& state = context.state;
   const base::Instant now = base::Now();
   return state.RetryBudget(service).CanSpend(
-      state.retry_members.SlackDivisor(now), now);
+      state.retry_members.SlackDivisor(now), now, count);
 }
 
 bool ChargeRetry(Context& context,
--- a/gateway/src/retry_charge.h
+++ b/gateway/src/retry_charge.h
@@ -5,8 +5,10 @@
 
 namespace carawayvalve::gateway {
 
-// Returns whether ChargeRetry would succeed now.
-bool HasRetryBudget(Context& context, const base::ServiceId& service);
+// Returns whether ChargeRetry would succeed `count` times now.
+bool HasRetryBudget(Context& context,
+                    const base::ServiceId& service,
+                    int64_t count);
 
 // Charges a retry, which is a repeated arrival of a request at backend servers,
 // to this gateway's share of the service's retry budget. Returns whether a
--- a/gateway/tests/request_handler_test.cc
+++ b/gateway/tests/request_handler_test.cc
@@ -282,6 +282,25 @@
   CHECK(fixture.body == body);
 }
 
+// Guards against a slow stream that is given up for another engine, for which
+// there is a retry for the attempt but none for the second prefill.
+TEST_CASE("a stream pauses and no retry is left to prefill it elsewhere") {
+  RequestFixture fixture(3);
+  Backend slow_engine(
+      fixture.gateway.loop,
+      Backend::Settings{
+          .id = "slow", .event_interval = Milliseconds(600), .events = 3},
+      fixture.runs);
+  fixture.Add("slow", slow_engine.port(), EngineRole::kDecode);
+  Backend other_engine(fixture.gateway.loop, {.id = "other"}, fixture.runs);
+  fixture.Add("other", other_engine.port(), EngineRole::kDecode);
+  fixture.gateway.state.load.NoteSent({"other"}, {5, 0, 1000});
+  fixture.SendRequest([](const std::string&) {});
+  CHECK(fixture.complete);
+  CHECK(fixture.runs.size() == 1);
+  CHECK(fixture.prefill_engine.prefill_count == 1);
+}
+
 // The rest of these requests differs, so that no content crashes two engines.
 TEST_CASE("requests with one prompt part keep crashing engines") {
   constexpr int kEngines = 12;
