Keep a single misjudged group of times from bending the estimate of a speed

The median of all groups bounds it now. - Within a group, times were compared per unit. Where the time hardly depends on the units, that takes long times of large prompts for short ones. They are compared by the line itself now, in three rounds.

--- a/core/include/carawayvalve/core/speed_estimator.h
+++ b/core/include/carawayvalve/core/speed_estimator.h
@@ -50,6 +50,9 @@
 
   static constexpr size_t kGroups = 24;
 
+  // Returns the lower quartile of each group, by the times relative to those of
+  // the reference.
+  std::vector<Point> LowerQuartiles(const Estimate& reference) const;
   static Estimate FitLine(const std::vector<Point>& points,
                           const Estimate& prior);
 
--- a/core/src/speed_estimator.cc
+++ b/core/src/speed_estimator.cc
@@ -19,6 +19,8 @@
 constexpr int64_t kEstimateInterval = 8;
 // The line runs through this quantile of each group.
 constexpr size_t kQuantileDivisor = 4;
+// Rounds in which the line and the quantiles by it are found.
+constexpr int kFitRounds = 3;
 // Estimates within this factor of the prior don't contradict it.
 constexpr double kTolerance = 1.15;
 // Shorter times are raised to this where they divide.
@@ -93,8 +95,13 @@
          this->count % kEstimateInterval == 0;
 }
 
-std::optional<LatencyLine::Estimate> LatencyLine::Fit(
-    const Estimate& prior) const {
+std::vector<LatencyLine::Point> LatencyLine::LowerQuartiles(
+    const Estimate& reference) const {
+  const auto relative_time = [&](const Observation& observation) {
+    const double expected =
+        ToMs(reference.At(static_cast<double>(observation.units)));
+    return ToMs(observation.time) / std::max(expected, kMinMs);
+  };
   std::vector<Point> points;
   for (const Group& group : this->groups) {
     if (group.newest.size() < kMinGroupSize) {
@@ -103,21 +110,31 @@
     std::vector<Observation> sorted = group.newest;
     const auto quartile =
         sorted.begin() + static_cast<int64_t>(sorted.size() / kQuantileDivisor);
-    // Within a group, the time that a unit takes is compared, as units differ
-    // by up to two times.
     std::nth_element(sorted.begin(), quartile, sorted.end(),
-                     [](const Observation& one, const Observation& other) {
-                       return one.time * (other.units + 1) <
-                              other.time * (one.units + 1);
+                     [&](const Observation& one, const Observation& other) {
+                       return relative_time(one) < relative_time(other);
                      });
     points.push_back({static_cast<double>(quartile->units),
                       ToMs(quartile->time),
                       static_cast<double>(sorted.size())});
   }
-  if (points.empty() || this->count < kMinObservations) {
-    return std::nullopt;
+  return points;
+}
+
+std::optional<LatencyLine::Estimate> LatencyLine::Fit(
+    const Estimate& prior) const {
+  // Within a group, units differ by up to two times. Which times are long for
+  // their load is told by the line itself; at first it is taken to be
+  // proportional to the load.
+  Estimate line{{}, base::Milliseconds(1)};
+  for (int round = 0; round < kFitRounds; ++round) {
+    const std::vector<Point> points = this->LowerQuartiles(line);
+    if (points.empty() || this->count < kMinObservations) {
+      return std::nullopt;
+    }
+    line = FitLine(points, prior);
   }
-  return FitLine(points, prior);
+  return line;
 }
 
 LatencyLine::Estimate LatencyLine::FitLine(const std::vector<Point>& points,
@@ -149,9 +166,16 @@
       ToMs(prior.per_unit) / std::max(ToMs(prior.At(widest.units)), kMinMs);
   double slope =
       slopes.empty() ? widest.ms * prior_part : WeightedMedian(slopes);
-  if (widest.units > 0) {
-    slope = std::clamp(slope, kMinLoadPart * widest.ms / widest.units,
-                       widest.ms / widest.units);
+  std::vector<Weighted> rates;
+  for (const Point& point : points) {
+    if (point.units > 0) {
+      rates.push_back({point.ms / point.units, point.weight});
+    }
+  }
+  if (!rates.empty()) {
+    // The median, as a single group may be misjudged.
+    const double rate = WeightedMedian(rates);
+    slope = std::clamp(slope, kMinLoadPart * rate, rate);
   }
   // More load makes nothing faster.
   slope = std::max(slope, 0.0);
