--- a/core/include/carawayvalve/core/window_counts.h
+++ b/core/include/carawayvalve/core/window_counts.h
@@ -12,6 +12,9 @@
 
 using AccountCounts = std::map<base::ClientAccountId, int64_t>;
 
+// Returns the sum over all accounts.
+int64_t TotalOf(const AccountCounts& counts);
+
 // The requests that one process counted in one window.
 struct WindowCountsPart {
   int64_t window = 0;
@@ -36,6 +39,8 @@
 
   // Returns the sums over all sources; empty for a window without requests.
   AccountCounts Sum(int64_t window) const;
+  // Returns the number of requests that `source` counted.
+  int64_t CountOf(const base::BootId& source, int64_t window) const;
   // Returns the parts of windows from `first` on.
   std::vector<WindowCountsPart> Parts(int64_t first) const;
   // Drops the windows before `first`.
--- a/core/src/window_counts.cc
+++ b/core/src/window_counts.cc
@@ -1,9 +1,26 @@
 #include "carawayvalve/core/window_counts.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace carawayvalve::core {
 
+int64_t TotalOf(const AccountCounts& counts) {
+  return std::accumulate(
+      counts.begin(), counts.end(), int64_t{0},
+      [](int64_t sum, const auto& item) { return sum + item.second; });
+}
+
+int64_t WindowCounts::CountOf(const base::BootId& source,
+                              int64_t window) const {
+  const auto found = this->windows.find(window);
+  if (found == this->windows.end()) {
+    return 0;
+  }
+  const auto part = found->second.find(source);
+  return part == found->second.end() ? 0 : TotalOf(part->second);
+}
+
 void WindowCounts::Count(const base::BootId& source,
                          int64_t window,
                          const base::ClientAccountId& account) {
--- a/gateway/src/duty_holder.cc
+++ b/gateway/src/duty_holder.cc
@@ -240,6 +240,7 @@
   this->context.journal.Write(
       base::LogLevel::kInfo, "usage_report_sent",
       {{"window", action.window},
+       {"requests", core::TotalOf(action.counts)},
        {"epoch", grant->epoch},
        {"lease_left_ms", base::ToMilliseconds(grant->valid_until - now)}});
   this->report_calls[action.window] = TimedCall::Start(
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -97,6 +97,12 @@
       this->state.wall_clock.At(now) /
       base::Duration(this->state.settings.duties.usage_window);
   this->state.usage.ForgetBefore(window - kWindowsKept);
+  if (std::exchange(this->current_window, window) != window) {
+    this->journal.Write(base::LogLevel::kInfo, "usage_counted",
+                        {{"window", window - 1},
+                         {"requests", this->state.usage.CountOf(
+                                          this->state.boot, window - 1)}});
+  }
   this->duties.Tick(this->peers.LiveHosts(now));
   if (this->state.table != nullptr &&
       this->state.table->version() != this->plan_version) {
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -59,6 +59,8 @@
   net::Timer tick_timer;
   net::Timer stop_timer;
   int64_t plan_version = 0;
+  // The usage window at the last tick.
+  int64_t current_window = 0;
   bool was_ready = false;
   base::Instant stop_requested_at;
 };
