Tell the gateway that reports usage of changed counts at once, and repeatedly

Each gateway now sends the counts that changed within the last 2 s every 0.4 s (or round, if that is longer) to the one that says that it reports usage, and to the three that would succeed it. The message to all stays as it was.

--- a/gateway/src/duty_holder.cc
+++ b/gateway/src/duty_holder.cc
@@ -14,7 +14,6 @@
 constexpr char kLeaseKind[] = "carawayvalve-leases";
 constexpr char kLeaseName[] = "duties";
 constexpr char kSealKind[] = "carawayvalve-usage";
-constexpr char kDutyName[] = "duties";
 constexpr int kOk = 200;
 
 // A call to the platform that isn't answered within this time is treated as
@@ -112,6 +111,7 @@
     return;
   }
   this->was_holder = holds;
+  this->context.state.reports_usage = holds;
   if (!holds) {
     // Calls still queued in a connection must not arrive after the calls of the
     // next holder.
--- a/gateway/src/duty_holder.h
+++ b/gateway/src/duty_holder.h
@@ -15,6 +15,9 @@
 
 namespace carawayvalve::gateway {
 
+// The duty for which the gateways compete: reporting usage and ordering roles.
+inline constexpr char kDutyName[] = "duties";
+
 // Competes for the lease under which one gateway at a time calls the platform.
 // While this gateway holds the lease, it reports the usage of all gateways and
 // controls the engines' roles.
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "carawayvalve/core/duty.h"
+#include "duty_holder.h"
 #include "gossip_format.h"
 
 namespace carawayvalve::gateway {
@@ -30,7 +31,11 @@
 constexpr base::Milliseconds kUpdateDelay(1);
 // A peer counts as live while its last message is younger than this.
 constexpr std::chrono::seconds kLivenessTimeout(3);
-// Usage counts are sent once in this many rounds.
+// Changed usage counts are sent to the gateway that reports them at this
+// interval, or each round if that is longer, and repeated for some time.
+constexpr base::Milliseconds kUsageChangeInterval(400);
+constexpr std::chrono::seconds kUsageRepeatTime(2);
+// All usage counts are sent to all gateways once in this many rounds.
 constexpr int64_t kRoundsPerUsageMessage = 10;
 // The number of newest usage windows that are sent; older ones are sealed.
 constexpr int64_t kWindowsSent = 2;
@@ -120,6 +125,7 @@
                }),
       feed(feed),
       client(context.loop, kKeepAlive),
+      usage_changes(kUsageRepeatTime),
       round_timer(context.loop),
       update_timer(context.loop) {}
 
@@ -212,6 +218,9 @@
                             : -1;
   gossip.leaving = this->leaving;
   gossip.registry_revision = this->feed.registry_revision();
+  if (state.reports_usage) {
+    gossip.__set_reports_usage(true);
+  }
   return gossip;
 }
 
@@ -270,6 +279,9 @@
   if (has_changes || this->rounds % kRoundsPerIdleMessage == 0) {
     this->SendLoads();
   }
+  if (base::Now() - this->usage_sent_at >= kUsageChangeInterval) {
+    this->SendUsageChanges();
+  }
   const bool usage_due = this->rounds % kRoundsPerUsageMessage == 0;
   if (std::exchange(this->new_peer_seen, false) || usage_due) {
     for (const Gossip& windows : this->WindowMessages(false)) {
@@ -350,18 +362,29 @@
   return messages;
 }
 
-std::vector<Gossip> PeerGossip::WindowMessages(bool all_sources) const {
+std::vector<core::WindowCountsPart> PeerGossip::RecentCounts() const {
   const GatewayState& state = this->context.state;
   const int64_t current_window =
       state.wall_clock.At(base::Now()) /
       base::Duration(state.settings.duties.usage_window);
+  return state.usage.Parts(current_window - kWindowsSent + 1);
+}
+
+std::vector<Gossip> PeerGossip::WindowMessages(bool all_sources) const {
+  std::vector<core::WindowCountsPart> parts = this->RecentCounts();
+  if (!all_sources) {
+    std::erase_if(parts, [&](const core::WindowCountsPart& part) {
+      return part.source != this->context.state.boot;
+    });
+  }
+  return this->MessagesOf(parts);
+}
+
+std::vector<Gossip> PeerGossip::MessagesOf(
+    const std::vector<core::WindowCountsPart>& parts) const {
   std::vector<Gossip> messages;
   size_t accounts_in_message = kMaxAccountsPerDatagram;
-  for (const core::WindowCountsPart& part :
-       state.usage.Parts(current_window - kWindowsSent + 1)) {
-    if (!all_sources && part.source != state.boot) {
-      continue;
-    }
+  for (const core::WindowCountsPart& part : parts) {
     for (const auto& [account, count] : part.counts) {
       if (accounts_in_message >= kMaxAccountsPerDatagram) {
         messages.push_back(this->BaseMessage());
@@ -382,6 +405,33 @@
   return messages;
 }
 
+void PeerGossip::SendUsageChanges() {
+  const base::Instant now = base::Now();
+  this->usage_sent_at = now;
+  std::vector<core::WindowCountsPart> parts = this->RecentCounts();
+  std::erase_if(parts, [&](const core::WindowCountsPart& part) {
+    return part.source != this->context.state.boot;
+  });
+  const auto messages =
+      this->MessagesOf(this->usage_changes.Update(parts, now));
+  if (messages.empty()) {
+    return;
+  }
+  const auto candidates =
+      core::RankHolders(kDutyName, this->context.state.live_hosts);
+  for (const auto& [host, peer] : this->peers) {
+    const auto rank = std::find(candidates.begin(), candidates.end(), host) -
+                      candidates.begin();
+    if (!peer.reports_usage && rank >= core::kMaxDutyCandidates) {
+      continue;
+    }
+    for (Gossip message : messages) {
+      message.echo = peer.stamp;
+      this->datagrams->Send(PrintGossip(message), peer.address);
+    }
+  }
+}
+
 void PeerGossip::Send(const Gossip& gossip) {
   Gossip addressed = gossip;
   for (const auto& [host, peer] : this->peers) {
@@ -429,6 +479,7 @@
   }
   peer.address = sender;
   peer.last_received = now;
+  peer.reports_usage = gossip->reports_usage;
   peer.stamp = std::max(gossip->stamp, int64_t{0});
   state.wall_clock.RecordPeerTime(host, base::Milliseconds(gossip->unix_ms),
                                   now);
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "carawayvalve/core/usage_changes.h"
 #include "carawayvalve/net/datagram_socket.h"
 #include "carawayvalve/net/http_server.h"
 #include "carawayvalve/platform/objects.h"
@@ -43,6 +44,7 @@
     base::Instant last_received;
     int64_t stamp = 0;
     std::string boot;
+    bool reports_usage = false;
   };
 
   // Logs changes in the number of gateways that share the slack of the retry
@@ -64,6 +66,14 @@
   // without loads to mean that this gateway is idle.
   wire::gen::Gossip LoadMessage() const;
   std::vector<wire::gen::Gossip> WindowMessages(bool all_sources) const;
+  // Returns messages with these counts.
+  std::vector<wire::gen::Gossip> MessagesOf(
+      const std::vector<core::WindowCountsPart>& parts) const;
+  // Returns the counts of the windows that aren't sealed yet.
+  std::vector<core::WindowCountsPart> RecentCounts() const;
+  // Tells the gateway that reports usage, and its next successors, what this
+  // one has counted lately.
+  void SendUsageChanges();
   void OnDatagram(const std::string& data, const base::Address& sender);
   void ApplyLoads(const wire::gen::Gossip& gossip, base::Instant now);
   void ApplyDepartures(const wire::gen::Gossip& gossip, base::Instant now);
@@ -86,6 +96,8 @@
   net::Timer round_timer;
   net::Timer update_timer;
   int64_t rounds = 0;
+  core::UsageChanges usage_changes;
+  base::Instant usage_sent_at;
   // The crash record to send next, counted over all messages.
   size_t next_crash = 0;
   // The same of the served parts.
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -1215,6 +1215,11 @@
   this->served_parts = val;
 __isset.served_parts = true;
 }
+
+void Gossip::__set_reports_usage(const bool val) {
+  this->reports_usage = val;
+__isset.reports_usage = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -1468,6 +1473,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reports_usage);
+          this->__isset.reports_usage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1634,6 +1647,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.reports_usage) {
+    xfer += oprot->writeFieldBegin("reports_usage", ::apache::thrift::protocol::T_BOOL, 17);
+    xfer += oprot->writeBool(this->reports_usage);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1657,6 +1675,7 @@
   swap(a.absences, b.absences);
   swap(a.departures, b.departures);
   swap(a.served_parts, b.served_parts);
+  swap(a.reports_usage, b.reports_usage);
   swap(a.__isset, b.__isset);
 }
 
@@ -1677,6 +1696,7 @@
   absences = other96.absences;
   departures = other96.departures;
   served_parts = other96.served_parts;
+  reports_usage = other96.reports_usage;
   __isset = other96.__isset;
 }
 Gossip::Gossip(Gossip&& other97) noexcept {
@@ -1696,6 +1716,7 @@
   absences = std::move(other97.absences);
   departures = std::move(other97.departures);
   served_parts = std::move(other97.served_parts);
+  reports_usage = other97.reports_usage;
   __isset = other97.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other98) {
@@ -1715,6 +1736,7 @@
   absences = other98.absences;
   departures = other98.departures;
   served_parts = other98.served_parts;
+  reports_usage = other98.reports_usage;
   __isset = other98.__isset;
   return *this;
 }
@@ -1735,6 +1757,7 @@
   absences = std::move(other99.absences);
   departures = std::move(other99.departures);
   served_parts = std::move(other99.served_parts);
+  reports_usage = other99.reports_usage;
   __isset = other99.__isset;
   return *this;
 }
@@ -1757,6 +1780,7 @@
   out << ", " << "absences="; (__isset.absences ? (out << to_string(absences)) : (out << "<null>"));
   out << ", " << "departures="; (__isset.departures ? (out << to_string(departures)) : (out << "<null>"));
   out << ", " << "served_parts="; (__isset.served_parts ? (out << to_string(served_parts)) : (out << "<null>"));
+  out << ", " << "reports_usage="; (__isset.reports_usage ? (out << to_string(reports_usage)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -399,10 +399,11 @@
 std::ostream& operator<<(std::ostream& out, const GossipDeparture& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false), served_parts(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false) {}
   bool absences :1;
   bool departures :1;
   bool served_parts :1;
+  bool reports_usage :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -421,7 +422,8 @@
            plan_version(0),
            proof_age_ms(0),
            leaving(0),
-           registry_revision(0) {
+           registry_revision(0),
+           reports_usage(0) {
   }
 
   virtual ~Gossip() noexcept;
@@ -441,6 +443,7 @@
   std::vector<GossipAbsence>  absences;
   std::vector<GossipDeparture>  departures;
   std::vector<GossipServedPart>  served_parts;
+  bool reports_usage;
 
   _Gossip__isset __isset;
 
@@ -476,6 +479,8 @@
 
   void __set_served_parts(const std::vector<GossipServedPart> & val);
 
+  void __set_reports_usage(const bool val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -516,6 +521,10 @@
       return false;
     else if (__isset.served_parts && !(served_parts == rhs.served_parts))
       return false;
+    if (__isset.reports_usage != rhs.__isset.reports_usage)
+      return false;
+    else if (__isset.reports_usage && !(reports_usage == rhs.reports_usage))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -83,4 +83,6 @@
   14: optional list<GossipAbsence> absences,
   15: optional list<GossipDeparture> departures,
   16: optional list<GossipServedPart> served_parts,
+  // The sender reports the usage of all gateways.
+  17: optional bool reports_usage,
 }
