Wait for the usage of gateways that are cut off before a window is sealed

A gateway that was gone before the window isn't waited for. What it costs: after a kill of a gateway, and while one is cut off, the report comes up to 4 s later, and is missed if the store goes away in these.

--- a/core/include/carawayvalve/core/window_reporter.h
+++ b/core/include/carawayvalve/core/window_reporter.h
@@ -62,6 +62,12 @@
     // From a window's end until it is sealed, which gives the counts of peers
     // time to arrive.
     base::Duration seal_delay = std::chrono::seconds(2);
+    // The same while a process that was heard in the window hasn't been heard
+    // since: its counts may arrive yet.
+    base::Duration max_seal_delay = std::chrono::seconds(2);
+    // From a window's end until a process has told all of its counts, if it is
+    // heard then.
+    base::Duration settle_time = std::chrono::seconds(1);
     // From a window's end until it is no longer reported.
     base::Duration max_report_delay = std::chrono::seconds(10);
     base::Duration retry_delay = std::chrono::milliseconds(500);
@@ -74,10 +80,12 @@
   // Returns the window that contains a wall-clock time since 1970.
   int64_t WindowOf(base::Duration wall_time) const;
 
-  // Returns the actions that are due. Called only while holding the duty.
+  // Returns the actions that are due. `heard` tells when each of the other
+  // processes was last heard. Called only while holding the duty.
   std::vector<ReportAction> Tick(const WindowCounts& counts,
                                  base::Duration wall_time,
-                                 base::Instant now);
+                                 base::Instant now,
+                                 const std::vector<base::Instant>& heard = {});
   void Step(const ReportEvent& event, base::Instant now);
 
   // Returns the number of windows that this process has reported.
@@ -97,6 +105,11 @@
   void On(const ReportAccepted& event, base::Instant now);
   void On(const ReportFailed& event, base::Instant now);
   void ScheduleRetry(int64_t window, base::Instant now);
+  // Returns whether counts of the window that ended at this time may arrive
+  // yet.
+  bool AwaitsCounts(base::Instant window_end,
+                    base::Instant now,
+                    const std::vector<base::Instant>& heard) const;
 
   Settings settings;
   std::map<int64_t, Window> windows;
--- a/core/src/window_reporter.cc
+++ b/core/src/window_reporter.cc
@@ -1,14 +1,18 @@
 #include "carawayvalve/core/window_reporter.h"
 
+#include <algorithm>
+
 namespace carawayvalve::core {
 
 int64_t WindowReporter::WindowOf(base::Duration wall_time) const {
   return wall_time / this->settings.window_length;
 }
 
-std::vector<ReportAction> WindowReporter::Tick(const WindowCounts& counts,
-                                               base::Duration wall_time,
-                                               base::Instant now) {
+std::vector<ReportAction> WindowReporter::Tick(
+    const WindowCounts& counts,
+    base::Duration wall_time,
+    base::Instant now,
+    const std::vector<base::Instant>& heard) {
   std::vector<ReportAction> actions;
   // `last` is the newest window that may be sealed, `first` the oldest that may
   // still be reported.
@@ -23,6 +27,12 @@
         now < window.retry_at) {
       continue;
     }
+    const base::Duration since_end =
+        wall_time - (number + 1) * this->settings.window_length;
+    if (window.stage == Stage::kUnsealed &&
+        this->AwaitsCounts(now - since_end, now, heard)) {
+      continue;
+    }
     window.in_flight = true;
     if (window.stage == Stage::kUnsealed) {
       actions.emplace_back(StoreSeal{number, counts.Sum(number)});
@@ -33,6 +43,19 @@
   return actions;
 }
 
+bool WindowReporter::AwaitsCounts(
+    base::Instant window_end,
+    base::Instant now,
+    const std::vector<base::Instant>& heard) const {
+  if (now - window_end >= this->settings.max_seal_delay) {
+    return false;
+  }
+  return std::any_of(heard.begin(), heard.end(), [&](base::Instant at) {
+    return at >= window_end - this->settings.window_length &&
+           at < window_end + this->settings.settle_time;
+  });
+}
+
 void WindowReporter::Step(const ReportEvent& event, base::Instant now) {
   std::visit([&](const auto& kind) { this->On(kind, now); }, event);
 }
--- a/core/tests/window_reporter_test.cc
+++ b/core/tests/window_reporter_test.cc
@@ -51,6 +51,29 @@
       CHECK(std::get<StoreSeal>(action).window < 20);
     }
   }
+  SUBCASE("a window is sealed later while a gateway is cut off") {
+    WindowReporter patient({.max_seal_delay = seconds(7)});
+    const auto sealed = [&](Milliseconds wall_time, Instant heard) {
+      bool found = false;
+      for (const ReportAction& action :
+           patient.Tick(counts, wall_time, now, {now, heard})) {
+        found = found || std::get<StoreSeal>(action).window == 20;
+      }
+      return found;
+    };
+    // The window ended two seconds ago; the gateway was heard before that.
+    CHECK_FALSE(sealed(seconds(107), now - seconds(4)));
+
+    SUBCASE("until it is heard again") {
+      CHECK(sealed(seconds(107), now - Milliseconds(500)));
+    }
+    SUBCASE("but not for longer than the report may wait") {
+      CHECK(sealed(seconds(112), now - seconds(9)));
+    }
+    SUBCASE("and not for one that was gone before the window") {
+      CHECK(sealed(seconds(107), now - seconds(8)));
+    }
+  }
   SUBCASE("a window is sealed after the seal delay") {
     const auto actions = reports.Tick(counts, seconds(107), now);
     REQUIRE(!actions.empty());
--- a/gateway/src/duty_holder.cc
+++ b/gateway/src/duty_holder.cc
@@ -31,6 +31,8 @@
 // The counts of all gateways reach the holder within this time after the end
 // of a window.
 constexpr base::Milliseconds kSealDelay(3000);
+// Time for the seal and the report, with a retry of each.
+constexpr base::Milliseconds kReportTime(3000);
 // A process that has just started receives the counts of its peers within this
 // time.
 constexpr base::Milliseconds kStartupDelay(2500);
@@ -51,6 +53,7 @@
   core::WindowReporter::Settings reporter_settings;
   reporter_settings.window_length = settings.duties.usage_window;
   reporter_settings.seal_delay = kSealDelay;
+  reporter_settings.max_seal_delay = settings.duties.usage_late - kReportTime;
   reporter_settings.max_report_delay = settings.duties.usage_late;
   return reporter_settings;
 }
@@ -99,8 +102,13 @@
     return;
   }
   const base::Duration wall_clock = state.wall_clock.At(now);
+  std::vector<base::Instant> heard;
+  heard.reserve(state.peers_heard.size());
+  for (const auto& [host, at] : state.peers_heard) {
+    heard.push_back(at);
+  }
   for (const core::ReportAction& action :
-       this->reports.Tick(state.usage, wall_clock, now)) {
+       this->reports.Tick(state.usage, wall_clock, now, heard)) {
     std::visit([&](const auto& kind) { this->Perform(kind); }, action);
   }
 }
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -77,6 +77,8 @@
   std::vector<base::HostId> live_hosts;
   // The gateways that share the slack of the retry budget.
   core::RetryBudgetMembers retry_members;
+  // When each peer was last heard.
+  std::map<base::HostId, base::Instant> peers_heard;
   // This gateway reports the usage of all gateways.
   bool reports_usage = false;
   bool stopping = false;
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -455,6 +455,7 @@
   const bool was_not_live = now - peer.last_received > kLivenessTimeout;
   if (gossip->leaving) {
     this->peers.erase(host);
+    state.peers_heard.erase(host);
     state.load.NotePeer(host, {}, now);
     return;
   }
@@ -479,6 +480,7 @@
   }
   peer.address = sender;
   peer.last_received = now;
+  state.peers_heard[host] = now;
   peer.reports_usage = gossip->reports_usage;
   peer.stamp = std::max(gossip->stamp, int64_t{0});
   state.wall_clock.RecordPeerTime(host, base::Milliseconds(gossip->unix_ms),
