--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -36,6 +36,11 @@
   this->silence_ticket = context.state.silence.NoteSent(
       plan.backend.id, FirstDataTimeout(plan.expected), this->sent);
   this->context.on_load_changed();
+  this->context.NoteBackendRequest(
+      plan.backend.id,
+      std::holds_alternative<platform::PrefillOnly>(plan.order.stage)
+          ? "prefill"
+          : "attempt");
   net::CallOptions options;
   options.connect_timeout = kConnectTimeout;
   options.echo = platform::RequestIdField(caller);
@@ -89,8 +94,8 @@
 void BackendCall::On(const net::CallHead& event) {
   this->context.state.silence.NoteReceived(this->call_plan.backend.id,
                                            base::Now());
-  this->head =
-      this->context.NoteBackendHead(this->call_plan.backend, event.head);
+  this->head = this->context.NoteBackendHead(this->call_plan.backend,
+                                             event.head, this->sent);
   this->status = event.head.status;
   this->framing = event.framing;
   const std::string* type = net::FindField(event.head.fields, "Content-Type");
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -23,9 +23,31 @@
 
 }  // namespace
 
+void Context::NoteBackendRequest(const base::BackendServerId& /*id*/,
+                                 const char* kind) {
+  this->metrics.CountBackendRequest(kind);
+}
+
+void Context::NoteBackendRate(const core::BackendRateStatement& statement,
+                              const std::string& source) {
+  if (!this->state.rate_limits.NoteStatement(statement)) {
+    return;
+  }
+  const auto* limit = std::get_if<core::RateLimit>(&statement.statement);
+  this->journal.Write(
+      base::LogLevel::kInfo,
+      limit == nullptr ? "backend_limit_withdrawn" : "backend_limits_rate",
+      {{"backend", statement.id.value},
+       {"per_second",
+        limit == nullptr ? "" : std::to_string(limit->per_second)},
+       {"source", source},
+       {"age_ms", base::ToMilliseconds(base::Now() - statement.stated)}});
+}
+
 platform::BackendHead Context::NoteBackendHead(
     const core::BackendEntry& backend,
-    const net::ResponseHead& head) {
+    const net::ResponseHead& head,
+    base::Instant /*sent*/) {
   platform::BackendHead decoded = platform::DecodeBackendHead(head);
   const base::Instant now = base::Now();
   if (decoded.wait.has_value()) {
@@ -34,6 +56,10 @@
                         {{"backend", backend.id.value},
                          {"wait_ms", base::ToMilliseconds(*decoded.wait)}});
   }
+  if (decoded.rate.has_value()) {
+    this->NoteBackendRate({backend.id, backend.started_ms, *decoded.rate, now},
+                          "answer");
+  }
   if (decoded.leaving &&
       this->state.directory.NoteLeaving(backend.id, backend.started_ms, now)) {
     this->journal.Write(base::LogLevel::kInfo, "backend_leaves",
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -39,10 +39,18 @@
   // a backend server leaves, or what ran when one crashed.
   std::function<void()>& on_urgent_news;
 
-  // Applies what the head of a backend server's answer says of that server.
-  // Returns the decoded head.
+  // Records that a request of this kind, such as "attempt", is sent to a
+  // backend server.
+  void NoteBackendRequest(const base::BackendServerId& id, const char* kind);
+  // Applies what the head of a backend server's answer to a request that was
+  // sent at `sent` says of that server. Returns the decoded head.
   platform::BackendHead NoteBackendHead(const core::BackendEntry& backend,
-                                        const net::ResponseHead& head);
+                                        const net::ResponseHead& head,
+                                        base::Instant sent);
+  // Applies what a backend server has said of the rate of its requests;
+  // `source` is "answer", or the peer that told it.
+  void NoteBackendRate(const core::BackendRateStatement& statement,
+                       const std::string& source);
   // Records that a backend server crashed or restarted; `sign` says how that
   // was noticed.
   void NoteBackendCrash(const base::BackendServerId& id, const char* sign);
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -40,6 +40,11 @@
           .Name("carawayvalve_backend_answers_total")
           .Help("Backend servers' answers by framing and how they ended")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& backend_requests =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_backend_requests_total")
+          .Help("Requests to backend servers by kind")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& retries =
       prometheus::BuildCounter()
           .Name("carawayvalve_retries_total")
@@ -102,6 +107,10 @@
       .Increment();
 }
 
+void GatewayMetrics::CountBackendRequest(const std::string& kind) {
+  this->families->backend_requests.Add({{"kind", kind}}).Increment();
+}
+
 void GatewayMetrics::CountRetry(const std::string& outcome) {
   this->families->retries.Add({{"outcome", outcome}}).Increment();
 }
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -9,6 +9,7 @@
 
 #include "carawayvalve/core/backend_directory.h"
 #include "carawayvalve/core/backend_health.h"
+#include "carawayvalve/core/backend_rate_limits.h"
 #include "carawayvalve/core/crash_correlator.h"
 #include "carawayvalve/core/fleet_load.h"
 #include "carawayvalve/core/key_freshness.h"
@@ -54,6 +55,7 @@
   core::KeyFreshness key_freshness;
   core::BackendDirectory directory;
   core::BackendHealth health;
+  core::BackendRateLimits rate_limits;
   core::SilenceDetector silence;
   core::FleetLoad load;
   core::PrefixCacheTracker prefix_caches;
--- a/gateway/src/request_prefill.cc
+++ b/gateway/src/request_prefill.cc
@@ -19,12 +19,14 @@
 void SendRelease(Context& context,
                  const core::BackendEntry& engine,
                  const platform::DecodeFromHandle& prompt) {
+  context.NoteBackendRequest(engine.id, "release");
   const auto call_holder = std::make_shared<std::shared_ptr<TimedCall>>();
   *call_holder = TimedCall::Start(
       context.loop, context.backends, prompt.prefill_engine,
       platform::EncodeRelease(prompt.handle), kReleaseTimeout,
-      [&context, engine, call_holder](const TimedCall::Result& result) {
-        context.NoteBackendHead(engine, {result.status, result.fields});
+      [&context, engine, call_holder,
+       sent = base::Now()](const TimedCall::Result& result) {
+        context.NoteBackendHead(engine, {result.status, result.fields}, sent);
         call_holder->reset();
       });
 }
--- a/gateway/src/role_controller.cc
+++ b/gateway/src/role_controller.cc
@@ -94,17 +94,18 @@
                               change.backend_server, base::Now())) {
     return;
   }
+  this->context.NoteBackendRequest(change.backend_server, "report");
   this->calls[change.backend_server] = TimedCall::Start(
       this->context.loop, this->engines, entry->address,
       platform::EncodeEngineReportRequest(change.backend_server), kOrderTimeout,
-      [this, change](const TimedCall::Result& result) {
+      [this, change, sent = base::Now()](const TimedCall::Result& result) {
+        this->NoteHead(change, result, sent);
         this->OnReport(change, result);
       });
 }
 
 void RoleController::OnReport(const core::RoleChange& change,
                               const TimedCall::Result& result) {
-  this->NoteHead(change, result);
   const auto report = platform::DecodeEngineReport(result.body);
   if (!report.has_value() || report->order_in_progress) {
     this->context.journal.Write(
@@ -118,11 +119,12 @@
 }
 
 void RoleController::NoteHead(const core::RoleChange& change,
-                              const TimedCall::Result& result) {
+                              const TimedCall::Result& result,
+                              base::Instant sent) {
   const core::BackendEntry* entry =
       this->context.state.directory.Find(change.backend_server);
   if (entry != nullptr) {
-    this->context.NoteBackendHead(*entry, {result.status, result.fields});
+    this->context.NoteBackendHead(*entry, {result.status, result.fields}, sent);
   }
 }
 
@@ -137,18 +139,20 @@
   }
   const platform::FencingToken token = {this->context.state.settings.host,
                                         this->grant->epoch};
+  this->context.NoteBackendRequest(change.backend_server, "order");
   this->calls[change.backend_server] = TimedCall::Start(
       this->context.loop, this->engines, entry->address,
       platform::EncodeRoleOrder(token, change.backend_server, change.role,
                                 accepted_orders),
-      kOrderTimeout, [this, change](const TimedCall::Result& result) {
+      kOrderTimeout,
+      [this, change, sent = now](const TimedCall::Result& result) {
+        this->NoteHead(change, result, sent);
         this->OnOrdered(change, result);
       });
 }
 
 void RoleController::OnOrdered(const core::RoleChange& change,
                                const TimedCall::Result& result) {
-  this->NoteHead(change, result);
   if (result.status == kAccepted) {
     GatewayState& state = this->context.state;
     const base::Instant until = base::Now() + kRoleChangeTime;
--- a/gateway/src/role_controller.h
+++ b/gateway/src/role_controller.h
@@ -32,7 +32,8 @@
                 const TimedCall::Result& result);
   // Applies what the head of an engine's answer says of that engine.
   void NoteHead(const core::RoleChange& change,
-                const TimedCall::Result& result);
+                const TimedCall::Result& result,
+                base::Instant sent);
   void SendOrder(const core::RoleChange& change, int64_t accepted_orders);
   void OnOrdered(const core::RoleChange& change,
                  const TimedCall::Result& result);
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -272,6 +272,7 @@
     this->context.NoteBackendCrash(entry->id, "restarted");
     state.prefix_caches.Forget(entry->id);
     state.health.Forget(entry->id);
+    state.rate_limits.Forget(entry->id);
   }
   if (previous != nullptr && previous->role != entry->role) {
     state.health.NoteRoleChangeDone(entry->id);
@@ -300,6 +301,7 @@
     this->context.NoteBackendCrash(id, "removed");
     state.prefix_caches.Forget(id);
     state.health.Forget(id);
+    state.rate_limits.Forget(id);
   }
   this->context.journal.Write(
       base::LogLevel::kInfo, "backend_removed",
@@ -311,6 +313,7 @@
   for (const base::BackendServerId& id : state.directory.Expire(base::Now())) {
     state.prefix_caches.Forget(id);
     state.health.Forget(id);
+    state.rate_limits.Forget(id);
     this->context.journal.Write(
         base::LogLevel::kInfo, "backend_removed",
         {{"backend", id.value}, {"cause", "lapsed"}, {"gone", true}});
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -245,7 +245,8 @@
   }
   SUBCASE("an own answer is told at once") {
     test.gateway.context.NoteBackendHead(*state.directory.Find({"heard-here"}),
-                                         {200, {{"Server-Leaving", "1"}}});
+                                         {200, {{"Server-Leaving", "1"}}},
+                                         base::Now());
     test.gateway.RunFor(base::Milliseconds(150));
     CHECK(departed == "heard-here ");
   }
