Show that backend servers get more requests than the limit they have named

The stand-ins name a limit in all their answers and don't enforce it; three tests count what arrives: one gateway, agents behind two entry processes, and the soak (--rate-limits), where limits come, overlap and are withdrawn while gateways are killed, stopped and paused, and refused callers come back at another gateway. The bounds are the users' rule, counted over all gateways, told or not.

--- a/tests/fakes/faults.cc
+++ b/tests/fakes/faults.cc
@@ -34,6 +34,7 @@
   this->delay_ms = change.value("delay_ms", this->delay_ms);
   this->down = change.value("down", this->down);
   this->lose_answers = change.value("lose_answers", this->lose_answers);
+  this->rate_limit = change.value("rate_limit", this->rate_limit);
 }
 
 void Faults::Count(const Request& request) {
@@ -58,6 +59,13 @@
   return true;
 }
 
+void Faults::AddRateLimit(Reply& reply) const {
+  const std::lock_guard lock(this->mutex);
+  if (!this->rate_limit.empty()) {
+    reply.headers.emplace_back("Server-Limit", this->rate_limit);
+  }
+}
+
 void Faults::DelayAnswer() const {
   int64_t delay = 0;
   {
--- a/tests/fakes/faults.h
+++ b/tests/fakes/faults.h
@@ -28,6 +28,8 @@
   bool TakeLostAnswer(const Request& request);
   // Waits for the currently injected answer delay.
   void DelayAnswer() const;
+  // Adds to the answer the rate of requests that a test lets the stand-in name.
+  void AddRateLimit(Reply& reply) const;
 
  private:
   void Set(const nlohmann::json& change);
@@ -37,6 +39,8 @@
   int64_t delay_ms = 0;
   bool down = false;
   int64_t lose_answers = 0;
+  // Requests a second; empty for no limit.
+  std::string rate_limit;
   std::map<std::string, int64_t> calls;
 };
 
--- a/tests/fakes/http_server.cc
+++ b/tests/fakes/http_server.cc
@@ -219,6 +219,7 @@
     const bool lost = faults.TakeLostAnswer(request);
     Reply reply = RunHandler(server.handler, request);
     faults.DelayAnswer();
+    faults.AddRateLimit(reply);
     if (lost) {
       Drain(reply.chunks);
       return MHD_NO;
--- a/tests/fakes/options.cc
+++ b/tests/fakes/options.cc
@@ -62,11 +62,12 @@
   -h, --help          Show this.
 
 Faults, for every kind (on the control port of the forwarder):
-  POST /fault {"delay_ms":N, "down":BOOL, "lose_answers":N}
+  POST /fault {"delay_ms":N, "down":BOOL, "lose_answers":N, "rate_limit":"N"}
     Each member is optional. Answers wait delay_ms after taking effect. While
     down, connections close without an answer, running streams included.
     lose_answers carries out that many requests other than GET and HEAD, then
-    closes without an answer.
+    closes without an answer. Every answer names rate_limit, the requests a
+    second that are taken; "" names none.
   GET /calls gives the number of calls, those refused while down included.
 
 engine: a prompt that holds length=N gets N tokens, others 8 to 63, and never
--- a/tests/platform/backend.cc
+++ b/tests/platform/backend.cc
@@ -48,6 +48,9 @@
   if (this->leaves) {
     fields.push_back({"Server-Leaving", "1"});
   }
+  if (!this->rate_limit.empty()) {
+    fields.push_back({"Server-Limit", this->rate_limit});
+  }
   return fields;
 }
 
@@ -63,19 +66,17 @@
 // ignored. Returns false when the call is not a control call.
 bool Backend::OnControl(const std::shared_ptr<net::Exchange>& exchange) {
   const std::string& target = exchange->request().target;
+  net::Response response{{200, this->UnsignedFields(*exchange)}, ""};
   if (target == "/api/report") {
-    exchange->Respond({{200, {}}, R"({"seq":0,"busy":false})"});
-    return true;
-  }
-  if (target.starts_with("/api/kv-handle/")) {
-    exchange->Respond({{200, {}}, ""});
-    return true;
-  }
-  if (target == "/api/order") {
-    exchange->Respond({{202, {}}, ""});
-    return true;
-  }
-  return false;
+    response.body = R"({"seq":0,"busy":false})";
+  } else if (target == "/api/order") {
+    response.head.status = 202;
+  } else if (!target.starts_with("/api/kv-handle/")) {
+    return false;
+  }
+  this->control_calls.push_back(base::Now());
+  exchange->Respond(std::move(response));
+  return true;
 }
 
 void Backend::OnRequest(const std::shared_ptr<net::Exchange>& exchange) {
--- a/tests/platform/backend.h
+++ b/tests/platform/backend.h
@@ -67,6 +67,9 @@
   bool declines = false;
   // Says in every answer that it leaves.
   bool leaves = false;
+  // The requests a second that it says in every answer it takes; empty for any
+  // number. It doesn't enforce the limit.
+  std::string rate_limit;
   // The Retry-After of declined requests, in seconds; empty for none.
   std::string retry_after;
   // Answers every request with 500.
@@ -85,6 +88,8 @@
   base::Milliseconds extra_duration{0};
   // Requests received, in order.
   std::vector<BackendArrival> arrivals;
+  // When control calls, such as orders, were received.
+  std::vector<base::Instant> control_calls;
 
  private:
   struct PendingRequest {
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -1,5 +1,7 @@
 #include "callers.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace carawayvalve::tests {
@@ -11,6 +13,8 @@
 // How long a caller waits for a complete answer.
 constexpr base::Milliseconds kAnswerTimeout(3000);
 constexpr base::Milliseconds kConnectTimeout(1000);
+// Callers that are asked to wait for longer come back after this time.
+constexpr base::Milliseconds kMaxRetryAfter(1000);
 
 const char* PathOf(RequestType type) {
   switch (type) {
@@ -30,7 +34,7 @@
   return type == RequestType::kStream || type == RequestType::kResumableStream;
 }
 
-net::Request MakeRequest(const CallerCall& call, int prompt) {
+net::Request MakeRequest(const CallerCall& call) {
   net::Request request{
       "POST",
       std::string(PathOf(call.type)) + "x",
@@ -40,7 +44,7 @@
        {"X-Deadline-Ms", std::to_string(kAnswerTimeout.count())}},
       call.type == RequestType::kPayment ? "pay" : ""};
   if (IsForModel(call.type)) {
-    const std::string shared = std::to_string(prompt % 4);
+    const std::string shared = std::to_string(call.prompt % 4);
     request.fields.push_back({"X-Model", "m"});
     request.fields.push_back({"X-Token-Count", "2000,50"});
     const std::string poison =
@@ -52,6 +56,13 @@
   return request;
 }
 
+base::Milliseconds RetryAfterOf(const net::ResponseHead& head) {
+  const std::string* seconds = net::FindField(head.fields, "Retry-After");
+  return seconds == nullptr
+             ? base::Milliseconds(0)
+             : base::Milliseconds(std::llround(std::stod(*seconds) * 1000));
+}
+
 }  // namespace
 
 Callers::Callers(net::EventLoop& loop,
@@ -61,6 +72,7 @@
     : loop(loop),
       generator(seed),
       poison_generator(seed),
+      repeat_generator(seed),
       environment(std::move(environment)) {
   for (int i = 0; i < count; ++i) {
     this->callers.push_back(
@@ -81,10 +93,10 @@
   }
   const base::Milliseconds pause(this->generator() % kMaxPauseMs);
   this->callers[index].timer->Start(pause,
-                                    [this, index] { this->Send(index); });
+                                    [this, index] { this->SendNew(index); });
 }
 
-void Callers::Send(size_t index) {
+void Callers::SendNew(size_t index) {
   const auto gateways = this->environment.gateways();
   const auto accounts = this->environment.accounts();
   if (gateways.empty() || accounts.empty()) {
@@ -101,24 +113,49 @@
   call.poison = IsForModel(call.type) &&
                 std::uniform_real_distribution<double>()(
                     this->poison_generator) < this->environment.poison_fraction;
+  const std::string& gateway = gateways[this->generator() % gateways.size()];
+  call.prompt = static_cast<int>(this->generator() % 100);
+  this->Send(index, call, gateway);
+}
+
+void Callers::Repeat(size_t index, const CallerCall& refused) {
+  std::vector<std::string> others = this->environment.gateways();
+  std::erase(others, refused.gateway);
+  if (others.empty() || this->stopped) {
+    this->ScheduleNext(index);
+    return;
+  }
+  this->all_calls.push_back(std::make_unique<CallerCall>());
+  CallerCall& call = *this->all_calls.back();
+  call.id = "r" + std::to_string(++this->last_id);
+  call.type = refused.type;
+  call.account = refused.account;
+  call.key = refused.key;
+  call.poison = refused.poison;
+  call.prompt = refused.prompt;
+  call.repeats = refused.id;
+  this->Send(index, call, others[this->repeat_generator() % others.size()]);
+}
+
+void Callers::Send(size_t index, CallerCall& call, const std::string& gateway) {
+  call.gateway = gateway;
   call.sent = base::Now();
   ++this->in_flight_count;
   Caller& caller = this->callers[index];
   net::CallOptions options;
   options.connect_timeout = kConnectTimeout;
-  const std::string& gateway = gateways[this->generator() % gateways.size()];
-  const auto prompt = static_cast<int>(this->generator() % 100);
   caller.timer->Start(kAnswerTimeout, [this, index, &call] {
     this->callers[index].call.reset();
     this->Finish(index, call);
   });
   caller.call = caller.client->Start(
-      base::ParseAddress(gateway), MakeRequest(call, prompt), options,
+      base::ParseAddress(gateway), MakeRequest(call), options,
       [this, index, &call](const net::CallEvent& event) {
         if (const auto* sent = std::get_if<net::CallSent>(&event)) {
           call.kept_connection = sent->kept_connection;
         } else if (const auto* head = std::get_if<net::CallHead>(&event)) {
           call.status = head->head.status;
+          call.retry_after = RetryAfterOf(head->head);
         } else if (const auto* body = std::get_if<net::CallBody>(&event)) {
           call.body += body->data;
         } else if (std::holds_alternative<net::CallDone>(event)) {
@@ -135,7 +172,15 @@
   --this->in_flight_count;
   // Only schedules the next request: sending it here would destroy the call
   // whose event handler is running.
-  this->ScheduleNext(index);
+  const bool repeats = this->environment.repeat_refused && call.complete &&
+                       call.repeats.empty() && call.retry_after.count() > 0;
+  if (!repeats) {
+    this->ScheduleNext(index);
+    return;
+  }
+  this->callers[index].timer->Start(
+      std::min(call.retry_after, kMaxRetryAfter),
+      [this, index, &call] { this->Repeat(index, call); });
 }
 
 }  // namespace carawayvalve::tests
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -18,6 +18,8 @@
 struct CallerCall {
   std::string id;
   RequestType type = RequestType::kPayment;
+  // The number of the prompt, of those for models.
+  int prompt = 0;
   std::string account;
   std::string key;
   base::Instant sent;
@@ -30,6 +32,12 @@
   bool kept_connection = false;
   // Its prompt has the part that crashes engines.
   bool poison = false;
+  // The gateway that it was sent to.
+  std::string gateway;
+  // How long a refusal asks the caller to wait; 0 if it doesn't.
+  base::Milliseconds retry_after{0};
+  // The refused request that this one repeats; empty for the first one.
+  std::string repeats;
 };
 
 // The part of a prompt that crashes engines.
@@ -49,6 +57,9 @@
     std::function<std::vector<Account>()> accounts;
     // The fraction of the requests to models that have the poison part.
     double poison_fraction = 0;
+    // Callers that were refused repeat the request once, at another gateway,
+    // when they are asked to.
+    bool repeat_refused = false;
   };
 
   Callers(net::EventLoop& loop,
@@ -72,13 +83,19 @@
   };
 
   void ScheduleNext(size_t index);
-  void Send(size_t index);
+  // Draws a request and sends it.
+  void SendNew(size_t index);
+  // Sends a refused request once more.
+  void Repeat(size_t index, const CallerCall& refused);
+  void Send(size_t index, CallerCall& call, const std::string& gateway);
   void Finish(size_t index, CallerCall& call);
 
   net::EventLoop& loop;
   std::mt19937 generator;
   // Separate, so that poison requests don't change the other draws of a seed.
   std::mt19937 poison_generator;
+  // Separate for the same reason.
+  std::mt19937 repeat_generator;
   Environment environment;
   std::vector<Caller> callers;
   std::vector<std::unique_ptr<CallerCall>> all_calls;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -15,7 +15,7 @@
 Usage:
   carawayvalve-soak --program=FILE --folder=DIR [--seed=N] [--seconds=S]
                     [--gateways=N] [--callers=N]
-                    [--kills-in-turn | --poison-part]
+                    [--kills-in-turn | --poison-part | --rate-limits]
 
 Prints a line per seed and a line per violated guarantee; exits with 1 if there
 was a violation. Logs of the gateways and of the faults are kept in the folder.
@@ -30,6 +30,9 @@
                   instead of injecting random faults.
   --poison-part   Some prompts have a part that crashes engines, and connections
                   to backend servers are reset, instead of random faults.
+  --rate-limits   Backend servers limit the rate of their requests and withdraw
+                  it, while gateways are killed, stopped and paused, instead of
+                  random faults.
   --callers=N     Callers, each with one request at a time [default: 12].
 )";
 
@@ -47,6 +50,7 @@
   settings.callers = static_cast<int>(arguments["--callers"].asLong());
   settings.kills_in_turn = arguments["--kills-in-turn"].asBool();
   settings.poison_part = arguments["--poison-part"].asBool();
+  settings.rate_limits = arguments["--rate-limits"].asBool();
   // Every third seed has only planned operations.
   settings.planned_only = settings.seed % 3 == 0;
   std::filesystem::create_directories(settings.folder);
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -105,7 +105,8 @@
                              return addresses;
                            },
                            [this] { return this->accounts; },
-                           settings.poison_part ? kPoisonFraction : 0});
+                           settings.poison_part ? kPoisonFraction : 0,
+                           settings.rate_limits});
 }
 
 Soak::~Soak() = default;
@@ -128,6 +129,11 @@
       this->ScheduleResets();
       return;
     }
+    if (this->settings.rate_limits) {
+      this->ScheduleRateLimits();
+      this->ScheduleGatewayFaults();
+      return;
+    }
     this->ScheduleFault();
     if (!this->settings.planned_only) {
       this->ScheduleServiceFault();
@@ -151,6 +157,8 @@
   this->CheckReports();
   this->CheckRetries();
   this->CheckPoisonPart();
+  this->CheckRateLimits();
+  this->CheckServedBesideLimits();
   this->CheckProgress(first_call);
   std::cout << "seed " << this->settings.seed << ": "
             << this->callers->calls().size() << " requests, "
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -47,6 +47,9 @@
   // Replaces the random faults: some prompts have a part that crashes engines,
   // and connections to backend servers are reset.
   bool poison_part = false;
+  // Replaces the random faults: backend servers limit the rate of their
+  // requests and withdraw it, while gateways are killed, stopped and paused.
+  bool rate_limits = false;
   RetryBounds retries;
 };
 
@@ -87,6 +90,15 @@
     bool draining = false;
     base::Instant drained;
   };
+  // A backend server named a limit, in requests a second, and withdrew it.
+  struct RateLimitTime {
+    const Server* server = nullptr;
+    double per_second = 0;
+    base::Instant named;
+    base::Instant withdrawn;
+    // No server of its service could answer without a limit.
+    bool whole_service = false;
+  };
   struct Report {
     int64_t epoch = 0;
     std::string holder;
@@ -112,6 +124,11 @@
   // Ends streams of an engine inside an event, independently of other faults.
   void ScheduleCutStreams();
   void ScheduleResets();
+  // Lets servers of one service name limits for a while, again and again.
+  void ScheduleRateLimits();
+  void LimitRate(Server& server, bool whole_service, base::Milliseconds time);
+  // Kills, stops or pauses a gateway, again and again.
+  void ScheduleGatewayFaults();
   // Makes the engine unreachable and starts another one later.
   void OnEngineCrash(Server& server);
   void RunAfter(base::Milliseconds wait, std::function<void()> then);
@@ -141,6 +158,8 @@
   void CheckReports();
   void CheckRetries();
   void CheckPoisonPart();
+  void CheckRateLimits();
+  void CheckServedBesideLimits();
   void CheckProgress(size_t first_call);
   void AddComplaint(const std::string& what);
 
@@ -164,6 +183,7 @@
   std::map<std::string, base::Instant> withdrawn;
   std::vector<Report> reports;
   std::vector<base::Instant> crashes;
+  std::vector<RateLimitTime> rate_limits;
   std::vector<std::string> complaints;
   int64_t plan_version = 0;
   int64_t last_server = 0;
