Keep the requests of all gateways within the rate that a backend server names

What callers' operators saw: two of three engines that decode had named limits of 4.8 and 4.9 requests a second and got 65 and 68 in 4 s, where 34 are allowed.

Cause: no gateway read what answers say about the rate; requests were placed by load and speed alone. Ruled out: a limit that each gateway keeps for itself, and news that came late (the rate didn't change at any gateway), requests of other kinds (the logs hold as many as arrived).

A limit is now a fact that gateways learn from each answer, tell each other at once and repeat each second, with the age of the answer and the run of the backend server. It is divided among as many gateways as it allows requests a second, by rendezvous hashing over the live ones, and spaced evenly by each; what a gateway sent in the half second before counts, as the users' window reaches back. Everything is charged that is sent: attempts, prefills, releases, reports, orders. A gateway that doesn't know its peers yet has no share. An answer to a later request without a limit withdraws it; where none of those with a share has a request, the others try one after another.

In the soak limits are now a part of what arrived in the second before, as in the users' record: a limit of a twentieth can't be kept in a window that reaches back before it was named.

--- a/core/include/carawayvalve/core/placement.h
+++ b/core/include/carawayvalve/core/placement.h
@@ -13,6 +13,7 @@
 #include "carawayvalve/base/time.h"
 #include "carawayvalve/core/backend_directory.h"
 #include "carawayvalve/core/backend_health.h"
+#include "carawayvalve/core/backend_rate_limits.h"
 #include "carawayvalve/core/caller_request.h"
 #include "carawayvalve/core/engine_speeds.h"
 #include "carawayvalve/core/fleet_load.h"
@@ -126,6 +127,7 @@
   Placer(const PlacementSettings& settings,
          const BackendDirectory& directory,
          const BackendHealth& health,
+         const BackendRateLimits& rate_limits,
          const SilenceDetector& silence,
          const FleetLoad& load,
          const PrefixCacheTracker& prefix_cache);
@@ -230,6 +232,7 @@
   std::map<base::ServiceId, EngineSpeeds> speeds;
   const BackendDirectory& directory;
   const BackendHealth& health;
+  const BackendRateLimits& rate_limits;
   const SilenceDetector& silence;
   const FleetLoad& load;
   const PrefixCacheTracker& prefix_cache;
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -34,12 +34,14 @@
 Placer::Placer(const PlacementSettings& settings,
                const BackendDirectory& directory,
                const BackendHealth& health,
+               const BackendRateLimits& rate_limits,
                const SilenceDetector& silence,
                const FleetLoad& load,
                const PrefixCacheTracker& prefix_cache)
     : settings(settings),
       directory(directory),
       health(health),
+      rate_limits(rate_limits),
       silence(silence),
       load(load),
       prefix_cache(prefix_cache) {}
@@ -50,7 +52,8 @@
   Candidates unhealthy;
   for (const auto& [id, entry] : this->directory.entries()) {
     if (entry.service != query.service || entry.draining ||
-        query.excluded.contains(id) || this->health.AskedToWait(id, now)) {
+        query.excluded.contains(id) || this->health.AskedToWait(id, now) ||
+        !this->rate_limits.MaySend(id, entry.started_ms, now)) {
       continue;
     }
     const bool healthy =
--- a/core/tests/placement_test.cc
+++ b/core/tests/placement_test.cc
@@ -58,12 +58,14 @@
   Instant now = Instant() + seconds(100);
   BackendDirectory directory{seconds(2)};
   BackendHealth health{{}};
+  BackendRateLimits rate_limits;
   SilenceDetector silence;
   FleetLoad load;
   PrefixCacheTracker prefix_cache{400000};
   Placer placer{{.data_centre = {"here"}},
                 directory,
                 health,
+                rate_limits,
                 silence,
                 load,
                 prefix_cache};
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -23,14 +23,16 @@
 
 }  // namespace
 
-void Context::NoteBackendRequest(const base::BackendServerId& /*id*/,
+void Context::NoteBackendRequest(const base::BackendServerId& id,
                                  const char* kind) {
+  this->state.rate_limits.NoteSent(id, base::Now());
   this->metrics.CountBackendRequest(kind);
 }
 
 void Context::NoteBackendRate(const core::BackendRateStatement& statement,
                               const std::string& source) {
-  if (!this->state.rate_limits.NoteStatement(statement)) {
+  core::BackendRateLimits& limits = this->state.rate_limits;
+  if (!limits.NoteStatement(statement, base::Now())) {
     return;
   }
   const auto* limit = std::get_if<core::RateLimit>(&statement.statement);
@@ -40,14 +42,18 @@
       {{"backend", statement.id.value},
        {"per_second",
         limit == nullptr ? "" : std::to_string(limit->per_second)},
+       {"own_share", std::to_string(limits.ShareOf(statement.id).value_or(0))},
        {"source", source},
        {"age_ms", base::ToMilliseconds(base::Now() - statement.stated)}});
+  if (!statement.from_peer) {
+    this->on_urgent_news();
+  }
 }
 
 platform::BackendHead Context::NoteBackendHead(
     const core::BackendEntry& backend,
     const net::ResponseHead& head,
-    base::Instant /*sent*/) {
+    base::Instant sent) {
   platform::BackendHead decoded = platform::DecodeBackendHead(head);
   const base::Instant now = base::Now();
   if (decoded.wait.has_value()) {
@@ -57,8 +63,9 @@
                          {"wait_ms", base::ToMilliseconds(*decoded.wait)}});
   }
   if (decoded.rate.has_value()) {
-    this->NoteBackendRate({backend.id, backend.started_ms, *decoded.rate, now},
-                          "answer");
+    this->NoteBackendRate(
+        {backend.id, backend.started_ms, *decoded.rate, now, sent, false},
+        "answer");
   }
   if (decoded.leaving &&
       this->state.directory.NoteLeaving(backend.id, backend.started_ms, now)) {
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -159,6 +159,9 @@
       "retry_slack_gateways",
       static_cast<double>(
           this->state.retry_members.SlackDivisor(now).value_or(0)));
+  this->metrics.SetGauge(
+      "rate_limited_backends",
+      static_cast<double>(this->state.rate_limits.limited_count()));
   this->metrics.SetGauge("late_requests_waiting",
                          static_cast<double>(this->waiting.size()));
   this->metrics.SetGauge("holds_duties", this->duties.holds(now) ? 1 : 0);
--- a/gateway/src/gateway_state.cc
+++ b/gateway/src/gateway_state.cc
@@ -42,6 +42,7 @@
       placer(ToPlacementSettings(settings),
              directory,
              health,
+             rate_limits,
              silence,
              load,
              prefix_caches),
@@ -72,6 +73,15 @@
   return running;
 }
 
+void GatewayState::SetLiveHosts(const std::vector<base::HostId>& hosts,
+                                base::Instant now) {
+  this->live_hosts = hosts;
+  this->rate_limits.SetSharers(
+      {this->settings.host, hosts,
+       this->retry_members.HasListed() ? this->retry_members.Count() : 0},
+      now);
+}
+
 void GatewayState::ApplyBounds(const GatewaySettings::Bounds& bounds) {
   this->settings.bounds = bounds;
   this->key_freshness.SetLimit(bounds.key_withdrawal);
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -42,6 +42,9 @@
   std::vector<core::BrokenRequest> NoteBackendCrash(
       const base::BackendServerId& id,
       base::Instant now);
+  // Sets this gateway and the live peers, which share the rate limits of
+  // backend servers.
+  void SetLiveHosts(const std::vector<base::HostId>& hosts, base::Instant now);
   // Applies bounds that were reloaded while the process runs.
   void ApplyBounds(const GatewaySettings::Bounds& bounds);
   // Applies a serving plan. Returns false, without applying it, unless it is
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -63,6 +63,11 @@
 // message: a gateway that starts meanwhile or misses a few messages learns it.
 constexpr std::chrono::seconds kDepartureAge(10);
 constexpr size_t kMaxDeparturesPerMessage = 32;
+// Changes of backend servers' request rates are named in each message for this
+// time, and all rates once in kRateLimitInterval. What doesn't fit takes turns.
+constexpr std::chrono::seconds kRateLimitNewsAge(2);
+constexpr std::chrono::seconds kRateLimitInterval(1);
+constexpr size_t kMaxRateLimitsPerMessage = 32;
 // The minimum interval between two updates about urgent news, with any number
 // of peers.
 constexpr base::Milliseconds kUrgentNewsInterval(100);
@@ -163,7 +168,8 @@
 
 void PeerGossip::SetWatchWaits() {
   const GatewaySettings& settings = this->context.state.settings;
-  this->context.state.live_hosts = this->LiveHosts(base::Now());
+  const base::Instant now = base::Now();
+  this->context.state.SetLiveHosts(this->LiveHosts(now), now);
   this->feed.SetWatchWaits(core::PlanWatches(settings.host,
                                              this->context.state.live_hosts,
                                              settings.store.watch_wait));
@@ -310,9 +316,37 @@
     gossip.prefixes.push_back(std::move(encoded));
   }
   this->AddCrashes(gossip);
+  this->AddRateLimits(gossip);
   this->Send(gossip);
 }
 
+void PeerGossip::AddRateLimits(Gossip& gossip) {
+  const core::BackendRateLimits& limits = this->context.state.rate_limits;
+  const base::Instant now = base::Now();
+  const bool all = now - this->rate_limits_sent_at >= kRateLimitInterval;
+  const auto statements = all ? limits.OwnStatements(now)
+                              : limits.OwnNews(now - kRateLimitNewsAge, now);
+  if (all) {
+    this->rate_limits_sent_at = now;
+  }
+  const size_t count = std::min(statements.size(), kMaxRateLimitsPerMessage);
+  for (size_t i = 0; i < count; ++i) {
+    const core::BackendRateStatement& statement =
+        statements[this->next_rate_limit++ % statements.size()];
+    wire::gen::GossipRateLimit encoded;
+    encoded.backend_server = statement.id.value;
+    encoded.started_ms = statement.started_ms;
+    if (const auto* limit =
+            std::get_if<core::RateLimit>(&statement.statement)) {
+      encoded.__set_per_second(limit->per_second);
+    }
+    encoded.age_ms =
+        static_cast<int32_t>(base::ToMilliseconds(now - statement.stated));
+    gossip.rate_limits.push_back(std::move(encoded));
+  }
+  gossip.__isset.rate_limits = !gossip.rate_limits.empty();
+}
+
 void PeerGossip::AddCrashes(Gossip& gossip) {
   const core::PoisonRequestTracker& poison =
       this->context.state.poison_requests;
@@ -525,6 +559,7 @@
         {received.backend_server}, now + base::Milliseconds(received.left_ms));
   }
   this->ApplyDepartures(gossip, now);
+  this->ApplyRateLimits(gossip, now);
   std::vector<core::CrashRecord> crashes;
   for (const wire::gen::GossipDeath& received : gossip.deaths) {
     crashes.push_back({received.content_digest, received.death_id,
@@ -554,6 +589,26 @@
   }
 }
 
+void PeerGossip::ApplyRateLimits(const Gossip& gossip, base::Instant now) {
+  for (const wire::gen::GossipRateLimit& received : gossip.rate_limits) {
+    const base::BackendServerId id{received.backend_server};
+    if (this->context.state.directory.Find(id) == nullptr ||
+        (received.__isset.per_second && !(received.per_second >= 0))) {
+      continue;
+    }
+    core::BackendRateStatement statement;
+    statement.id = id;
+    statement.started_ms = received.started_ms;
+    if (received.__isset.per_second) {
+      statement.statement = core::RateLimit{received.per_second};
+    }
+    statement.stated = now - base::Milliseconds(std::max(received.age_ms, 0));
+    statement.asked = statement.stated;
+    statement.from_peer = true;
+    this->context.NoteBackendRate(statement, gossip.host);
+  }
+}
+
 void PeerGossip::ApplyFreshness(const Gossip& gossip, const Peer& peer) {
   GatewayState& state = this->context.state;
   const int64_t own_version =
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -60,6 +60,9 @@
   void SetWatchWaits();
   void AddCrashes(wire::gen::Gossip& gossip);
   void AddDepartures(wire::gen::Gossip& gossip) const;
+  // Adds what backend servers have said of their request rates: what is new,
+  // and at intervals all of it.
+  void AddRateLimits(wire::gen::Gossip& gossip);
   std::vector<wire::gen::Gossip> CrashMessages() const;
   wire::gen::Gossip BaseMessage() const;
   // Returns a message with all loads of this gateway. Peers take a message
@@ -77,6 +80,7 @@
   void OnDatagram(const std::string& data, const base::Address& sender);
   void ApplyLoads(const wire::gen::Gossip& gossip, base::Instant now);
   void ApplyDepartures(const wire::gen::Gossip& gossip, base::Instant now);
+  void ApplyRateLimits(const wire::gen::Gossip& gossip, base::Instant now);
   void ApplyFreshness(const wire::gen::Gossip& gossip, const Peer& peer);
   void FetchPlan(const base::Address& address);
   void OnPlanCall(const net::CallEvent& event);
@@ -102,6 +106,9 @@
   size_t next_crash = 0;
   // The same of the served parts.
   size_t next_served_part = 0;
+  // The same of the request rates.
+  size_t next_rate_limit = 0;
+  base::Instant rate_limits_sent_at;
   bool new_peer_seen = false;
   core::FleetLoad::Loads sent_loads;
   base::Instant loads_sent_at;
--- a/gateway/src/request_prefill.cc
+++ b/gateway/src/request_prefill.cc
@@ -111,8 +111,12 @@
 
 void RequestHandler::ReleasePrompt() {
   const auto prompt = std::exchange(this->prefilled_prompt, std::nullopt);
-  const bool may_send = !this->context.state.health.AskedToWait(
-      this->prefill_engine.id, base::Now());
+  const base::Instant now = base::Now();
+  const core::BackendEntry& engine = this->prefill_engine;
+  const GatewayState& state = this->context.state;
+  const bool may_send =
+      !state.health.AskedToWait(engine.id, now) &&
+      state.rate_limits.MaySend(engine.id, engine.started_ms, now);
   if (prompt.has_value() && may_send) {
     SendRelease(this->context, this->prefill_engine, *prompt);
   }
--- a/gateway/src/role_controller.cc
+++ b/gateway/src/role_controller.cc
@@ -90,8 +90,11 @@
 void RoleController::RequestReport(const core::RoleChange& change) {
   const core::BackendEntry* entry =
       this->context.state.directory.Find(change.backend_server);
-  if (entry == nullptr || this->context.state.health.AskedToWait(
-                              change.backend_server, base::Now())) {
+  const GatewayState& state = this->context.state;
+  const base::Instant now = base::Now();
+  if (entry == nullptr ||
+      state.health.AskedToWait(change.backend_server, now) ||
+      !state.rate_limits.MaySend(entry->id, entry->started_ms, now)) {
     return;
   }
   this->context.NoteBackendRequest(change.backend_server, "report");
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -272,7 +272,6 @@
     this->context.NoteBackendCrash(entry->id, "restarted");
     state.prefix_caches.Forget(entry->id);
     state.health.Forget(entry->id);
-    state.rate_limits.Forget(entry->id);
   }
   if (previous != nullptr && previous->role != entry->role) {
     state.health.NoteRoleChangeDone(entry->id);
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -9,6 +9,7 @@
 
 #include "carawayvalve/base/error.h"
 #include "gossip_format.h"
+#include "platform/backend.h"
 #include "platform/store.h"
 #include "test_gateway.h"
 
@@ -252,6 +253,64 @@
   }
 }
 
+TEST_CASE("gateways tell each other which request rates backend servers take") {
+  GossipTest test(kWithoutStore);
+  test.Start();
+  GatewayState& state = test.gateway.state;
+  core::BackendEntry entry;
+  entry.id = {"limited"};
+  entry.started_ms = 7;
+  state.directory.NoteEntry(entry);
+  std::vector<wire::gen::GossipRateLimit> told;
+  net::DatagramSocket peer(test.gateway.loop, {"127.0.0.1", 0},
+                           [&](const std::string& data, const base::Address&) {
+                             const auto message = ParseGossip(data);
+                             told.insert(told.end(),
+                                         message->rate_limits.begin(),
+                                         message->rate_limits.end());
+                           });
+  test.SendToGateway(peer, FirstMessage("peer", "first"));
+  test.gateway.RunFor(kFewRounds);
+  const auto answer = [&](const net::HeaderFields& fields) {
+    test.gateway.context.NoteBackendHead(entry, {200, fields}, base::Now());
+  };
+
+  SUBCASE("a peer's word holds for the run that it names") {
+    wire::gen::Gossip message = FirstMessage("peer", "first");
+    message.rate_limits.emplace_back();
+    message.rate_limits.back().backend_server = "limited";
+    message.rate_limits.back().started_ms = 7;
+    message.rate_limits.back().__set_per_second(2);
+    message.__isset.rate_limits = true;
+    test.SendToGateway(peer, message);
+    test.gateway.RunFor(kFewRounds);
+    CHECK_FALSE(state.rate_limits.MaySend({"limited"}, 7, base::Now()));
+    CHECK(state.rate_limits.MaySend({"limited"}, 8, base::Now()));
+
+    SUBCASE("and isn't passed on, as the peer tells all others") {
+      test.gateway.RunFor(std::chrono::milliseconds(1500));
+      CHECK(told.empty());
+    }
+  }
+  SUBCASE("what an answer says is told at once, and repeated") {
+    answer({{tests::kRateLimitField, "2"}});
+    test.gateway.RunFor(base::Milliseconds(150));
+    REQUIRE_FALSE(told.empty());
+    CHECK(told.back().per_second == 2);
+    test.gateway.RunFor(std::chrono::seconds(3));
+    told.clear();
+    test.gateway.RunFor(std::chrono::milliseconds(1500));
+    CHECK_FALSE(told.empty());
+
+    SUBCASE("as is a withdrawal") {
+      answer({});
+      test.gateway.RunFor(base::Milliseconds(150));
+      const bool is_limited = told.back().__isset.per_second;
+      CHECK_FALSE(is_limited);
+    }
+  }
+}
+
 // Guards against evidence that stays with one gateway: each request with the
 // part may come to another one.
 TEST_CASE("gateways tell each other which prompt parts ran during crashes") {
--- a/gateway/tests/request_fixture.h
+++ b/gateway/tests/request_fixture.h
@@ -61,6 +61,7 @@
       : gateway(RequestSettings(retry_slack)) {
     this->gateway.state.ApplyPlan(NotesPlan(max_attempts));
     GrantAllSlack(this->gateway.state.retry_members);
+    this->gateway.state.SetLiveHosts({{"self"}}, base::Now());
     this->Add("reader", this->prefill_engine.port(),
               config::EngineRole::kPrefill);
   }
--- a/tests/platform/backend.h
+++ b/tests/platform/backend.h
@@ -11,6 +11,9 @@
 
 namespace carawayvalve::tests {
 
+// The field of an answer that names the rate of requests that are taken.
+inline constexpr char kRateLimitField[] = "Server-Limit";
+
 // A request that a backend server ran, as it was received.
 struct BackendRun {
   std::string request;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -126,6 +126,8 @@
   void ScheduleResets();
   // Lets servers of one service name limits for a while, again and again.
   void ScheduleRateLimits();
+  // Returns the mean over the last second.
+  double ArrivalsPerSecond(const Server& server) const;
   void LimitRate(Server& server, bool whole_service, base::Milliseconds time);
   // Kills, stops or pauses a gateway, again and again.
   void ScheduleGatewayFaults();
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -1145,6 +1145,184 @@
 }
 
 
+GossipRateLimit::~GossipRateLimit() noexcept {
+}
+
+
+void GossipRateLimit::__set_backend_server(const std::string& val) {
+  this->backend_server = val;
+}
+
+void GossipRateLimit::__set_started_ms(const int64_t val) {
+  this->started_ms = val;
+}
+
+void GossipRateLimit::__set_per_second(const double val) {
+  this->per_second = val;
+__isset.per_second = true;
+}
+
+void GossipRateLimit::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipRateLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipRateLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_backend_server = false;
+  bool isset_started_ms = false;
+  bool isset_age_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend_server);
+          isset_backend_server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_ms);
+          isset_started_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->per_second);
+          this->__isset.per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_backend_server)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_started_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipRateLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipRateLimit");
+
+  xfer += oprot->writeFieldBegin("backend_server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->backend_server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->started_ms);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.per_second) {
+    xfer += oprot->writeFieldBegin("per_second", ::apache::thrift::protocol::T_DOUBLE, 3);
+    xfer += oprot->writeDouble(this->per_second);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipRateLimit &a, GossipRateLimit &b) {
+  using ::std::swap;
+  swap(a.backend_server, b.backend_server);
+  swap(a.started_ms, b.started_ms);
+  swap(a.per_second, b.per_second);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+GossipRateLimit::GossipRateLimit(const GossipRateLimit& other54) {
+  backend_server = other54.backend_server;
+  started_ms = other54.started_ms;
+  per_second = other54.per_second;
+  age_ms = other54.age_ms;
+  __isset = other54.__isset;
+}
+GossipRateLimit::GossipRateLimit(GossipRateLimit&& other55) noexcept {
+  backend_server = std::move(other55.backend_server);
+  started_ms = other55.started_ms;
+  per_second = other55.per_second;
+  age_ms = other55.age_ms;
+  __isset = other55.__isset;
+}
+GossipRateLimit& GossipRateLimit::operator=(const GossipRateLimit& other56) {
+  backend_server = other56.backend_server;
+  started_ms = other56.started_ms;
+  per_second = other56.per_second;
+  age_ms = other56.age_ms;
+  __isset = other56.__isset;
+  return *this;
+}
+GossipRateLimit& GossipRateLimit::operator=(GossipRateLimit&& other57) noexcept {
+  backend_server = std::move(other57.backend_server);
+  started_ms = other57.started_ms;
+  per_second = other57.per_second;
+  age_ms = other57.age_ms;
+  __isset = other57.__isset;
+  return *this;
+}
+void GossipRateLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipRateLimit(";
+  out << "backend_server=" << to_string(backend_server);
+  out << ", " << "started_ms=" << to_string(started_ms);
+  out << ", " << "per_second="; (__isset.per_second ? (out << to_string(per_second)) : (out << "<null>"));
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -1220,6 +1398,11 @@
   this->reports_usage = val;
 __isset.reports_usage = true;
 }
+
+void Gossip::__set_rate_limits(const std::vector<GossipRateLimit> & val) {
+  this->rate_limits = val;
+__isset.rate_limits = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -1321,14 +1504,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->loads.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->loads.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->loads[_i58].read(iprot);
+              xfer += this->loads[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1341,14 +1524,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->prefixes.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->prefixes.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += this->prefixes[_i63].read(iprot);
+              xfer += this->prefixes[_i67].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1361,14 +1544,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->windows.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->windows.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->windows.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->windows[_i68].read(iprot);
+              xfer += this->windows[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1381,14 +1564,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->deaths.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->deaths.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
             {
-              xfer += this->deaths[_i73].read(iprot);
+              xfer += this->deaths[_i77].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1417,14 +1600,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->absences.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->absences.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->absences.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += this->absences[_i78].read(iprot);
+              xfer += this->absences[_i82].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1437,14 +1620,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departures.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->departures.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->departures.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->departures[_i83].read(iprot);
+              xfer += this->departures[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1457,14 +1640,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->served_parts.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->served_parts.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->served_parts.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += this->served_parts[_i88].read(iprot);
+              xfer += this->served_parts[_i92].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1481,6 +1664,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rate_limits.clear();
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->rate_limits.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
+            {
+              xfer += this->rate_limits[_i97].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rate_limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1555,10 +1758,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GossipLoad> ::const_iterator _iter89;
-    for (_iter89 = this->loads.begin(); _iter89 != this->loads.end(); ++_iter89)
+    std::vector<GossipLoad> ::const_iterator _iter98;
+    for (_iter98 = this->loads.begin(); _iter98 != this->loads.end(); ++_iter98)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter98).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1567,10 +1770,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<GossipPrefix> ::const_iterator _iter90;
-    for (_iter90 = this->prefixes.begin(); _iter90 != this->prefixes.end(); ++_iter90)
+    std::vector<GossipPrefix> ::const_iterator _iter99;
+    for (_iter99 = this->prefixes.begin(); _iter99 != this->prefixes.end(); ++_iter99)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter99).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1579,10 +1782,10 @@
   xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->windows.size()));
-    std::vector<GossipWindow> ::const_iterator _iter91;
-    for (_iter91 = this->windows.begin(); _iter91 != this->windows.end(); ++_iter91)
+    std::vector<GossipWindow> ::const_iterator _iter100;
+    for (_iter100 = this->windows.begin(); _iter100 != this->windows.end(); ++_iter100)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1591,10 +1794,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<GossipDeath> ::const_iterator _iter92;
-    for (_iter92 = this->deaths.begin(); _iter92 != this->deaths.end(); ++_iter92)
+    std::vector<GossipDeath> ::const_iterator _iter101;
+    for (_iter101 = this->deaths.begin(); _iter101 != this->deaths.end(); ++_iter101)
     {
-      xfer += (*_iter92).write(oprot);
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1612,10 +1815,10 @@
     xfer += oprot->writeFieldBegin("absences", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->absences.size()));
-      std::vector<GossipAbsence> ::const_iterator _iter93;
-      for (_iter93 = this->absences.begin(); _iter93 != this->absences.end(); ++_iter93)
+      std::vector<GossipAbsence> ::const_iterator _iter102;
+      for (_iter102 = this->absences.begin(); _iter102 != this->absences.end(); ++_iter102)
       {
-        xfer += (*_iter93).write(oprot);
+        xfer += (*_iter102).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1625,10 +1828,10 @@
     xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
-      std::vector<GossipDeparture> ::const_iterator _iter94;
-      for (_iter94 = this->departures.begin(); _iter94 != this->departures.end(); ++_iter94)
+      std::vector<GossipDeparture> ::const_iterator _iter103;
+      for (_iter103 = this->departures.begin(); _iter103 != this->departures.end(); ++_iter103)
       {
-        xfer += (*_iter94).write(oprot);
+        xfer += (*_iter103).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1638,10 +1841,10 @@
     xfer += oprot->writeFieldBegin("served_parts", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->served_parts.size()));
-      std::vector<GossipServedPart> ::const_iterator _iter95;
-      for (_iter95 = this->served_parts.begin(); _iter95 != this->served_parts.end(); ++_iter95)
+      std::vector<GossipServedPart> ::const_iterator _iter104;
+      for (_iter104 = this->served_parts.begin(); _iter104 != this->served_parts.end(); ++_iter104)
       {
-        xfer += (*_iter95).write(oprot);
+        xfer += (*_iter104).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1652,6 +1855,19 @@
     xfer += oprot->writeBool(this->reports_usage);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.rate_limits) {
+    xfer += oprot->writeFieldBegin("rate_limits", ::apache::thrift::protocol::T_LIST, 18);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rate_limits.size()));
+      std::vector<GossipRateLimit> ::const_iterator _iter105;
+      for (_iter105 = this->rate_limits.begin(); _iter105 != this->rate_limits.end(); ++_iter105)
+      {
+        xfer += (*_iter105).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1676,89 +1892,94 @@
   swap(a.departures, b.departures);
   swap(a.served_parts, b.served_parts);
   swap(a.reports_usage, b.reports_usage);
+  swap(a.rate_limits, b.rate_limits);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other96) {
-  host = other96.host;
-  boot = other96.boot;
-  stamp = other96.stamp;
-  echo = other96.echo;
-  unix_ms = other96.unix_ms;
-  plan_version = other96.plan_version;
-  proof_age_ms = other96.proof_age_ms;
-  loads = other96.loads;
-  prefixes = other96.prefixes;
-  windows = other96.windows;
-  deaths = other96.deaths;
-  leaving = other96.leaving;
-  registry_revision = other96.registry_revision;
-  absences = other96.absences;
-  departures = other96.departures;
-  served_parts = other96.served_parts;
-  reports_usage = other96.reports_usage;
-  __isset = other96.__isset;
-}
-Gossip::Gossip(Gossip&& other97) noexcept {
-  host = std::move(other97.host);
-  boot = std::move(other97.boot);
-  stamp = other97.stamp;
-  echo = other97.echo;
-  unix_ms = other97.unix_ms;
-  plan_version = other97.plan_version;
-  proof_age_ms = other97.proof_age_ms;
-  loads = std::move(other97.loads);
-  prefixes = std::move(other97.prefixes);
-  windows = std::move(other97.windows);
-  deaths = std::move(other97.deaths);
-  leaving = other97.leaving;
-  registry_revision = other97.registry_revision;
-  absences = std::move(other97.absences);
-  departures = std::move(other97.departures);
-  served_parts = std::move(other97.served_parts);
-  reports_usage = other97.reports_usage;
-  __isset = other97.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other98) {
-  host = other98.host;
-  boot = other98.boot;
-  stamp = other98.stamp;
-  echo = other98.echo;
-  unix_ms = other98.unix_ms;
-  plan_version = other98.plan_version;
-  proof_age_ms = other98.proof_age_ms;
-  loads = other98.loads;
-  prefixes = other98.prefixes;
-  windows = other98.windows;
-  deaths = other98.deaths;
-  leaving = other98.leaving;
-  registry_revision = other98.registry_revision;
-  absences = other98.absences;
-  departures = other98.departures;
-  served_parts = other98.served_parts;
-  reports_usage = other98.reports_usage;
-  __isset = other98.__isset;
+Gossip::Gossip(const Gossip& other106) {
+  host = other106.host;
+  boot = other106.boot;
+  stamp = other106.stamp;
+  echo = other106.echo;
+  unix_ms = other106.unix_ms;
+  plan_version = other106.plan_version;
+  proof_age_ms = other106.proof_age_ms;
+  loads = other106.loads;
+  prefixes = other106.prefixes;
+  windows = other106.windows;
+  deaths = other106.deaths;
+  leaving = other106.leaving;
+  registry_revision = other106.registry_revision;
+  absences = other106.absences;
+  departures = other106.departures;
+  served_parts = other106.served_parts;
+  reports_usage = other106.reports_usage;
+  rate_limits = other106.rate_limits;
+  __isset = other106.__isset;
+}
+Gossip::Gossip(Gossip&& other107) noexcept {
+  host = std::move(other107.host);
+  boot = std::move(other107.boot);
+  stamp = other107.stamp;
+  echo = other107.echo;
+  unix_ms = other107.unix_ms;
+  plan_version = other107.plan_version;
+  proof_age_ms = other107.proof_age_ms;
+  loads = std::move(other107.loads);
+  prefixes = std::move(other107.prefixes);
+  windows = std::move(other107.windows);
+  deaths = std::move(other107.deaths);
+  leaving = other107.leaving;
+  registry_revision = other107.registry_revision;
+  absences = std::move(other107.absences);
+  departures = std::move(other107.departures);
+  served_parts = std::move(other107.served_parts);
+  reports_usage = other107.reports_usage;
+  rate_limits = std::move(other107.rate_limits);
+  __isset = other107.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other108) {
+  host = other108.host;
+  boot = other108.boot;
+  stamp = other108.stamp;
+  echo = other108.echo;
+  unix_ms = other108.unix_ms;
+  plan_version = other108.plan_version;
+  proof_age_ms = other108.proof_age_ms;
+  loads = other108.loads;
+  prefixes = other108.prefixes;
+  windows = other108.windows;
+  deaths = other108.deaths;
+  leaving = other108.leaving;
+  registry_revision = other108.registry_revision;
+  absences = other108.absences;
+  departures = other108.departures;
+  served_parts = other108.served_parts;
+  reports_usage = other108.reports_usage;
+  rate_limits = other108.rate_limits;
+  __isset = other108.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other99) noexcept {
-  host = std::move(other99.host);
-  boot = std::move(other99.boot);
-  stamp = other99.stamp;
-  echo = other99.echo;
-  unix_ms = other99.unix_ms;
-  plan_version = other99.plan_version;
-  proof_age_ms = other99.proof_age_ms;
-  loads = std::move(other99.loads);
-  prefixes = std::move(other99.prefixes);
-  windows = std::move(other99.windows);
-  deaths = std::move(other99.deaths);
-  leaving = other99.leaving;
-  registry_revision = other99.registry_revision;
-  absences = std::move(other99.absences);
-  departures = std::move(other99.departures);
-  served_parts = std::move(other99.served_parts);
-  reports_usage = other99.reports_usage;
-  __isset = other99.__isset;
+Gossip& Gossip::operator=(Gossip&& other109) noexcept {
+  host = std::move(other109.host);
+  boot = std::move(other109.boot);
+  stamp = other109.stamp;
+  echo = other109.echo;
+  unix_ms = other109.unix_ms;
+  plan_version = other109.plan_version;
+  proof_age_ms = other109.proof_age_ms;
+  loads = std::move(other109.loads);
+  prefixes = std::move(other109.prefixes);
+  windows = std::move(other109.windows);
+  deaths = std::move(other109.deaths);
+  leaving = other109.leaving;
+  registry_revision = other109.registry_revision;
+  absences = std::move(other109.absences);
+  departures = std::move(other109.departures);
+  served_parts = std::move(other109.served_parts);
+  reports_usage = other109.reports_usage;
+  rate_limits = std::move(other109.rate_limits);
+  __isset = other109.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -1781,6 +2002,7 @@
   out << ", " << "departures="; (__isset.departures ? (out << to_string(departures)) : (out << "<null>"));
   out << ", " << "served_parts="; (__isset.served_parts ? (out << to_string(served_parts)) : (out << "<null>"));
   out << ", " << "reports_usage="; (__isset.reports_usage ? (out << to_string(reports_usage)) : (out << "<null>"));
+  out << ", " << "rate_limits="; (__isset.rate_limits ? (out << to_string(rate_limits)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -35,6 +35,8 @@
 
 class GossipDeparture;
 
+class GossipRateLimit;
+
 class Gossip;
 
 
@@ -398,12 +400,78 @@
 
 std::ostream& operator<<(std::ostream& out, const GossipDeparture& obj);
 
+typedef struct _GossipRateLimit__isset {
+  _GossipRateLimit__isset() : per_second(false) {}
+  bool per_second :1;
+} _GossipRateLimit__isset;
+
+class GossipRateLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipRateLimit(const GossipRateLimit&);
+  GossipRateLimit(GossipRateLimit&&) noexcept;
+  GossipRateLimit& operator=(const GossipRateLimit&);
+  GossipRateLimit& operator=(GossipRateLimit&&) noexcept;
+  GossipRateLimit() noexcept
+                  : backend_server(),
+                    started_ms(0),
+                    per_second(0),
+                    age_ms(0) {
+  }
+
+  virtual ~GossipRateLimit() noexcept;
+  std::string backend_server;
+  int64_t started_ms;
+  double per_second;
+  int32_t age_ms;
+
+  _GossipRateLimit__isset __isset;
+
+  void __set_backend_server(const std::string& val);
+
+  void __set_started_ms(const int64_t val);
+
+  void __set_per_second(const double val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const GossipRateLimit & rhs) const
+  {
+    if (!(backend_server == rhs.backend_server))
+      return false;
+    if (!(started_ms == rhs.started_ms))
+      return false;
+    if (__isset.per_second != rhs.__isset.per_second)
+      return false;
+    else if (__isset.per_second && !(per_second == rhs.per_second))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipRateLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipRateLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipRateLimit &a, GossipRateLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipRateLimit& obj);
+
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false) {}
   bool absences :1;
   bool departures :1;
   bool served_parts :1;
   bool reports_usage :1;
+  bool rate_limits :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -444,6 +512,7 @@
   std::vector<GossipDeparture>  departures;
   std::vector<GossipServedPart>  served_parts;
   bool reports_usage;
+  std::vector<GossipRateLimit>  rate_limits;
 
   _Gossip__isset __isset;
 
@@ -481,6 +550,8 @@
 
   void __set_reports_usage(const bool val);
 
+  void __set_rate_limits(const std::vector<GossipRateLimit> & val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -525,6 +596,10 @@
       return false;
     else if (__isset.reports_usage && !(reports_usage == rhs.reports_usage))
       return false;
+    if (__isset.rate_limits != rhs.__isset.rate_limits)
+      return false;
+    else if (__isset.rate_limits && !(rate_limits == rhs.rate_limits))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -58,6 +58,17 @@
   2: required i64 started_ms,
 }
 
+// What a run of a backend server has said in an answer to the sender.
+struct GossipRateLimit {
+  1: required string backend_server,
+  // The start of that run in Unix milliseconds.
+  2: required i64 started_ms,
+  // Requests a second that it takes from all gateways; absent for no limit.
+  3: optional double per_second,
+  // Time since that answer.
+  4: required i32 age_ms,
+}
+
 struct Gossip {
   1: required string host,
   2: required string boot,
@@ -85,4 +96,5 @@
   16: optional list<GossipServedPart> served_parts,
   // The sender reports the usage of all gateways.
   17: optional bool reports_usage,
+  18: optional list<GossipRateLimit> rate_limits,
 }
