Start requests at the rate that a backend server names, at its agent

It now starts queued attempts at that rate and refuses at once those that couldn't start before their deadline; entry processes learn the rate by its status and expect the wait that follows.

--- a/agent/src/agent.cc
+++ b/agent/src/agent.cc
@@ -89,7 +89,8 @@
            [&](const base::ClientAccountId& client_account,
                const core::UsageFigures& figures) {
              usage.Count(client_account, figures);
-           }});
+           },
+       .on_rate_change = [&] { handler->NoteRateChange(); }});
   OrderService orders(settings, boot,
                       {.idle = [&] { return attempts.running() == 0; },
                        .set_hold =
--- a/agent/src/agent_handler.cc
+++ b/agent/src/agent_handler.cc
@@ -99,6 +99,7 @@
   const int64_t queued = this->attempts.queued();
   const int64_t running = this->attempts.running();
   const std::vector<AttemptCrash> crashes = this->attempts.RecentCrashes();
+  const std::optional<double> rate_limit = this->attempts.rate_limit();
   const core::OrderToken highest = this->orders.highest();
   const bool draining = this->orders.draining();
   const std::lock_guard lock(this->mutex);
@@ -119,6 +120,9 @@
   status.load.decode_tokens_per_second = this->load.decode_tokens_per_second;
   status.load.role = this->load.role;
   status.load.models = this->load.models;
+  if (rate_limit.has_value()) {
+    status.__set_requests_per_second(*rate_limit);
+  }
   status.revision = this->revision;
   status.clock_us = ClockMicroseconds();
   status.highest_epoch = highest.epoch;
@@ -211,6 +215,13 @@
   this->status_changed.notify_all();
 }
 
+void AgentHandler::NoteRateChange() {
+  this->log.Info("The backend server has changed the rate that it takes.");
+  const std::lock_guard lock(this->mutex);
+  this->revision += 1;
+  this->status_changed.notify_all();
+}
+
 void AgentHandler::Leave() {
   const std::lock_guard lock(this->mutex);
   this->leaving = true;
--- a/agent/src/agent_handler.h
+++ b/agent/src/agent_handler.h
@@ -52,6 +52,9 @@
 
   // Each of these updates the status and wakes the callers that wait for it.
   void NoteCrash();
+  // Publishes that the backend server has named or withdrawn a limit of its
+  // requests.
+  void NoteRateChange();
   void Leave();
   // While requests are held, because an order waits or runs at the engine, the
   // status reports the agent as not ready, so that no new requests are sent.
--- a/agent/src/attempt_service.cc
+++ b/agent/src/attempt_service.cc
@@ -63,6 +63,9 @@
   if (this->leaving) {
     return {false, "the backend server is leaving", kRetryAfterBusy};
   }
+  if (const auto wait = this->WaitBeyondDeadline(job)) {
+    return {false, "the backend server takes too few requests a second", *wait};
+  }
   if (!this->ledger.Queue(job.attempt, base::Now())) {
     // A submission that is delivered twice doesn't run the attempt again.
     const bool refused =
@@ -83,6 +86,45 @@
   return {true, "", {}};
 }
 
+std::optional<base::Milliseconds> AttemptService::WaitBeyondDeadline(
+    const Job& job) const {
+  const base::Instant now = base::Now();
+  const base::Instant start =
+      this->pacer.SendTimeBehind(static_cast<int64_t>(this->queue.size()), now);
+  if (!this->requests_per_second.has_value() || start < job.deadline ||
+      this->records.contains(job.attempt)) {
+    return std::nullopt;
+  }
+  return std::chrono::ceil<base::Milliseconds>(start - now);
+}
+
+void AttemptService::NoteRate(const core::RateStatement& statement,
+                              base::Instant asked) {
+  const std::lock_guard lock(this->mutex);
+  const std::optional<double> rate = core::RateToKeep(statement);
+  if (!rate.has_value() && asked < this->limit_named) {
+    return;
+  }
+  const base::Instant now = base::Now();
+  if (rate.has_value()) {
+    this->limit_named = now;
+  }
+  if (rate == this->requests_per_second) {
+    return;
+  }
+  this->requests_per_second = rate;
+  this->pacer.SetRate(rate, now);
+  this->work_available.notify_all();
+  if (this->options.on_rate_change) {
+    this->options.on_rate_change();
+  }
+}
+
+std::optional<double> AttemptService::rate_limit() const {
+  const std::lock_guard lock(this->mutex);
+  return this->requests_per_second;
+}
+
 core::AttemptView AttemptService::Abandon(const base::AttemptId& attempt,
                                           base::Instant submitted) {
   const std::lock_guard lock(this->mutex);
@@ -132,17 +174,21 @@
     }
     this->DropExpired(base::Now());
     std::optional<core::QueuedAttempt> next;
-    if (!this->paused) {
+    const bool may_send = this->pacer.MaySend(base::Now());
+    if (!this->paused && may_send) {
       next = this->queue.Pop(base::Now(), this->SuspectRunning());
     }
     if (next && this->ledger.Start(next->attempt)) {
+      this->pacer.NoteSent(base::Now());
       this->in_flight.insert(next->attempt);
       AttemptRecord& record = this->records.at(next->attempt);
       record.suspect = next->suspect;
       record.started = base::Now();
       return record.job;
     }
-    if (!next) {
+    if (!next && !may_send && !this->queue.empty()) {
+      this->work_available.wait_until(lock, this->pacer.next_send());
+    } else if (!next) {
       this->work_available.wait(lock);
     }
   }
--- a/agent/src/attempt_service.h
+++ b/agent/src/attempt_service.h
@@ -17,6 +17,7 @@
 #include "carawayvalve/base/time.h"
 #include "carawayvalve/core/answer_stream.h"
 #include "carawayvalve/core/attempt_ledger.h"
+#include "carawayvalve/core/backend_rate_limits.h"
 #include "carawayvalve/core/fair_queue.h"
 #include "carawayvalve/core/usage_ledger.h"
 #include "carawayvalve/systems/engine.h"
@@ -98,6 +99,9 @@
     // service's lock held.
     std::function<void(const base::ClientAccountId&, const core::UsageFigures&)>
         on_usage;
+    // Called when the backend server has named or withdrawn a limit of its
+    // requests, with the service's lock held.
+    std::function<void()> on_rate_change;
   };
 
   explicit AttemptService(const Options& options);
@@ -153,6 +157,13 @@
   // Records that the backend server has answered a call that was sent at
   // `asked`.
   void NoteAlive(base::Instant asked);
+  // Records what an answer to a request that was sent at `asked` says about the
+  // rate of requests. Attempts are then started at that rate, and refused if
+  // they couldn't start before their deadline. An answer withdraws a limit only
+  // if its request was sent after the limit was named last.
+  void NoteRate(const core::RateStatement& statement, base::Instant asked);
+  // Returns the requests a second that may be started; nothing for any number.
+  std::optional<double> rate_limit() const;
   std::vector<AttemptCrash> RecentCrashes() const;
   void SetAccountLimits(const std::map<base::ClientAccountId, int32_t>& weights,
                         int32_t max_queued_per_account);
@@ -208,6 +219,9 @@
 
   // These require the lock to be held.
   SubmitResult Accept(const Job& job);
+  // Returns the time until the attempt could be started if that is after its
+  // deadline.
+  std::optional<base::Milliseconds> WaitBeyondDeadline(const Job& job) const;
   std::vector<AttemptUpdate> CollectUpdates(
       const base::BootId& entry_boot,
       const std::map<base::AttemptId, ReadPosition>& positions);
@@ -249,6 +263,11 @@
   std::vector<AttemptCrash> crashes;
   // The newest call that the backend server has answered was sent then.
   base::Instant known_alive;
+  // The backend server's limit of requests a second, and when it was named
+  // last.
+  std::optional<double> requests_per_second;
+  base::Instant limit_named;
+  core::RequestPacer pacer;
   Totals current_totals;
   bool leaving = false;
   bool paused = false;
--- a/agent/src/runner.cc
+++ b/agent/src/runner.cc
@@ -6,6 +6,7 @@
 #include "carawayvalve/base/error.h"
 #include "carawayvalve/core/answer_completeness.h"
 #include "carawayvalve/core/answer_stream.h"
+#include "carawayvalve/platform/requests.h"
 
 namespace carawayvalve::agent {
 
@@ -85,10 +86,12 @@
   request.timeout = RemainingTime(job);
   request.at_most_once = !job.idempotent;
 
+  const base::Instant asked = base::Now();
   core::AnswerCompleteness completeness;
   systems::HttpSink sink;
   sink.head = [&](int status, const std::vector<systems::HttpHeader>& headers) {
     completeness = JudgeOf(call.method, status, headers);
+    this->NoteRate(status, headers, asked);
     return this->attempts.Append(
         job.attempt, core::EncodeRecord(core::AnswerHead{status, headers}));
   };
@@ -115,6 +118,10 @@
   const systems::Engine engine(this->backend_address);
   const auto result = engine.Generate(
       call.generation, RemainingTime(job),
+      [&, asked = base::Now()](
+          int status, const std::vector<systems::HttpHeader>& headers) {
+        this->NoteRate(status, headers, asked);
+      },
       [&](const std::string& line) {
         return this->Append(job, systems::ParseEngineLine(line));
       },
@@ -134,6 +141,19 @@
   }
 }
 
+void Runner::NoteRate(int status,
+                      const std::vector<systems::HttpHeader>& headers,
+                      base::Instant asked) {
+  net::ResponseHead head;
+  head.status = status;
+  for (const auto& [name, value] : headers) {
+    head.fields.push_back({name, value});
+  }
+  if (const auto rate = platform::DecodeRate(head)) {
+    this->attempts.NoteRate(*rate, asked);
+  }
+}
+
 bool Runner::Append(const Job& job, const systems::EngineLine& line) {
   if (line.end) {
     return this->attempts.AppendEnd(job.attempt, ToRecord(*line.end));
--- a/agent/src/runner.h
+++ b/agent/src/runner.h
@@ -21,6 +21,11 @@
   void RunJob(const Job& job);
   void Call(const Job& job, const PlainJob& call);
   void Call(const Job& job, const ModelJob& call);
+  // Passes on what the head of an answer to a request that was sent at `asked`
+  // says about the rate of requests.
+  void NoteRate(int status,
+                const std::vector<systems::HttpHeader>& headers,
+                base::Instant asked);
   bool Append(const Job& job, const systems::EngineLine& line);
   // Tells the engine to stop the generation. A failure is only logged.
   void CancelAtEngine(const Job& job, const ModelJob& call);
--- a/agent/tests/attempt_service_test.cc
+++ b/agent/tests/attempt_service_test.cc
@@ -31,7 +31,8 @@
           .max_queued_per_account = 1000,
           .retention = kRetention,
           .on_crash = {},
-          .on_usage = {}};
+          .on_usage = {},
+          .on_rate_change = {}};
 }
 
 Job MakeJob(const std::string& name, const std::string& content) {
@@ -276,6 +277,40 @@
     CHECK(ReadOne(service, {}).bytes == "whole");
     CHECK(service.WaitUntilIdle(kNoWait));
   }
+  SUBCASE("a backend server that limits the rate of its requests") {
+    service.NoteRate(core::RateLimit{5}, base::Now());
+    const base::Instant named = base::Now();
+    for (const char* name : {"a", "b", "c"}) {
+      REQUIRE(service.Submit(MakeJob(name)).accepted);
+    }
+
+    SUBCASE("gets attempts at that rate") {
+      for (int i = 0; i < 3; ++i) {
+        REQUIRE(NextAttemptName(service) != "closed");
+      }
+      CHECK(base::Now() - named >= Milliseconds(590));
+    }
+    SUBCASE("an attempt that couldn't start in time is refused at once") {
+      Job late = MakeJob("late");
+      late.deadline = base::Now() + Milliseconds(500);
+      const SubmitResult refused = service.Submit(late);
+      CHECK_FALSE(refused.accepted);
+      CHECK(refused.retry_after >= Milliseconds(500));
+      CHECK(service.queued() == 3);
+    }
+    SUBCASE("an answer without a limit withdraws it") {
+      service.NoteRate(core::NoRateLimit{}, base::Now());
+      CHECK_FALSE(service.rate_limit().has_value());
+      for (int i = 0; i < 3; ++i) {
+        REQUIRE(NextAttemptName(service) != "closed");
+      }
+      CHECK(base::Now() - named < Milliseconds(590));
+    }
+    SUBCASE("but not one to a request that was sent before") {
+      service.NoteRate(core::NoRateLimit{}, named - Milliseconds(5));
+      CHECK(service.rate_limit() == 5);
+    }
+  }
   SUBCASE("gives runners no more attempts once it is closed") {
     auto next = std::async(std::launch::async,
                            [&] { return NextAttemptName(service); });
--- a/core/include/carawayvalve/core/routing.h
+++ b/core/include/carawayvalve/core/routing.h
@@ -29,6 +29,8 @@
   int64_t running_requests = 0;
   // Maximum number of concurrent requests.
   int64_t slots = 1;
+  // Requests that are started a second at most; nothing for any number.
+  std::optional<double> requests_per_second;
   int64_t queued_prefill_tokens = 0;
   // Zero if the rate isn't known.
   int64_t prefill_tokens_per_second = 0;
@@ -177,6 +179,9 @@
                            base::Instant now) const;
   double PrefillTokensAhead(const BackendView& view, base::Instant now) const;
   double SecondsUntilSlot(const BackendView& view, bool model) const;
+  // Returns the time until a backend server that limits its requests starts
+  // the next one.
+  double SecondsAtLimit(const BackendView& view) const;
   const std::vector<SentAttempt>& SentTo(
       const base::BackendServerId& backend_server) const;
 
--- a/core/src/routing.cc
+++ b/core/src/routing.cc
@@ -177,7 +177,9 @@
   const bool prefills = query.stage != RequestStage::kDecode;
   const int64_t missing =
       prefills ? std::max<int64_t>(0, query.prompt_tokens - cached_tokens) : 0;
-  double seconds = this->SecondsUntilSlot(view, query.model.has_value());
+  double seconds =
+      std::max(this->SecondsUntilSlot(view, query.model.has_value()),
+               this->SecondsAtLimit(view));
   if (query.model && prefills) {
     const double rate =
         ValueOrDefault(view.prefill_tokens_per_second,
@@ -236,6 +238,16 @@
   return static_cast<double>(ahead + 1) / ends_per_second;
 }
 
+double Router::SecondsAtLimit(const BackendView& view) const {
+  if (!view.requests_per_second.has_value()) {
+    return 0;
+  }
+  const auto sent_since =
+      static_cast<int64_t>(this->SentTo(view.backend_server).size());
+  return static_cast<double>(view.queued_requests + sent_since) /
+         *view.requests_per_second;
+}
+
 const std::vector<Router::SentAttempt>& Router::SentTo(
     const base::BackendServerId& backend_server) const {
   static const std::vector<SentAttempt> kNone;
--- a/core/tests/routing_test.cc
+++ b/core/tests/routing_test.cc
@@ -58,6 +58,19 @@
   const auto choose = [&](const RoutingQuery& query, Instant now = kStart) {
     return NameOf(router.Choose(query, now, generator));
   };
+
+  SUBCASE("one that limits its requests gets one after another") {
+    one.requests_per_second = 2;
+    router.Update(one);
+    const auto wait = [&] {
+      return router.Estimate({"b1"}, kPrompt, kStart).expected_wait;
+    };
+    const base::Duration idle = wait();
+    router.NoteSent({"a1"}, router.Estimate({"b1"}, kPrompt, kStart), kStart);
+    CHECK(wait() >= Milliseconds(500));
+    router.NoteEnded({"a1"});
+    CHECK(wait() == idle);
+  }
   const auto wait_at = [&](const char* name, Instant now = kStart) {
     return base::ToMilliseconds(
         router.Estimate({name}, kPrompt, now).expected_wait);
--- a/entry/src/fleet.cc
+++ b/entry/src/fleet.cc
@@ -93,6 +93,9 @@
   view.queued_requests = status.queued;
   view.running_requests = status.running;
   view.slots = status.slots;
+  if (status.__isset.requests_per_second) {
+    view.requests_per_second = status.requests_per_second;
+  }
   view.queued_prefill_tokens = status.load.queued_prefill_tokens;
   view.prefill_tokens_per_second = status.load.prefill_tokens_per_second;
   view.decode_tokens_per_second = status.load.decode_tokens_per_second;
--- a/systems/include/carawayvalve/systems/engine.h
+++ b/systems/include/carawayvalve/systems/engine.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "carawayvalve/base/time.h"
+#include "carawayvalve/systems/http_client.h"
 
 namespace carawayvalve::systems {
 
@@ -96,10 +97,13 @@
   // Runs a generation and passes each raw output line, including the end line,
   // to `on_line` without its line break. Throws base::NotReachedError when the
   // engine certainly did not receive the request and base::UnknownOutcomeError
-  // when the output breaks off or is malformed.
+  // when the output breaks off or is malformed. `on_head` gets the status and
+  // the headers of the engine's answer.
   GenerateResult Generate(
       const Generation& generation,
       base::Milliseconds timeout,
+      const std::function<
+          void(int status, const std::vector<HttpHeader>& headers)>& on_head,
       const std::function<bool(const std::string& line)>& on_line,
       const std::function<bool()>& cancelled) const;
 
--- a/systems/src/engine.cc
+++ b/systems/src/engine.cc
@@ -44,6 +44,8 @@
 Engine::GenerateResult Engine::Generate(
     const Generation& generation,
     Milliseconds timeout,
+    const std::function<void(int status,
+                             const std::vector<HttpHeader>& headers)>& on_head,
     const std::function<bool(const std::string& line)>& on_line,
     const std::function<bool()>& cancelled) const {
   const CallSite site{"generate", this->address};
@@ -53,8 +55,9 @@
   std::string refusal;
   int status = 0;
   HttpSink sink;
-  sink.head = [&status](int received_status, const std::vector<HttpHeader>&) {
+  sink.head = [&](int received_status, const std::vector<HttpHeader>& headers) {
     status = received_status;
+    on_head(status, headers);
     return true;
   };
   sink.body = [&](const char* bytes, size_t count) {
--- a/systems/tests/engine_test.cc
+++ b/systems/tests/engine_test.cc
@@ -102,6 +102,7 @@
     return Engine(server.Address())
         .Generate(
             Generation{}, Milliseconds(5000),
+            [](int, const std::vector<HttpHeader>&) {},
             [&lines](const std::string& line) {
               lines.push_back(line);
               return line != "{\"text\":\"stop\"}";
--- a/wire/carawayvalve.thrift
+++ b/wire/carawayvalve.thrift
@@ -155,6 +155,9 @@
   // An order waits for the running requests to end; no new ones start
   // meanwhile.
   16: required bool draining,
+  // The backend server takes this many requests a second; absent for any
+  // number.
+  17: optional double requests_per_second,
 }
 
 // The part of the configuration that an agent needs.
--- a/wire/gen/carawayvalve_types.cpp
+++ b/wire/gen/carawayvalve_types.cpp
@@ -2322,6 +2322,11 @@
 void AgentStatus::__set_draining(const bool val) {
   this->draining = val;
 }
+
+void AgentStatus::__set_requests_per_second(const double val) {
+  this->requests_per_second = val;
+__isset.requests_per_second = true;
+}
 std::ostream& operator<<(std::ostream& out, const AgentStatus& obj)
 {
   obj.printTo(out);
@@ -2506,6 +2511,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->requests_per_second);
+          this->__isset.requests_per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2627,6 +2640,11 @@
   xfer += oprot->writeBool(this->draining);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.requests_per_second) {
+    xfer += oprot->writeFieldBegin("requests_per_second", ::apache::thrift::protocol::T_DOUBLE, 17);
+    xfer += oprot->writeDouble(this->requests_per_second);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2650,6 +2668,8 @@
   swap(a.highest_sequence, b.highest_sequence);
   swap(a.deaths, b.deaths);
   swap(a.draining, b.draining);
+  swap(a.requests_per_second, b.requests_per_second);
+  swap(a.__isset, b.__isset);
 }
 
 AgentStatus::AgentStatus(const AgentStatus& other66) {
@@ -2669,6 +2689,8 @@
   highest_sequence = other66.highest_sequence;
   deaths = other66.deaths;
   draining = other66.draining;
+  requests_per_second = other66.requests_per_second;
+  __isset = other66.__isset;
 }
 AgentStatus::AgentStatus(AgentStatus&& other67) noexcept {
   agent_boot = std::move(other67.agent_boot);
@@ -2687,6 +2709,8 @@
   highest_sequence = other67.highest_sequence;
   deaths = std::move(other67.deaths);
   draining = other67.draining;
+  requests_per_second = other67.requests_per_second;
+  __isset = other67.__isset;
 }
 AgentStatus& AgentStatus::operator=(const AgentStatus& other68) {
   agent_boot = other68.agent_boot;
@@ -2705,6 +2729,8 @@
   highest_sequence = other68.highest_sequence;
   deaths = other68.deaths;
   draining = other68.draining;
+  requests_per_second = other68.requests_per_second;
+  __isset = other68.__isset;
   return *this;
 }
 AgentStatus& AgentStatus::operator=(AgentStatus&& other69) noexcept {
@@ -2724,6 +2750,8 @@
   highest_sequence = other69.highest_sequence;
   deaths = std::move(other69.deaths);
   draining = other69.draining;
+  requests_per_second = other69.requests_per_second;
+  __isset = other69.__isset;
   return *this;
 }
 void AgentStatus::printTo(std::ostream& out) const {
@@ -2745,6 +2773,7 @@
   out << ", " << "highest_sequence=" << to_string(highest_sequence);
   out << ", " << "deaths=" << to_string(deaths);
   out << ", " << "draining=" << to_string(draining);
+  out << ", " << "requests_per_second="; (__isset.requests_per_second ? (out << to_string(requests_per_second)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/carawayvalve_types.h
+++ b/wire/gen/carawayvalve_types.h
@@ -777,6 +777,10 @@
 
 std::ostream& operator<<(std::ostream& out, const ServedPart& obj);
 
+typedef struct _AgentStatus__isset {
+  _AgentStatus__isset() : requests_per_second(false) {}
+  bool requests_per_second :1;
+} _AgentStatus__isset;
 
 class AgentStatus : public virtual ::apache::thrift::TBase {
  public:
@@ -799,7 +803,8 @@
                 clock_us(0),
                 highest_epoch(0),
                 highest_sequence(0),
-                draining(0) {
+                draining(0),
+                requests_per_second(0) {
   }
 
   virtual ~AgentStatus() noexcept;
@@ -819,6 +824,9 @@
   int64_t highest_sequence;
   std::vector<DeathMark>  deaths;
   bool draining;
+  double requests_per_second;
+
+  _AgentStatus__isset __isset;
 
   void __set_agent_boot(const std::string& val);
 
@@ -852,6 +860,8 @@
 
   void __set_draining(const bool val);
 
+  void __set_requests_per_second(const double val);
+
   bool operator == (const AgentStatus & rhs) const
   {
     if (!(agent_boot == rhs.agent_boot))
@@ -886,6 +896,10 @@
       return false;
     if (!(draining == rhs.draining))
       return false;
+    if (__isset.requests_per_second != rhs.__isset.requests_per_second)
+      return false;
+    else if (__isset.requests_per_second && !(requests_per_second == rhs.requests_per_second))
+      return false;
     return true;
   }
   bool operator != (const AgentStatus &rhs) const {
