--- a/core/include/carawayvalve/core/backend_directory.h
+++ b/core/include/carawayvalve/core/backend_directory.h
@@ -26,6 +26,9 @@
   int64_t slots = 1;
   // Set for engines only.
   std::optional<config::EngineRole> role;
+  // The version of its software. What two versions write doesn't fit together
+  // in one stream.
+  std::string software_version;
   // Start time in Unix milliseconds; distinguishes successive runs with the
   // same id.
   int64_t started_ms = 0;
--- a/core/include/carawayvalve/core/caller_request.h
+++ b/core/include/carawayvalve/core/caller_request.h
@@ -43,6 +43,10 @@
   // How long the caller waits, counted from when it sent the request.
   std::optional<base::Milliseconds> timeout;
   std::optional<Prompt> prompt;
+  // The caller takes a stream up after the event with this id.
+  std::optional<std::string> after_event;
+  // The request that brought the caller the first event of that stream.
+  std::optional<base::RequestId> resumes;
 
   bool operator==(const CallerRequest&) const = default;
 };
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -87,6 +87,13 @@
   this->deadline = this->arrived + timeout;
   this->service = core::ChooseService(*this->route, this->caller.id.value);
   this->context.state.RetryBudget(this->service).NoteRequest(base::Now());
+  if (this->caller.after_event.has_value()) {
+    this->context.journal.Write(
+        base::LogLevel::kInfo, "stream_taken_up",
+        {{"request", this->caller.id.value},
+         {"first", this->caller.resumes.value_or(base::RequestId{}).value},
+         {"after", *this->caller.after_event}});
+  }
   const auto self = this->shared_from_this();
   this->exchange->OnDisconnect([self] { self->OnCallerDisconnected(); });
   this->deadline_timer.Start(this->TimeLeft(base::Now()) + kDeadlineGrace,
@@ -316,6 +323,7 @@
       base::LogLevel::kInfo, "attempt_sent",
       {{"request", this->caller.id.value},
        {"backend", id.value},
+       {"version", placement.target.software_version},
        {"attempt", this->progress.attempts + 1},
        {"missing_tokens", placement.missing_tokens},
        {"expected_ms", base::ToMilliseconds(placement.expected)},
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -283,6 +283,7 @@
         base::LogLevel::kInfo, "backend_known",
         {{"backend", entry->id.value},
          {"service", entry->service.value},
+         {"version", entry->software_version},
          {"draining", entry->draining},
          {"role", entry->role == config::EngineRole::kPrefill ? "prefill" : ""},
          {"restarted", restarted},
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -247,6 +247,7 @@
   json entry = {{"service", server.engine ? "models" : "desk"},
                 {"addr", server.link->address()},
                 {"zone", "a"},
+                {"version", "v1"},
                 {"slots", this->Slots()},
                 {"state", draining ? "draining" : "up"},
                 {"born", 1}};
