--- a/core/include/carawayvalve/core/backend_directory.h
+++ b/core/include/carawayvalve/core/backend_directory.h
@@ -77,9 +77,15 @@
   void NoteStoreFailure(base::Instant now) { this->store_failed_at = now; }
 
   // Drops the lapsed entries once the grace period is over and returns their
-  // ids.
+  // ids. Must be called regularly: it also takes note of the versions present.
   std::vector<base::BackendServerId> Expire(base::Instant now);
 
+  // Returns the software version of a service if its backend servers have had
+  // no other one for `time`, during which this process knew them.
+  std::optional<std::string> OnlyVersion(const base::ServiceId& service,
+                                         base::Duration time,
+                                         base::Instant now) const;
+
   // Backend servers that may still serve requests in flight, including draining
   // ones.
   const std::map<base::BackendServerId, BackendEntry>& entries() const {
@@ -101,6 +107,10 @@
   // Time at which each missing entry was first noticed to be missing.
   std::map<base::BackendServerId, base::Instant> lapsed;
   std::optional<base::Instant> store_failed_at;
+  // When a backend server of each version of a service was known last.
+  std::map<base::ServiceId, std::map<std::string, base::Instant>> versions;
+  // When the first listing of a service was received.
+  std::map<base::ServiceId, base::Instant> service_known;
 };
 
 }  // namespace carawayvalve::core
--- a/core/include/carawayvalve/core/placement.h
+++ b/core/include/carawayvalve/core/placement.h
@@ -81,6 +81,9 @@
   base::Duration objective{};
   // Whether a prefill engine may prefill the prompt for a decode engine.
   bool may_hand_over = true;
+  // The software version that began the stream, which only backend servers of
+  // that version continue. Any version may prefill the prompt.
+  std::optional<std::string> software_version;
 };
 
 // The backend server that a request goes to first.
--- a/core/include/carawayvalve/core/role_share_planner.h
+++ b/core/include/carawayvalve/core/role_share_planner.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "carawayvalve/base/ids.h"
@@ -37,6 +38,10 @@
     int64_t tolerance = 2;
     // Maximum number of changes per plan under load; unlimited without load.
     size_t max_changes_under_load = 1;
+    // While engines of several software versions serve, each version of that
+    // many engines or more gets as many decode engines: a stream that breaks
+    // off goes on at its own version only.
+    size_t decode_engines_per_version = 2;
 
     bool operator==(const Settings&) const = default;
   };
@@ -65,8 +70,15 @@
   const Order* PendingOrder(const BackendEntry& engine,
                             base::Instant now) const;
   bool IsPrefillEngine(const BackendEntry& engine, base::Instant now) const;
+  using Engines = std::vector<const BackendEntry*>;
+
+  // The engines that must decode, for the sake of their software versions.
+  std::set<base::BackendServerId> DecodeEnginesByVersion(
+      const Engines& engines,
+      base::Instant now) const;
   std::vector<RoleChange> PlanDataCentre(
-      const std::vector<const BackendEntry*>& engines,
+      const Engines& engines,
+      const std::set<base::BackendServerId>& must_decode,
       bool under_load,
       base::Instant now) const;
 
--- /dev/null
+++ b/core/include/carawayvalve/core/stream_origins.h
@@ -0,0 +1,67 @@
+#ifndef CARAWAYVALVE_CORE_STREAM_ORIGINS_H_
+#define CARAWAYVALVE_CORE_STREAM_ORIGINS_H_
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "carawayvalve/base/ids.h"
+#include "carawayvalve/base/time.h"
+
+namespace carawayvalve::core {
+
+// The software version that began a stream.
+struct StreamOrigin {
+  // The request that brought the caller the stream's first event.
+  base::RequestId first;
+  std::string software_version;
+  // Time since it was noted last.
+  base::Duration age{};
+
+  bool operator==(const StreamOrigin&) const = default;
+};
+
+// Remembers which software version began each recent stream. A stream may go on
+// at that version only, wherever its caller takes it up.
+class StreamOrigins {
+ public:
+  // Records that the version has sent events of the stream `age` ago. The first
+  // version noted stays.
+  void Note(const StreamOrigin& origin, base::Instant now);
+  // Returns the version that began the stream, nothing if it isn't known.
+  std::optional<std::string> Find(const base::RequestId& first) const;
+  // Returns what was noted within `max_age`, the newest first, at most
+  // `max_count`.
+  std::vector<StreamOrigin> Recent(base::Duration max_age,
+                                   size_t max_count,
+                                   base::Instant now) const;
+  // Forgets streams that no caller takes up any more. To be called regularly.
+  void Prune(base::Instant now);
+
+  size_t size() const { return this->records.size(); }
+
+ private:
+  struct Record {
+    std::string software_version;
+    base::Instant noted;
+  };
+
+  std::unordered_map<base::RequestId, Record> records;
+  // In the order in which they were noted; those noted again are in it several
+  // times.
+  std::deque<std::pair<base::Instant, base::RequestId>> order;
+};
+
+// Returns the processes that keep the origin of a stream besides the one that
+// served it: `count` of `live`, chosen by rendezvous hashing.
+std::vector<base::HostId> OriginKeepers(const base::RequestId& first,
+                                        const std::vector<base::HostId>& live,
+                                        size_t count);
+
+}  // namespace carawayvalve::core
+
+#endif  // CARAWAYVALVE_CORE_STREAM_ORIGINS_H_
--- a/core/src/backend_directory.cc
+++ b/core/src/backend_directory.cc
@@ -102,6 +102,10 @@
 
 std::vector<base::BackendServerId> BackendDirectory::Expire(base::Instant now) {
   std::vector<base::BackendServerId> expired;
+  for (const auto& [id, entry] : this->known) {
+    this->versions[entry.service][entry.software_version] = now;
+    this->service_known.try_emplace(entry.service, now);
+  }
   if (this->InGracePeriod(now)) {
     return expired;
   }
@@ -113,6 +117,35 @@
   return expired;
 }
 
+std::optional<std::string> BackendDirectory::OnlyVersion(
+    const base::ServiceId& service,
+    base::Duration time,
+    base::Instant now) const {
+  std::optional<std::string> only;
+  for (const auto& [id, entry] : this->known) {
+    if (entry.service != service) {
+      continue;
+    }
+    if (only.has_value() && *only != entry.software_version) {
+      return std::nullopt;
+    }
+    only = entry.software_version;
+  }
+  if (!only.has_value() || time.count() == 0) {
+    return only;
+  }
+  const auto since = this->service_known.find(service);
+  if (since == this->service_known.end() || now - since->second < time) {
+    return std::nullopt;
+  }
+  const auto& seen = this->versions.at(service);
+  const bool had_other =
+      std::any_of(seen.begin(), seen.end(), [&](const auto& version) {
+        return version.first != *only && now - version.second < time;
+      });
+  return had_other ? std::nullopt : only;
+}
+
 const BackendEntry* BackendDirectory::Find(
     const base::BackendServerId& id) const {
   const auto found = this->known.find(id);
--- a/core/src/duty.cc
+++ b/core/src/duty.cc
@@ -1,6 +1,7 @@
 #include "carawayvalve/core/duty.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace carawayvalve::core {
@@ -27,13 +28,19 @@
 
 std::vector<base::HostId> RankHolders(const std::string& duty_name,
                                       std::vector<base::HostId> live) {
-  const auto weight = [&](const base::HostId& host) {
-    return std::pair(base::StableHash(duty_name + "\n" + host.value), host);
-  };
-  std::sort(live.begin(), live.end(), [&](const auto& a, const auto& b) {
-    return weight(a) > weight(b);
-  });
-  return live;
+  std::vector<std::pair<uint64_t, base::HostId>> weighted;
+  weighted.reserve(live.size());
+  for (base::HostId& host : live) {
+    const uint64_t weight = base::StableHash(duty_name + "\n" + host.value);
+    weighted.emplace_back(weight, std::move(host));
+  }
+  std::sort(weighted.begin(), weighted.end(), std::greater<>());
+  std::vector<base::HostId> ranked;
+  ranked.reserve(weighted.size());
+  for (auto& [weight, host] : weighted) {
+    ranked.push_back(std::move(host));
+  }
+  return ranked;
 }
 
 std::optional<base::HostId> PreferredHolder(
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -51,7 +51,10 @@
   Candidates usable;
   Candidates unhealthy;
   for (const auto& [id, entry] : this->directory.entries()) {
-    if (entry.service != query.service || entry.draining ||
+    const bool fits_stream = IsPrefillEngine(entry) ||
+                             !query.software_version.has_value() ||
+                             entry.software_version == *query.software_version;
+    if (entry.service != query.service || entry.draining || !fits_stream ||
         query.excluded.contains(id) || this->health.AskedToWait(id, now) ||
         !this->rate_limits.MaySend(id, entry.started_ms, now)) {
       continue;
--- a/core/src/role_share_planner.cc
+++ b/core/src/role_share_planner.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <string>
+#include <tuple>
 
 namespace carawayvalve::core {
 
@@ -26,15 +28,25 @@
     const std::vector<BackendEntry>& engines,
     bool under_load,
     base::Instant now) const {
-  std::map<base::DataCentreId, std::vector<const BackendEntry*>> centres;
+  std::map<base::DataCentreId, Engines> centres;
+  Engines all;
   for (const BackendEntry& engine : engines) {
     if (engine.role.has_value() && !engine.draining) {
       centres[engine.data_centre].push_back(&engine);
+      all.push_back(&engine);
     }
   }
+  const auto must_decode = this->DecodeEnginesByVersion(all, now);
   std::vector<RoleChange> changes;
+  for (const BackendEntry* engine : all) {
+    if (must_decode.contains(engine->id) &&
+        this->IsPrefillEngine(*engine, now)) {
+      changes.push_back({engine->id, config::EngineRole::kDecode});
+    }
+  }
   for (const auto& [centre, present] : centres) {
-    const auto planned = this->PlanDataCentre(present, under_load, now);
+    const auto planned =
+        this->PlanDataCentre(present, must_decode, under_load, now);
     changes.insert(changes.end(), planned.begin(), planned.end());
   }
   if (under_load && changes.size() > this->settings.max_changes_under_load) {
@@ -43,6 +55,39 @@
   return changes;
 }
 
+std::set<base::BackendServerId> RoleSharePlanner::DecodeEnginesByVersion(
+    const Engines& engines,
+    base::Instant now) const {
+  std::map<std::string, Engines> versions;
+  for (const BackendEntry* engine : engines) {
+    versions[engine->software_version].push_back(engine);
+  }
+  std::set<base::BackendServerId> must_decode;
+  if (versions.size() < 2) {
+    return must_decode;
+  }
+  const size_t wanted = this->settings.decode_engines_per_version;
+  for (auto& [version, present] : versions) {
+    if (present.size() < wanted) {
+      continue;
+    }
+    // Those that decode already come first, engines with a pending order last.
+    const auto rank = [&](const BackendEntry* engine) {
+      return std::tuple(this->IsPrefillEngine(*engine, now),
+                        this->PendingOrder(*engine, now) != nullptr,
+                        engine->id);
+    };
+    std::sort(present.begin(), present.end(),
+              [&](const BackendEntry* one, const BackendEntry* other) {
+                return rank(one) < rank(other);
+              });
+    for (size_t i = 0; i < wanted; ++i) {
+      must_decode.insert(present[i]->id);
+    }
+  }
+  return must_decode;
+}
+
 double RoleSharePlanner::PrefillShare(
     const std::vector<const BackendEntry*>& engines) const {
   int64_t slots = 0;
@@ -59,7 +104,8 @@
 }
 
 std::vector<RoleChange> RoleSharePlanner::PlanDataCentre(
-    const std::vector<const BackendEntry*>& engines,
+    const Engines& engines,
+    const std::set<base::BackendServerId>& must_decode,
     bool under_load,
     base::Instant now) const {
   const auto count = static_cast<int64_t>(engines.size());
@@ -81,7 +127,8 @@
   }
   std::vector<RoleChange> changes;
   for (const BackendEntry* engine : engines) {
-    const bool may_change = this->PendingOrder(*engine, now) == nullptr;
+    const bool may_change = this->PendingOrder(*engine, now) == nullptr &&
+                            !must_decode.contains(engine->id);
     const bool wrong = this->IsPrefillEngine(*engine, now) == (missing < 0);
     if (may_change && wrong &&
         static_cast<int64_t>(changes.size()) < std::abs(missing)) {
--- a/core/tests/role_share_planner_test.cc
+++ b/core/tests/role_share_planner_test.cc
@@ -38,6 +38,44 @@
 
 }  // namespace
 
+TEST_CASE("engines of several software versions") {
+  const Instant now = Instant() + seconds(100);
+  RoleSharePlanner planner({.prefill_share = 0.75});
+  // One in four decodes, all of the old version.
+  std::vector<BackendEntry> engines = Engines("a", 6, 2);
+  for (size_t i = 0; i < engines.size(); ++i) {
+    engines[i].software_version = i < 3 ? "new" : "old";
+  }
+
+  SUBCASE(
+      "each version gets two that decode, one change at a time under load") {
+    for (int order = 0; order < 2; ++order) {
+      const auto changes = planner.Plan(engines, true, now);
+      REQUIRE(changes.size() == 1);
+      CHECK(changes.front().role == EngineRole::kDecode);
+      const auto changed = std::find_if(
+          engines.begin(), engines.end(), [&](const BackendEntry& engine) {
+            return engine.id == changes.front().backend_server;
+          });
+      CHECK(changed->software_version == "new");
+      planner.NoteOrdered(changes.front(), now);
+      changed->role = EngineRole::kDecode;
+    }
+    CHECK(planner.Plan(engines, true, now).empty());
+
+    SUBCASE("and keeps them without load") {
+      CHECK(CountOf(planner.Plan(engines, false, now + seconds(20)),
+                    EngineRole::kPrefill) == 0);
+    }
+  }
+  SUBCASE("a version with a single engine gets none for its own sake") {
+    for (size_t i = 1; i < engines.size(); ++i) {
+      engines[i].software_version = "old";
+    }
+    CHECK(planner.Plan(engines, true, now).empty());
+  }
+}
+
 TEST_CASE("RoleSharePlanner") {
   const Instant now = Instant() + seconds(100);
   RoleSharePlanner planner({.prefill_share = 0.75});
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -12,6 +12,10 @@
 // crashed.
 constexpr base::Milliseconds kProbeTimeout(400);
 constexpr base::Milliseconds kProbeInterval(500);
+// Datagrams may be lost, so that the origin of a stream is sent in two.
+constexpr int64_t kMessagesOfOrigin = 2;
+// Further origins aren't told: the gossip is behind by seconds.
+constexpr size_t kMaxUntoldOrigins = 4096;
 
 std::string Join(const std::vector<std::string>& texts) {
   std::string joined;
@@ -76,6 +80,16 @@
   return decoded;
 }
 
+void Context::NoteStream(const base::RequestId& first,
+                         const std::string& software_version) {
+  const base::Instant now = base::Now();
+  const core::StreamOrigin origin{first, software_version, {}};
+  this->state.stream_origins.Note(origin, now);
+  if (this->state.untold_origins.size() < kMaxUntoldOrigins) {
+    this->state.untold_origins.push_back({origin, now, kMessagesOfOrigin});
+  }
+}
+
 void Context::NoteBackendCrash(const base::BackendServerId& id,
                                const char* sign) {
   const auto running = this->state.NoteBackendCrash(id, base::Now());
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -12,6 +12,7 @@
 #include "gateway_metrics.h"
 #include "gateway_state.h"
 #include "late_request_scheduler.h"
+#include "stream_origin_lookup.h"
 
 namespace carawayvalve::gateway {
 
@@ -38,6 +39,7 @@
   // Called when this gateway has learned what its peers must know at once: that
   // a backend server leaves, or what ran when one crashed.
   std::function<void()>& on_urgent_news;
+  StreamOriginLookup& origin_lookup;
 
   // Records that a request of this kind, such as "attempt", is sent to a
   // backend server.
@@ -51,6 +53,10 @@
   // `source` is "answer", or the peer that told it.
   void NoteBackendRate(const core::BackendRateStatement& statement,
                        const std::string& source);
+  // Records that a backend server of this version sends events of a stream.
+  // `first` is the request that brought its first event.
+  void NoteStream(const base::RequestId& first,
+                  const std::string& software_version);
   // Records that a backend server crashed or restarted; `sign` says how that
   // was noticed.
   void NoteBackendCrash(const base::BackendServerId& id, const char* sign);
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -51,11 +51,12 @@
       generator(std::random_device()()),
       backends(this->loop, kBackendKeepAlive),
       waiting(this->loop),
+      origin_lookup(this->loop, this->state),
       objects(this->loop, settings.store.address, settings.store.call_timeout),
-      context{this->loop,          this->state,         this->journal,
-              this->metrics,       this->backends,      this->waiting,
-              this->generator,     this->sent_prefixes, this->on_load_changed,
-              this->on_urgent_news},
+      context{this->loop,           this->state,         this->journal,
+              this->metrics,        this->backends,      this->waiting,
+              this->generator,      this->sent_prefixes, this->on_load_changed,
+              this->on_urgent_news, this->origin_lookup},
       feed(this->context, this->objects),
       peers(this->context, this->objects, this->feed),
       duties(this->context, this->objects),
@@ -93,6 +94,7 @@
   this->feed.ExpireBackends();
   this->feed.RenewFreshness(now);
   this->state.poison_requests.Prune(now);
+  this->state.stream_origins.Prune(now);
   const int64_t window =
       this->state.wall_clock.At(now) /
       base::Duration(this->state.settings.duties.usage_window);
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -21,12 +21,20 @@
 #include "carawayvalve/core/serving_table.h"
 #include "carawayvalve/core/silence_detector.h"
 #include "carawayvalve/core/speed_estimator.h"
+#include "carawayvalve/core/stream_origins.h"
 #include "carawayvalve/core/wall_clock_estimator.h"
 #include "carawayvalve/core/window_counts.h"
 #include "carawayvalve/gateway/settings.h"
 
 namespace carawayvalve::gateway {
 
+// The origin of a stream, and how many more messages are to tell it.
+struct UntoldOrigin {
+  core::StreamOrigin origin;
+  base::Instant noted;
+  int64_t messages_left = 0;
+};
+
 // What a gateway knows about the configuration, the backend servers and its
 // peers. Not thread-safe: used on the event loop only.
 struct GatewayState {
@@ -68,6 +76,10 @@
   std::map<base::ServiceId, base::Instant> speeds_logged;
   core::PoisonRequestTracker poison_requests;
   core::CrashCorrelator crash_correlator;
+  core::StreamOrigins stream_origins;
+  // The origins of streams that this gateway serves and has not told often
+  // enough to those that keep them.
+  std::vector<UntoldOrigin> untold_origins;
   core::WindowCounts usage;
   core::WallClockEstimator wall_clock;
   // The engines that this gateway has ordered to change their roles, with the
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -74,6 +74,15 @@
 // The number of newest crashes that are sent to a gateway which has just
 // started.
 constexpr size_t kMaxCrashesForNewPeer = 256;
+// The origin of a stream is kept by this many gateways besides its own, so that
+// it is known after a kill or two.
+constexpr size_t kOriginKeepers = 3;
+// Keep datagrams small; what doesn't fit follows in the next round.
+constexpr size_t kMaxOriginsPerRound = 256;
+constexpr size_t kMaxOriginsPerMessage = 32;
+// A gateway that has just started receives the origins of these streams.
+constexpr std::chrono::seconds kOriginAgeForNewPeer(10);
+constexpr size_t kMaxOriginsForNewPeer = 512;
 constexpr int kOk = 200;
 constexpr std::chrono::seconds kKeepAlive(10);
 
@@ -98,6 +107,14 @@
   return encoded;
 }
 
+wire::gen::GossipStreamOrigin ToGossipOrigin(const core::StreamOrigin& origin) {
+  wire::gen::GossipStreamOrigin encoded;
+  encoded.first = origin.first.value;
+  encoded.software_version = origin.software_version;
+  encoded.age_ms = static_cast<int32_t>(base::ToMilliseconds(origin.age));
+  return encoded;
+}
+
 void AddServedPart(Gossip& gossip, const core::ServedPart& served) {
   wire::gen::GossipServedPart encoded;
   encoded.part = served.part;
@@ -150,6 +167,10 @@
   this->context.on_urgent_news = [this] {
     this->ScheduleUpdate(kUrgentNewsInterval);
   };
+  this->context.origin_lookup.SetAsk(
+      [this](const base::RequestId& first, bool all) {
+        this->AskForOrigin(first, all);
+      });
   this->registry.Start();
   this->RunRound();
 }
@@ -317,7 +338,83 @@
   }
   this->AddCrashes(gossip);
   this->AddRateLimits(gossip);
-  this->Send(gossip);
+  this->SendWithOrigins(gossip);
+}
+
+void PeerGossip::SendWithOrigins(const Gossip& gossip) {
+  GatewayState& state = this->context.state;
+  const base::Instant now = base::Now();
+  std::map<base::HostId, std::vector<wire::gen::GossipStreamOrigin>> origins;
+  const size_t count =
+      std::min(state.untold_origins.size(), kMaxOriginsPerRound);
+  for (size_t i = 0; i < count; ++i) {
+    UntoldOrigin& untold = state.untold_origins[i];
+    --untold.messages_left;
+    for (const base::HostId& keeper : core::OriginKeepers(
+             untold.origin.first, state.live_hosts, kOriginKeepers)) {
+      origins[keeper].push_back(
+          ToGossipOrigin({untold.origin.first, untold.origin.software_version,
+                          now - untold.noted}));
+    }
+  }
+  std::erase_if(state.untold_origins, [](const UntoldOrigin& untold) {
+    return untold.messages_left <= 0;
+  });
+  Gossip addressed = gossip;
+  for (const auto& [host, peer] : this->peers) {
+    addressed.echo = peer.stamp;
+    addressed.stream_origins = std::move(origins[host]);
+    addressed.__isset.stream_origins = !addressed.stream_origins.empty();
+    this->datagrams->Send(PrintGossip(addressed), peer.address);
+  }
+}
+
+void PeerGossip::AskForOrigin(const base::RequestId& first, bool all) {
+  const auto keepers = core::OriginKeepers(
+      first, this->context.state.live_hosts, kOriginKeepers);
+  Gossip question = this->LoadMessage();
+  question.__set_wanted_origins({first.value});
+  for (const auto& [host, peer] : this->peers) {
+    if (all ||
+        std::find(keepers.begin(), keepers.end(), host) != keepers.end()) {
+      question.echo = peer.stamp;
+      this->datagrams->Send(PrintGossip(question), peer.address);
+    }
+  }
+}
+
+void PeerGossip::AnswerOrigins(const Gossip& gossip,
+                               const base::Address& sender) {
+  Gossip answer;
+  for (const std::string& first : gossip.wanted_origins) {
+    const auto version =
+        this->context.state.stream_origins.Find(base::RequestId{first});
+    if (version.has_value()) {
+      answer.stream_origins.push_back(
+          ToGossipOrigin({{first}, *version, base::Duration(0)}));
+    }
+  }
+  if (answer.stream_origins.empty()) {
+    return;
+  }
+  Gossip message = this->LoadMessage();
+  message.__set_stream_origins(answer.stream_origins);
+  this->datagrams->Send(PrintGossip(message), sender);
+}
+
+std::vector<Gossip> PeerGossip::OriginMessages() const {
+  std::vector<Gossip> messages;
+  for (const core::StreamOrigin& origin :
+       this->context.state.stream_origins.Recent(
+           kOriginAgeForNewPeer, kMaxOriginsForNewPeer, base::Now())) {
+    if (messages.empty() ||
+        messages.back().stream_origins.size() >= kMaxOriginsPerMessage) {
+      messages.push_back(this->LoadMessage());
+      messages.back().__isset.stream_origins = true;
+    }
+    messages.back().stream_origins.push_back(ToGossipOrigin(origin));
+  }
+  return messages;
 }
 
 void PeerGossip::AddRateLimits(Gossip& gossip) {
@@ -505,6 +602,9 @@
       for (const Gossip& crashes : this->CrashMessages()) {
         this->datagrams->Send(PrintGossip(crashes), sender);
       }
+      for (const Gossip& origins : this->OriginMessages()) {
+        this->datagrams->Send(PrintGossip(origins), sender);
+      }
     }
   }
   if (was_not_live) {
@@ -522,6 +622,7 @@
   if (gossip->windows.empty()) {
     this->ApplyLoads(*gossip, now);
   }
+  this->AnswerOrigins(*gossip, sender);
   for (const wire::gen::GossipWindow& window : gossip->windows) {
     core::WindowCountsPart part{window.window, {window.source}, {}};
     for (const auto& [account, count] : window.counts) {
@@ -560,6 +661,7 @@
   }
   this->ApplyDepartures(gossip, now);
   this->ApplyRateLimits(gossip, now);
+  this->ApplyOrigins(gossip, now);
   std::vector<core::CrashRecord> crashes;
   for (const wire::gen::GossipDeath& received : gossip.deaths) {
     crashes.push_back({received.content_digest, received.death_id,
@@ -609,6 +711,16 @@
   }
 }
 
+void PeerGossip::ApplyOrigins(const Gossip& gossip, base::Instant now) {
+  for (const wire::gen::GossipStreamOrigin& received : gossip.stream_origins) {
+    const base::RequestId first{received.first};
+    this->context.state.stream_origins.Note(
+        {first, received.software_version, base::Milliseconds(received.age_ms)},
+        now);
+    this->context.origin_lookup.NoteLearned(first);
+  }
+}
+
 void PeerGossip::ApplyFreshness(const Gossip& gossip, const Peer& peer) {
   GatewayState& state = this->context.state;
   const int64_t own_version =
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -57,6 +57,15 @@
   void ScheduleUpdate(base::Duration interval);
   void SendLoads();
   void Send(const wire::gen::Gossip& gossip);
+  // Sends the load message, to each peer with the origins of streams that it is
+  // to keep.
+  void SendWithOrigins(const wire::gen::Gossip& gossip);
+  // Asks the peers that keep the origin of a stream for it, or all peers.
+  void AskForOrigin(const base::RequestId& first, bool all);
+  void AnswerOrigins(const wire::gen::Gossip& gossip,
+                     const base::Address& sender);
+  // Returns messages with the origins of recent streams.
+  std::vector<wire::gen::Gossip> OriginMessages() const;
   void SetWatchWaits();
   void AddCrashes(wire::gen::Gossip& gossip);
   void AddDepartures(wire::gen::Gossip& gossip) const;
@@ -80,6 +89,7 @@
   void OnDatagram(const std::string& data, const base::Address& sender);
   void ApplyLoads(const wire::gen::Gossip& gossip, base::Instant now);
   void ApplyDepartures(const wire::gen::Gossip& gossip, base::Instant now);
+  void ApplyOrigins(const wire::gen::Gossip& gossip, base::Instant now);
   void ApplyRateLimits(const wire::gen::Gossip& gossip, base::Instant now);
   void ApplyFreshness(const wire::gen::Gossip& gossip, const Peer& peer);
   void FetchPlan(const base::Address& address);
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -37,6 +37,9 @@
 // Mean number of output tokens of a prompt, to estimate the size of its KV
 // cache.
 constexpr int64_t kMeanOutputTokens = 128;
+// Callers take a stream up within this many timeouts of its route after it has
+// begun.
+constexpr int64_t kStreamTimeouts = 4;
 
 const char* KindOf(const core::AttemptEnd& end) {
   struct KindVisitor {
@@ -87,17 +90,56 @@
   this->deadline = this->arrived + timeout;
   this->service = core::ChooseService(*this->route, this->caller.id.value);
   this->context.state.RetryBudget(this->service).NoteRequest(base::Now());
-  if (this->caller.after_event.has_value()) {
-    this->context.journal.Write(
-        base::LogLevel::kInfo, "stream_taken_up",
-        {{"request", this->caller.id.value},
-         {"first", this->caller.resumes.value_or(base::RequestId{}).value},
-         {"after", *this->caller.after_event}});
-  }
   const auto self = this->shared_from_this();
   this->exchange->OnDisconnect([self] { self->OnCallerDisconnected(); });
   this->deadline_timer.Start(this->TimeLeft(base::Now()) + kDeadlineGrace,
                              [self] { self->OnDeadline(); });
+  if (this->IsStream() && this->caller.after_event.has_value()) {
+    this->TakeUpStream();
+    return;
+  }
+  this->Attempt();
+}
+
+void RequestHandler::TakeUpStream() {
+  const base::Instant now = base::Now();
+  const core::BackendDirectory& directory = this->context.state.directory;
+  if (!this->caller.resumes.has_value()) {
+    this->OnStreamOrigin(
+        directory.OnlyVersion(this->service, base::Duration(0), now));
+    return;
+  }
+  // A stream that nobody knows, but that can only have begun at one version.
+  const auto only = directory.OnlyVersion(
+      this->service, kStreamTimeouts * this->route->timeout, now);
+  if (only.has_value()) {
+    this->OnStreamOrigin(only);
+    return;
+  }
+  const auto self = this->shared_from_this();
+  this->context.origin_lookup.Find(
+      *this->caller.resumes, [self](const std::optional<std::string>& version) {
+        if (!self->ended) {
+          self->OnStreamOrigin(version);
+        }
+      });
+}
+
+void RequestHandler::OnStreamOrigin(const std::optional<std::string>& version) {
+  this->context.journal.Write(
+      base::LogLevel::kInfo, "stream_taken_up",
+      {{"request", this->caller.id.value},
+       {"first", this->caller.resumes.value_or(base::RequestId{}).value},
+       {"after", *this->caller.after_event},
+       {"version", version.value_or("")},
+       {"age_ms", this->AgeMs(base::Now())}});
+  if (!version.has_value()) {
+    this->Refuse(kUnavailable,
+                 "it isn't known which software version began the stream",
+                 true);
+    return;
+  }
+  this->stream_version = version;
   this->Attempt();
 }
 
@@ -164,6 +206,7 @@
   query.excluded = this->excluded;
   query.objective = this->route->objective;
   query.may_hand_over = this->may_hand_over;
+  query.software_version = this->stream_version;
   return query;
 }
 
@@ -387,7 +430,13 @@
   this->CountUsage(received);
   if (!this->progress.answer_begun) {
     this->progress.answer_begun = true;
-    this->NotePrefix(this->call->plan().backend.id, true);
+    const core::BackendEntry& backend = this->call->plan().backend;
+    this->stream_version = backend.software_version;
+    if (this->route->resumable) {
+      this->context.NoteStream(this->caller.resumes.value_or(this->caller.id),
+                               backend.software_version);
+    }
+    this->NotePrefix(backend.id, true);
     this->exchange->Begin(platform::EncodeForCaller(this->head));
     this->context.metrics.ObserveFirstAnswer(this->route->name.value,
                                              received - this->arrived);
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -29,6 +29,11 @@
   bool FindRoute();
   bool CheckKey();
 
+  // Finds out which software version began the stream that the caller takes up,
+  // then makes the first attempt.
+  void TakeUpStream();
+  // Makes the first attempt at that version; refuses if it isn't known.
+  void OnStreamOrigin(const std::optional<std::string>& version);
   // Chooses a backend server and sends the request to it, queues the request,
   // or ends it.
   void Attempt();
@@ -127,6 +132,9 @@
   // The request tries whether one of them still crashes backend servers.
   bool on_trial = false;
 
+  // The software version that began the stream; nothing while there is none.
+  std::optional<std::string> stream_version;
+
   core::RequestProgress progress;
   // Whether an attempt before the current one may have run.
   bool earlier_may_have_run = false;
--- a/gateway/tests/store_feed_test.cc
+++ b/gateway/tests/store_feed_test.cc
@@ -21,8 +21,10 @@
 }
 
 nlohmann::json DeskServer() {
-  return {{"service", "desk"}, {"addr", "127.0.0.1:1"}, {"zone", "a"},
-          {"slots", 4},        {"state", "up"},         {"born", 1}};
+  return {{"service", "desk"}, {"addr", "127.0.0.1:1"},
+          {"zone", "a"},       {"version", "v1"},
+          {"slots", 4},        {"state", "up"},
+          {"born", 1}};
 }
 
 }  // namespace
--- a/gateway/tests/test_gateway.h
+++ b/gateway/tests/test_gateway.h
@@ -31,9 +31,11 @@
   std::vector<SentPrefix> sent_prefixes;
   std::function<void()> on_load_changed = [] {};
   std::function<void()> on_urgent_news = [] {};
-  Context context{
-      loop,          state,     journal,       metrics,         backends,
-      late_requests, generator, sent_prefixes, on_load_changed, on_urgent_news};
+  StreamOriginLookup origin_lookup{loop, state};
+  Context context{loop,           state,         journal,
+                  metrics,        backends,      late_requests,
+                  generator,      sent_prefixes, on_load_changed,
+                  on_urgent_news, origin_lookup};
 };
 
 }  // namespace carawayvalve::gateway
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -1323,6 +1323,155 @@
 }
 
 
+GossipStreamOrigin::~GossipStreamOrigin() noexcept {
+}
+
+
+void GossipStreamOrigin::__set_first(const std::string& val) {
+  this->first = val;
+}
+
+void GossipStreamOrigin::__set_software_version(const std::string& val) {
+  this->software_version = val;
+}
+
+void GossipStreamOrigin::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipStreamOrigin& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipStreamOrigin::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_first = false;
+  bool isset_software_version = false;
+  bool isset_age_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->first);
+          isset_first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software_version);
+          isset_software_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_first)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_software_version)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipStreamOrigin::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipStreamOrigin");
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("software_version", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->software_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipStreamOrigin &a, GossipStreamOrigin &b) {
+  using ::std::swap;
+  swap(a.first, b.first);
+  swap(a.software_version, b.software_version);
+  swap(a.age_ms, b.age_ms);
+}
+
+GossipStreamOrigin::GossipStreamOrigin(const GossipStreamOrigin& other58) {
+  first = other58.first;
+  software_version = other58.software_version;
+  age_ms = other58.age_ms;
+}
+GossipStreamOrigin::GossipStreamOrigin(GossipStreamOrigin&& other59) noexcept {
+  first = std::move(other59.first);
+  software_version = std::move(other59.software_version);
+  age_ms = other59.age_ms;
+}
+GossipStreamOrigin& GossipStreamOrigin::operator=(const GossipStreamOrigin& other60) {
+  first = other60.first;
+  software_version = other60.software_version;
+  age_ms = other60.age_ms;
+  return *this;
+}
+GossipStreamOrigin& GossipStreamOrigin::operator=(GossipStreamOrigin&& other61) noexcept {
+  first = std::move(other61.first);
+  software_version = std::move(other61.software_version);
+  age_ms = other61.age_ms;
+  return *this;
+}
+void GossipStreamOrigin::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipStreamOrigin(";
+  out << "first=" << to_string(first);
+  out << ", " << "software_version=" << to_string(software_version);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -1403,6 +1552,16 @@
   this->rate_limits = val;
 __isset.rate_limits = true;
 }
+
+void Gossip::__set_stream_origins(const std::vector<GossipStreamOrigin> & val) {
+  this->stream_origins = val;
+__isset.stream_origins = true;
+}
+
+void Gossip::__set_wanted_origins(const std::vector<std::string> & val) {
+  this->wanted_origins = val;
+__isset.wanted_origins = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -1504,14 +1663,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->loads.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->loads.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->loads[_i62].read(iprot);
+              xfer += this->loads[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1524,14 +1683,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size63;
-            ::apache::thrift::protocol::TType _etype66;
-            xfer += iprot->readListBegin(_etype66, _size63);
-            this->prefixes.resize(_size63);
-            uint32_t _i67;
-            for (_i67 = 0; _i67 < _size63; ++_i67)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->prefixes.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += this->prefixes[_i67].read(iprot);
+              xfer += this->prefixes[_i71].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1544,14 +1703,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->windows.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->windows.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->windows.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->windows[_i72].read(iprot);
+              xfer += this->windows[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1564,14 +1723,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size73;
-            ::apache::thrift::protocol::TType _etype76;
-            xfer += iprot->readListBegin(_etype76, _size73);
-            this->deaths.resize(_size73);
-            uint32_t _i77;
-            for (_i77 = 0; _i77 < _size73; ++_i77)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->deaths.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += this->deaths[_i77].read(iprot);
+              xfer += this->deaths[_i81].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1600,14 +1759,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->absences.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->absences.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->absences.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->absences[_i82].read(iprot);
+              xfer += this->absences[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1620,14 +1779,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departures.clear();
-            uint32_t _size83;
-            ::apache::thrift::protocol::TType _etype86;
-            xfer += iprot->readListBegin(_etype86, _size83);
-            this->departures.resize(_size83);
-            uint32_t _i87;
-            for (_i87 = 0; _i87 < _size83; ++_i87)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->departures.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += this->departures[_i87].read(iprot);
+              xfer += this->departures[_i91].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1640,14 +1799,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->served_parts.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->served_parts.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->served_parts.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->served_parts[_i92].read(iprot);
+              xfer += this->served_parts[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1668,14 +1827,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rate_limits.clear();
-            uint32_t _size93;
-            ::apache::thrift::protocol::TType _etype96;
-            xfer += iprot->readListBegin(_etype96, _size93);
-            this->rate_limits.resize(_size93);
-            uint32_t _i97;
-            for (_i97 = 0; _i97 < _size93; ++_i97)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->rate_limits.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += this->rate_limits[_i97].read(iprot);
+              xfer += this->rate_limits[_i101].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1684,6 +1843,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->stream_origins.clear();
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->stream_origins.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
+            {
+              xfer += this->stream_origins[_i106].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.stream_origins = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->wanted_origins.clear();
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->wanted_origins.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
+            {
+              xfer += iprot->readString(this->wanted_origins[_i111]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.wanted_origins = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1758,10 +1957,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GossipLoad> ::const_iterator _iter98;
-    for (_iter98 = this->loads.begin(); _iter98 != this->loads.end(); ++_iter98)
+    std::vector<GossipLoad> ::const_iterator _iter112;
+    for (_iter112 = this->loads.begin(); _iter112 != this->loads.end(); ++_iter112)
     {
-      xfer += (*_iter98).write(oprot);
+      xfer += (*_iter112).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1770,10 +1969,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<GossipPrefix> ::const_iterator _iter99;
-    for (_iter99 = this->prefixes.begin(); _iter99 != this->prefixes.end(); ++_iter99)
+    std::vector<GossipPrefix> ::const_iterator _iter113;
+    for (_iter113 = this->prefixes.begin(); _iter113 != this->prefixes.end(); ++_iter113)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1782,10 +1981,10 @@
   xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->windows.size()));
-    std::vector<GossipWindow> ::const_iterator _iter100;
-    for (_iter100 = this->windows.begin(); _iter100 != this->windows.end(); ++_iter100)
+    std::vector<GossipWindow> ::const_iterator _iter114;
+    for (_iter114 = this->windows.begin(); _iter114 != this->windows.end(); ++_iter114)
     {
-      xfer += (*_iter100).write(oprot);
+      xfer += (*_iter114).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1794,10 +1993,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<GossipDeath> ::const_iterator _iter101;
-    for (_iter101 = this->deaths.begin(); _iter101 != this->deaths.end(); ++_iter101)
+    std::vector<GossipDeath> ::const_iterator _iter115;
+    for (_iter115 = this->deaths.begin(); _iter115 != this->deaths.end(); ++_iter115)
     {
-      xfer += (*_iter101).write(oprot);
+      xfer += (*_iter115).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1815,10 +2014,10 @@
     xfer += oprot->writeFieldBegin("absences", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->absences.size()));
-      std::vector<GossipAbsence> ::const_iterator _iter102;
-      for (_iter102 = this->absences.begin(); _iter102 != this->absences.end(); ++_iter102)
+      std::vector<GossipAbsence> ::const_iterator _iter116;
+      for (_iter116 = this->absences.begin(); _iter116 != this->absences.end(); ++_iter116)
       {
-        xfer += (*_iter102).write(oprot);
+        xfer += (*_iter116).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1828,10 +2027,10 @@
     xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
-      std::vector<GossipDeparture> ::const_iterator _iter103;
-      for (_iter103 = this->departures.begin(); _iter103 != this->departures.end(); ++_iter103)
+      std::vector<GossipDeparture> ::const_iterator _iter117;
+      for (_iter117 = this->departures.begin(); _iter117 != this->departures.end(); ++_iter117)
       {
-        xfer += (*_iter103).write(oprot);
+        xfer += (*_iter117).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1841,10 +2040,10 @@
     xfer += oprot->writeFieldBegin("served_parts", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->served_parts.size()));
-      std::vector<GossipServedPart> ::const_iterator _iter104;
-      for (_iter104 = this->served_parts.begin(); _iter104 != this->served_parts.end(); ++_iter104)
+      std::vector<GossipServedPart> ::const_iterator _iter118;
+      for (_iter118 = this->served_parts.begin(); _iter118 != this->served_parts.end(); ++_iter118)
       {
-        xfer += (*_iter104).write(oprot);
+        xfer += (*_iter118).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1859,10 +2058,36 @@
     xfer += oprot->writeFieldBegin("rate_limits", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rate_limits.size()));
-      std::vector<GossipRateLimit> ::const_iterator _iter105;
-      for (_iter105 = this->rate_limits.begin(); _iter105 != this->rate_limits.end(); ++_iter105)
+      std::vector<GossipRateLimit> ::const_iterator _iter119;
+      for (_iter119 = this->rate_limits.begin(); _iter119 != this->rate_limits.end(); ++_iter119)
+      {
+        xfer += (*_iter119).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.stream_origins) {
+    xfer += oprot->writeFieldBegin("stream_origins", ::apache::thrift::protocol::T_LIST, 19);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stream_origins.size()));
+      std::vector<GossipStreamOrigin> ::const_iterator _iter120;
+      for (_iter120 = this->stream_origins.begin(); _iter120 != this->stream_origins.end(); ++_iter120)
+      {
+        xfer += (*_iter120).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.wanted_origins) {
+    xfer += oprot->writeFieldBegin("wanted_origins", ::apache::thrift::protocol::T_LIST, 20);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted_origins.size()));
+      std::vector<std::string> ::const_iterator _iter121;
+      for (_iter121 = this->wanted_origins.begin(); _iter121 != this->wanted_origins.end(); ++_iter121)
       {
-        xfer += (*_iter105).write(oprot);
+        xfer += oprot->writeString((*_iter121));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1893,93 +2118,103 @@
   swap(a.served_parts, b.served_parts);
   swap(a.reports_usage, b.reports_usage);
   swap(a.rate_limits, b.rate_limits);
+  swap(a.stream_origins, b.stream_origins);
+  swap(a.wanted_origins, b.wanted_origins);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other106) {
-  host = other106.host;
-  boot = other106.boot;
-  stamp = other106.stamp;
-  echo = other106.echo;
-  unix_ms = other106.unix_ms;
-  plan_version = other106.plan_version;
-  proof_age_ms = other106.proof_age_ms;
-  loads = other106.loads;
-  prefixes = other106.prefixes;
-  windows = other106.windows;
-  deaths = other106.deaths;
-  leaving = other106.leaving;
-  registry_revision = other106.registry_revision;
-  absences = other106.absences;
-  departures = other106.departures;
-  served_parts = other106.served_parts;
-  reports_usage = other106.reports_usage;
-  rate_limits = other106.rate_limits;
-  __isset = other106.__isset;
-}
-Gossip::Gossip(Gossip&& other107) noexcept {
-  host = std::move(other107.host);
-  boot = std::move(other107.boot);
-  stamp = other107.stamp;
-  echo = other107.echo;
-  unix_ms = other107.unix_ms;
-  plan_version = other107.plan_version;
-  proof_age_ms = other107.proof_age_ms;
-  loads = std::move(other107.loads);
-  prefixes = std::move(other107.prefixes);
-  windows = std::move(other107.windows);
-  deaths = std::move(other107.deaths);
-  leaving = other107.leaving;
-  registry_revision = other107.registry_revision;
-  absences = std::move(other107.absences);
-  departures = std::move(other107.departures);
-  served_parts = std::move(other107.served_parts);
-  reports_usage = other107.reports_usage;
-  rate_limits = std::move(other107.rate_limits);
-  __isset = other107.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other108) {
-  host = other108.host;
-  boot = other108.boot;
-  stamp = other108.stamp;
-  echo = other108.echo;
-  unix_ms = other108.unix_ms;
-  plan_version = other108.plan_version;
-  proof_age_ms = other108.proof_age_ms;
-  loads = other108.loads;
-  prefixes = other108.prefixes;
-  windows = other108.windows;
-  deaths = other108.deaths;
-  leaving = other108.leaving;
-  registry_revision = other108.registry_revision;
-  absences = other108.absences;
-  departures = other108.departures;
-  served_parts = other108.served_parts;
-  reports_usage = other108.reports_usage;
-  rate_limits = other108.rate_limits;
-  __isset = other108.__isset;
+Gossip::Gossip(const Gossip& other122) {
+  host = other122.host;
+  boot = other122.boot;
+  stamp = other122.stamp;
+  echo = other122.echo;
+  unix_ms = other122.unix_ms;
+  plan_version = other122.plan_version;
+  proof_age_ms = other122.proof_age_ms;
+  loads = other122.loads;
+  prefixes = other122.prefixes;
+  windows = other122.windows;
+  deaths = other122.deaths;
+  leaving = other122.leaving;
+  registry_revision = other122.registry_revision;
+  absences = other122.absences;
+  departures = other122.departures;
+  served_parts = other122.served_parts;
+  reports_usage = other122.reports_usage;
+  rate_limits = other122.rate_limits;
+  stream_origins = other122.stream_origins;
+  wanted_origins = other122.wanted_origins;
+  __isset = other122.__isset;
+}
+Gossip::Gossip(Gossip&& other123) noexcept {
+  host = std::move(other123.host);
+  boot = std::move(other123.boot);
+  stamp = other123.stamp;
+  echo = other123.echo;
+  unix_ms = other123.unix_ms;
+  plan_version = other123.plan_version;
+  proof_age_ms = other123.proof_age_ms;
+  loads = std::move(other123.loads);
+  prefixes = std::move(other123.prefixes);
+  windows = std::move(other123.windows);
+  deaths = std::move(other123.deaths);
+  leaving = other123.leaving;
+  registry_revision = other123.registry_revision;
+  absences = std::move(other123.absences);
+  departures = std::move(other123.departures);
+  served_parts = std::move(other123.served_parts);
+  reports_usage = other123.reports_usage;
+  rate_limits = std::move(other123.rate_limits);
+  stream_origins = std::move(other123.stream_origins);
+  wanted_origins = std::move(other123.wanted_origins);
+  __isset = other123.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other124) {
+  host = other124.host;
+  boot = other124.boot;
+  stamp = other124.stamp;
+  echo = other124.echo;
+  unix_ms = other124.unix_ms;
+  plan_version = other124.plan_version;
+  proof_age_ms = other124.proof_age_ms;
+  loads = other124.loads;
+  prefixes = other124.prefixes;
+  windows = other124.windows;
+  deaths = other124.deaths;
+  leaving = other124.leaving;
+  registry_revision = other124.registry_revision;
+  absences = other124.absences;
+  departures = other124.departures;
+  served_parts = other124.served_parts;
+  reports_usage = other124.reports_usage;
+  rate_limits = other124.rate_limits;
+  stream_origins = other124.stream_origins;
+  wanted_origins = other124.wanted_origins;
+  __isset = other124.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other109) noexcept {
-  host = std::move(other109.host);
-  boot = std::move(other109.boot);
-  stamp = other109.stamp;
-  echo = other109.echo;
-  unix_ms = other109.unix_ms;
-  plan_version = other109.plan_version;
-  proof_age_ms = other109.proof_age_ms;
-  loads = std::move(other109.loads);
-  prefixes = std::move(other109.prefixes);
-  windows = std::move(other109.windows);
-  deaths = std::move(other109.deaths);
-  leaving = other109.leaving;
-  registry_revision = other109.registry_revision;
-  absences = std::move(other109.absences);
-  departures = std::move(other109.departures);
-  served_parts = std::move(other109.served_parts);
-  reports_usage = other109.reports_usage;
-  rate_limits = std::move(other109.rate_limits);
-  __isset = other109.__isset;
+Gossip& Gossip::operator=(Gossip&& other125) noexcept {
+  host = std::move(other125.host);
+  boot = std::move(other125.boot);
+  stamp = other125.stamp;
+  echo = other125.echo;
+  unix_ms = other125.unix_ms;
+  plan_version = other125.plan_version;
+  proof_age_ms = other125.proof_age_ms;
+  loads = std::move(other125.loads);
+  prefixes = std::move(other125.prefixes);
+  windows = std::move(other125.windows);
+  deaths = std::move(other125.deaths);
+  leaving = other125.leaving;
+  registry_revision = other125.registry_revision;
+  absences = std::move(other125.absences);
+  departures = std::move(other125.departures);
+  served_parts = std::move(other125.served_parts);
+  reports_usage = other125.reports_usage;
+  rate_limits = std::move(other125.rate_limits);
+  stream_origins = std::move(other125.stream_origins);
+  wanted_origins = std::move(other125.wanted_origins);
+  __isset = other125.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -2003,6 +2238,8 @@
   out << ", " << "served_parts="; (__isset.served_parts ? (out << to_string(served_parts)) : (out << "<null>"));
   out << ", " << "reports_usage="; (__isset.reports_usage ? (out << to_string(reports_usage)) : (out << "<null>"));
   out << ", " << "rate_limits="; (__isset.rate_limits ? (out << to_string(rate_limits)) : (out << "<null>"));
+  out << ", " << "stream_origins="; (__isset.stream_origins ? (out << to_string(stream_origins)) : (out << "<null>"));
+  out << ", " << "wanted_origins="; (__isset.wanted_origins ? (out << to_string(wanted_origins)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -37,6 +37,8 @@
 
 class GossipRateLimit;
 
+class GossipStreamOrigin;
+
 class Gossip;
 
 
@@ -465,13 +467,66 @@
 
 std::ostream& operator<<(std::ostream& out, const GossipRateLimit& obj);
 
+
+class GossipStreamOrigin : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipStreamOrigin(const GossipStreamOrigin&);
+  GossipStreamOrigin(GossipStreamOrigin&&) noexcept;
+  GossipStreamOrigin& operator=(const GossipStreamOrigin&);
+  GossipStreamOrigin& operator=(GossipStreamOrigin&&) noexcept;
+  GossipStreamOrigin() noexcept
+                     : first(),
+                       software_version(),
+                       age_ms(0) {
+  }
+
+  virtual ~GossipStreamOrigin() noexcept;
+  std::string first;
+  std::string software_version;
+  int32_t age_ms;
+
+  void __set_first(const std::string& val);
+
+  void __set_software_version(const std::string& val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const GossipStreamOrigin & rhs) const
+  {
+    if (!(first == rhs.first))
+      return false;
+    if (!(software_version == rhs.software_version))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipStreamOrigin &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipStreamOrigin & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipStreamOrigin &a, GossipStreamOrigin &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipStreamOrigin& obj);
+
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false) {}
   bool absences :1;
   bool departures :1;
   bool served_parts :1;
   bool reports_usage :1;
   bool rate_limits :1;
+  bool stream_origins :1;
+  bool wanted_origins :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -513,6 +568,8 @@
   std::vector<GossipServedPart>  served_parts;
   bool reports_usage;
   std::vector<GossipRateLimit>  rate_limits;
+  std::vector<GossipStreamOrigin>  stream_origins;
+  std::vector<std::string>  wanted_origins;
 
   _Gossip__isset __isset;
 
@@ -552,6 +609,10 @@
 
   void __set_rate_limits(const std::vector<GossipRateLimit> & val);
 
+  void __set_stream_origins(const std::vector<GossipStreamOrigin> & val);
+
+  void __set_wanted_origins(const std::vector<std::string> & val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -600,6 +661,14 @@
       return false;
     else if (__isset.rate_limits && !(rate_limits == rhs.rate_limits))
       return false;
+    if (__isset.stream_origins != rhs.__isset.stream_origins)
+      return false;
+    else if (__isset.stream_origins && !(stream_origins == rhs.stream_origins))
+      return false;
+    if (__isset.wanted_origins != rhs.__isset.wanted_origins)
+      return false;
+    else if (__isset.wanted_origins && !(wanted_origins == rhs.wanted_origins))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -69,6 +69,14 @@
   4: required i32 age_ms,
 }
 
+// A stream that a backend server of this software version has begun.
+struct GossipStreamOrigin {
+  // The request that brought its first event.
+  1: required string first,
+  2: required string software_version,
+  3: required i32 age_ms,
+}
+
 struct Gossip {
   1: required string host,
   2: required string boot,
@@ -97,4 +105,8 @@
   // The sender reports the usage of all gateways.
   17: optional bool reports_usage,
   18: optional list<GossipRateLimit> rate_limits,
+  // Addressed to the receiver, which keeps them, or asked for by it.
+  19: optional list<GossipStreamOrigin> stream_origins,
+  // The streams whose origin the receiver is asked for, by their first request.
+  20: optional list<string> wanted_origins,
 }
