Continue an answer behind entry processes only at the software version that began it

Engines report their software version with their load, agents pass it on, and an answer that has begun is resumed at that version only; engines that report none fit each other.

--- a/agent/src/agent_handler.cc
+++ b/agent/src/agent_handler.cc
@@ -120,6 +120,7 @@
   status.load.decode_tokens_per_second = this->load.decode_tokens_per_second;
   status.load.role = this->load.role;
   status.load.models = this->load.models;
+  status.load.__set_software_version(this->load.software_version);
   if (rate_limit.has_value()) {
     status.__set_requests_per_second(*rate_limit);
   }
@@ -251,6 +252,7 @@
   const std::lock_guard lock(this->mutex);
   const bool publish = ready != this->ready || load.role != this->load.role ||
                        load.models != this->load.models ||
+                       load.software_version != this->load.software_version ||
                        this->ShouldPublishLoad(load);
   const bool restarted = ready && !this->ready && this->was_ready;
   this->was_ready = this->was_ready || ready;
--- a/core/include/carawayvalve/core/request_flow.h
+++ b/core/include/carawayvalve/core/request_flow.h
@@ -172,6 +172,8 @@
            (this->phase == Phase::kSettling && this->reading_after_deadline);
   }
   int32_t attempts() const { return this->attempt_count; }
+  // Returns whether any attempt has produced output.
+  bool has_output() const { return this->tokens_so_far > 0; }
   // Returns the number of tokens that the current attempt has delivered.
   int32_t attempt_tokens() const {
     return this->tokens_so_far - this->earlier_tokens;
--- a/core/include/carawayvalve/core/routing.h
+++ b/core/include/carawayvalve/core/routing.h
@@ -37,6 +37,8 @@
   int64_t decode_tokens_per_second = 0;
   config::EngineRole role = config::EngineRole::kMixed;
   std::vector<base::ModelId> models;
+  // Empty if it reports none.
+  std::string software_version;
   // Time on this process's clock at which the status was received.
   base::Instant reported;
 
@@ -58,6 +60,8 @@
   RequestStage stage = RequestStage::kWhole;
   int64_t prompt_tokens = 0;
   std::vector<PrefixHash> prefix_hashes;
+  // The software version that began the answer; no other one is chosen.
+  std::optional<std::string> software_version;
   // Chosen only if no other backend server can serve the request.
   std::set<base::BackendServerId> excluded;
 };
--- a/core/src/routing.cc
+++ b/core/src/routing.cc
@@ -28,7 +28,10 @@
 }
 
 bool Serves(const BackendView& view, const RoutingQuery& query) {
-  if (view.service != query.service || !view.ready || view.leaving) {
+  const bool fits_answer = !query.software_version.has_value() ||
+                           view.software_version == *query.software_version;
+  if (view.service != query.service || !view.ready || view.leaving ||
+      !fits_answer) {
     return false;
   }
   return !query.model || std::find(view.models.begin(), view.models.end(),
--- a/core/tests/routing_test.cc
+++ b/core/tests/routing_test.cc
@@ -59,6 +59,19 @@
     return NameOf(router.Choose(query, now, generator));
   };
 
+  SUBCASE("an answer goes on at the software version that began it") {
+    one.software_version = "v1";
+    other.software_version = "v2";
+    router.Update(one);
+    router.Update(other);
+    RoutingQuery query = kPrompt;
+    query.software_version = "v2";
+    CHECK(choose(query) == "b2");
+    query.excluded = {{"b2"}};
+    CHECK(choose(query) == "b2");
+    router.Remove({"b2"});
+    CHECK(choose(query).empty());
+  }
   SUBCASE("one that limits its requests gets one after another") {
     one.requests_per_second = 2;
     router.Update(one);
--- a/entry/src/dispatcher.cc
+++ b/entry/src/dispatcher.cc
@@ -275,6 +275,10 @@
   }
   core::RoutingQuery query = RoutingQueryFor(run.request);
   query.excluded = action.excluded;
+  if (run.flow.has_output() && !run.answer_version.has_value()) {
+    run.answer_version = run.chosen_version;
+  }
+  query.software_version = run.answer_version;
   const base::AttemptId attempt{base::RandomName()};
   const auto result = this->fleet().Choose(attempt, query);
   if (const auto* unavailable = std::get_if<core::NoBackendReady>(&result)) {
@@ -283,6 +287,7 @@
   const auto& choice = std::get<BackendChoice>(result);
   run.agent = choice.agent;
   run.agent_clock_us = choice.agent_clock_us;
+  run.chosen_version = choice.software_version;
   return core::BackendChosen{attempt, choice.backend_server};
 }
 
--- a/entry/src/dispatcher.h
+++ b/entry/src/dispatcher.h
@@ -101,6 +101,10 @@
     core::RequestFlow flow;
     base::BootId agent;
     int64_t agent_clock_us = 0;
+    // The software version at the last chosen backend server, and the one that
+    // began the answer.
+    std::string chosen_version;
+    std::optional<std::string> answer_version;
     base::AttemptId bound_attempt;
     base::BackendServerId bound_backend;
     // The attempt whose crash is being reported to the peers; its end is
--- a/entry/src/fleet.cc
+++ b/entry/src/fleet.cc
@@ -104,6 +104,7 @@
   for (const std::string& model : status.load.models) {
     view.models.push_back({model});
   }
+  view.software_version = status.load.software_version;
   view.reported = member.status_at;
   this->router.Update(view);
 }
@@ -144,7 +145,8 @@
       now - member.status_at);
   return BackendChoice{choice.backend_server,
                        {member.status->agent_boot},
-                       member.status->clock_us + elapsed.count()};
+                       member.status->clock_us + elapsed.count(),
+                       member.status->load.software_version};
 }
 
 void Fleet::NoteEnded(const base::AttemptId& attempt) {
--- a/entry/src/fleet.h
+++ b/entry/src/fleet.h
@@ -25,6 +25,7 @@
   // The agent's clock, advanced by the time that has passed since the status
   // with that clock was received.
   int64_t agent_clock_us = 0;
+  std::string software_version;
 };
 
 // The state of one backend server, for the state dump and for role planning.
--- a/systems/include/carawayvalve/systems/engine.h
+++ b/systems/include/carawayvalve/systems/engine.h
@@ -52,6 +52,8 @@
   int64_t decode_tokens_per_second = 0;
   std::string role;
   std::vector<std::string> models;
+  // Empty if the engine reports none.
+  std::string software_version;
 
   bool operator==(const EngineLoad&) const = default;
 };
--- a/systems/src/engine.cc
+++ b/systems/src/engine.cc
@@ -114,6 +114,10 @@
     return read;
   });
   load.models = ReadStrings(site, document, "models");
+  const auto version = document.find("software_version");
+  if (version != document.end() && version->is_string()) {
+    load.software_version = version->get<std::string>();
+  }
   return load;
 }
 
--- a/wire/carawayvalve.thrift
+++ b/wire/carawayvalve.thrift
@@ -113,6 +113,9 @@
   4: required i64 decode_tokens_per_second,
   5: required string role,
   6: required list<string> models,
+  // What two versions write doesn't fit together in one answer. Empty if the
+  // engine reports none.
+  7: optional string software_version,
 }
 
 // A request content that was running when a backend server crashed.
--- a/wire/gen/carawayvalve_types.cpp
+++ b/wire/gen/carawayvalve_types.cpp
@@ -1691,6 +1691,11 @@
 void ModelLoad::__set_models(const std::vector<std::string> & val) {
   this->models = val;
 }
+
+void ModelLoad::__set_software_version(const std::string& val) {
+  this->software_version = val;
+__isset.software_version = true;
+}
 std::ostream& operator<<(std::ostream& out, const ModelLoad& obj)
 {
   obj.printTo(out);
@@ -1785,6 +1790,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software_version);
+          this->__isset.software_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1846,6 +1859,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.software_version) {
+    xfer += oprot->writeFieldBegin("software_version", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->software_version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1859,6 +1877,8 @@
   swap(a.decode_tokens_per_second, b.decode_tokens_per_second);
   swap(a.role, b.role);
   swap(a.models, b.models);
+  swap(a.software_version, b.software_version);
+  swap(a.__isset, b.__isset);
 }
 
 ModelLoad::ModelLoad(const ModelLoad& other42) {
@@ -1868,6 +1888,8 @@
   decode_tokens_per_second = other42.decode_tokens_per_second;
   role = other42.role;
   models = other42.models;
+  software_version = other42.software_version;
+  __isset = other42.__isset;
 }
 ModelLoad::ModelLoad(ModelLoad&& other43) noexcept {
   queued_prefill_tokens = other43.queued_prefill_tokens;
@@ -1876,6 +1898,8 @@
   decode_tokens_per_second = other43.decode_tokens_per_second;
   role = std::move(other43.role);
   models = std::move(other43.models);
+  software_version = std::move(other43.software_version);
+  __isset = other43.__isset;
 }
 ModelLoad& ModelLoad::operator=(const ModelLoad& other44) {
   queued_prefill_tokens = other44.queued_prefill_tokens;
@@ -1884,6 +1908,8 @@
   decode_tokens_per_second = other44.decode_tokens_per_second;
   role = other44.role;
   models = other44.models;
+  software_version = other44.software_version;
+  __isset = other44.__isset;
   return *this;
 }
 ModelLoad& ModelLoad::operator=(ModelLoad&& other45) noexcept {
@@ -1893,6 +1919,8 @@
   decode_tokens_per_second = other45.decode_tokens_per_second;
   role = std::move(other45.role);
   models = std::move(other45.models);
+  software_version = std::move(other45.software_version);
+  __isset = other45.__isset;
   return *this;
 }
 void ModelLoad::printTo(std::ostream& out) const {
@@ -1904,6 +1932,7 @@
   out << ", " << "decode_tokens_per_second=" << to_string(decode_tokens_per_second);
   out << ", " << "role=" << to_string(role);
   out << ", " << "models=" << to_string(models);
+  out << ", " << "software_version="; (__isset.software_version ? (out << to_string(software_version)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/carawayvalve_types.h
+++ b/wire/gen/carawayvalve_types.h
@@ -594,6 +594,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Chunk& obj);
 
+typedef struct _ModelLoad__isset {
+  _ModelLoad__isset() : software_version(false) {}
+  bool software_version :1;
+} _ModelLoad__isset;
 
 class ModelLoad : public virtual ::apache::thrift::TBase {
  public:
@@ -607,7 +611,8 @@
               running_requests(0),
               prefill_tokens_per_second(0),
               decode_tokens_per_second(0),
-              role() {
+              role(),
+              software_version() {
   }
 
   virtual ~ModelLoad() noexcept;
@@ -617,6 +622,9 @@
   int64_t decode_tokens_per_second;
   std::string role;
   std::vector<std::string>  models;
+  std::string software_version;
+
+  _ModelLoad__isset __isset;
 
   void __set_queued_prefill_tokens(const int64_t val);
 
@@ -630,6 +638,8 @@
 
   void __set_models(const std::vector<std::string> & val);
 
+  void __set_software_version(const std::string& val);
+
   bool operator == (const ModelLoad & rhs) const
   {
     if (!(queued_prefill_tokens == rhs.queued_prefill_tokens))
@@ -644,6 +654,10 @@
       return false;
     if (!(models == rhs.models))
       return false;
+    if (__isset.software_version != rhs.__isset.software_version)
+      return false;
+    else if (__isset.software_version && !(software_version == rhs.software_version))
+      return false;
     return true;
   }
   bool operator != (const ModelLoad &rhs) const {
