Show that a part which crashes several engines at once isn't quarantined

Beside it, cases that must stay without quarantine: engines that fail at once and ran a part that is served elsewhere, that only some of them ran, or only two.

--- a/core/tests/poison_request_tracker_test.cc
+++ b/core/tests/poison_request_tracker_test.cc
@@ -198,4 +198,95 @@
       }));
 }
 
+namespace {
+
+// Requests at a steady rate, of which one in twenty holds a part. Engines crash
+// at once, several at a time.
+struct CoincidingCrashes {
+  static bool MayTry(const std::string&) { return false; }
+
+  // Lets requests arrive for some time. Sound ones are served, those with the
+  // part aren't unless it is `harmless`.
+  void Run(base::Duration time, bool harmless) {
+    for (const base::Instant end = this->now + time; this->now < end;
+         this->now += base::Milliseconds(10)) {
+      const std::string number = std::to_string(++this->count);
+      const bool with_part = this->count % 20 == 0;
+      const std::vector<std::string> parts = {
+          "rules" + std::to_string(this->count % 3),
+          with_part ? "suspect" : "document" + number};
+      this->tracker.Admit({number, parts}, this->now, MayTry);
+      if (harmless || !with_part) {
+        this->tracker.NoteServed(parts, this->now);
+      }
+    }
+  }
+
+  // Crashes engines that were each about to answer a request with these parts
+  // and another one.
+  void Crash(int engines, const std::vector<std::string>& parts) {
+    for (int i = 0; i < engines; ++i) {
+      const std::string crash = "crash" + std::to_string(++this->crashes);
+      const std::string number = std::to_string(++this->count);
+      this->tracker.NoteCrash({number, parts}, crash, this->now);
+      this->tracker.NoteCrash({number + "b", {"rules1", "document" + number}},
+                              crash, this->now);
+      this->now += base::Milliseconds(2);
+    }
+  }
+
+  bool Quarantines(const std::string& part) {
+    return this->tracker.Admit({"next", {part}}, this->now, MayTry) ==
+           ContentAdmission::kQuarantined;
+  }
+
+  PoisonRequestTracker tracker{PoisonRequestTracker::Settings{}};
+  base::Instant now = base::Instant() + std::chrono::seconds(100);
+  int count = 0;
+  int crashes = 0;
+};
+
+}  // namespace
+
+// Engines that come back together crash together, so that five crashes at two
+// moments counted as two.
+TEST_CASE("a part that crashes several engines at once isn't quarantined") {
+  CoincidingCrashes day;
+  day.Run(std::chrono::seconds(5), false);
+  day.Crash(3, {"rules0", "suspect"});
+  day.Run(base::Milliseconds(200), false);
+  day.Crash(2, {"rules0", "suspect"});
+  day.Run(std::chrono::seconds(2), false);
+  day.tracker.Prune(day.now);
+  CHECK(day.Quarantines("suspect"));
+  CHECK_FALSE(day.Quarantines("rules0"));
+  CHECK_FALSE(day.Quarantines("rules1"));
+}
+
+TEST_CASE("engines that fail at once, whatever they run") {
+  CoincidingCrashes day;
+  day.Run(std::chrono::seconds(5), true);
+
+  SUBCASE("all of them ran a part that is served elsewhere") {
+    day.Crash(3, {"rules0", "suspect"});
+    day.Run(base::Milliseconds(200), true);
+    day.Crash(2, {"rules0", "suspect"});
+    day.Run(std::chrono::seconds(2), true);
+  }
+  SUBCASE("some of them ran a part that has never been served") {
+    day.Crash(3, {"rules0", "new"});
+    day.Crash(2, {"rules0", "other"});
+    day.Run(std::chrono::seconds(2), true);
+  }
+  SUBCASE("all of them ran a part that hardly any request holds") {
+    day.Crash(2, {"rules0", "new"});
+    day.Run(std::chrono::seconds(2), true);
+  }
+  day.tracker.Prune(day.now);
+  for (const char* part : {"suspect", "new", "other", "rules0", "rules1"}) {
+    CAPTURE(part);
+    CHECK_FALSE(day.Quarantines(part));
+  }
+}
+
 }  // namespace carawayvalve::core
