--- a/core/include/carawayvalve/core/poison_parts.h
+++ b/core/include/carawayvalve/core/poison_parts.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "carawayvalve/base/time.h"
+#include "carawayvalve/core/part_traffic.h"
 
 namespace carawayvalve::core {
 
@@ -28,7 +29,7 @@
 // request holds.
 struct PoisonPart {
   // Number of crashes that it explains, those at about the same time counted
-  // once.
+  // once if they may be chance.
   size_t crashes = 0;
   base::Instant last_crash;
 
@@ -39,13 +40,20 @@
 // to be answered when backend servers crashed. `served` tells when a request
 // with the part was last answered completely: crashes before that don't count.
 //
+// Crashes at about the same time may have one cause outside the requests, such
+// as the loss of a rack, and then count once. But such a cause hits backend
+// servers whatever they run: crashes count one by one if all backend servers
+// that crashed at a time ran the part and this, as well as the lack of answers
+// to it, is improbable by its share of the traffic.
+//
 // The part with the most crashes explains all crashes that it occurs in, so
 // that the parts that accompany it aren't blamed. Among parts with equal
 // evidence that is one that was never served, then one further back in the
 // prompt, which fewer requests share.
 std::map<std::string, PoisonPart> FindPoisonParts(
     const std::vector<CrashEvidence>& evidence,
-    const std::map<std::string, base::Instant>& served);
+    const std::map<std::string, base::Instant>& served,
+    const PartTraffic& traffic = {});
 
 }  // namespace carawayvalve::core
 
--- a/core/include/carawayvalve/core/poison_request_tracker.h
+++ b/core/include/carawayvalve/core/poison_request_tracker.h
@@ -101,6 +101,12 @@
   std::optional<base::Duration> QuarantineLeft(const RequestContent& content,
                                                base::Instant now) const;
 
+  // Records that a request with these parts has arrived. To be called once for
+  // each request.
+  void NoteRequest(const std::vector<std::string>& parts) {
+    this->traffic.NoteRequest(parts);
+  }
+
   // Decides whether the content may be sent to a backend server now. A trial is
   // counted by this call. `may_try` returns whether this process makes the
   // trials of a part, so that one is made among all processes.
@@ -109,6 +115,12 @@
                          base::Instant now,
                          const MayTry& may_try);
 
+  // Records that another process blames a part: it may know more of the
+  // traffic.
+  void MergePoisonPart(const std::string& part, const PoisonPart& poison);
+  // Returns the parts that this process blames by its own records.
+  const std::map<std::string, PoisonPart>& own_poison_parts(
+      base::Instant now) const;
   // Returns the parts that are quarantined.
   const std::map<std::string, PoisonPart>& poison_parts(
       base::Instant now) const;
@@ -131,7 +143,7 @@
   // otherwise circulate between processes for ever.
   void Prune(base::Instant now);
 
-  size_t size() const { return this->crashes.size(); }
+  size_t size() const { return this->crashes.size() + this->told.size(); }
 
  private:
   // Content digest and crash identifier.
@@ -155,6 +167,9 @@
 
   Settings settings;
   std::map<Key, Crash> crashes;
+  PartTraffic traffic;
+  // The parts that other processes blame.
+  std::map<std::string, PoisonPart> told;
   // When each part was last served.
   std::map<std::string, base::Instant> served;
   // When each part came under suspicion, by the newest of its crashes.
@@ -162,6 +177,8 @@
   std::map<std::string, base::Instant> trials;
   // The result of the last search for poison parts; out of date if absent.
   mutable std::optional<std::map<std::string, PoisonPart>> found;
+  // The same with the parts that other processes blame.
+  mutable std::map<std::string, PoisonPart> quarantined;
 };
 
 }  // namespace carawayvalve::core
--- a/core/src/poison_parts.cc
+++ b/core/src/poison_parts.cc
@@ -1,6 +1,7 @@
 #include "carawayvalve/core/poison_parts.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <tuple>
 
@@ -11,6 +12,11 @@
 // Crashes within this time of each other may have one cause outside the
 // requests, such as the loss of a rack.
 constexpr base::Milliseconds kSameCauseTime(100);
+// Crashes at the same time are blamed on a part that all these backend servers
+// ran if that is at most this probable by chance, and also if it hasn't been
+// answered since, taken together, at most that.
+constexpr double kMaxCoincidence = 0.05;
+constexpr double kMaxChance = 0.001;
 
 // A part that may have caused crashes.
 struct Suspect {
@@ -24,24 +30,50 @@
 
 using Suspects = std::map<std::string, Suspect>;
 
-// Returns when each crash was first noticed.
-std::map<std::string, base::Instant> CrashTimes(
-    const std::vector<CrashEvidence>& evidence) {
-  std::map<std::string, base::Instant> times;
+// What is known of one crash.
+struct Crash {
+  // When it was first noticed.
+  base::Instant at;
+  // The first crash at about the same time.
+  base::Instant moment;
+  // Number of requests that may have been its cause.
+  size_t requests = 0;
+};
+
+using Crashes = std::map<std::string, Crash>;
+
+Crashes CollectCrashes(const std::vector<CrashEvidence>& evidence) {
+  Crashes crashes;
   for (const CrashEvidence& request : evidence) {
-    const auto [place, added] =
-        times.emplace(request.crash_id, request.crashed_at);
-    place->second = std::min(place->second, request.crashed_at);
+    Crash& crash =
+        crashes.try_emplace(request.crash_id, Crash{request.crashed_at, {}, 0})
+            .first->second;
+    crash.at = std::min(crash.at, request.crashed_at);
+    ++crash.requests;
+  }
+  std::vector<Crash*> by_time;
+  for (auto& [id, crash] : crashes) {
+    by_time.push_back(&crash);
   }
-  return times;
+  std::sort(
+      by_time.begin(), by_time.end(),
+      [](const Crash* one, const Crash* other) { return one->at < other->at; });
+  base::Instant moment;
+  for (Crash* crash : by_time) {
+    if (crash == by_time.front() || crash->at - moment >= kSameCauseTime) {
+      moment = crash->at;
+    }
+    crash->moment = moment;
+  }
+  return crashes;
 }
 
 Suspects CollectSuspects(const std::vector<CrashEvidence>& evidence,
+                         const Crashes& crashes,
                          const std::map<std::string, base::Instant>& served) {
-  const auto times = CrashTimes(evidence);
   Suspects suspects;
   for (const CrashEvidence& request : evidence) {
-    const base::Instant crashed_at = times.at(request.crash_id);
+    const base::Instant crashed_at = crashes.at(request.crash_id).at;
     for (size_t i = 0; i < request.parts.size(); ++i) {
       const auto found = served.find(request.parts[i]);
       const base::Instant served_at =
@@ -74,11 +106,56 @@
   return part;
 }
 
+// Returns how probable it is, at most, that backend servers which crashed for
+// another reason ran the part, and that it hasn't been answered since; 1 if one
+// of them crashed without it.
+double ProbabilityOfChance(const std::string& part,
+                           const Suspect& suspect,
+                           const Crashes& crashes,
+                           const PartTraffic& traffic) {
+  const double share = traffic.MaxShareOf(part);
+  std::set<base::Instant> moments;
+  for (const auto& [id, at] : suspect.crashes) {
+    moments.insert(crashes.at(id).moment);
+  }
+  double probability = 1;
+  base::Instant last;
+  for (const auto& [id, crash] : crashes) {
+    if (!moments.contains(crash.moment)) {
+      continue;
+    }
+    if (!suspect.crashes.contains(id)) {
+      return 1;
+    }
+    probability *= 1 - std::pow(1 - share, static_cast<double>(crash.requests));
+    last = std::max(last, crash.at);
+  }
+  return probability > kMaxCoincidence
+             ? 1
+             : probability * std::exp(-traffic.MinExpectedAnswers(part, last));
+}
+
+// Counts crashes at the same moment one by one if they aren't chance.
+PoisonPart Judge(const std::string& part,
+                 const Suspect& suspect,
+                 const Crashes& crashes,
+                 const PartTraffic& traffic) {
+  PoisonPart judged = Summarize(suspect);
+  if (judged.crashes < kCrashesToBlame &&
+      suspect.crashes.size() >= kCrashesToBlame &&
+      ProbabilityOfChance(part, suspect, crashes, traffic) <= kMaxChance) {
+    judged.crashes = suspect.crashes.size();
+  }
+  return judged;
+}
+
 // Removes the suspects that can't be blamed for enough crashes.
-void DropUnlikely(Suspects& suspects) {
-  std::erase_if(suspects, [](const auto& item) {
-    return item.second.crashes.size() < kCrashesToBlame ||
-           Summarize(item.second).crashes < kCrashesToBlame;
+void DropUnlikely(Suspects& suspects,
+                  const Crashes& crashes,
+                  const PartTraffic& traffic) {
+  std::erase_if(suspects, [&](const auto& item) {
+    return Judge(item.first, item.second, crashes, traffic).crashes <
+           kCrashesToBlame;
   });
 }
 
@@ -99,12 +176,16 @@
 
 std::map<std::string, PoisonPart> FindPoisonParts(
     const std::vector<CrashEvidence>& evidence,
-    const std::map<std::string, base::Instant>& served) {
-  Suspects suspects = CollectSuspects(evidence, served);
+    const std::map<std::string, base::Instant>& served,
+    const PartTraffic& traffic) {
+  const Crashes crashes = CollectCrashes(evidence);
+  Suspects suspects = CollectSuspects(evidence, crashes, served);
   std::map<std::string, PoisonPart> poison;
-  for (DropUnlikely(suspects); !suspects.empty(); DropUnlikely(suspects)) {
+  for (DropUnlikely(suspects, crashes, traffic); !suspects.empty();
+       DropUnlikely(suspects, crashes, traffic)) {
     const auto strongest = StrongestOf(suspects);
-    poison[strongest->first] = Summarize(strongest->second);
+    poison[strongest->first] =
+        Judge(strongest->first, strongest->second, crashes, traffic);
     const std::map<std::string, base::Instant> explained =
         strongest->second.crashes;
     for (auto& [name, suspect] : suspects) {
--- a/core/src/poison_request_tracker.cc
+++ b/core/src/poison_request_tracker.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr size_t kCrashesToQuarantine = 2;
+// Copies of the time of one crash differ by less: by their time in transit.
+constexpr std::chrono::seconds kCopyTime(1);
 
 }  // namespace
 
@@ -29,6 +31,7 @@
 
 void PoisonRequestTracker::NoteServed(const std::vector<std::string>& parts,
                                       base::Instant now) {
+  this->traffic.NoteAnswer(now);
   for (const std::string& part : parts) {
     this->AddServed(part, now);
   }
@@ -119,7 +122,7 @@
          wait;
 }
 
-const std::map<std::string, PoisonPart>& PoisonRequestTracker::poison_parts(
+const std::map<std::string, PoisonPart>& PoisonRequestTracker::own_poison_parts(
     base::Instant now) const {
   if (!this->found.has_value()) {
     std::vector<CrashEvidence> evidence;
@@ -128,11 +131,26 @@
         evidence.push_back({key.second, crash.at, crash.parts});
       }
     }
-    this->found = FindPoisonParts(evidence, this->served);
+    this->found = FindPoisonParts(evidence, this->served, this->traffic);
+    this->quarantined = *this->found;
+    for (const auto& [part, poison] : this->told) {
+      const auto answer = this->served.find(part);
+      const bool released =
+          answer != this->served.end() && answer->second >= poison.last_crash;
+      if (!released && this->Counts(poison.last_crash, now)) {
+        this->quarantined.emplace(part, poison);
+      }
+    }
   }
   return *this->found;
 }
 
+const std::map<std::string, PoisonPart>& PoisonRequestTracker::poison_parts(
+    base::Instant now) const {
+  this->own_poison_parts(now);
+  return this->quarantined;
+}
+
 std::vector<CrashRecord> PoisonRequestTracker::Records(
     base::Instant now) const {
   std::vector<CrashRecord> records;
@@ -164,6 +182,18 @@
   }
 }
 
+void PoisonRequestTracker::MergePoisonPart(const std::string& part,
+                                           const PoisonPart& poison) {
+  PoisonPart& known = this->told[part];
+  if (poison.last_crash <= known.last_crash + kCopyTime) {
+    return;
+  }
+  known = poison;
+  base::Instant& suspicion = this->suspected[part];
+  suspicion = std::max(suspicion, poison.last_crash);
+  this->found.reset();
+}
+
 std::vector<ServedPart> PoisonRequestTracker::ServedParts(
     base::Instant now,
     base::Duration max_age) const {
@@ -195,6 +225,9 @@
   std::erase_if(this->served, is_old);
   std::erase_if(this->suspected, is_old);
   std::erase_if(this->trials, is_old);
+  std::erase_if(this->told, [&](const auto& item) {
+    return now - item.second.last_crash >= this->settings.time_to_live;
+  });
   this->found.reset();
 }
 
--- a/core/tests/poison_request_tracker_test.cc
+++ b/core/tests/poison_request_tracker_test.cc
@@ -215,7 +215,7 @@
       const std::vector<std::string> parts = {
           "rules" + std::to_string(this->count % 3),
           with_part ? "suspect" : "document" + number};
-      this->tracker.Admit({number, parts}, this->now, MayTry);
+      this->tracker.NoteRequest(parts);
       if (harmless || !with_part) {
         this->tracker.NoteServed(parts, this->now);
       }
@@ -248,6 +248,27 @@
 
 }  // namespace
 
+TEST_CASE("a part that another process blames is quarantined") {
+  CoincidingCrashes day;
+  day.tracker.MergePoisonPart("told", {4, day.now});
+  CHECK(day.Quarantines("told"));
+  CHECK(day.tracker.own_poison_parts(day.now).empty());
+  day.now += std::chrono::seconds(1);
+
+  SUBCASE("until it is served") {
+    day.tracker.NoteServed({"told"}, day.now);
+    CHECK_FALSE(day.Quarantines("told"));
+    day.tracker.MergePoisonPart("told", {4, day.now - base::Milliseconds(995)});
+    CHECK_FALSE(day.Quarantines("told"));
+  }
+  SUBCASE("until its last crash is too long ago") {
+    day.now += std::chrono::minutes(10);
+    day.tracker.Prune(day.now);
+    CHECK_FALSE(day.Quarantines("told"));
+    CHECK(day.tracker.size() == 0);
+  }
+}
+
 // Engines that come back together crash together, so that five crashes at two
 // moments counted as two.
 TEST_CASE("a part that crashes several engines at once isn't quarantined") {
--- a/entry/src/dispatcher.cc
+++ b/entry/src/dispatcher.cc
@@ -259,6 +259,9 @@
 core::RequestEvent Dispatcher::Choose(Run& run,
                                       const core::ChooseBackend& action) {
   const core::RequestContent& content = run.request.content;
+  if (!action.is_retry && !content.parts.empty()) {
+    this->control.NoteRequest(content.parts);
+  }
   const auto admission =
       this->control.AdmitContent(content, [this](const std::string& part) {
         return this->crash_reporter.MakesTrialsOf(part);
--- a/entry/src/traffic_control.cc
+++ b/entry/src/traffic_control.cc
@@ -58,6 +58,11 @@
   this->poison_requests.NoteCrash(content, death_id, base::Now());
 }
 
+void TrafficControl::NoteRequest(const std::vector<std::string>& parts) {
+  const std::lock_guard lock(this->mutex);
+  this->poison_requests.NoteRequest(parts);
+}
+
 void TrafficControl::NoteServed(const std::vector<std::string>& parts) {
   const std::lock_guard lock(this->mutex);
   this->poison_requests.NoteServed(parts, base::Now());
--- a/entry/src/traffic_control.h
+++ b/entry/src/traffic_control.h
@@ -41,6 +41,8 @@
                  const std::string& death_id);
   // Records that a request with these parts was answered completely.
   void NoteServed(const std::vector<std::string>& parts);
+  // Counts a request with these parts as traffic, once.
+  void NoteRequest(const std::vector<std::string>& parts);
   void MergeCrashRecords(const std::vector<core::CrashRecord>& records);
   void MergeServedParts(const std::vector<core::ServedPart>& parts);
   std::vector<core::CrashRecord> CrashRecords() const;
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -94,6 +94,7 @@
   this->feed.ExpireBackends();
   this->feed.RenewFreshness(now);
   this->state.poison_requests.Prune(now);
+  this->context.LogPoisonParts();
   this->state.stream_origins.Prune(now);
   const int64_t window =
       this->state.wall_clock.At(now) /
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -57,6 +57,7 @@
 constexpr int64_t kRoundsPerOldCrashes = 40;
 constexpr size_t kMaxCrashesPerMessage = 16;
 constexpr size_t kMaxServedPartsPerMessage = 32;
+constexpr size_t kMaxPoisonPartsPerMessage = 8;
 // No gateway remembers for longer that a part was served.
 constexpr base::Duration kMaxServedAge = std::chrono::minutes(10);
 // Backend servers that said within this time that they leave are named in each
@@ -463,6 +464,18 @@
   for (size_t i = 0; i < served_count; ++i) {
     AddServedPart(gossip, served[this->next_served_part++ % served.size()]);
   }
+  for (const auto& [part, blamed] : poison.own_poison_parts(now)) {
+    if (gossip.poison_parts.size() >= kMaxPoisonPartsPerMessage) {
+      break;
+    }
+    wire::gen::GossipPoisonPart encoded;
+    encoded.part = part;
+    encoded.crashes = static_cast<int32_t>(blamed.crashes);
+    encoded.age_ms =
+        static_cast<int32_t>(base::ToMilliseconds(now - blamed.last_crash));
+    gossip.poison_parts.push_back(std::move(encoded));
+  }
+  gossip.__isset.poison_parts = !gossip.poison_parts.empty();
 }
 
 std::vector<Gossip> PeerGossip::CrashMessages() const {
@@ -671,7 +684,12 @@
   for (const wire::gen::GossipServedPart& received : gossip.served_parts) {
     served.push_back({received.part, base::Milliseconds(received.age_ms)});
   }
-  if (crashes.empty() && served.empty()) {
+  for (const wire::gen::GossipPoisonPart& received : gossip.poison_parts) {
+    state.poison_requests.MergePoisonPart(
+        received.part, {static_cast<size_t>(std::max(received.crashes, 0)),
+                        now - base::Milliseconds(received.age_ms)});
+  }
+  if (crashes.empty() && served.empty() && gossip.poison_parts.empty()) {
     return;
   }
   state.poison_requests.Merge(crashes, now);
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -90,6 +90,9 @@
   this->deadline = this->arrived + timeout;
   this->service = core::ChooseService(*this->route, this->caller.id.value);
   this->context.state.RetryBudget(this->service).NoteRequest(base::Now());
+  if (!this->shared_parts.empty()) {
+    this->context.state.poison_requests.NoteRequest(this->shared_parts);
+  }
   const auto self = this->shared_from_this();
   this->exchange->OnDisconnect([self] { self->OnCallerDisconnected(); });
   this->deadline_timer.Start(this->TimeLeft(base::Now()) + kDeadlineGrace,
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -1323,6 +1323,155 @@
 }
 
 
+GossipPoisonPart::~GossipPoisonPart() noexcept {
+}
+
+
+void GossipPoisonPart::__set_part(const std::string& val) {
+  this->part = val;
+}
+
+void GossipPoisonPart::__set_crashes(const int32_t val) {
+  this->crashes = val;
+}
+
+void GossipPoisonPart::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipPoisonPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipPoisonPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_part = false;
+  bool isset_crashes = false;
+  bool isset_age_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->part);
+          isset_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->crashes);
+          isset_crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_part)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_crashes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipPoisonPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipPoisonPart");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->crashes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipPoisonPart &a, GossipPoisonPart &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.crashes, b.crashes);
+  swap(a.age_ms, b.age_ms);
+}
+
+GossipPoisonPart::GossipPoisonPart(const GossipPoisonPart& other58) {
+  part = other58.part;
+  crashes = other58.crashes;
+  age_ms = other58.age_ms;
+}
+GossipPoisonPart::GossipPoisonPart(GossipPoisonPart&& other59) noexcept {
+  part = std::move(other59.part);
+  crashes = other59.crashes;
+  age_ms = other59.age_ms;
+}
+GossipPoisonPart& GossipPoisonPart::operator=(const GossipPoisonPart& other60) {
+  part = other60.part;
+  crashes = other60.crashes;
+  age_ms = other60.age_ms;
+  return *this;
+}
+GossipPoisonPart& GossipPoisonPart::operator=(GossipPoisonPart&& other61) noexcept {
+  part = std::move(other61.part);
+  crashes = other61.crashes;
+  age_ms = other61.age_ms;
+  return *this;
+}
+void GossipPoisonPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipPoisonPart(";
+  out << "part=" << to_string(part);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 GossipStreamOrigin::~GossipStreamOrigin() noexcept {
 }
 
@@ -1440,26 +1589,26 @@
   swap(a.age_ms, b.age_ms);
 }
 
-GossipStreamOrigin::GossipStreamOrigin(const GossipStreamOrigin& other58) {
-  first = other58.first;
-  software_version = other58.software_version;
-  age_ms = other58.age_ms;
+GossipStreamOrigin::GossipStreamOrigin(const GossipStreamOrigin& other62) {
+  first = other62.first;
+  software_version = other62.software_version;
+  age_ms = other62.age_ms;
 }
-GossipStreamOrigin::GossipStreamOrigin(GossipStreamOrigin&& other59) noexcept {
-  first = std::move(other59.first);
-  software_version = std::move(other59.software_version);
-  age_ms = other59.age_ms;
+GossipStreamOrigin::GossipStreamOrigin(GossipStreamOrigin&& other63) noexcept {
+  first = std::move(other63.first);
+  software_version = std::move(other63.software_version);
+  age_ms = other63.age_ms;
 }
-GossipStreamOrigin& GossipStreamOrigin::operator=(const GossipStreamOrigin& other60) {
-  first = other60.first;
-  software_version = other60.software_version;
-  age_ms = other60.age_ms;
+GossipStreamOrigin& GossipStreamOrigin::operator=(const GossipStreamOrigin& other64) {
+  first = other64.first;
+  software_version = other64.software_version;
+  age_ms = other64.age_ms;
   return *this;
 }
-GossipStreamOrigin& GossipStreamOrigin::operator=(GossipStreamOrigin&& other61) noexcept {
-  first = std::move(other61.first);
-  software_version = std::move(other61.software_version);
-  age_ms = other61.age_ms;
+GossipStreamOrigin& GossipStreamOrigin::operator=(GossipStreamOrigin&& other65) noexcept {
+  first = std::move(other65.first);
+  software_version = std::move(other65.software_version);
+  age_ms = other65.age_ms;
   return *this;
 }
 void GossipStreamOrigin::printTo(std::ostream& out) const {
@@ -1562,6 +1711,11 @@
   this->wanted_origins = val;
 __isset.wanted_origins = true;
 }
+
+void Gossip::__set_poison_parts(const std::vector<GossipPoisonPart> & val) {
+  this->poison_parts = val;
+__isset.poison_parts = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -1663,14 +1817,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->loads.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->loads.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->loads[_i66].read(iprot);
+              xfer += this->loads[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1683,14 +1837,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->prefixes.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->prefixes.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += this->prefixes[_i71].read(iprot);
+              xfer += this->prefixes[_i75].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1703,14 +1857,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->windows.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->windows.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->windows.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->windows[_i76].read(iprot);
+              xfer += this->windows[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1723,14 +1877,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _etype80;
-            xfer += iprot->readListBegin(_etype80, _size77);
-            this->deaths.resize(_size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->deaths.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
             {
-              xfer += this->deaths[_i81].read(iprot);
+              xfer += this->deaths[_i85].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1759,14 +1913,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->absences.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->absences.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->absences.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->absences[_i86].read(iprot);
+              xfer += this->absences[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1779,14 +1933,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departures.clear();
-            uint32_t _size87;
-            ::apache::thrift::protocol::TType _etype90;
-            xfer += iprot->readListBegin(_etype90, _size87);
-            this->departures.resize(_size87);
-            uint32_t _i91;
-            for (_i91 = 0; _i91 < _size87; ++_i91)
+            uint32_t _size91;
+            ::apache::thrift::protocol::TType _etype94;
+            xfer += iprot->readListBegin(_etype94, _size91);
+            this->departures.resize(_size91);
+            uint32_t _i95;
+            for (_i95 = 0; _i95 < _size91; ++_i95)
             {
-              xfer += this->departures[_i91].read(iprot);
+              xfer += this->departures[_i95].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1799,14 +1953,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->served_parts.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->served_parts.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->served_parts.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
             {
-              xfer += this->served_parts[_i96].read(iprot);
+              xfer += this->served_parts[_i100].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1827,14 +1981,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rate_limits.clear();
-            uint32_t _size97;
-            ::apache::thrift::protocol::TType _etype100;
-            xfer += iprot->readListBegin(_etype100, _size97);
-            this->rate_limits.resize(_size97);
-            uint32_t _i101;
-            for (_i101 = 0; _i101 < _size97; ++_i101)
+            uint32_t _size101;
+            ::apache::thrift::protocol::TType _etype104;
+            xfer += iprot->readListBegin(_etype104, _size101);
+            this->rate_limits.resize(_size101);
+            uint32_t _i105;
+            for (_i105 = 0; _i105 < _size101; ++_i105)
             {
-              xfer += this->rate_limits[_i101].read(iprot);
+              xfer += this->rate_limits[_i105].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1847,14 +2001,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stream_origins.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->stream_origins.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->stream_origins.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->stream_origins[_i106].read(iprot);
+              xfer += this->stream_origins[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1867,14 +2021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted_origins.clear();
-            uint32_t _size107;
-            ::apache::thrift::protocol::TType _etype110;
-            xfer += iprot->readListBegin(_etype110, _size107);
-            this->wanted_origins.resize(_size107);
-            uint32_t _i111;
-            for (_i111 = 0; _i111 < _size107; ++_i111)
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->wanted_origins.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
             {
-              xfer += iprot->readString(this->wanted_origins[_i111]);
+              xfer += iprot->readString(this->wanted_origins[_i115]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1883,6 +2037,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->poison_parts.clear();
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->poison_parts.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
+            {
+              xfer += this->poison_parts[_i120].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.poison_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1957,10 +2131,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GossipLoad> ::const_iterator _iter112;
-    for (_iter112 = this->loads.begin(); _iter112 != this->loads.end(); ++_iter112)
+    std::vector<GossipLoad> ::const_iterator _iter121;
+    for (_iter121 = this->loads.begin(); _iter121 != this->loads.end(); ++_iter121)
     {
-      xfer += (*_iter112).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1969,10 +2143,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<GossipPrefix> ::const_iterator _iter113;
-    for (_iter113 = this->prefixes.begin(); _iter113 != this->prefixes.end(); ++_iter113)
+    std::vector<GossipPrefix> ::const_iterator _iter122;
+    for (_iter122 = this->prefixes.begin(); _iter122 != this->prefixes.end(); ++_iter122)
     {
-      xfer += (*_iter113).write(oprot);
+      xfer += (*_iter122).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1981,10 +2155,10 @@
   xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->windows.size()));
-    std::vector<GossipWindow> ::const_iterator _iter114;
-    for (_iter114 = this->windows.begin(); _iter114 != this->windows.end(); ++_iter114)
+    std::vector<GossipWindow> ::const_iterator _iter123;
+    for (_iter123 = this->windows.begin(); _iter123 != this->windows.end(); ++_iter123)
     {
-      xfer += (*_iter114).write(oprot);
+      xfer += (*_iter123).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1993,10 +2167,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<GossipDeath> ::const_iterator _iter115;
-    for (_iter115 = this->deaths.begin(); _iter115 != this->deaths.end(); ++_iter115)
+    std::vector<GossipDeath> ::const_iterator _iter124;
+    for (_iter124 = this->deaths.begin(); _iter124 != this->deaths.end(); ++_iter124)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter124).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2014,10 +2188,10 @@
     xfer += oprot->writeFieldBegin("absences", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->absences.size()));
-      std::vector<GossipAbsence> ::const_iterator _iter116;
-      for (_iter116 = this->absences.begin(); _iter116 != this->absences.end(); ++_iter116)
+      std::vector<GossipAbsence> ::const_iterator _iter125;
+      for (_iter125 = this->absences.begin(); _iter125 != this->absences.end(); ++_iter125)
       {
-        xfer += (*_iter116).write(oprot);
+        xfer += (*_iter125).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2027,10 +2201,10 @@
     xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
-      std::vector<GossipDeparture> ::const_iterator _iter117;
-      for (_iter117 = this->departures.begin(); _iter117 != this->departures.end(); ++_iter117)
+      std::vector<GossipDeparture> ::const_iterator _iter126;
+      for (_iter126 = this->departures.begin(); _iter126 != this->departures.end(); ++_iter126)
       {
-        xfer += (*_iter117).write(oprot);
+        xfer += (*_iter126).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2040,10 +2214,10 @@
     xfer += oprot->writeFieldBegin("served_parts", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->served_parts.size()));
-      std::vector<GossipServedPart> ::const_iterator _iter118;
-      for (_iter118 = this->served_parts.begin(); _iter118 != this->served_parts.end(); ++_iter118)
+      std::vector<GossipServedPart> ::const_iterator _iter127;
+      for (_iter127 = this->served_parts.begin(); _iter127 != this->served_parts.end(); ++_iter127)
       {
-        xfer += (*_iter118).write(oprot);
+        xfer += (*_iter127).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2058,10 +2232,10 @@
     xfer += oprot->writeFieldBegin("rate_limits", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rate_limits.size()));
-      std::vector<GossipRateLimit> ::const_iterator _iter119;
-      for (_iter119 = this->rate_limits.begin(); _iter119 != this->rate_limits.end(); ++_iter119)
+      std::vector<GossipRateLimit> ::const_iterator _iter128;
+      for (_iter128 = this->rate_limits.begin(); _iter128 != this->rate_limits.end(); ++_iter128)
       {
-        xfer += (*_iter119).write(oprot);
+        xfer += (*_iter128).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2071,10 +2245,10 @@
     xfer += oprot->writeFieldBegin("stream_origins", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stream_origins.size()));
-      std::vector<GossipStreamOrigin> ::const_iterator _iter120;
-      for (_iter120 = this->stream_origins.begin(); _iter120 != this->stream_origins.end(); ++_iter120)
+      std::vector<GossipStreamOrigin> ::const_iterator _iter129;
+      for (_iter129 = this->stream_origins.begin(); _iter129 != this->stream_origins.end(); ++_iter129)
       {
-        xfer += (*_iter120).write(oprot);
+        xfer += (*_iter129).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2084,10 +2258,23 @@
     xfer += oprot->writeFieldBegin("wanted_origins", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted_origins.size()));
-      std::vector<std::string> ::const_iterator _iter121;
-      for (_iter121 = this->wanted_origins.begin(); _iter121 != this->wanted_origins.end(); ++_iter121)
+      std::vector<std::string> ::const_iterator _iter130;
+      for (_iter130 = this->wanted_origins.begin(); _iter130 != this->wanted_origins.end(); ++_iter130)
+      {
+        xfer += oprot->writeString((*_iter130));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.poison_parts) {
+    xfer += oprot->writeFieldBegin("poison_parts", ::apache::thrift::protocol::T_LIST, 21);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->poison_parts.size()));
+      std::vector<GossipPoisonPart> ::const_iterator _iter131;
+      for (_iter131 = this->poison_parts.begin(); _iter131 != this->poison_parts.end(); ++_iter131)
       {
-        xfer += oprot->writeString((*_iter121));
+        xfer += (*_iter131).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2120,101 +2307,106 @@
   swap(a.rate_limits, b.rate_limits);
   swap(a.stream_origins, b.stream_origins);
   swap(a.wanted_origins, b.wanted_origins);
+  swap(a.poison_parts, b.poison_parts);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other122) {
-  host = other122.host;
-  boot = other122.boot;
-  stamp = other122.stamp;
-  echo = other122.echo;
-  unix_ms = other122.unix_ms;
-  plan_version = other122.plan_version;
-  proof_age_ms = other122.proof_age_ms;
-  loads = other122.loads;
-  prefixes = other122.prefixes;
-  windows = other122.windows;
-  deaths = other122.deaths;
-  leaving = other122.leaving;
-  registry_revision = other122.registry_revision;
-  absences = other122.absences;
-  departures = other122.departures;
-  served_parts = other122.served_parts;
-  reports_usage = other122.reports_usage;
-  rate_limits = other122.rate_limits;
-  stream_origins = other122.stream_origins;
-  wanted_origins = other122.wanted_origins;
-  __isset = other122.__isset;
-}
-Gossip::Gossip(Gossip&& other123) noexcept {
-  host = std::move(other123.host);
-  boot = std::move(other123.boot);
-  stamp = other123.stamp;
-  echo = other123.echo;
-  unix_ms = other123.unix_ms;
-  plan_version = other123.plan_version;
-  proof_age_ms = other123.proof_age_ms;
-  loads = std::move(other123.loads);
-  prefixes = std::move(other123.prefixes);
-  windows = std::move(other123.windows);
-  deaths = std::move(other123.deaths);
-  leaving = other123.leaving;
-  registry_revision = other123.registry_revision;
-  absences = std::move(other123.absences);
-  departures = std::move(other123.departures);
-  served_parts = std::move(other123.served_parts);
-  reports_usage = other123.reports_usage;
-  rate_limits = std::move(other123.rate_limits);
-  stream_origins = std::move(other123.stream_origins);
-  wanted_origins = std::move(other123.wanted_origins);
-  __isset = other123.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other124) {
-  host = other124.host;
-  boot = other124.boot;
-  stamp = other124.stamp;
-  echo = other124.echo;
-  unix_ms = other124.unix_ms;
-  plan_version = other124.plan_version;
-  proof_age_ms = other124.proof_age_ms;
-  loads = other124.loads;
-  prefixes = other124.prefixes;
-  windows = other124.windows;
-  deaths = other124.deaths;
-  leaving = other124.leaving;
-  registry_revision = other124.registry_revision;
-  absences = other124.absences;
-  departures = other124.departures;
-  served_parts = other124.served_parts;
-  reports_usage = other124.reports_usage;
-  rate_limits = other124.rate_limits;
-  stream_origins = other124.stream_origins;
-  wanted_origins = other124.wanted_origins;
-  __isset = other124.__isset;
+Gossip::Gossip(const Gossip& other132) {
+  host = other132.host;
+  boot = other132.boot;
+  stamp = other132.stamp;
+  echo = other132.echo;
+  unix_ms = other132.unix_ms;
+  plan_version = other132.plan_version;
+  proof_age_ms = other132.proof_age_ms;
+  loads = other132.loads;
+  prefixes = other132.prefixes;
+  windows = other132.windows;
+  deaths = other132.deaths;
+  leaving = other132.leaving;
+  registry_revision = other132.registry_revision;
+  absences = other132.absences;
+  departures = other132.departures;
+  served_parts = other132.served_parts;
+  reports_usage = other132.reports_usage;
+  rate_limits = other132.rate_limits;
+  stream_origins = other132.stream_origins;
+  wanted_origins = other132.wanted_origins;
+  poison_parts = other132.poison_parts;
+  __isset = other132.__isset;
+}
+Gossip::Gossip(Gossip&& other133) noexcept {
+  host = std::move(other133.host);
+  boot = std::move(other133.boot);
+  stamp = other133.stamp;
+  echo = other133.echo;
+  unix_ms = other133.unix_ms;
+  plan_version = other133.plan_version;
+  proof_age_ms = other133.proof_age_ms;
+  loads = std::move(other133.loads);
+  prefixes = std::move(other133.prefixes);
+  windows = std::move(other133.windows);
+  deaths = std::move(other133.deaths);
+  leaving = other133.leaving;
+  registry_revision = other133.registry_revision;
+  absences = std::move(other133.absences);
+  departures = std::move(other133.departures);
+  served_parts = std::move(other133.served_parts);
+  reports_usage = other133.reports_usage;
+  rate_limits = std::move(other133.rate_limits);
+  stream_origins = std::move(other133.stream_origins);
+  wanted_origins = std::move(other133.wanted_origins);
+  poison_parts = std::move(other133.poison_parts);
+  __isset = other133.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other134) {
+  host = other134.host;
+  boot = other134.boot;
+  stamp = other134.stamp;
+  echo = other134.echo;
+  unix_ms = other134.unix_ms;
+  plan_version = other134.plan_version;
+  proof_age_ms = other134.proof_age_ms;
+  loads = other134.loads;
+  prefixes = other134.prefixes;
+  windows = other134.windows;
+  deaths = other134.deaths;
+  leaving = other134.leaving;
+  registry_revision = other134.registry_revision;
+  absences = other134.absences;
+  departures = other134.departures;
+  served_parts = other134.served_parts;
+  reports_usage = other134.reports_usage;
+  rate_limits = other134.rate_limits;
+  stream_origins = other134.stream_origins;
+  wanted_origins = other134.wanted_origins;
+  poison_parts = other134.poison_parts;
+  __isset = other134.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other125) noexcept {
-  host = std::move(other125.host);
-  boot = std::move(other125.boot);
-  stamp = other125.stamp;
-  echo = other125.echo;
-  unix_ms = other125.unix_ms;
-  plan_version = other125.plan_version;
-  proof_age_ms = other125.proof_age_ms;
-  loads = std::move(other125.loads);
-  prefixes = std::move(other125.prefixes);
-  windows = std::move(other125.windows);
-  deaths = std::move(other125.deaths);
-  leaving = other125.leaving;
-  registry_revision = other125.registry_revision;
-  absences = std::move(other125.absences);
-  departures = std::move(other125.departures);
-  served_parts = std::move(other125.served_parts);
-  reports_usage = other125.reports_usage;
-  rate_limits = std::move(other125.rate_limits);
-  stream_origins = std::move(other125.stream_origins);
-  wanted_origins = std::move(other125.wanted_origins);
-  __isset = other125.__isset;
+Gossip& Gossip::operator=(Gossip&& other135) noexcept {
+  host = std::move(other135.host);
+  boot = std::move(other135.boot);
+  stamp = other135.stamp;
+  echo = other135.echo;
+  unix_ms = other135.unix_ms;
+  plan_version = other135.plan_version;
+  proof_age_ms = other135.proof_age_ms;
+  loads = std::move(other135.loads);
+  prefixes = std::move(other135.prefixes);
+  windows = std::move(other135.windows);
+  deaths = std::move(other135.deaths);
+  leaving = other135.leaving;
+  registry_revision = other135.registry_revision;
+  absences = std::move(other135.absences);
+  departures = std::move(other135.departures);
+  served_parts = std::move(other135.served_parts);
+  reports_usage = other135.reports_usage;
+  rate_limits = std::move(other135.rate_limits);
+  stream_origins = std::move(other135.stream_origins);
+  wanted_origins = std::move(other135.wanted_origins);
+  poison_parts = std::move(other135.poison_parts);
+  __isset = other135.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -2240,6 +2432,7 @@
   out << ", " << "rate_limits="; (__isset.rate_limits ? (out << to_string(rate_limits)) : (out << "<null>"));
   out << ", " << "stream_origins="; (__isset.stream_origins ? (out << to_string(stream_origins)) : (out << "<null>"));
   out << ", " << "wanted_origins="; (__isset.wanted_origins ? (out << to_string(wanted_origins)) : (out << "<null>"));
+  out << ", " << "poison_parts="; (__isset.poison_parts ? (out << to_string(poison_parts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -37,6 +37,8 @@
 
 class GossipRateLimit;
 
+class GossipPoisonPart;
+
 class GossipStreamOrigin;
 
 class Gossip;
@@ -468,6 +470,57 @@
 std::ostream& operator<<(std::ostream& out, const GossipRateLimit& obj);
 
 
+class GossipPoisonPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipPoisonPart(const GossipPoisonPart&);
+  GossipPoisonPart(GossipPoisonPart&&) noexcept;
+  GossipPoisonPart& operator=(const GossipPoisonPart&);
+  GossipPoisonPart& operator=(GossipPoisonPart&&) noexcept;
+  GossipPoisonPart() noexcept
+                   : part(),
+                     crashes(0),
+                     age_ms(0) {
+  }
+
+  virtual ~GossipPoisonPart() noexcept;
+  std::string part;
+  int32_t crashes;
+  int32_t age_ms;
+
+  void __set_part(const std::string& val);
+
+  void __set_crashes(const int32_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const GossipPoisonPart & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipPoisonPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipPoisonPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipPoisonPart &a, GossipPoisonPart &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipPoisonPart& obj);
+
+
 class GossipStreamOrigin : public virtual ::apache::thrift::TBase {
  public:
 
@@ -519,7 +572,7 @@
 std::ostream& operator<<(std::ostream& out, const GossipStreamOrigin& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false) {}
   bool absences :1;
   bool departures :1;
   bool served_parts :1;
@@ -527,6 +580,7 @@
   bool rate_limits :1;
   bool stream_origins :1;
   bool wanted_origins :1;
+  bool poison_parts :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -570,6 +624,7 @@
   std::vector<GossipRateLimit>  rate_limits;
   std::vector<GossipStreamOrigin>  stream_origins;
   std::vector<std::string>  wanted_origins;
+  std::vector<GossipPoisonPart>  poison_parts;
 
   _Gossip__isset __isset;
 
@@ -613,6 +668,8 @@
 
   void __set_wanted_origins(const std::vector<std::string> & val);
 
+  void __set_poison_parts(const std::vector<GossipPoisonPart> & val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -669,6 +726,10 @@
       return false;
     else if (__isset.wanted_origins && !(wanted_origins == rhs.wanted_origins))
       return false;
+    if (__isset.poison_parts != rhs.__isset.poison_parts)
+      return false;
+    else if (__isset.poison_parts && !(poison_parts == rhs.poison_parts))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -69,6 +69,15 @@
   4: required i32 age_ms,
 }
 
+// A part of contents that the sender blames for crashes of backend servers.
+struct GossipPoisonPart {
+  1: required string part,
+  // Number of crashes that it explains.
+  2: required i32 crashes,
+  // Time since the last one.
+  3: required i32 age_ms,
+}
+
 // A stream that a backend server of this software version has begun.
 struct GossipStreamOrigin {
   // The request that brought its first event.
@@ -109,4 +118,5 @@
   19: optional list<GossipStreamOrigin> stream_origins,
   // The streams whose origin the receiver is asked for, by their first request.
   20: optional list<string> wanted_origins,
+  21: optional list<GossipPoisonPart> poison_parts,
 }
