Await evidence and answers before crashes that coincide are blamed on a part

A verdict by coincidence now waits 0.7 s, and needs more: in steady traffic a part that was never answered, or answers that are missing since, compared with requests that begin with the same part, as another kind may be served worse after an outage.

--- a/core/include/carawayvalve/core/poison_parts.h
+++ b/core/include/carawayvalve/core/poison_parts.h
@@ -43,8 +43,11 @@
 // Crashes at about the same time may have one cause outside the requests, such
 // as the loss of a rack, and then count once. But such a cause hits backend
 // servers whatever they run: crashes count one by one if all backend servers
-// that crashed at a time ran the part and this, as well as the lack of answers
-// to it, is improbable by its share of the traffic.
+// that crashed at a time ran the part, and this is improbable by its share of
+// the traffic. Requests with a popular part gather at few backend servers, so
+// that it also must have gone without an answer while others were answered, or
+// have never been answered in steady traffic. Evidence of other processes is
+// awaited before.
 //
 // The part with the most crashes explains all crashes that it occurs in, so
 // that the parts that accompany it aren't blamed. Among parts with equal
@@ -53,7 +56,8 @@
 std::map<std::string, PoisonPart> FindPoisonParts(
     const std::vector<CrashEvidence>& evidence,
     const std::map<std::string, base::Instant>& served,
-    const PartTraffic& traffic = {});
+    const PartTraffic& traffic = {},
+    base::Instant now = {});
 
 }  // namespace carawayvalve::core
 
--- a/core/include/carawayvalve/core/poison_request_tracker.h
+++ b/core/include/carawayvalve/core/poison_request_tracker.h
@@ -107,6 +107,9 @@
     this->traffic.NoteRequest(parts);
   }
 
+  // Sets the number of processes that share the traffic and their records.
+  void SetProcessCount(int64_t count) { this->traffic.SetProcessCount(count); }
+
   // Decides whether the content may be sent to a backend server now. A trial is
   // counted by this call. `may_try` returns whether this process makes the
   // trials of a part, so that one is made among all processes.
--- a/core/src/part_traffic.cc
+++ b/core/src/part_traffic.cc
@@ -10,6 +10,7 @@
 
 // Shares of fewer requests say little.
 constexpr int64_t kMinRequests = 30;
+constexpr int64_t kSteadyRequests = 50;
 // Beyond these numbers all counts are halved, so that old traffic fades.
 constexpr int64_t kMaxRequests = 2000;
 constexpr size_t kMaxParts = 4096;
@@ -40,14 +41,25 @@
                 [](const auto& entry) { return entry.second == 0; });
 }
 
-void PartTraffic::NoteAnswer(base::Instant now) {
-  if (this->answers.empty() ||
-      now - this->answers.back().first >= kAnswerInterval) {
-    this->answers.emplace_back(now, 0);
+void PartTraffic::CountAnswer(Answers& answers, base::Instant now) {
+  if (answers.empty() || now - answers.back().first >= kAnswerInterval) {
+    answers.emplace_back(now, 0);
   }
-  ++this->answers.back().second;
-  while (now - this->answers.front().first > kAnswerRetention) {
-    this->answers.pop_front();
+  ++answers.back().second;
+  while (now - answers.front().first > kAnswerRetention) {
+    answers.pop_front();
+  }
+}
+
+void PartTraffic::NoteAnswer(const std::vector<std::string>& parts,
+                             base::Instant now) {
+  CountAnswer(this->answers, now);
+  if (parts.empty()) {
+    return;
+  }
+  CountAnswer(this->answers_by_first[parts.front()], now);
+  if (this->answers_by_first.size() > kMaxParts) {
+    this->answers_by_first.clear();
   }
 }
 
@@ -56,6 +68,10 @@
   return found == this->counts.end() ? 0 : found->second;
 }
 
+bool PartTraffic::IsSteady() const {
+  return this->total >= kSteadyRequests;
+}
+
 double PartTraffic::MaxShareOf(const std::string& part) const {
   if (this->total < kMinRequests) {
     return 1;
@@ -65,21 +81,25 @@
                            static_cast<double>(this->total));
 }
 
-double PartTraffic::MinExpectedAnswers(const std::string& part,
-                                       base::Instant since) const {
-  if (this->total < kMinRequests) {
+double PartTraffic::ExpectedAnswers(const std::string& part,
+                                    const std::string& first,
+                                    base::Instant since) const {
+  const bool among_all = part == first;
+  const auto of_first = this->answers_by_first.find(first);
+  const int64_t requests = among_all ? this->total : this->CountOf(first);
+  if (requests == 0 ||
+      (!among_all && of_first == this->answers_by_first.end())) {
     return 0;
   }
+  const Answers& counted = among_all ? this->answers : of_first->second;
   int64_t answered = 0;
-  for (auto entry = this->answers.rbegin();
-       entry != this->answers.rend() && entry->first >= since; ++entry) {
+  for (auto entry = counted.rbegin();
+       entry != counted.rend() && entry->first >= since; ++entry) {
     answered += entry->second;
   }
-  const int64_t count = this->CountOf(part);
-  const double share =
-      std::max(0.0, static_cast<double>(count) - DeviationOf(count)) /
-      static_cast<double>(this->total);
-  return static_cast<double>(answered) * share;
+  return static_cast<double>(answered) *
+         static_cast<double>(this->CountOf(part)) /
+         static_cast<double>(requests);
 }
 
 }  // namespace carawayvalve::core
--- a/core/src/poison_parts.cc
+++ b/core/src/poison_parts.cc
@@ -13,10 +13,13 @@
 // requests, such as the loss of a rack.
 constexpr base::Milliseconds kSameCauseTime(100);
 // Crashes at the same time are blamed on a part that all these backend servers
-// ran if that is at most this probable by chance, and also if it hasn't been
-// answered since, taken together, at most that.
-constexpr double kMaxCoincidence = 0.05;
-constexpr double kMaxChance = 0.001;
+// ran if that is at most this probable by chance, if at least this many answers
+// to it are missing since, and if both taken together are at most so probable.
+constexpr double kMaxCoincidence = 0.2;
+constexpr double kMinUnanswered = 3;
+constexpr double kMaxChance = 0.01;
+// Evidence of other processes, and answers, arrive within this time.
+constexpr base::Milliseconds kMinUnansweredTime(700);
 
 // A part that may have caused crashes.
 struct Suspect {
@@ -24,6 +27,8 @@
   std::map<std::string, base::Instant> crashes;
   // The furthest position in a prompt.
   size_t depth = 0;
+  // The first part of a request with it.
+  std::string first;
   // The epoch of the clock if it was never served.
   base::Instant served_at;
 };
@@ -84,6 +89,7 @@
       Suspect& suspect = suspects[request.parts[i]];
       suspect.crashes[request.crash_id] = crashed_at;
       suspect.depth = std::max(suspect.depth, i);
+      suspect.first = request.parts.front();
       suspect.served_at = served_at;
     }
   }
@@ -106,45 +112,69 @@
   return part;
 }
 
-// Returns how probable it is, at most, that backend servers which crashed for
-// another reason ran the part, and that it hasn't been answered since; 1 if one
-// of them crashed without it.
-double ProbabilityOfChance(const std::string& part,
-                           const Suspect& suspect,
-                           const Crashes& crashes,
-                           const PartTraffic& traffic) {
-  const double share = traffic.MaxShareOf(part);
-  std::set<base::Instant> moments;
-  for (const auto& [id, at] : suspect.crashes) {
-    moments.insert(crashes.at(id).moment);
-  }
+// Crashes at the moments at which all backend servers that crashed ran a part.
+struct Coincidence {
+  size_t crashes = 0;
+  // How probable it is, at most, that they ran the part by chance.
   double probability = 1;
   base::Instant last;
+};
+
+// Returns what is known of moments that have passed for long enough.
+Coincidence FindCoincidence(const Suspect& suspect,
+                            const Crashes& crashes,
+                            double share,
+                            base::Instant now) {
+  std::map<base::Instant, Coincidence> moments;
+  std::set<base::Instant> without_part;
   for (const auto& [id, crash] : crashes) {
-    if (!moments.contains(crash.moment)) {
+    if (!suspect.crashes.contains(id)) {
+      without_part.insert(crash.moment);
       continue;
     }
-    if (!suspect.crashes.contains(id)) {
-      return 1;
+    Coincidence& moment = moments[crash.moment];
+    ++moment.crashes;
+    moment.probability *=
+        1 - std::pow(1 - share, static_cast<double>(crash.requests));
+    moment.last = std::max(moment.last, crash.at);
+  }
+  Coincidence all;
+  for (const auto& [at, moment] : moments) {
+    if (!without_part.contains(at) && moment.last + kMinUnansweredTime <= now) {
+      all.crashes += moment.crashes;
+      all.probability *= moment.probability;
+      all.last = std::max(all.last, moment.last);
     }
-    probability *= 1 - std::pow(1 - share, static_cast<double>(crash.requests));
-    last = std::max(last, crash.at);
   }
-  return probability > kMaxCoincidence
-             ? 1
-             : probability * std::exp(-traffic.MinExpectedAnswers(part, last));
+  return all;
 }
 
 // Counts crashes at the same moment one by one if they aren't chance.
 PoisonPart Judge(const std::string& part,
                  const Suspect& suspect,
                  const Crashes& crashes,
-                 const PartTraffic& traffic) {
+                 const PartTraffic& traffic,
+                 base::Instant now) {
   PoisonPart judged = Summarize(suspect);
-  if (judged.crashes < kCrashesToBlame &&
-      suspect.crashes.size() >= kCrashesToBlame &&
-      ProbabilityOfChance(part, suspect, crashes, traffic) <= kMaxChance) {
-    judged.crashes = suspect.crashes.size();
+  if (judged.crashes >= kCrashesToBlame ||
+      suspect.crashes.size() < kCrashesToBlame) {
+    return judged;
+  }
+  const Coincidence coincidence =
+      FindCoincidence(suspect, crashes, traffic.MaxShareOf(part), now);
+  const double unanswered =
+      traffic.ExpectedAnswers(part, suspect.first, coincidence.last) *
+      traffic.process_count();
+  const bool missed =
+      coincidence.probability <= kMaxCoincidence &&
+      unanswered >= kMinUnanswered &&
+      coincidence.probability * std::exp(-unanswered) <= kMaxChance;
+  // In steady traffic, parts that several backend servers run at once have been
+  // answered before, unless none can be.
+  const bool is_new =
+      suspect.served_at == base::Instant() && traffic.IsSteady();
+  if (coincidence.crashes >= kCrashesToBlame && (missed || is_new)) {
+    judged.crashes = std::max(judged.crashes, coincidence.crashes);
   }
   return judged;
 }
@@ -152,9 +182,10 @@
 // Removes the suspects that can't be blamed for enough crashes.
 void DropUnlikely(Suspects& suspects,
                   const Crashes& crashes,
-                  const PartTraffic& traffic) {
+                  const PartTraffic& traffic,
+                  base::Instant now) {
   std::erase_if(suspects, [&](const auto& item) {
-    return Judge(item.first, item.second, crashes, traffic).crashes <
+    return Judge(item.first, item.second, crashes, traffic, now).crashes <
            kCrashesToBlame;
   });
 }
@@ -177,15 +208,16 @@
 std::map<std::string, PoisonPart> FindPoisonParts(
     const std::vector<CrashEvidence>& evidence,
     const std::map<std::string, base::Instant>& served,
-    const PartTraffic& traffic) {
+    const PartTraffic& traffic,
+    base::Instant now) {
   const Crashes crashes = CollectCrashes(evidence);
   Suspects suspects = CollectSuspects(evidence, crashes, served);
   std::map<std::string, PoisonPart> poison;
-  for (DropUnlikely(suspects, crashes, traffic); !suspects.empty();
-       DropUnlikely(suspects, crashes, traffic)) {
+  for (DropUnlikely(suspects, crashes, traffic, now); !suspects.empty();
+       DropUnlikely(suspects, crashes, traffic, now)) {
     const auto strongest = StrongestOf(suspects);
     poison[strongest->first] =
-        Judge(strongest->first, strongest->second, crashes, traffic);
+        Judge(strongest->first, strongest->second, crashes, traffic, now);
     const std::map<std::string, base::Instant> explained =
         strongest->second.crashes;
     for (auto& [name, suspect] : suspects) {
--- a/core/src/poison_request_tracker.cc
+++ b/core/src/poison_request_tracker.cc
@@ -31,7 +31,7 @@
 
 void PoisonRequestTracker::NoteServed(const std::vector<std::string>& parts,
                                       base::Instant now) {
-  this->traffic.NoteAnswer(now);
+  this->traffic.NoteAnswer(parts, now);
   for (const std::string& part : parts) {
     this->AddServed(part, now);
   }
@@ -131,7 +131,7 @@
         evidence.push_back({key.second, crash.at, crash.parts});
       }
     }
-    this->found = FindPoisonParts(evidence, this->served, this->traffic);
+    this->found = FindPoisonParts(evidence, this->served, this->traffic, now);
     this->quarantined = *this->found;
     for (const auto& [part, poison] : this->told) {
       const auto answer = this->served.find(part);
--- a/core/tests/poison_request_tracker_test.cc
+++ b/core/tests/poison_request_tracker_test.cc
@@ -294,6 +294,13 @@
     day.Crash(2, {"rules0", "suspect"});
     day.Run(std::chrono::seconds(2), true);
   }
+  SUBCASE("all of them ran a part that isn't served for a moment") {
+    day.Crash(3, {"rules0", "suspect"});
+    day.Run(base::Milliseconds(600), false);
+    day.tracker.Prune(day.now);
+    CHECK_FALSE(day.Quarantines("suspect"));
+    day.Run(std::chrono::seconds(1), true);
+  }
   SUBCASE("some of them ran a part that has never been served") {
     day.Crash(3, {"rules0", "new"});
     day.Crash(2, {"rules0", "other"});
--- a/gateway/src/gateway_state.cc
+++ b/gateway/src/gateway_state.cc
@@ -76,6 +76,7 @@
 void GatewayState::SetLiveHosts(const std::vector<base::HostId>& hosts,
                                 base::Instant now) {
   this->live_hosts = hosts;
+  this->poison_requests.SetProcessCount(static_cast<int64_t>(hosts.size()));
   this->rate_limits.SetSharers(
       {this->settings.host, hosts,
        this->retry_members.HasListed() ? this->retry_members.Count() : 0},
--- a/gateway/src/stream_origin_lookup.cc
+++ b/gateway/src/stream_origin_lookup.cc
@@ -47,16 +47,11 @@
 }
 
 void StreamOriginLookup::End(const base::RequestId& first) {
-  const base::RequestId id = first;
-  auto search = this->searches.extract(id);
+  auto search = this->searches.extract(first);
   if (search.empty()) {
     return;
   }
-  search.mapped().timer->Cancel();
-  // The timer may be running this function.
-  this->loop.Post([timer = std::shared_ptr<net::Timer>(
-                       std::move(search.mapped().timer))] {});
-  const auto version = this->state.stream_origins.Find(id);
+  const auto version = this->state.stream_origins.Find(first);
   for (const Handler& handler : search.mapped().handlers) {
     handler(version);
   }
--- a/tests/platform/backend.cc
+++ b/tests/platform/backend.cc
@@ -78,7 +78,7 @@
     return false;
   }
   this->control_calls.push_back(base::Now());
-  exchange->Respond(std::move(response));
+  exchange->Respond(response);
   return true;
 }
 
