--- /dev/null
+++ b/gateway/src/origin_gossip.cc
@@ -0,0 +1,102 @@
+#include "origin_gossip.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace carawayvalve::gateway {
+
+using wire::gen::Gossip;
+
+namespace {
+
+// The origin of a stream is kept by this many gateways besides its own, so that
+// it is known after a kill or two.
+constexpr size_t kOriginKeepers = 3;
+// Keep datagrams small; what doesn't fit follows in the next round.
+constexpr size_t kMaxOriginsPerRound = 256;
+constexpr size_t kMaxOriginsPerMessage = 32;
+// A gateway that has just started receives the origins of these streams.
+constexpr std::chrono::seconds kOriginAgeForNewPeer(10);
+constexpr size_t kMaxOriginsForNewPeer = 512;
+
+wire::gen::GossipStreamOrigin ToGossipOrigin(const core::StreamOrigin& origin) {
+  wire::gen::GossipStreamOrigin encoded;
+  encoded.first = origin.first.value;
+  encoded.software_version = origin.software_version;
+  encoded.age_ms = static_cast<int32_t>(base::ToMilliseconds(origin.age));
+  return encoded;
+}
+
+}  // namespace
+
+std::map<base::HostId, OriginGossip::Origins> OriginGossip::TakeUntold() {
+  GatewayState& state = this->context.state;
+  const base::Instant now = base::Now();
+  std::map<base::HostId, Origins> origins;
+  const size_t count =
+      std::min(state.untold_origins.size(), kMaxOriginsPerRound);
+  for (size_t i = 0; i < count; ++i) {
+    UntoldOrigin& untold = state.untold_origins[i];
+    --untold.messages_left;
+    for (const base::HostId& keeper : core::OriginKeepers(
+             untold.origin.first, state.live_hosts, kOriginKeepers)) {
+      origins[keeper].push_back(
+          ToGossipOrigin({untold.origin.first, untold.origin.software_version,
+                          now - untold.noted}));
+    }
+  }
+  std::erase_if(state.untold_origins, [](const UntoldOrigin& untold) {
+    return untold.messages_left <= 0;
+  });
+  return origins;
+}
+
+bool OriginGossip::IsKeeper(const base::RequestId& first,
+                            const base::HostId& host) const {
+  const auto keepers = core::OriginKeepers(
+      first, this->context.state.live_hosts, kOriginKeepers);
+  return std::find(keepers.begin(), keepers.end(), host) != keepers.end();
+}
+
+std::optional<Gossip> OriginGossip::Answer(const Gossip& question,
+                                           const Gossip& base) const {
+  Gossip answer = base;
+  for (const std::string& first : question.wanted_origins) {
+    const auto version =
+        this->context.state.stream_origins.Find(base::RequestId{first});
+    if (version.has_value()) {
+      answer.stream_origins.push_back(
+          ToGossipOrigin({{first}, *version, base::Duration(0)}));
+    }
+  }
+  answer.__isset.stream_origins = !answer.stream_origins.empty();
+  return answer.stream_origins.empty() ? std::nullopt
+                                       : std::optional(std::move(answer));
+}
+
+std::vector<Gossip> OriginGossip::MessagesForNewPeer(const Gossip& base) const {
+  std::vector<Gossip> messages;
+  for (const core::StreamOrigin& origin :
+       this->context.state.stream_origins.Recent(
+           kOriginAgeForNewPeer, kMaxOriginsForNewPeer, base::Now())) {
+    if (messages.empty() ||
+        messages.back().stream_origins.size() >= kMaxOriginsPerMessage) {
+      messages.push_back(base);
+      messages.back().__isset.stream_origins = true;
+    }
+    messages.back().stream_origins.push_back(ToGossipOrigin(origin));
+  }
+  return messages;
+}
+
+void OriginGossip::Apply(const Gossip& gossip, base::Instant now) {
+  for (const wire::gen::GossipStreamOrigin& received : gossip.stream_origins) {
+    const base::RequestId first{received.first};
+    this->context.state.stream_origins.Note(
+        {first, received.software_version, base::Milliseconds(received.age_ms)},
+        now);
+    this->context.origin_lookup.NoteLearned(first);
+  }
+}
+
+}  // namespace carawayvalve::gateway
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -32,58 +32,28 @@
 // A peer counts as live while its last message is younger than this.
 constexpr std::chrono::seconds kLivenessTimeout(3);
 // Changed usage counts are sent to the gateway that reports them at this
-// interval, or each round if that is longer, and repeated for some time.
+// interval, or each round if that is longer.
 constexpr base::Milliseconds kUsageChangeInterval(400);
-constexpr std::chrono::seconds kUsageRepeatTime(2);
 // All usage counts are sent to all gateways once in this many rounds.
 constexpr int64_t kRoundsPerUsageMessage = 10;
-// The number of newest usage windows that are sent; older ones are sealed.
-constexpr int64_t kWindowsSent = 2;
 // A gateway that has just started receives the usage counts of all gateways,
 // including stopped ones, and the requests that crashed backend servers from
 // this many gateways. The new gateway may be one of them itself.
 constexpr size_t kBootstrapPeers = 3;
-// Keeps a datagram small enough not to be fragmented.
-constexpr size_t kMaxAccountsPerDatagram = 60;
 // While no load changes, a message is sent only once in this many rounds, so
 // that peers know that this gateway is live and how fresh its configuration is.
 constexpr int64_t kRoundsPerIdleMessage = 4;
 // Further prefixes are dropped.
 constexpr size_t kMaxPrefixesPerMessage = 64;
-// What ran during crashes that this gateway noticed within this time is sent in
-// each message, as are the parts served within it. Those of all gateways are
-// sent once in kRoundsPerOldCrashes rounds. What doesn't fit takes turns.
-constexpr std::chrono::seconds kRecentCrashAge(2);
+// The crash evidence of all gateways and ages is sent once in this many rounds.
 constexpr int64_t kRoundsPerOldCrashes = 40;
-constexpr size_t kMaxCrashesPerMessage = 16;
-constexpr size_t kMaxServedPartsPerMessage = 32;
-constexpr size_t kMaxPoisonPartsPerMessage = 8;
-// No gateway remembers for longer that a part was served.
-constexpr base::Duration kMaxServedAge = std::chrono::minutes(10);
 // Backend servers that said within this time that they leave are named in each
 // message: a gateway that starts meanwhile or misses a few messages learns it.
 constexpr std::chrono::seconds kDepartureAge(10);
 constexpr size_t kMaxDeparturesPerMessage = 32;
-// Changes of backend servers' request rates are named in each message for this
-// time, and all rates once in kRateLimitInterval. What doesn't fit takes turns.
-constexpr std::chrono::seconds kRateLimitNewsAge(2);
-constexpr std::chrono::seconds kRateLimitInterval(1);
-constexpr size_t kMaxRateLimitsPerMessage = 32;
 // The minimum interval between two updates about urgent news, with any number
 // of peers.
 constexpr base::Milliseconds kUrgentNewsInterval(100);
-// The number of newest crashes that are sent to a gateway which has just
-// started.
-constexpr size_t kMaxCrashesForNewPeer = 256;
-// The origin of a stream is kept by this many gateways besides its own, so that
-// it is known after a kill or two.
-constexpr size_t kOriginKeepers = 3;
-// Keep datagrams small; what doesn't fit follows in the next round.
-constexpr size_t kMaxOriginsPerRound = 256;
-constexpr size_t kMaxOriginsPerMessage = 32;
-// A gateway that has just started receives the origins of these streams.
-constexpr std::chrono::seconds kOriginAgeForNewPeer(10);
-constexpr size_t kMaxOriginsForNewPeer = 512;
 constexpr int kOk = 200;
 constexpr std::chrono::seconds kKeepAlive(10);
 
@@ -97,33 +67,6 @@
       .count();
 }
 
-wire::gen::GossipDeath ToGossipDeath(const core::CrashRecord& record) {
-  wire::gen::GossipDeath encoded;
-  encoded.content_digest = record.content_digest;
-  encoded.death_id = record.death_id;
-  encoded.age_ms = static_cast<int32_t>(base::ToMilliseconds(record.age));
-  if (!record.parts.empty()) {
-    encoded.__set_parts(record.parts);
-  }
-  return encoded;
-}
-
-wire::gen::GossipStreamOrigin ToGossipOrigin(const core::StreamOrigin& origin) {
-  wire::gen::GossipStreamOrigin encoded;
-  encoded.first = origin.first.value;
-  encoded.software_version = origin.software_version;
-  encoded.age_ms = static_cast<int32_t>(base::ToMilliseconds(origin.age));
-  return encoded;
-}
-
-void AddServedPart(Gossip& gossip, const core::ServedPart& served) {
-  wire::gen::GossipServedPart encoded;
-  encoded.part = served.part;
-  encoded.age_ms = static_cast<int32_t>(base::ToMilliseconds(served.age));
-  gossip.served_parts.push_back(std::move(encoded));
-  gossip.__isset.served_parts = true;
-}
-
 // Returns whether `self` sends the counts of all gateways to the gateway with
 // this boot id. Processes with the same live hosts choose the same senders.
 bool IsBootstrapPeer(const base::HostId& self,
@@ -148,7 +91,10 @@
                }),
       feed(feed),
       client(context.loop, kKeepAlive),
-      usage_changes(kUsageRepeatTime),
+      crash_gossip(context),
+      rate_limit_gossip(context),
+      origin_gossip(context),
+      usage_gossip(context),
       round_timer(context.loop),
       update_timer(context.loop) {}
 
@@ -312,7 +258,8 @@
   }
   const bool usage_due = this->rounds % kRoundsPerUsageMessage == 0;
   if (std::exchange(this->new_peer_seen, false) || usage_due) {
-    for (const Gossip& windows : this->WindowMessages(false)) {
+    for (const Gossip& windows :
+         this->usage_gossip.Messages(false, this->BaseMessage())) {
       this->Send(windows);
     }
   }
@@ -337,30 +284,13 @@
     }
     gossip.prefixes.push_back(std::move(encoded));
   }
-  this->AddCrashes(gossip);
-  this->AddRateLimits(gossip);
+  this->crash_gossip.AddTo(gossip, this->rounds % kRoundsPerOldCrashes == 0);
+  this->rate_limit_gossip.AddTo(gossip);
   this->SendWithOrigins(gossip);
 }
 
 void PeerGossip::SendWithOrigins(const Gossip& gossip) {
-  GatewayState& state = this->context.state;
-  const base::Instant now = base::Now();
-  std::map<base::HostId, std::vector<wire::gen::GossipStreamOrigin>> origins;
-  const size_t count =
-      std::min(state.untold_origins.size(), kMaxOriginsPerRound);
-  for (size_t i = 0; i < count; ++i) {
-    UntoldOrigin& untold = state.untold_origins[i];
-    --untold.messages_left;
-    for (const base::HostId& keeper : core::OriginKeepers(
-             untold.origin.first, state.live_hosts, kOriginKeepers)) {
-      origins[keeper].push_back(
-          ToGossipOrigin({untold.origin.first, untold.origin.software_version,
-                          now - untold.noted}));
-    }
-  }
-  std::erase_if(state.untold_origins, [](const UntoldOrigin& untold) {
-    return untold.messages_left <= 0;
-  });
+  auto origins = this->origin_gossip.TakeUntold();
   Gossip addressed = gossip;
   for (const auto& [host, peer] : this->peers) {
     addressed.echo = peer.stamp;
@@ -371,193 +301,30 @@
 }
 
 void PeerGossip::AskForOrigin(const base::RequestId& first, bool all) {
-  const auto keepers = core::OriginKeepers(
-      first, this->context.state.live_hosts, kOriginKeepers);
   Gossip question = this->LoadMessage();
   question.__set_wanted_origins({first.value});
   for (const auto& [host, peer] : this->peers) {
-    if (all ||
-        std::find(keepers.begin(), keepers.end(), host) != keepers.end()) {
+    if (all || this->origin_gossip.IsKeeper(first, host)) {
       question.echo = peer.stamp;
       this->datagrams->Send(PrintGossip(question), peer.address);
     }
   }
 }
 
-void PeerGossip::AnswerOrigins(const Gossip& gossip,
+void PeerGossip::AnswerOrigins(const Gossip& question,
                                const base::Address& sender) {
-  Gossip answer;
-  for (const std::string& first : gossip.wanted_origins) {
-    const auto version =
-        this->context.state.stream_origins.Find(base::RequestId{first});
-    if (version.has_value()) {
-      answer.stream_origins.push_back(
-          ToGossipOrigin({{first}, *version, base::Duration(0)}));
-    }
-  }
-  if (answer.stream_origins.empty()) {
+  if (question.wanted_origins.empty()) {
     return;
   }
-  Gossip message = this->LoadMessage();
-  message.__set_stream_origins(answer.stream_origins);
-  this->datagrams->Send(PrintGossip(message), sender);
-}
-
-std::vector<Gossip> PeerGossip::OriginMessages() const {
-  std::vector<Gossip> messages;
-  for (const core::StreamOrigin& origin :
-       this->context.state.stream_origins.Recent(
-           kOriginAgeForNewPeer, kMaxOriginsForNewPeer, base::Now())) {
-    if (messages.empty() ||
-        messages.back().stream_origins.size() >= kMaxOriginsPerMessage) {
-      messages.push_back(this->LoadMessage());
-      messages.back().__isset.stream_origins = true;
-    }
-    messages.back().stream_origins.push_back(ToGossipOrigin(origin));
-  }
-  return messages;
-}
-
-void PeerGossip::AddRateLimits(Gossip& gossip) {
-  const core::BackendRateLimits& limits = this->context.state.rate_limits;
-  const base::Instant now = base::Now();
-  const bool all = now - this->rate_limits_sent_at >= kRateLimitInterval;
-  const auto statements = all ? limits.OwnStatements(now)
-                              : limits.OwnNews(now - kRateLimitNewsAge, now);
-  if (all) {
-    this->rate_limits_sent_at = now;
-  }
-  const size_t count = std::min(statements.size(), kMaxRateLimitsPerMessage);
-  for (size_t i = 0; i < count; ++i) {
-    const core::BackendRateStatement& statement =
-        statements[this->next_rate_limit++ % statements.size()];
-    wire::gen::GossipRateLimit encoded;
-    encoded.backend_server = statement.id.value;
-    encoded.started_ms = statement.started_ms;
-    if (const auto* limit =
-            std::get_if<core::RateLimit>(&statement.statement)) {
-      encoded.__set_per_second(limit->per_second);
-    }
-    encoded.age_ms =
-        static_cast<int32_t>(base::ToMilliseconds(now - statement.stated));
-    gossip.rate_limits.push_back(std::move(encoded));
+  if (const auto answer =
+          this->origin_gossip.Answer(question, this->LoadMessage())) {
+    this->datagrams->Send(PrintGossip(*answer), sender);
   }
-  gossip.__isset.rate_limits = !gossip.rate_limits.empty();
-}
-
-void PeerGossip::AddCrashes(Gossip& gossip) {
-  const core::PoisonRequestTracker& poison =
-      this->context.state.poison_requests;
-  const base::Instant now = base::Now();
-  const bool include_old = this->rounds % kRoundsPerOldCrashes == 0;
-  const auto records = include_old ? poison.Records(now)
-                                   : poison.OwnRecords(now, kRecentCrashAge);
-  const size_t count = std::min(records.size(), kMaxCrashesPerMessage);
-  for (size_t i = 0; i < count; ++i) {
-    gossip.deaths.push_back(
-        ToGossipDeath(records[this->next_crash++ % records.size()]));
-  }
-  const auto served = poison.ServedParts(
-      now, include_old ? kMaxServedAge : base::Duration(kRecentCrashAge));
-  const size_t served_count =
-      std::min(served.size(), kMaxServedPartsPerMessage);
-  for (size_t i = 0; i < served_count; ++i) {
-    AddServedPart(gossip, served[this->next_served_part++ % served.size()]);
-  }
-  for (const auto& [part, blamed] : poison.own_poison_parts(now)) {
-    if (gossip.poison_parts.size() >= kMaxPoisonPartsPerMessage) {
-      break;
-    }
-    wire::gen::GossipPoisonPart encoded;
-    encoded.part = part;
-    encoded.crashes = static_cast<int32_t>(blamed.crashes);
-    encoded.age_ms =
-        static_cast<int32_t>(base::ToMilliseconds(now - blamed.last_crash));
-    gossip.poison_parts.push_back(std::move(encoded));
-  }
-  gossip.__isset.poison_parts = !gossip.poison_parts.empty();
-}
-
-std::vector<Gossip> PeerGossip::CrashMessages() const {
-  std::vector<core::CrashRecord> records =
-      this->context.state.poison_requests.Records(base::Now());
-  std::sort(records.begin(), records.end(),
-            [](const core::CrashRecord& left, const core::CrashRecord& right) {
-              return left.age < right.age;
-            });
-  records.resize(std::min(records.size(), kMaxCrashesForNewPeer));
-  std::vector<Gossip> messages;
-  for (const core::CrashRecord& record : records) {
-    if (messages.empty() ||
-        messages.back().deaths.size() >= kMaxCrashesPerMessage) {
-      messages.push_back(this->LoadMessage());
-    }
-    messages.back().deaths.push_back(ToGossipDeath(record));
-  }
-  for (const core::ServedPart& served :
-       this->context.state.poison_requests.ServedParts(base::Now(),
-                                                       kMaxServedAge)) {
-    if (messages.empty() ||
-        messages.back().served_parts.size() >= kMaxServedPartsPerMessage) {
-      messages.push_back(this->LoadMessage());
-    }
-    AddServedPart(messages.back(), served);
-  }
-  return messages;
-}
-
-std::vector<core::WindowCountsPart> PeerGossip::RecentCounts() const {
-  const GatewayState& state = this->context.state;
-  const int64_t current_window =
-      state.wall_clock.At(base::Now()) /
-      base::Duration(state.settings.duties.usage_window);
-  return state.usage.Parts(current_window - kWindowsSent + 1);
-}
-
-std::vector<Gossip> PeerGossip::WindowMessages(bool all_sources) const {
-  std::vector<core::WindowCountsPart> parts = this->RecentCounts();
-  if (!all_sources) {
-    std::erase_if(parts, [&](const core::WindowCountsPart& part) {
-      return part.source != this->context.state.boot;
-    });
-  }
-  return this->MessagesOf(parts);
-}
-
-std::vector<Gossip> PeerGossip::MessagesOf(
-    const std::vector<core::WindowCountsPart>& parts) const {
-  std::vector<Gossip> messages;
-  size_t accounts_in_message = kMaxAccountsPerDatagram;
-  for (const core::WindowCountsPart& part : parts) {
-    for (const auto& [account, count] : part.counts) {
-      if (accounts_in_message >= kMaxAccountsPerDatagram) {
-        messages.push_back(this->BaseMessage());
-        accounts_in_message = 0;
-      }
-      auto& windows = messages.back().windows;
-      if (windows.empty() || windows.back().window != part.window ||
-          windows.back().source != part.source.value) {
-        wire::gen::GossipWindow encoded;
-        encoded.window = part.window;
-        encoded.source = part.source.value;
-        windows.push_back(std::move(encoded));
-      }
-      windows.back().counts[account.value] = count;
-      ++accounts_in_message;
-    }
-  }
-  return messages;
 }
 
 void PeerGossip::SendUsageChanges() {
-  const base::Instant now = base::Now();
-  this->usage_sent_at = now;
-  std::vector<core::WindowCountsPart> parts = this->RecentCounts();
-  std::erase_if(parts, [&](const core::WindowCountsPart& part) {
-    return part.source != this->context.state.boot;
-  });
-  const auto messages =
-      this->MessagesOf(this->usage_changes.Update(parts, now));
+  this->usage_sent_at = base::Now();
+  const auto messages = this->usage_gossip.TakeChanges(this->BaseMessage());
   if (messages.empty()) {
     return;
   }
@@ -584,6 +351,19 @@
   }
 }
 
+void PeerGossip::SendBootstrap(const base::Address& address) {
+  const Gossip base = this->LoadMessage();
+  std::vector<Gossip> messages =
+      this->usage_gossip.Messages(true, this->BaseMessage());
+  for (const auto& part : {this->crash_gossip.MessagesForNewPeer(base),
+                           this->origin_gossip.MessagesForNewPeer(base)}) {
+    messages.insert(messages.end(), part.begin(), part.end());
+  }
+  for (const Gossip& message : messages) {
+    this->datagrams->Send(PrintGossip(message), address);
+  }
+}
+
 void PeerGossip::OnDatagram(const std::string& data,
                             const base::Address& sender) {
   const auto gossip = ParseGossip(data);
@@ -609,15 +389,7 @@
     peer.boot = gossip->boot;
     if (IsBootstrapPeer(state.settings.host, gossip->boot,
                         this->LiveHosts(now))) {
-      for (const Gossip& windows : this->WindowMessages(true)) {
-        this->datagrams->Send(PrintGossip(windows), sender);
-      }
-      for (const Gossip& crashes : this->CrashMessages()) {
-        this->datagrams->Send(PrintGossip(crashes), sender);
-      }
-      for (const Gossip& origins : this->OriginMessages()) {
-        this->datagrams->Send(PrintGossip(origins), sender);
-      }
+      this->SendBootstrap(sender);
     }
   }
   if (was_not_live) {
@@ -636,13 +408,7 @@
     this->ApplyLoads(*gossip, now);
   }
   this->AnswerOrigins(*gossip, sender);
-  for (const wire::gen::GossipWindow& window : gossip->windows) {
-    core::WindowCountsPart part{window.window, {window.source}, {}};
-    for (const auto& [account, count] : window.counts) {
-      part.counts[{account}] = count;
-    }
-    state.usage.Merge(part);
-  }
+  this->usage_gossip.Apply(*gossip);
   this->ApplyFreshness(*gossip, peer);
   this->feed.NoteRegistryRevision(gossip->registry_revision);
 }
@@ -673,28 +439,9 @@
         {received.backend_server}, now + base::Milliseconds(received.left_ms));
   }
   this->ApplyDepartures(gossip, now);
-  this->ApplyRateLimits(gossip, now);
-  this->ApplyOrigins(gossip, now);
-  std::vector<core::CrashRecord> crashes;
-  for (const wire::gen::GossipDeath& received : gossip.deaths) {
-    crashes.push_back({received.content_digest, received.death_id,
-                       base::Milliseconds(received.age_ms), received.parts});
-  }
-  std::vector<core::ServedPart> served;
-  for (const wire::gen::GossipServedPart& received : gossip.served_parts) {
-    served.push_back({received.part, base::Milliseconds(received.age_ms)});
-  }
-  for (const wire::gen::GossipPoisonPart& received : gossip.poison_parts) {
-    state.poison_requests.MergePoisonPart(
-        received.part, {static_cast<size_t>(std::max(received.crashes, 0)),
-                        now - base::Milliseconds(received.age_ms)});
-  }
-  if (crashes.empty() && served.empty() && gossip.poison_parts.empty()) {
-    return;
-  }
-  state.poison_requests.Merge(crashes, now);
-  state.poison_requests.MergeServed(served, now);
-  this->context.LogPoisonParts();
+  this->rate_limit_gossip.Apply(gossip, now);
+  this->origin_gossip.Apply(gossip, now);
+  this->crash_gossip.Apply(gossip, now);
 }
 
 void PeerGossip::ApplyDepartures(const Gossip& gossip, base::Instant now) {
@@ -709,36 +456,6 @@
   }
 }
 
-void PeerGossip::ApplyRateLimits(const Gossip& gossip, base::Instant now) {
-  for (const wire::gen::GossipRateLimit& received : gossip.rate_limits) {
-    const base::BackendServerId id{received.backend_server};
-    if (this->context.state.directory.Find(id) == nullptr ||
-        (received.__isset.per_second && !(received.per_second >= 0))) {
-      continue;
-    }
-    core::BackendRateStatement statement;
-    statement.id = id;
-    statement.started_ms = received.started_ms;
-    if (received.__isset.per_second) {
-      statement.statement = core::RateLimit{received.per_second};
-    }
-    statement.stated = now - base::Milliseconds(std::max(received.age_ms, 0));
-    statement.asked = statement.stated;
-    statement.from_peer = true;
-    this->context.NoteBackendRate(statement, gossip.host);
-  }
-}
-
-void PeerGossip::ApplyOrigins(const Gossip& gossip, base::Instant now) {
-  for (const wire::gen::GossipStreamOrigin& received : gossip.stream_origins) {
-    const base::RequestId first{received.first};
-    this->context.state.stream_origins.Note(
-        {first, received.software_version, base::Milliseconds(received.age_ms)},
-        now);
-    this->context.origin_lookup.NoteLearned(first);
-  }
-}
-
 void PeerGossip::ApplyFreshness(const Gossip& gossip, const Peer& peer) {
   GatewayState& state = this->context.state;
   const int64_t own_version =
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -7,14 +7,17 @@
 #include <string>
 #include <vector>
 
-#include "carawayvalve/core/usage_changes.h"
 #include "carawayvalve/net/datagram_socket.h"
 #include "carawayvalve/net/http_server.h"
 #include "carawayvalve/platform/objects.h"
 #include "context.h"
+#include "crash_gossip.h"
 #include "gossip_types.h"
 #include "host_registry.h"
+#include "origin_gossip.h"
+#include "rate_limit_gossip.h"
 #include "store_feed.h"
+#include "usage_gossip.h"
 
 namespace carawayvalve::gateway {
 
@@ -62,35 +65,22 @@
   void SendWithOrigins(const wire::gen::Gossip& gossip);
   // Asks the peers that keep the origin of a stream for it, or all peers.
   void AskForOrigin(const base::RequestId& first, bool all);
-  void AnswerOrigins(const wire::gen::Gossip& gossip,
+  void AnswerOrigins(const wire::gen::Gossip& question,
                      const base::Address& sender);
-  // Returns messages with the origins of recent streams.
-  std::vector<wire::gen::Gossip> OriginMessages() const;
   void SetWatchWaits();
-  void AddCrashes(wire::gen::Gossip& gossip);
   void AddDepartures(wire::gen::Gossip& gossip) const;
-  // Adds what backend servers have said of their request rates: what is new,
-  // and at intervals all of it.
-  void AddRateLimits(wire::gen::Gossip& gossip);
-  std::vector<wire::gen::Gossip> CrashMessages() const;
   wire::gen::Gossip BaseMessage() const;
   // Returns a message with all loads of this gateway. Peers take a message
   // without loads to mean that this gateway is idle.
   wire::gen::Gossip LoadMessage() const;
-  std::vector<wire::gen::Gossip> WindowMessages(bool all_sources) const;
-  // Returns messages with these counts.
-  std::vector<wire::gen::Gossip> MessagesOf(
-      const std::vector<core::WindowCountsPart>& parts) const;
-  // Returns the counts of the windows that aren't sealed yet.
-  std::vector<core::WindowCountsPart> RecentCounts() const;
   // Tells the gateway that reports usage, and its next successors, what this
   // one has counted lately.
   void SendUsageChanges();
+  // Sends a gateway that has just started what only its peers know.
+  void SendBootstrap(const base::Address& address);
   void OnDatagram(const std::string& data, const base::Address& sender);
   void ApplyLoads(const wire::gen::Gossip& gossip, base::Instant now);
   void ApplyDepartures(const wire::gen::Gossip& gossip, base::Instant now);
-  void ApplyOrigins(const wire::gen::Gossip& gossip, base::Instant now);
-  void ApplyRateLimits(const wire::gen::Gossip& gossip, base::Instant now);
   void ApplyFreshness(const wire::gen::Gossip& gossip, const Peer& peer);
   void FetchPlan(const base::Address& address);
   void OnPlanCall(const net::CallEvent& event);
@@ -110,15 +100,11 @@
   net::Timer round_timer;
   net::Timer update_timer;
   int64_t rounds = 0;
-  core::UsageChanges usage_changes;
   base::Instant usage_sent_at;
-  // The crash record to send next, counted over all messages.
-  size_t next_crash = 0;
-  // The same of the served parts.
-  size_t next_served_part = 0;
-  // The same of the request rates.
-  size_t next_rate_limit = 0;
-  base::Instant rate_limits_sent_at;
+  CrashGossip crash_gossip;
+  RateLimitGossip rate_limit_gossip;
+  OriginGossip origin_gossip;
+  UsageGossip usage_gossip;
   bool new_peer_seen = false;
   core::FleetLoad::Loads sent_loads;
   base::Instant loads_sent_at;
