Let the platform's rule parts switch features of a deployment

What is new must take effect only where a deployment calls for it, and gateways didn't know which parts of the platform's rules are in force. The template renders them, platform/ decodes them into config::Features. Nothing reads the first feature yet.

--- a/gateway/include/carawayvalve/gateway/settings.h
+++ b/gateway/include/carawayvalve/gateway/settings.h
@@ -8,6 +8,7 @@
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/base/journal.h"
 #include "carawayvalve/base/time.h"
+#include "carawayvalve/config/features.h"
 
 namespace carawayvalve::gateway {
 
@@ -63,6 +64,8 @@
     bool operator==(const Bounds&) const = default;
   } bounds;
 
+  config::Features features;
+
   base::Journal::Settings log;
 
   bool operator==(const GatewaySettings&) const = default;
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -6,6 +6,7 @@
 
 #include "carawayvalve/base/error.h"
 #include "carawayvalve/base/field_reader.h"
+#include "carawayvalve/platform/features.h"
 
 namespace carawayvalve::gateway {
 
@@ -133,6 +134,7 @@
   ReadStore(reader, faults, settings.store);
   ReadDuties(reader, faults, settings.duties);
   ReadBounds(reader, faults, settings.bounds);
+  settings.features = platform::DecodeFeatures(reader.Strings("rule_parts"));
   ReadLog(reader, faults, settings.log);
   reader.Finish();
   base::ThrowIfAny(faults, source);
--- a/gateway/tests/settings_test.cc
+++ b/gateway/tests/settings_test.cc
@@ -19,6 +19,7 @@
   "duties": {"address": "10.0.0.3:80", "usage_window_s": 2.5, "lease_ms": 3000},
   "bounds": {"key_withdrawal_ms": 5000, "retry_ratio": 0.25, "retry_slack": 54,
              "stop_s": 8},
+  "rule_parts": ["base", "pressure"],
   "log": {"level": "warning", "max_buffered_kb": 64}
 })";
 
@@ -45,6 +46,7 @@
     CHECK(settings.bounds.retry_ratio == 0.25);
     CHECK(settings.log.level == base::LogLevel::kWarning);
     CHECK(settings.store.watch_wait == base::Milliseconds(2000));
+    CHECK(settings.features.contention);
   }
   SUBCASE("are rejected with the path of each fault") {
     document["listen"]["callers"] = "somewhere";
