--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -25,6 +25,9 @@
   void Start();
 
  private:
+  // A request with less time left isn't sent to a backend server.
+  static constexpr base::Milliseconds kMinTimeLeft{20};
+
   // Return whether the request may proceed. If not, it has been answered.
   bool FindRoute();
   bool CheckKey();
