Add rate limits of client accounts to the configuration

An operator couldn't limit what an account may send; the platform's configuration has such limits, which nothing read.

An account may name a limit in requests or tokens a second, with a burst and the tokens of a request that names none. Nothing enforces it yet.

--- a/config/include/carawayvalve/config/configuration.h
+++ b/config/include/carawayvalve/config/configuration.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "carawayvalve/base/ids.h"
+#include "carawayvalve/config/rate_limit.h"
 
 namespace carawayvalve::config {
 
@@ -16,6 +17,8 @@
   // Share of a busy backend server, relative to other accounts.
   int32_t weight = 1;
   int32_t max_requests_in_flight = 1000;
+  // Unlimited if absent.
+  std::optional<AccountRateLimit> rate_limit;
 
   bool operator==(const ClientAccount&) const = default;
 };
--- a/config/include/carawayvalve/config/serving.h
+++ b/config/include/carawayvalve/config/serving.h
@@ -8,6 +8,7 @@
 
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/base/time.h"
+#include "carawayvalve/config/rate_limit.h"
 
 namespace carawayvalve::config {
 
@@ -73,6 +74,8 @@
   std::vector<std::string> keys;
   // Overrides the priority of the requests' routes.
   std::optional<int64_t> priority;
+  // Unlimited if absent.
+  std::optional<AccountRateLimit> rate_limit;
 
   bool operator==(const ServingAccount&) const = default;
 };
--- a/config/src/read_json.cc
+++ b/config/src/read_json.cc
@@ -73,6 +73,32 @@
   return list;
 }
 
+AccountRateLimit ReadRateLimit(const json& item,
+                               const std::string& path,
+                               std::vector<Fault>& faults) {
+  const AccountRateLimit defaults;
+  const FaultCheckpoint checkpoint(faults);
+  FieldReader reader(item, path, faults);
+  AccountRateLimit limit;
+  limit.unit = static_cast<RateUnit>(reader.Choice("unit", RateUnitWords()));
+  limit.per_second = reader.Number("per_second", kMinPerSecond,
+                                   static_cast<double>(kMaxPerSecond));
+  limit.burst = reader.Integer("burst", 1, kMaxPerSecond);
+  const bool counts_tokens = limit.unit == RateUnit::kTokens;
+  limit.default_tokens =
+      reader.Integer("default_tokens", 1, kMaxPerSecond,
+                     counts_tokens ? std::optional<int64_t>()
+                                   : std::optional(defaults.default_tokens));
+  reader.Finish();
+  if (checkpoint.clean() && counts_tokens &&
+      limit.default_tokens > limit.burst) {
+    reader.AddFault("default_tokens",
+                    "is above burst, so that no such request would ever run",
+                    "1 to " + std::to_string(limit.burst));
+  }
+  return limit;
+}
+
 ClientAccount ReadClientAccount(const json& item,
                                 const std::string& path,
                                 std::vector<Fault>& faults) {
@@ -85,6 +111,11 @@
   account.max_requests_in_flight = static_cast<int32_t>(
       reader.Integer("max_requests_in_flight", 1, kMaxRequestsInFlight,
                      defaults.max_requests_in_flight));
+  const json& rate_limit = reader.Object("rate_limit");
+  if (item.is_object() && item.contains("rate_limit")) {
+    account.rate_limit =
+        ReadRateLimit(rate_limit, reader.PathOf("rate_limit"), faults);
+  }
   reader.Finish();
   return account;
 }
--- a/config/src/vocabulary.cc
+++ b/config/src/vocabulary.cc
@@ -84,6 +84,11 @@
   return kWords;
 }
 
+const std::vector<std::string>& RateUnitWords() {
+  static const std::vector<std::string> kWords = {"requests", "tokens"};
+  return kWords;
+}
+
 const std::vector<std::string>& MethodWords() {
   static const std::vector<std::string> kWords = {
       "DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"};
--- a/config/src/vocabulary.h
+++ b/config/src/vocabulary.h
@@ -11,6 +11,7 @@
 // In the order of the enumerators.
 const std::vector<std::string>& ServiceKindWords();
 const std::vector<std::string>& RepeatWords();
+const std::vector<std::string>& RateUnitWords();
 const std::vector<std::string>& MethodWords();
 
 inline constexpr size_t kMaxNameBytes = 64;
@@ -21,6 +22,9 @@
 
 inline constexpr int64_t kMaxWeight = 1000;
 inline constexpr int64_t kMaxRequestsInFlight = 1000000;
+// One request in ten minutes.
+inline constexpr double kMinPerSecond = 1.0 / 600;
+inline constexpr int64_t kMaxPerSecond = 1000000000;
 inline constexpr int64_t kMaxBackendServers = 10000;
 inline constexpr int64_t kMaxQueued = 100000;
 inline constexpr int64_t kMaxDeadlineMs = 3600000;
--- a/config/src/write_json.cc
+++ b/config/src/write_json.cc
@@ -21,10 +21,25 @@
 
 }  // namespace
 
+ordered_json ToJson(const AccountRateLimit& limit) {
+  const std::string& unit = RateUnitWords().at(static_cast<size_t>(limit.unit));
+  ordered_json value = {
+      {"unit", unit}, {"per_second", limit.per_second}, {"burst", limit.burst}};
+  if (limit.unit == RateUnit::kTokens) {
+    value["default_tokens"] = limit.default_tokens;
+  }
+  return value;
+}
+
 ordered_json ToJson(const ClientAccount& account) {
-  return {{"name", account.name.value},
-          {"weight", account.weight},
-          {"max_requests_in_flight", account.max_requests_in_flight}};
+  ordered_json value = {
+      {"name", account.name.value},
+      {"weight", account.weight},
+      {"max_requests_in_flight", account.max_requests_in_flight}};
+  if (account.rate_limit.has_value()) {
+    value["rate_limit"] = ToJson(*account.rate_limit);
+  }
+  return value;
 }
 
 ordered_json ToJson(const Service& service) {
--- a/config/tests/generators.h
+++ b/config/tests/generators.h
@@ -31,10 +31,23 @@
   return stem + std::to_string(number);
 }
 
+inline AccountRateLimit DrawRateLimit() {
+  AccountRateLimit limit;
+  limit.unit = Draw(0, 1) == 0 ? RateUnit::kRequests : RateUnit::kTokens;
+  limit.per_second = static_cast<double>(Draw(1, 1 << 20)) / 4;
+  limit.burst = Draw(1, 1 << 20);
+  if (limit.unit == RateUnit::kTokens) {
+    limit.default_tokens = Draw(1, limit.burst);
+  }
+  return limit;
+}
+
 inline ClientAccount DrawAccount(int64_t number) {
   return {.name = {Numbered("account-", number)},
           .weight = DrawInt(1, 1000),
-          .max_requests_in_flight = DrawInt(1, 1000)};
+          .max_requests_in_flight = DrawInt(1, 1000),
+          .rate_limit =
+              Draw(0, 1) == 0 ? std::nullopt : std::optional(DrawRateLimit())};
 }
 
 inline Service DrawService(int64_t number) {
--- a/config/tests/json_test.cc
+++ b/config/tests/json_test.cc
@@ -181,6 +181,39 @@
     CheckOneFault(FaultsWith("/engine_rules/0/min_decode_engines", 2),
                   "/engine_rules/0/min_prefill_engines", "together", "0 to 1");
   }
+  SUBCASE("a rate limit") {
+    const std::string path = "/client_accounts/0/rate_limit";
+    json limit = {{"unit", "tokens"},
+                  {"per_second", 0.5},
+                  {"burst", 200},
+                  {"default_tokens", 200}};
+    CHECK(FaultsWith(path, limit).empty());
+    CHECK(FaultsWith(path,
+                     {{"unit", "requests"}, {"per_second", 2}, {"burst", 1}})
+              .empty());
+    SUBCASE("that counts something unknown") {
+      limit["unit"] = "bytes";
+      CheckOneFault(FaultsWith(path, limit), path + "/unit", "bytes",
+                    "requests");
+    }
+    SUBCASE("that lets nothing run") {
+      limit["per_second"] = 0;
+      CheckOneFault(FaultsWith(path, limit), path + "/per_second", "0", "1");
+      limit["per_second"] = 1;
+      limit["burst"] = 0;
+      limit["default_tokens"] = 1;
+      CheckOneFault(FaultsWith(path, limit), path + "/burst", "0", "1");
+    }
+    SUBCASE("that refuses all requests that name no tokens") {
+      limit["default_tokens"] = 201;
+      CheckOneFault(FaultsWith(path, limit), path + "/default_tokens",
+                    "above burst", "1 to 200");
+    }
+    SUBCASE("of tokens that doesn't say what other requests count") {
+      limit.erase("default_tokens");
+      CheckOneFault(FaultsWith(path, limit), path + "/default_tokens", "", "");
+    }
+  }
   SUBCASE("a deadline above the limit") {
     json document = base::ParseJson(kDeskDeclaration, "test");
     document["limits"] = {{"max_deadline_ms", 20000}};
--- a/declare/include/carawayvalve/declare/declare.h
+++ b/declare/include/carawayvalve/declare/declare.h
@@ -31,6 +31,17 @@
 
 ClientAccount Account(const std::string& name, int32_t weight = 1);
 
+// Return a copy of the account whose requests, over all entry processes, are
+// limited to `per_second` for each second plus `burst`. The second one counts
+// tokens, `default_tokens` for a request that names none.
+ClientAccount WithRequestLimit(ClientAccount account,
+                               double per_second,
+                               int64_t burst);
+ClientAccount WithTokenLimit(ClientAccount account,
+                             double per_second,
+                             int64_t burst,
+                             int64_t default_tokens);
+
 Service ModelService(const std::string& name,
                      const std::vector<std::string>& models);
 Service PlainService(const std::string& name);
--- a/declare/src/declare.cc
+++ b/declare/src/declare.cc
@@ -14,6 +14,26 @@
   return account;
 }
 
+ClientAccount WithRequestLimit(ClientAccount account,
+                               double per_second,
+                               int64_t burst) {
+  account.rate_limit = {.unit = config::RateUnit::kRequests,
+                        .per_second = per_second,
+                        .burst = burst};
+  return account;
+}
+
+ClientAccount WithTokenLimit(ClientAccount account,
+                             double per_second,
+                             int64_t burst,
+                             int64_t default_tokens) {
+  account.rate_limit = {.unit = config::RateUnit::kTokens,
+                        .per_second = per_second,
+                        .burst = burst,
+                        .default_tokens = default_tokens};
+  return account;
+}
+
 Service ModelService(const std::string& name,
                      const std::vector<std::string>& models) {
   Service service;
--- a/declare/tests/declare_test.cc
+++ b/declare/tests/declare_test.cc
@@ -33,6 +33,13 @@
     CHECK(err.str().find("/routes/1/service") != std::string::npos);
   }
 
+  SUBCASE("with rate limits of accounts") {
+    declaration.client_accounts = {
+        WithRequestLimit(Account("north"), 0.5, 3),
+        WithTokenLimit(Account("south"), 60000, 120000, 200)};
+    REQUIRE(Print(declaration, out, err) == 0);
+    CHECK(config::ParseDeclaration(out.str(), "test") == declaration);
+  }
   SUBCASE("with backend servers and engines in their roles") {
     declaration.services[0] = WithTargetFirstAnswer(
         WithBackendServers(declaration.services[0], 5, 24), 500);
--- a/gateway/include/carawayvalve/gateway/settings.h
+++ b/gateway/include/carawayvalve/gateway/settings.h
@@ -60,6 +60,12 @@
     double retry_ratio = 0.2;
     double retry_slack = 0;
     base::Milliseconds retry_window{10000};
+    // By how much the requests of a client account may exceed its rate limit
+    // in any span of `account_window`: by this fraction of what the limit
+    // allows in it, plus `account_slack` requests or tokens.
+    double account_tolerance = 0;
+    double account_slack = 0;
+    base::Milliseconds account_window{1000};
 
     bool operator==(const Bounds&) const = default;
   } bounds;
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -21,6 +21,7 @@
 constexpr int64_t kBytesPerKb = 1024;
 // A larger slack would allow any number of retries in a window.
 constexpr double kMaxRetrySlack = 1e6;
+constexpr double kMaxAccountSlack = 1e12;
 
 base::Address ReadAddress(FieldReader& reader,
                           const char* name,
@@ -102,6 +103,12 @@
       reader.Number("retry_slack", 0, kMaxRetrySlack, bounds.retry_slack);
   bounds.retry_window =
       ReadSeconds(reader, "retry_window_s", bounds.retry_window);
+  bounds.account_tolerance =
+      reader.Number("account_tolerance", 0, 1, bounds.account_tolerance);
+  bounds.account_slack =
+      reader.Number("account_slack", 0, kMaxAccountSlack, bounds.account_slack);
+  bounds.account_window =
+      ReadSeconds(reader, "account_window_s", bounds.account_window);
   reader.Finish();
 }
 
--- a/gateway/tests/settings_test.cc
+++ b/gateway/tests/settings_test.cc
@@ -18,7 +18,8 @@
   "store": {"address": "10.0.0.2:80"},
   "duties": {"address": "10.0.0.3:80", "usage_window_s": 2.5, "lease_ms": 3000},
   "bounds": {"key_withdrawal_ms": 5000, "retry_ratio": 0.25, "retry_slack": 54,
-             "stop_s": 8},
+             "account_tolerance": 0.1, "account_slack": 190000,
+             "account_window_s": 8, "stop_s": 8},
   "rule_parts": ["base", "pressure"],
   "log": {"level": "warning", "max_buffered_kb": 64}
 })";
@@ -44,6 +45,9 @@
     CHECK(settings.duties.usage_window == base::Milliseconds(2500));
     CHECK(settings.duties.usage_late == base::Milliseconds(10000));
     CHECK(settings.bounds.retry_ratio == 0.25);
+    CHECK(settings.bounds.account_tolerance == 0.1);
+    CHECK(settings.bounds.account_slack == 190000);
+    CHECK(settings.bounds.account_window == base::Milliseconds(8000));
     CHECK(settings.log.level == base::LogLevel::kWarning);
     CHECK(settings.store.watch_wait == base::Milliseconds(2000));
     CHECK(settings.features.contention);
