--- a/core/include/carawayvalve/core/backend_directory.h
+++ b/core/include/carawayvalve/core/backend_directory.h
@@ -6,12 +6,14 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "carawayvalve/base/address.h"
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/base/time.h"
 #include "carawayvalve/config/configuration.h"
+#include "carawayvalve/core/version_history.h"
 
 namespace carawayvalve::core {
 
@@ -80,12 +82,20 @@
   // ids. Must be called regularly: it also takes note of the versions present.
   std::vector<base::BackendServerId> Expire(base::Instant now);
 
+  // Sets whether this process has all changes of the registered backend servers
+  // that it knows of, from the store or from peers.
+  void SetCurrent(bool value) { this->is_current = value; }
+
   // Returns the software version of a service if its backend servers have had
-  // no other one for `time`, during which this process knew them.
+  // no other one for `time`, during which this process or its predecessors knew
+  // them. For a time of 0, returns the only version that is registered.
   std::optional<std::string> OnlyVersion(const base::ServiceId& service,
                                          base::Duration time,
                                          base::Instant now) const;
 
+  VersionHistory& version_history() { return this->versions; }
+  const VersionHistory& version_history() const { return this->versions; }
+
   // Backend servers that may still serve requests in flight, including draining
   // ones.
   const std::map<base::BackendServerId, BackendEntry>& entries() const {
@@ -98,6 +108,10 @@
   bool InGracePeriod(base::Instant now) const;
 
   bool IsLeaving(const base::BackendServerId& id, int64_t started_ms) const;
+  // Returns the only version that is registered or was since the last call of
+  // Expire.
+  std::optional<std::string> OnlyVersionPresent(
+      const base::ServiceId& service) const;
 
   base::Duration grace_period;
   std::map<base::BackendServerId, BackendEntry> known;
@@ -107,10 +121,12 @@
   // Time at which each missing entry was first noticed to be missing.
   std::map<base::BackendServerId, base::Instant> lapsed;
   std::optional<base::Instant> store_failed_at;
-  // When a backend server of each version of a service was known last.
-  std::map<base::ServiceId, std::map<std::string, base::Instant>> versions;
-  // When the first listing of a service was received.
-  std::map<base::ServiceId, base::Instant> service_known;
+  // Versions up to the last call of Expire.
+  VersionHistory versions;
+  // Services and versions that were registered since.
+  std::set<std::pair<base::ServiceId, std::string>> new_versions;
+  bool has_list = false;
+  bool is_current = true;
 };
 
 }  // namespace carawayvalve::core
--- a/core/include/carawayvalve/core/stream_origins.h
+++ b/core/include/carawayvalve/core/stream_origins.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -11,6 +12,7 @@
 
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/base/time.h"
+#include "carawayvalve/core/caller_request.h"
 
 namespace carawayvalve::core {
 
@@ -21,19 +23,34 @@
   std::string software_version;
   // Time since it was noted last.
   base::Duration age{};
+  // Digest of what the caller repeats to take the stream up, see
+  // StreamContentDigest. Empty if it isn't known.
+  std::string content{};
 
   bool operator==(const StreamOrigin&) const = default;
 };
 
+// Returns a digest of a request that a caller sends again to take its stream
+// up. Requests of different client accounts differ.
+std::string StreamContentDigest(const base::ClientAccountId& account,
+                                const std::string& target,
+                                const std::string& body,
+                                const std::optional<Prompt>& prompt);
+
 // Remembers which software version began each recent stream. A stream may go on
 // at that version only, wherever its caller takes it up.
 class StreamOrigins {
  public:
   // Records that the version has sent events of the stream `age` ago. The first
-  // version noted stays.
-  void Note(const StreamOrigin& origin, base::Instant now);
+  // version noted stays. Returns whether the stream wasn't known.
+  bool Note(const StreamOrigin& origin, base::Instant now);
   // Returns the version that began the stream, nothing if it isn't known.
   std::optional<std::string> Find(const base::RequestId& first) const;
+  // Returns the versions that began streams with this content.
+  std::set<std::string> VersionsOf(const std::string& content) const;
+  // Returns all streams with this content.
+  std::vector<StreamOrigin> WithContent(const std::string& content,
+                                        base::Instant now) const;
   // Returns what was noted within `max_age`, the newest first, at most
   // `max_count`.
   std::vector<StreamOrigin> Recent(base::Duration max_age,
@@ -47,10 +64,15 @@
  private:
   struct Record {
     std::string software_version;
+    std::string content;
     base::Instant noted;
   };
+  using Records = std::unordered_map<base::RequestId, Record>;
+
+  void Erase(Records::iterator record);
 
-  std::unordered_map<base::RequestId, Record> records;
+  Records records;
+  std::unordered_map<std::string, std::set<base::RequestId>> by_content;
   // In the order in which they were noted; those noted again are in it several
   // times.
   std::deque<std::pair<base::Instant, base::RequestId>> order;
--- a/core/src/backend_directory.cc
+++ b/core/src/backend_directory.cc
@@ -1,6 +1,7 @@
 #include "carawayvalve/core/backend_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace carawayvalve::core {
 
@@ -18,6 +19,10 @@
 
 void BackendDirectory::NoteList(const std::vector<BackendEntry>& entries,
                                 base::Instant now) {
+  // Backend servers may have come and gone between two lists.
+  if (std::exchange(this->has_list, true)) {
+    this->versions.NoteGap(now);
+  }
   std::set<base::BackendServerId> listed;
   for (const BackendEntry& entry : entries) {
     listed.insert(entry.id);
@@ -39,6 +44,7 @@
   kept = entry;
   kept.draining = entry.draining || this->IsLeaving(entry.id, entry.started_ms);
   this->lapsed.erase(entry.id);
+  this->new_versions.insert({entry.service, entry.software_version});
 }
 
 bool BackendDirectory::IsLeaving(const base::BackendServerId& id,
@@ -103,8 +109,10 @@
 std::vector<base::BackendServerId> BackendDirectory::Expire(base::Instant now) {
   std::vector<base::BackendServerId> expired;
   for (const auto& [id, entry] : this->known) {
-    this->versions[entry.service][entry.software_version] = now;
-    this->service_known.try_emplace(entry.service, now);
+    this->versions.NoteVersion(entry.service, entry.software_version, now);
+  }
+  for (const auto& [service, version] : std::exchange(this->new_versions, {})) {
+    this->versions.NoteVersion(service, version, now);
   }
   if (this->InGracePeriod(now)) {
     return expired;
@@ -117,33 +125,33 @@
   return expired;
 }
 
-std::optional<std::string> BackendDirectory::OnlyVersion(
-    const base::ServiceId& service,
-    base::Duration time,
-    base::Instant now) const {
-  std::optional<std::string> only;
+std::optional<std::string> BackendDirectory::OnlyVersionPresent(
+    const base::ServiceId& service) const {
+  std::set<std::string> present;
   for (const auto& [id, entry] : this->known) {
-    if (entry.service != service) {
-      continue;
-    }
-    if (only.has_value() && *only != entry.software_version) {
-      return std::nullopt;
+    if (entry.service == service) {
+      present.insert(entry.software_version);
     }
-    only = entry.software_version;
   }
-  if (!only.has_value() || time.count() == 0) {
-    return only;
+  for (const auto& [of, version] : this->new_versions) {
+    if (of == service) {
+      present.insert(version);
+    }
   }
-  const auto since = this->service_known.find(service);
-  if (since == this->service_known.end() || now - since->second < time) {
-    return std::nullopt;
+  return present.size() == 1 ? std::optional(*present.begin()) : std::nullopt;
+}
+
+std::optional<std::string> BackendDirectory::OnlyVersion(
+    const base::ServiceId& service,
+    base::Duration time,
+    base::Instant now) const {
+  const auto present = this->OnlyVersionPresent(service);
+  if (!present.has_value() || time.count() == 0) {
+    return present;
   }
-  const auto& seen = this->versions.at(service);
-  const bool had_other =
-      std::any_of(seen.begin(), seen.end(), [&](const auto& version) {
-        return version.first != *only && now - version.second < time;
-      });
-  return had_other ? std::nullopt : only;
+  const bool was_only = this->is_current && !this->versions.MayHaveOther(
+                                                service, *present, time, now);
+  return was_only ? present : std::nullopt;
 }
 
 const BackendEntry* BackendDirectory::Find(
--- a/core/src/stream_origins.cc
+++ b/core/src/stream_origins.cc
@@ -1,6 +1,9 @@
 #include "carawayvalve/core/stream_origins.h"
 
 #include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 
 #include "carawayvalve/core/duty.h"
 
@@ -13,21 +16,50 @@
 constexpr std::chrono::seconds kRetention(60);
 // Bounds the memory; the oldest are forgotten first.
 constexpr size_t kMaxRecords = 65536;
+constexpr size_t kDigestDigits = 16;
 
 }  // namespace
 
-void StreamOrigins::Note(const StreamOrigin& origin, base::Instant now) {
+std::string StreamContentDigest(const base::ClientAccountId& account,
+                                const std::string& target,
+                                const std::string& body,
+                                const std::optional<Prompt>& prompt) {
+  // The lengths separate the texts.
+  std::string content;
+  const auto add = [&](const std::string& text) {
+    content += std::to_string(text.size()) + ":" + text;
+  };
+  add(account.value);
+  add(target);
+  if (prompt.has_value()) {
+    add(prompt->model.value);
+    for (const PromptPart& part : prompt->parts) {
+      add(part.id);
+    }
+  }
+  content += body;
+  std::array<char, kDigestDigits + 1> digest{};
+  std::snprintf(digest.data(), digest.size(), "%016" PRIx64,
+                base::StableHash(content));
+  return digest.data();
+}
+
+bool StreamOrigins::Note(const StreamOrigin& origin, base::Instant now) {
   const base::Instant noted =
       now - std::clamp<base::Duration>(origin.age, base::Duration(0),
                                        base::Duration(kRetention));
   const auto [found, is_new] = this->records.try_emplace(
-      origin.first, Record{origin.software_version, noted});
+      origin.first, Record{origin.software_version, origin.content, noted});
   if (!is_new && found->second.noted >= noted) {
-    return;
+    return false;
+  }
+  if (is_new && !origin.content.empty()) {
+    this->by_content[origin.content].insert(origin.first);
   }
   found->second.noted = noted;
   this->order.emplace_back(noted, origin.first);
   this->Prune(now);
+  return is_new;
 }
 
 std::optional<std::string> StreamOrigins::Find(
@@ -38,6 +70,32 @@
              : std::optional(found->second.software_version);
 }
 
+std::set<std::string> StreamOrigins::VersionsOf(
+    const std::string& content) const {
+  std::set<std::string> versions;
+  const auto found = this->by_content.find(content);
+  if (found != this->by_content.end()) {
+    for (const base::RequestId& first : found->second) {
+      versions.insert(this->records.at(first).software_version);
+    }
+  }
+  return versions;
+}
+
+std::vector<StreamOrigin> StreamOrigins::WithContent(const std::string& content,
+                                                     base::Instant now) const {
+  std::vector<StreamOrigin> origins;
+  const auto found = this->by_content.find(content);
+  if (found != this->by_content.end()) {
+    for (const base::RequestId& first : found->second) {
+      const Record& record = this->records.at(first);
+      origins.push_back(
+          {first, record.software_version, now - record.noted, content});
+    }
+  }
+  return origins;
+}
+
 std::vector<StreamOrigin> StreamOrigins::Recent(base::Duration max_age,
                                                 size_t max_count,
                                                 base::Instant now) const {
@@ -47,13 +105,24 @@
     const auto found = this->records.find(entry->second);
     if (now - entry->first <= max_age && found != this->records.end() &&
         found->second.noted == entry->first) {
-      recent.push_back(
-          {entry->second, found->second.software_version, now - entry->first});
+      recent.push_back({entry->second, found->second.software_version,
+                        now - entry->first, found->second.content});
     }
   }
   return recent;
 }
 
+void StreamOrigins::Erase(Records::iterator record) {
+  const auto same = this->by_content.find(record->second.content);
+  if (same != this->by_content.end()) {
+    same->second.erase(record->first);
+    if (same->second.empty()) {
+      this->by_content.erase(same);
+    }
+  }
+  this->records.erase(record);
+}
+
 void StreamOrigins::Prune(base::Instant now) {
   while (!this->order.empty() &&
          (now - this->order.front().first > kRetention ||
@@ -61,7 +130,7 @@
     const auto found = this->records.find(this->order.front().second);
     if (found != this->records.end() &&
         found->second.noted == this->order.front().first) {
-      this->records.erase(found);
+      this->Erase(found);
     }
     this->order.pop_front();
   }
--- a/core/tests/stream_origins_test.cc
+++ b/core/tests/stream_origins_test.cc
@@ -40,6 +40,37 @@
   }
 }
 
+TEST_CASE("streams are found by their content") {
+  const Instant start = Instant() + seconds(100);
+  StreamOrigins origins;
+  CHECK(origins.Note({{"a"}, "v1", {}, "c"}, start));
+  CHECK_FALSE(origins.Note({{"a"}, "v1", {}, "c"}, start + seconds(1)));
+  CHECK(origins.VersionsOf("c") == std::set<std::string>{"v1"});
+  CHECK(origins.VersionsOf("d").empty());
+  origins.Note({{"b"}, "v2", {}, "c"}, start + seconds(2));
+  CHECK(origins.VersionsOf("c") == std::set<std::string>{"v1", "v2"});
+  CHECK(origins.WithContent("c", start + seconds(2)).size() == 2);
+
+  SUBCASE("until they are forgotten") {
+    origins.Prune(start + seconds(62));
+    CHECK(origins.VersionsOf("c") == std::set<std::string>{"v2"});
+    origins.Prune(start + seconds(63));
+    CHECK(origins.VersionsOf("c").empty());
+  }
+}
+
+TEST_CASE("the digest of a stream's content") {
+  const Prompt prompt{{"m"}, {{"1", 10}, {"2", 20}}, 30, 5};
+  const std::string digest = StreamContentDigest({"a"}, "/x", "body", prompt);
+  CHECK(digest.size() == 16);
+  CHECK(digest == StreamContentDigest({"a"}, "/x", "body", prompt));
+  CHECK(digest != StreamContentDigest({"b"}, "/x", "body", prompt));
+  CHECK(digest != StreamContentDigest({"a"}, "/xb", "ody", prompt));
+  CHECK(digest != StreamContentDigest({"a"}, "/x", "body", std::nullopt));
+  CHECK(digest != StreamContentDigest({"a"}, "/x", "body",
+                                      Prompt{{"m"}, {{"12", 30}}, 30, 5}));
+}
+
 TEST_CASE("processes agree on those that keep the origin of a stream") {
   const std::vector<base::HostId> live = {{"a"}, {"b"}, {"c"}, {"d"}, {"e"}};
   const auto keepers = OriginKeepers({"stream"}, live, 3);
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -80,13 +80,16 @@
   return decoded;
 }
 
-void Context::NoteStream(const base::RequestId& first,
-                         const std::string& software_version) {
+void Context::NoteStream(const core::StreamOrigin& origin,
+                         const base::ServiceId& service,
+                         base::Duration horizon) {
   const base::Instant now = base::Now();
-  const core::StreamOrigin origin{first, software_version, {}};
   this->state.stream_origins.Note(origin, now);
   if (this->state.untold_origins.size() < kMaxUntoldOrigins) {
-    this->state.untold_origins.push_back({origin, now, kMessagesOfOrigin});
+    this->state.untold_origins.push_back(
+        {origin, now, kMessagesOfOrigin,
+         this->state.directory.version_history().MayHaveSeveral(service,
+                                                                horizon, now)});
   }
 }
 
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -53,10 +53,11 @@
   // `source` is "answer", or the peer that told it.
   void NoteBackendRate(const core::BackendRateStatement& statement,
                        const std::string& source);
-  // Records that a backend server of this version sends events of a stream.
-  // `first` is the request that brought its first event.
-  void NoteStream(const base::RequestId& first,
-                  const std::string& software_version);
+  // Records that a backend server sends events of a stream. Callers may take
+  // the stream up within `horizon`.
+  void NoteStream(const core::StreamOrigin& origin,
+                  const base::ServiceId& service,
+                  base::Duration horizon);
   // Records that a backend server crashed or restarted; `sign` says how that
   // was noticed.
   void NoteBackendCrash(const base::BackendServerId& id, const char* sign);
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -55,6 +55,11 @@
           .Name("carawayvalve_store_calls_total")
           .Help("Calls to the store by how they ended")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& streams_taken_up =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_streams_taken_up_total")
+          .Help("Streams that callers took up, by whether they may go on")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& first_answer =
       prometheus::BuildHistogram()
           .Name("carawayvalve_first_answer_seconds")
@@ -119,6 +124,10 @@
   this->families->store_calls.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::CountStreamTakenUp(const std::string& outcome) {
+  this->families->streams_taken_up.Add({{"outcome", outcome}}).Increment();
+}
+
 void GatewayMetrics::ObserveStateAge(const std::string& source,
                                      base::Duration age) {
   this->families->state_age.Add({{"source", source}}, DurationBuckets())
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -32,6 +32,8 @@
   // Counts a retry that was "charged" to the retry budget, or "denied".
   void CountRetry(const std::string& outcome);
   void CountStoreCall(const std::string& outcome);
+  // Counts a stream that a caller takes up, which "goes_on" or is "refused".
+  void CountStreamTakenUp(const std::string& outcome);
   // Observes the age of state from `source`, such as the configuration, when a
   // decision uses it.
   void ObserveStateAge(const std::string& source, base::Duration age);
--- a/gateway/src/gateway_state.cc
+++ b/gateway/src/gateway_state.cc
@@ -18,6 +18,8 @@
 // The rest of an engine's KV memory holds its running requests.
 constexpr double kPrefixCacheFraction = 0.8;
 constexpr int64_t kDefaultKvTokens = 400000;
+// A gateway that has just started hears its peers within this time.
+constexpr std::chrono::seconds kPeersHeardTime(3);
 
 core::PlacementSettings ToPlacementSettings(const GatewaySettings& settings) {
   core::PlacementSettings placement;
@@ -35,6 +37,7 @@
 GatewayState::GatewayState(const GatewaySettings& settings)
     : settings(settings),
       boot{base::RandomName().substr(0, kBootDigits)},
+      started(base::Now()),
       key_freshness(settings.bounds.key_withdrawal, kKeyDeliveryMargin),
       directory(kEntryGracePeriod),
       health(core::BackendHealth::Settings{}),
@@ -50,7 +53,8 @@
       poison_requests(core::PoisonRequestTracker::Settings{}),
       retry_members({.window = settings.bounds.retry_window},
                     settings.host,
-                    base::Now()) {}
+                    base::Now()),
+      gateway_lost(this->started) {}
 
 core::RetryBudgetShare& GatewayState::RetryBudget(
     const base::ServiceId& service) {
@@ -75,6 +79,14 @@
 
 void GatewayState::SetLiveHosts(const std::vector<base::HostId>& hosts,
                                 base::Instant now) {
+  const bool lost = std::any_of(
+      this->live_hosts.begin(), this->live_hosts.end(),
+      [&](const base::HostId& host) {
+        return std::find(hosts.begin(), hosts.end(), host) == hosts.end();
+      });
+  if (lost) {
+    this->NoteGatewayLost(now);
+  }
   this->live_hosts = hosts;
   this->poison_requests.SetProcessCount(static_cast<int64_t>(hosts.size()));
   this->rate_limits.SetSharers(
@@ -83,6 +95,16 @@
       now);
 }
 
+bool GatewayState::MayHavePeers(base::Instant now) const {
+  return !this->peers_heard.empty() || now - this->started < kPeersHeardTime;
+}
+
+bool GatewayState::MayBeStored(base::Duration time, base::Instant now) const {
+  return now - this->gateway_lost < time &&
+         (!this->stored_read.has_value() ||
+          *this->stored_read < this->gateway_lost);
+}
+
 void GatewayState::ApplyBounds(const GatewaySettings::Bounds& bounds) {
   this->settings.bounds = bounds;
   this->key_freshness.SetLimit(bounds.key_withdrawal);
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,6 +34,8 @@
   core::StreamOrigin origin;
   base::Instant noted;
   int64_t messages_left = 0;
+  // The gateway that stores what is needed after the loss of all is told too.
+  bool is_stored = false;
 };
 
 // What a gateway knows about the configuration, the backend servers and its
@@ -53,6 +56,13 @@
   // Sets this gateway and the live peers, which share the rate limits of
   // backend servers.
   void SetLiveHosts(const std::vector<base::HostId>& hosts, base::Instant now);
+  // Records that a gateway has stopped or restarted.
+  void NoteGatewayLost(base::Instant now) { this->gateway_lost = now; }
+  // Returns whether there may be live peers.
+  bool MayHavePeers(base::Instant now) const;
+  // Returns whether gateways that were lost within `time` may have stored what
+  // this one hasn't read yet.
+  bool MayBeStored(base::Duration time, base::Instant now) const;
   // Applies bounds that were reloaded while the process runs.
   void ApplyBounds(const GatewaySettings::Bounds& bounds);
   // Applies a serving plan. Returns false, without applying it, unless it is
@@ -61,6 +71,7 @@
 
   GatewaySettings settings;
   base::BootId boot;
+  base::Instant started;
   // Null until the first plan is applied.
   std::shared_ptr<const core::ServingTable> table;
   core::KeyFreshness key_freshness;
@@ -96,6 +107,11 @@
   core::RetryBudgetMembers retry_members;
   // When each peer was last heard.
   std::map<base::HostId, base::Instant> peers_heard;
+  // When a gateway was last found to have stopped or restarted; this one has
+  // restarted when it starts.
+  base::Instant gateway_lost;
+  // When the last complete reading of what gateways store was begun.
+  std::optional<base::Instant> stored_read;
   // This gateway reports the usage of all gateways.
   bool reports_usage = false;
   bool stopping = false;
--- a/gateway/src/origin_gossip.cc
+++ b/gateway/src/origin_gossip.cc
@@ -24,6 +24,9 @@
   encoded.first = origin.first.value;
   encoded.software_version = origin.software_version;
   encoded.age_ms = static_cast<int32_t>(base::ToMilliseconds(origin.age));
+  if (!origin.content.empty()) {
+    encoded.__set_content(origin.content);
+  }
   return encoded;
 }
 
@@ -42,7 +45,7 @@
              untold.origin.first, state.live_hosts, kOriginKeepers)) {
       origins[keeper].push_back(
           ToGossipOrigin({untold.origin.first, untold.origin.software_version,
-                          now - untold.noted}));
+                          now - untold.noted, untold.origin.content}));
     }
   }
   std::erase_if(state.untold_origins, [](const UntoldOrigin& untold) {
@@ -60,15 +63,23 @@
 
 std::optional<Gossip> OriginGossip::Answer(const Gossip& question,
                                            const Gossip& base) const {
+  const core::StreamOrigins& known = this->context.state.stream_origins;
+  const base::Instant now = base::Now();
   Gossip answer = base;
   for (const std::string& first : question.wanted_origins) {
-    const auto version =
-        this->context.state.stream_origins.Find(base::RequestId{first});
+    const auto version = known.Find(base::RequestId{first});
     if (version.has_value()) {
       answer.stream_origins.push_back(
           ToGossipOrigin({{first}, *version, base::Duration(0)}));
     }
   }
+  for (const std::string& content : question.wanted_contents) {
+    for (const core::StreamOrigin& origin : known.WithContent(content, now)) {
+      if (answer.stream_origins.size() < kMaxOriginsPerMessage) {
+        answer.stream_origins.push_back(ToGossipOrigin(origin));
+      }
+    }
+  }
   answer.__isset.stream_origins = !answer.stream_origins.empty();
   return answer.stream_origins.empty() ? std::nullopt
                                        : std::optional(std::move(answer));
@@ -93,9 +104,12 @@
   for (const wire::gen::GossipStreamOrigin& received : gossip.stream_origins) {
     const base::RequestId first{received.first};
     this->context.state.stream_origins.Note(
-        {first, received.software_version, base::Milliseconds(received.age_ms)},
+        {first, received.software_version, base::Milliseconds(received.age_ms),
+         received.content},
         now);
-    this->context.origin_lookup.NoteLearned(first);
+  }
+  if (!gossip.stream_origins.empty()) {
+    this->context.origin_lookup.NoteLearned();
   }
 }
 
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -115,9 +115,7 @@
     this->ScheduleUpdate(kUrgentNewsInterval);
   };
   this->context.origin_lookup.SetAsk(
-      [this](const base::RequestId& first, bool all) {
-        this->AskForOrigin(first, all);
-      });
+      [this](const OriginQuestion& question) { this->AskForOrigin(question); });
   this->registry.Start();
   this->RunRound();
 }
@@ -300,20 +298,24 @@
   }
 }
 
-void PeerGossip::AskForOrigin(const base::RequestId& first, bool all) {
-  Gossip question = this->LoadMessage();
-  question.__set_wanted_origins({first.value});
+void PeerGossip::AskForOrigin(const OriginQuestion& question) {
+  Gossip message = this->LoadMessage();
+  if (question.first.has_value()) {
+    message.__set_wanted_origins({question.first->value});
+  } else {
+    message.__set_wanted_contents({question.content});
+  }
   for (const auto& [host, peer] : this->peers) {
-    if (all || this->origin_gossip.IsKeeper(first, host)) {
-      question.echo = peer.stamp;
-      this->datagrams->Send(PrintGossip(question), peer.address);
+    if (question.all || this->origin_gossip.IsKeeper(*question.first, host)) {
+      message.echo = peer.stamp;
+      this->datagrams->Send(PrintGossip(message), peer.address);
     }
   }
 }
 
 void PeerGossip::AnswerOrigins(const Gossip& question,
                                const base::Address& sender) {
-  if (question.wanted_origins.empty()) {
+  if (question.wanted_origins.empty() && question.wanted_contents.empty()) {
     return;
   }
   if (const auto answer =
@@ -386,6 +388,9 @@
   if (peer.boot != gossip->boot) {
     // The peer has just started and lacks the counts of all gateways.
     this->new_peer_seen = true;
+    if (!peer.boot.empty()) {
+      state.NoteGatewayLost(now);
+    }
     peer.boot = gossip->boot;
     if (IsBootstrapPeer(state.settings.host, gossip->boot,
                         this->LiveHosts(now))) {
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -63,8 +63,7 @@
   // Sends the load message, to each peer with the origins of streams that it is
   // to keep.
   void SendWithOrigins(const wire::gen::Gossip& gossip);
-  // Asks the peers that keep the origin of a stream for it, or all peers.
-  void AskForOrigin(const base::RequestId& first, bool all);
+  void AskForOrigin(const OriginQuestion& question);
   void AnswerOrigins(const wire::gen::Gossip& question,
                      const base::Address& sender);
   void SetWatchWaits();
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -32,9 +32,6 @@
 // Mean number of output tokens of a prompt, to estimate the size of its KV
 // cache.
 constexpr int64_t kMeanOutputTokens = 128;
-// Callers take a stream up within this many timeouts of its route after it has
-// begun.
-constexpr int64_t kStreamTimeouts = 4;
 
 const char* KindOf(const core::AttemptEnd& end) {
   struct KindVisitor {
@@ -99,48 +96,6 @@
   this->Attempt();
 }
 
-void RequestHandler::TakeUpStream() {
-  const base::Instant now = base::Now();
-  const core::BackendDirectory& directory = this->context.state.directory;
-  if (!this->caller.resumes.has_value()) {
-    this->OnStreamOrigin(
-        directory.OnlyVersion(this->service, base::Duration(0), now));
-    return;
-  }
-  // A stream that nobody knows, but that can only have begun at one version.
-  const auto only = directory.OnlyVersion(
-      this->service, kStreamTimeouts * this->route->timeout, now);
-  if (only.has_value()) {
-    this->OnStreamOrigin(only);
-    return;
-  }
-  const auto self = this->shared_from_this();
-  this->context.origin_lookup.Find(
-      *this->caller.resumes, [self](const std::optional<std::string>& version) {
-        if (!self->ended) {
-          self->OnStreamOrigin(version);
-        }
-      });
-}
-
-void RequestHandler::OnStreamOrigin(const std::optional<std::string>& version) {
-  this->context.journal.Write(
-      base::LogLevel::kInfo, "stream_taken_up",
-      {{"request", this->caller.id.value},
-       {"first", this->caller.resumes.value_or(base::RequestId{}).value},
-       {"after", *this->caller.after_event},
-       {"version", version.value_or("")},
-       {"age_ms", this->AgeMs(base::Now())}});
-  if (!version.has_value()) {
-    this->Refuse(kUnavailable,
-                 "it isn't known which software version began the stream",
-                 true);
-    return;
-  }
-  this->stream_version = version;
-  this->Attempt();
-}
-
 bool RequestHandler::FindRoute() {
   const net::Request& request = this->exchange->request();
   const std::string* host = net::FindField(request.fields, "Host");
@@ -358,8 +313,7 @@
     const core::BackendEntry& backend = this->call->plan().backend;
     this->stream_version = backend.software_version;
     if (this->route->resumable) {
-      this->context.NoteStream(this->caller.resumes.value_or(this->caller.id),
-                               backend.software_version);
+      this->NoteStream(backend.software_version);
     }
     this->NotePrefix(backend.id, true);
     this->exchange->Begin(platform::EncodeForCaller(this->head));
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -35,8 +35,16 @@
   // Finds out which software version began the stream that the caller takes up,
   // then makes the first attempt.
   void TakeUpStream();
-  // Makes the first attempt at that version; refuses if it isn't known.
-  void OnStreamOrigin(const std::optional<std::string>& version);
+  void OnStreamOrigin(const core::OriginVerdict& verdict);
+  // Makes the first attempt at that version.
+  void Perform(const core::ContinueAtVersion& verdict);
+  // Refuses the request.
+  void Perform(const core::OriginUnknown& verdict);
+  // Records that a backend server of this version sends events of the stream.
+  void NoteStream(const std::string& software_version);
+  // Returns how long after its beginning callers take the stream up.
+  base::Duration TakeUpTime() const;
+  std::string StreamContent() const;
   // Chooses a backend server and sends the request to it, queues the request,
   // or ends it.
   void Attempt();
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -80,6 +80,7 @@
 }
 
 void ObjectWatcher::NoteRevision(int64_t peer_revision) {
+  this->peers_revision = std::max(this->peers_revision, peer_revision);
   if (peer_revision > this->revision && this->watch_sent_at.has_value() &&
       base::Now() - *this->watch_sent_at > kMinWatchAge) {
     this->Watch(this->wait);
@@ -201,6 +202,7 @@
              for (const platform::StoredObject& object : listed) {
                this->ApplyBackend(object);
              }
+             this->UpdateCurrent();
            },
            [this](const auto& changes, base::Instant) {
              for (const platform::ObjectChange& change : changes) {
@@ -210,9 +212,11 @@
                  this->ApplyBackend(change.object);
                }
              }
+             this->UpdateCurrent();
            },
            [this](const std::string&) {
              this->context.state.directory.NoteStoreFailure(base::Now());
+             this->context.state.directory.SetCurrent(false);
            }}) {}
 
 void StoreFeed::Start() {
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -53,6 +53,11 @@
   // Returns the revision of the newest change to this kind that was received.
   // The store's own revision also rises with changes to other kinds.
   int64_t newest_change() const { return this->newest_revision; }
+  // Returns whether all changes that this process or a peer knows of have been
+  // received and the last call was answered.
+  bool IsCurrent() const {
+    return this->failures == 0 && this->peers_revision <= this->revision;
+  }
 
  private:
   void List(const std::string& after);
@@ -77,6 +82,8 @@
   // The revision of the store up to which changes were received.
   int64_t revision = 0;
   int64_t newest_revision = 0;
+  // The newest change that peers have received.
+  int64_t peers_revision = 0;
   int64_t failures = 0;
   // When the pending watch was sent; empty while none is pending.
   std::optional<base::Instant> watch_sent_at;
@@ -109,12 +116,17 @@
   // Records the corresponding revision of a peer.
   void NoteRegistryRevision(int64_t peer_revision) {
     this->backends.NoteRevision(peer_revision);
+    this->UpdateCurrent();
   }
   // Applies a configuration that the store or a peer sent; `source` is logged.
   void ApplyPlan(const std::shared_ptr<const nlohmann::json>& value,
                  const std::string& source);
 
  private:
+  // Records in the state whether the list of backend servers is current.
+  void UpdateCurrent() {
+    this->context.state.directory.SetCurrent(this->backends.IsCurrent());
+  }
   void ApplyConfiguration(const platform::StoredObject& object);
   void ApplyBackend(const platform::StoredObject& object);
   void RemoveBackend(const base::BackendServerId& id, const char* cause);
--- a/gateway/src/stream_origin_lookup.cc
+++ b/gateway/src/stream_origin_lookup.cc
@@ -4,56 +4,96 @@
 
 namespace carawayvalve::gateway {
 
-namespace {
-
-// Several round trips between data centres. The peers that keep the origin are
-// asked alone for so long, then all of them.
-constexpr base::Milliseconds kKeepersTimeout(40);
-constexpr base::Milliseconds kAllTimeout(80);
+std::string TakenUpStream::Key() const {
+  return this->first.has_value() ? "request/" + this->first->value
+                                 : "content/" + this->content;
+}
 
-}  // namespace
+core::OriginEvidence StreamOriginLookup::EvidenceOf(
+    const TakenUpStream& stream) const {
+  core::OriginEvidence evidence;
+  if (stream.first.has_value()) {
+    evidence.by_first = this->state.stream_origins.Find(*stream.first);
+  } else {
+    evidence.by_content = this->state.stream_origins.VersionsOf(stream.content);
+  }
+  evidence.only_version = this->state.directory.OnlyVersion(
+      stream.service, stream.horizon, base::Now());
+  return evidence;
+}
 
-void StreamOriginLookup::Find(const base::RequestId& first, Handler handler) {
-  const auto known = this->state.stream_origins.Find(first);
-  if (known.has_value()) {
-    handler(known);
+void StreamOriginLookup::Find(const TakenUpStream& stream, Handler handler) {
+  const std::string key = stream.Key();
+  const auto found = this->searches.find(key);
+  if (found != this->searches.end()) {
+    found->second.handlers.push_back(std::move(handler));
     return;
   }
-  const auto [found, is_new] = this->searches.try_emplace(first);
-  Search& search = found->second;
-  search.handlers.push_back(std::move(handler));
-  if (is_new) {
-    search.timer = std::make_unique<net::Timer>(this->loop);
-    search.timer->Start(kKeepersTimeout,
-                        [this, first] { this->AskAll(first); });
-    this->ask(first, false);
-  }
+  const base::Instant now = base::Now();
+  const core::OriginSearch search(
+      {}, stream.first.has_value(), this->state.MayHavePeers(now),
+      this->state.MayBeStored(stream.horizon, now), now);
+  this->searches.emplace(key, Search{stream,
+                                     search,
+                                     std::make_unique<net::Timer>(this->loop),
+                                     {std::move(handler)}});
+  this->Step(key);
 }
 
-void StreamOriginLookup::AskAll(const base::RequestId& first) {
-  const auto found = this->searches.find(first);
+void StreamOriginLookup::Step(const std::string& key) {
+  const auto found = this->searches.find(key);
   if (found == this->searches.end()) {
     return;
   }
-  found->second.timer->Start(kAllTimeout,
-                             [this, id = first] { this->End(id); });
-  this->ask(first, true);
+  Search& search = found->second;
+  const base::Instant now = base::Now();
+  const auto requests =
+      search.search.Step(this->EvidenceOf(search.stream), now);
+  if (search.search.verdict().has_value()) {
+    const auto ended = this->searches.extract(found);
+    for (const Handler& handler : ended.mapped().handlers) {
+      handler(*ended.mapped().search.verdict());
+    }
+    return;
+  }
+  search.timer->Start(search.search.wake_at() - now,
+                      [this, key] { this->Step(key); });
+  // Performing may end the search.
+  const TakenUpStream stream = search.stream;
+  for (const core::OriginRequest& request : requests) {
+    std::visit([&](const auto& kind) { this->Perform(stream, kind); }, request);
+  }
 }
 
-void StreamOriginLookup::NoteLearned(const base::RequestId& first) {
-  if (this->searches.contains(first)) {
-    this->End(first);
-  }
+void StreamOriginLookup::Perform(const TakenUpStream& stream,
+                                 const core::AskOriginKeepers& /*request*/) {
+  this->ask({stream.first, stream.content, false});
 }
 
-void StreamOriginLookup::End(const base::RequestId& first) {
-  auto search = this->searches.extract(first);
-  if (search.empty()) {
-    return;
+void StreamOriginLookup::Perform(const TakenUpStream& stream,
+                                 const core::AskAllPeers& /*request*/) {
+  this->ask({stream.first, stream.content, true});
+}
+
+void StreamOriginLookup::Perform(const TakenUpStream& stream,
+                                 const core::ReadStoredOrigins& /*request*/) {
+  this->read_stored([this, key = stream.Key()] {
+    const auto found = this->searches.find(key);
+    if (found != this->searches.end()) {
+      found->second.search.NoteStoredRead();
+      this->Step(key);
+    }
+  });
+}
+
+void StreamOriginLookup::NoteLearned() {
+  std::vector<std::string> keys;
+  keys.reserve(this->searches.size());
+  for (const auto& [key, search] : this->searches) {
+    keys.push_back(key);
   }
-  const auto version = this->state.stream_origins.Find(first);
-  for (const Handler& handler : search.mapped().handlers) {
-    handler(version);
+  for (const std::string& key : keys) {
+    this->Step(key);
   }
 }
 
--- a/gateway/src/stream_origin_lookup.h
+++ b/gateway/src/stream_origin_lookup.h
@@ -8,44 +8,76 @@
 #include <string>
 #include <vector>
 
+#include "carawayvalve/core/origin_search.h"
 #include "carawayvalve/net/event_loop.h"
 #include "gateway_state.h"
 
 namespace carawayvalve::gateway {
 
-// Finds out which software version began a stream that a caller takes up. What
-// this gateway doesn't know, it asks those that keep the stream's origin, then
-// all peers.
+// A stream that a caller takes up.
+struct TakenUpStream {
+  // The request that brought its first event, if the caller names it.
+  std::optional<base::RequestId> first;
+  // See core::StreamContentDigest.
+  std::string content;
+  base::ServiceId service;
+  // Callers take streams up within this time after they have begun.
+  base::Duration horizon{};
+
+  // Identifies it among those looked up.
+  std::string Key() const;
+};
+
+// A question to peers about the origin of a stream.
+struct OriginQuestion {
+  std::optional<base::RequestId> first;
+  // Asked for if `first` isn't named.
+  std::string content;
+  // Asks all peers, not only those that keep the origin.
+  bool all = false;
+};
+
+// Finds out which software version began a stream that a caller takes up, for
+// all requests that ask for it at the same time.
 class StreamOriginLookup {
  public:
-  // Gets the version, nothing if no peer told it in time.
-  using Handler = std::function<void(const std::optional<std::string>&)>;
-  // Asks the peers that keep the origin, or all of them.
-  using Ask = std::function<void(const base::RequestId& first, bool all)>;
+  using Handler = std::function<void(const core::OriginVerdict&)>;
+  using Ask = std::function<void(const OriginQuestion&)>;
+  // Calls the argument once everything stored has been read or can't be read.
+  using ReadStored = std::function<void(std::function<void()>)>;
 
   StreamOriginLookup(net::EventLoop& loop, const GatewayState& state)
       : loop(loop), state(state) {}
 
   void SetAsk(Ask ask_peers) { this->ask = std::move(ask_peers); }
+  void SetReadStored(ReadStored read) { this->read_stored = std::move(read); }
 
-  // Calls the handler once, at once if the version is known.
-  void Find(const base::RequestId& first, Handler handler);
-  // Must be called when the origin of the stream has been learnt.
-  void NoteLearned(const base::RequestId& first);
+  // Calls the handler once, at once if the origin is known.
+  void Find(const TakenUpStream& stream, Handler handler);
+  // Must be called when origins have been learnt.
+  void NoteLearned();
 
  private:
   struct Search {
+    TakenUpStream stream;
+    core::OriginSearch search;
     std::unique_ptr<net::Timer> timer;
     std::vector<Handler> handlers;
   };
 
-  void AskAll(const base::RequestId& first);
-  void End(const base::RequestId& first);
+  core::OriginEvidence EvidenceOf(const TakenUpStream& stream) const;
+  void Step(const std::string& key);
+  void Perform(const TakenUpStream& stream,
+               const core::AskOriginKeepers& request);
+  void Perform(const TakenUpStream& stream, const core::AskAllPeers& request);
+  void Perform(const TakenUpStream& stream,
+               const core::ReadStoredOrigins& request);
 
   net::EventLoop& loop;
   const GatewayState& state;
-  Ask ask = [](const base::RequestId&, bool) {};
-  std::map<base::RequestId, Search> searches;
+  Ask ask = [](const OriginQuestion&) {};
+  ReadStored read_stored = [](const std::function<void()>& done) { done(); };
+  std::map<std::string, Search> searches;
 };
 
 }  // namespace carawayvalve::gateway
--- a/gateway/tests/stream_version_test.cc
+++ b/gateway/tests/stream_version_test.cc
@@ -19,16 +19,51 @@
   return tests::PromptRequest("shop.example", "/notes/1", id);
 }
 
-// A request that takes the stream of `first` up after `event`.
+// A request that takes the stream of `first` up after `event`; its caller
+// doesn't name the request if `first` is empty.
 net::Request TakingUp(const std::string& id,
                       const std::string& first,
                       const std::string& event) {
   net::Request request = Stream(id);
   request.fields.push_back({"Last-Event-Id", event});
-  request.fields.push_back({tests::kResumedStreamField, first});
+  if (!first.empty()) {
+    request.fields.push_back({tests::kResumedStreamField, first});
+  }
   return request;
 }
 
+// Callers take streams up within a few of these timeouts.
+constexpr base::Milliseconds kShortTimeout(200);
+constexpr base::Milliseconds kTakeUpTime = 4 * kShortTimeout;
+
+// A gateway whose predecessors are all gone: it knows no stream.
+struct RestartedGateway : RequestFixture {
+  RestartedGateway() : RequestFixture(kMaxAttempts, kSlackOfManyRetries) {
+    config::ServingPlan plan = NotesPlan(kMaxAttempts);
+    plan.version = 2;
+    plan.routes.front().timeout = kShortTimeout;
+    this->gateway.state.ApplyPlan(plan);
+    this->gateway.state.directory.NoteRemoved({"reader"}, base::Now());
+    this->Add("new", this->new_engine.port(), EngineRole::kDecode, "v2");
+    this->Tick();
+  }
+
+  void Tick() { this->gateway.state.directory.Expire(base::Now()); }
+
+  // Sends a request that takes a stream up. Returns its status.
+  int TakeUp(const std::string& first) {
+    net::Request request = TakingUp("r9", first, "1");
+    // Short enough to be read within the timeout.
+    for (net::HeaderField& field : request.fields) {
+      field.value = field.name == "X-Token-Count" ? "100,10" : field.value;
+    }
+    this->SendRequest([](const std::string&) {}, request);
+    return this->status;
+  }
+
+  Backend new_engine{gateway.loop, {.id = "new", .version = "v2"}, runs};
+};
+
 }  // namespace
 
 TEST_CASE("a broken stream goes on at another software version") {
@@ -82,4 +117,76 @@
   }
 }
 
+TEST_CASE("a stream is taken up after the loss of all gateways") {
+  RestartedGateway fixture;
+  core::BackendDirectory& directory = fixture.gateway.state.directory;
+  // With the first request named, and without.
+  for (const std::string first : {"r1", ""}) {
+    CAPTURE(first);
+
+    SUBCASE("while two versions serve") {
+      Backend old_engine(fixture.gateway.loop, {.id = "old", .version = "v1"},
+                         fixture.runs);
+      fixture.Add("old", old_engine.port(), EngineRole::kDecode, "v1");
+      fixture.Tick();
+      CHECK(fixture.TakeUp(first) == 503);
+      CHECK(fixture.runs.empty());
+    }
+    SUBCASE("when the old version has just gone") {
+      CHECK(fixture.TakeUp(first) == 503);
+      CHECK(fixture.runs.empty());
+    }
+    SUBCASE("when another version has come and gone since") {
+      fixture.Add("old", fixture.new_engine.port(), EngineRole::kDecode, "v1");
+      directory.NoteRemoved({"old"}, base::Now());
+      CHECK(fixture.TakeUp(first) == 503);
+      CHECK(fixture.runs.empty());
+    }
+    SUBCASE("when no stream of another version is taken up any more") {
+      fixture.gateway.RunFor(kTakeUpTime);
+      fixture.Tick();
+      CHECK(fixture.TakeUp(first) == 200);
+      CHECK(fixture.runs.size() == 1);
+      fixture.runs.clear();
+    }
+    SUBCASE("though changes of the registry are missing") {
+      fixture.gateway.RunFor(kTakeUpTime);
+      fixture.Tick();
+      directory.SetCurrent(false);
+      CHECK(fixture.TakeUp(first) == 503);
+      CHECK(fixture.runs.empty());
+      directory.SetCurrent(true);
+    }
+  }
+}
+
+TEST_CASE("a caller takes a stream up without naming it") {
+  RestartedGateway fixture;
+  Backend old_engine(fixture.gateway.loop, {.id = "old", .version = "v1"},
+                     fixture.runs);
+  fixture.Add("old", old_engine.port(), EngineRole::kDecode, "v1");
+  const auto note = [&](const std::string& first, const std::string& version) {
+    fixture.gateway.state.stream_origins.Note(
+        {{first},
+         version,
+         {},
+         core::StreamContentDigest(
+             {}, Stream("").target, Stream("").body,
+             platform::DecodeCallerRequest(Stream("")).prompt)},
+        base::Now());
+  };
+  note("r1", "v1");
+
+  SUBCASE("which goes on where its content began") {
+    CHECK(fixture.TakeUp("") == 200);
+    REQUIRE(fixture.runs.size() == 1);
+    CHECK(fixture.runs.front().backend == "old");
+  }
+  SUBCASE("whose content began at two versions") {
+    note("r2", "v2");
+    CHECK(fixture.TakeUp("") == 503);
+    CHECK(fixture.runs.empty());
+  }
+}
+
 }  // namespace carawayvalve::gateway
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -1487,6 +1487,11 @@
 void GossipStreamOrigin::__set_age_ms(const int32_t val) {
   this->age_ms = val;
 }
+
+void GossipStreamOrigin::__set_content(const std::string& val) {
+  this->content = val;
+__isset.content = true;
+}
 std::ostream& operator<<(std::ostream& out, const GossipStreamOrigin& obj)
 {
   obj.printTo(out);
@@ -1542,6 +1547,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->content);
+          this->__isset.content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1577,6 +1590,11 @@
   xfer += oprot->writeI32(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.content) {
+    xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->content);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1587,28 +1605,38 @@
   swap(a.first, b.first);
   swap(a.software_version, b.software_version);
   swap(a.age_ms, b.age_ms);
+  swap(a.content, b.content);
+  swap(a.__isset, b.__isset);
 }
 
 GossipStreamOrigin::GossipStreamOrigin(const GossipStreamOrigin& other62) {
   first = other62.first;
   software_version = other62.software_version;
   age_ms = other62.age_ms;
+  content = other62.content;
+  __isset = other62.__isset;
 }
 GossipStreamOrigin::GossipStreamOrigin(GossipStreamOrigin&& other63) noexcept {
   first = std::move(other63.first);
   software_version = std::move(other63.software_version);
   age_ms = other63.age_ms;
+  content = std::move(other63.content);
+  __isset = other63.__isset;
 }
 GossipStreamOrigin& GossipStreamOrigin::operator=(const GossipStreamOrigin& other64) {
   first = other64.first;
   software_version = other64.software_version;
   age_ms = other64.age_ms;
+  content = other64.content;
+  __isset = other64.__isset;
   return *this;
 }
 GossipStreamOrigin& GossipStreamOrigin::operator=(GossipStreamOrigin&& other65) noexcept {
   first = std::move(other65.first);
   software_version = std::move(other65.software_version);
   age_ms = other65.age_ms;
+  content = std::move(other65.content);
+  __isset = other65.__isset;
   return *this;
 }
 void GossipStreamOrigin::printTo(std::ostream& out) const {
@@ -1617,6 +1645,7 @@
   out << "first=" << to_string(first);
   out << ", " << "software_version=" << to_string(software_version);
   out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "content="; (__isset.content ? (out << to_string(content)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1716,6 +1745,11 @@
   this->poison_parts = val;
 __isset.poison_parts = true;
 }
+
+void Gossip::__set_wanted_contents(const std::vector<std::string> & val) {
+  this->wanted_contents = val;
+__isset.wanted_contents = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -2057,6 +2091,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->wanted_contents.clear();
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _etype124;
+            xfer += iprot->readListBegin(_etype124, _size121);
+            this->wanted_contents.resize(_size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
+            {
+              xfer += iprot->readString(this->wanted_contents[_i125]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.wanted_contents = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2131,10 +2185,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GossipLoad> ::const_iterator _iter121;
-    for (_iter121 = this->loads.begin(); _iter121 != this->loads.end(); ++_iter121)
+    std::vector<GossipLoad> ::const_iterator _iter126;
+    for (_iter126 = this->loads.begin(); _iter126 != this->loads.end(); ++_iter126)
     {
-      xfer += (*_iter121).write(oprot);
+      xfer += (*_iter126).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2143,10 +2197,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<GossipPrefix> ::const_iterator _iter122;
-    for (_iter122 = this->prefixes.begin(); _iter122 != this->prefixes.end(); ++_iter122)
+    std::vector<GossipPrefix> ::const_iterator _iter127;
+    for (_iter127 = this->prefixes.begin(); _iter127 != this->prefixes.end(); ++_iter127)
     {
-      xfer += (*_iter122).write(oprot);
+      xfer += (*_iter127).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2155,10 +2209,10 @@
   xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->windows.size()));
-    std::vector<GossipWindow> ::const_iterator _iter123;
-    for (_iter123 = this->windows.begin(); _iter123 != this->windows.end(); ++_iter123)
+    std::vector<GossipWindow> ::const_iterator _iter128;
+    for (_iter128 = this->windows.begin(); _iter128 != this->windows.end(); ++_iter128)
     {
-      xfer += (*_iter123).write(oprot);
+      xfer += (*_iter128).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2167,10 +2221,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<GossipDeath> ::const_iterator _iter124;
-    for (_iter124 = this->deaths.begin(); _iter124 != this->deaths.end(); ++_iter124)
+    std::vector<GossipDeath> ::const_iterator _iter129;
+    for (_iter129 = this->deaths.begin(); _iter129 != this->deaths.end(); ++_iter129)
     {
-      xfer += (*_iter124).write(oprot);
+      xfer += (*_iter129).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2188,10 +2242,10 @@
     xfer += oprot->writeFieldBegin("absences", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->absences.size()));
-      std::vector<GossipAbsence> ::const_iterator _iter125;
-      for (_iter125 = this->absences.begin(); _iter125 != this->absences.end(); ++_iter125)
+      std::vector<GossipAbsence> ::const_iterator _iter130;
+      for (_iter130 = this->absences.begin(); _iter130 != this->absences.end(); ++_iter130)
       {
-        xfer += (*_iter125).write(oprot);
+        xfer += (*_iter130).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2201,10 +2255,10 @@
     xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
-      std::vector<GossipDeparture> ::const_iterator _iter126;
-      for (_iter126 = this->departures.begin(); _iter126 != this->departures.end(); ++_iter126)
+      std::vector<GossipDeparture> ::const_iterator _iter131;
+      for (_iter131 = this->departures.begin(); _iter131 != this->departures.end(); ++_iter131)
       {
-        xfer += (*_iter126).write(oprot);
+        xfer += (*_iter131).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2214,10 +2268,10 @@
     xfer += oprot->writeFieldBegin("served_parts", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->served_parts.size()));
-      std::vector<GossipServedPart> ::const_iterator _iter127;
-      for (_iter127 = this->served_parts.begin(); _iter127 != this->served_parts.end(); ++_iter127)
+      std::vector<GossipServedPart> ::const_iterator _iter132;
+      for (_iter132 = this->served_parts.begin(); _iter132 != this->served_parts.end(); ++_iter132)
       {
-        xfer += (*_iter127).write(oprot);
+        xfer += (*_iter132).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2232,10 +2286,10 @@
     xfer += oprot->writeFieldBegin("rate_limits", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rate_limits.size()));
-      std::vector<GossipRateLimit> ::const_iterator _iter128;
-      for (_iter128 = this->rate_limits.begin(); _iter128 != this->rate_limits.end(); ++_iter128)
+      std::vector<GossipRateLimit> ::const_iterator _iter133;
+      for (_iter133 = this->rate_limits.begin(); _iter133 != this->rate_limits.end(); ++_iter133)
       {
-        xfer += (*_iter128).write(oprot);
+        xfer += (*_iter133).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2245,10 +2299,10 @@
     xfer += oprot->writeFieldBegin("stream_origins", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stream_origins.size()));
-      std::vector<GossipStreamOrigin> ::const_iterator _iter129;
-      for (_iter129 = this->stream_origins.begin(); _iter129 != this->stream_origins.end(); ++_iter129)
+      std::vector<GossipStreamOrigin> ::const_iterator _iter134;
+      for (_iter134 = this->stream_origins.begin(); _iter134 != this->stream_origins.end(); ++_iter134)
       {
-        xfer += (*_iter129).write(oprot);
+        xfer += (*_iter134).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2258,10 +2312,10 @@
     xfer += oprot->writeFieldBegin("wanted_origins", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted_origins.size()));
-      std::vector<std::string> ::const_iterator _iter130;
-      for (_iter130 = this->wanted_origins.begin(); _iter130 != this->wanted_origins.end(); ++_iter130)
+      std::vector<std::string> ::const_iterator _iter135;
+      for (_iter135 = this->wanted_origins.begin(); _iter135 != this->wanted_origins.end(); ++_iter135)
       {
-        xfer += oprot->writeString((*_iter130));
+        xfer += oprot->writeString((*_iter135));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2271,10 +2325,23 @@
     xfer += oprot->writeFieldBegin("poison_parts", ::apache::thrift::protocol::T_LIST, 21);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->poison_parts.size()));
-      std::vector<GossipPoisonPart> ::const_iterator _iter131;
-      for (_iter131 = this->poison_parts.begin(); _iter131 != this->poison_parts.end(); ++_iter131)
+      std::vector<GossipPoisonPart> ::const_iterator _iter136;
+      for (_iter136 = this->poison_parts.begin(); _iter136 != this->poison_parts.end(); ++_iter136)
       {
-        xfer += (*_iter131).write(oprot);
+        xfer += (*_iter136).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.wanted_contents) {
+    xfer += oprot->writeFieldBegin("wanted_contents", ::apache::thrift::protocol::T_LIST, 25);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted_contents.size()));
+      std::vector<std::string> ::const_iterator _iter137;
+      for (_iter137 = this->wanted_contents.begin(); _iter137 != this->wanted_contents.end(); ++_iter137)
+      {
+        xfer += oprot->writeString((*_iter137));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2308,105 +2375,110 @@
   swap(a.stream_origins, b.stream_origins);
   swap(a.wanted_origins, b.wanted_origins);
   swap(a.poison_parts, b.poison_parts);
+  swap(a.wanted_contents, b.wanted_contents);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other132) {
-  host = other132.host;
-  boot = other132.boot;
-  stamp = other132.stamp;
-  echo = other132.echo;
-  unix_ms = other132.unix_ms;
-  plan_version = other132.plan_version;
-  proof_age_ms = other132.proof_age_ms;
-  loads = other132.loads;
-  prefixes = other132.prefixes;
-  windows = other132.windows;
-  deaths = other132.deaths;
-  leaving = other132.leaving;
-  registry_revision = other132.registry_revision;
-  absences = other132.absences;
-  departures = other132.departures;
-  served_parts = other132.served_parts;
-  reports_usage = other132.reports_usage;
-  rate_limits = other132.rate_limits;
-  stream_origins = other132.stream_origins;
-  wanted_origins = other132.wanted_origins;
-  poison_parts = other132.poison_parts;
-  __isset = other132.__isset;
-}
-Gossip::Gossip(Gossip&& other133) noexcept {
-  host = std::move(other133.host);
-  boot = std::move(other133.boot);
-  stamp = other133.stamp;
-  echo = other133.echo;
-  unix_ms = other133.unix_ms;
-  plan_version = other133.plan_version;
-  proof_age_ms = other133.proof_age_ms;
-  loads = std::move(other133.loads);
-  prefixes = std::move(other133.prefixes);
-  windows = std::move(other133.windows);
-  deaths = std::move(other133.deaths);
-  leaving = other133.leaving;
-  registry_revision = other133.registry_revision;
-  absences = std::move(other133.absences);
-  departures = std::move(other133.departures);
-  served_parts = std::move(other133.served_parts);
-  reports_usage = other133.reports_usage;
-  rate_limits = std::move(other133.rate_limits);
-  stream_origins = std::move(other133.stream_origins);
-  wanted_origins = std::move(other133.wanted_origins);
-  poison_parts = std::move(other133.poison_parts);
-  __isset = other133.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other134) {
-  host = other134.host;
-  boot = other134.boot;
-  stamp = other134.stamp;
-  echo = other134.echo;
-  unix_ms = other134.unix_ms;
-  plan_version = other134.plan_version;
-  proof_age_ms = other134.proof_age_ms;
-  loads = other134.loads;
-  prefixes = other134.prefixes;
-  windows = other134.windows;
-  deaths = other134.deaths;
-  leaving = other134.leaving;
-  registry_revision = other134.registry_revision;
-  absences = other134.absences;
-  departures = other134.departures;
-  served_parts = other134.served_parts;
-  reports_usage = other134.reports_usage;
-  rate_limits = other134.rate_limits;
-  stream_origins = other134.stream_origins;
-  wanted_origins = other134.wanted_origins;
-  poison_parts = other134.poison_parts;
-  __isset = other134.__isset;
+Gossip::Gossip(const Gossip& other138) {
+  host = other138.host;
+  boot = other138.boot;
+  stamp = other138.stamp;
+  echo = other138.echo;
+  unix_ms = other138.unix_ms;
+  plan_version = other138.plan_version;
+  proof_age_ms = other138.proof_age_ms;
+  loads = other138.loads;
+  prefixes = other138.prefixes;
+  windows = other138.windows;
+  deaths = other138.deaths;
+  leaving = other138.leaving;
+  registry_revision = other138.registry_revision;
+  absences = other138.absences;
+  departures = other138.departures;
+  served_parts = other138.served_parts;
+  reports_usage = other138.reports_usage;
+  rate_limits = other138.rate_limits;
+  stream_origins = other138.stream_origins;
+  wanted_origins = other138.wanted_origins;
+  poison_parts = other138.poison_parts;
+  wanted_contents = other138.wanted_contents;
+  __isset = other138.__isset;
+}
+Gossip::Gossip(Gossip&& other139) noexcept {
+  host = std::move(other139.host);
+  boot = std::move(other139.boot);
+  stamp = other139.stamp;
+  echo = other139.echo;
+  unix_ms = other139.unix_ms;
+  plan_version = other139.plan_version;
+  proof_age_ms = other139.proof_age_ms;
+  loads = std::move(other139.loads);
+  prefixes = std::move(other139.prefixes);
+  windows = std::move(other139.windows);
+  deaths = std::move(other139.deaths);
+  leaving = other139.leaving;
+  registry_revision = other139.registry_revision;
+  absences = std::move(other139.absences);
+  departures = std::move(other139.departures);
+  served_parts = std::move(other139.served_parts);
+  reports_usage = other139.reports_usage;
+  rate_limits = std::move(other139.rate_limits);
+  stream_origins = std::move(other139.stream_origins);
+  wanted_origins = std::move(other139.wanted_origins);
+  poison_parts = std::move(other139.poison_parts);
+  wanted_contents = std::move(other139.wanted_contents);
+  __isset = other139.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other140) {
+  host = other140.host;
+  boot = other140.boot;
+  stamp = other140.stamp;
+  echo = other140.echo;
+  unix_ms = other140.unix_ms;
+  plan_version = other140.plan_version;
+  proof_age_ms = other140.proof_age_ms;
+  loads = other140.loads;
+  prefixes = other140.prefixes;
+  windows = other140.windows;
+  deaths = other140.deaths;
+  leaving = other140.leaving;
+  registry_revision = other140.registry_revision;
+  absences = other140.absences;
+  departures = other140.departures;
+  served_parts = other140.served_parts;
+  reports_usage = other140.reports_usage;
+  rate_limits = other140.rate_limits;
+  stream_origins = other140.stream_origins;
+  wanted_origins = other140.wanted_origins;
+  poison_parts = other140.poison_parts;
+  wanted_contents = other140.wanted_contents;
+  __isset = other140.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other135) noexcept {
-  host = std::move(other135.host);
-  boot = std::move(other135.boot);
-  stamp = other135.stamp;
-  echo = other135.echo;
-  unix_ms = other135.unix_ms;
-  plan_version = other135.plan_version;
-  proof_age_ms = other135.proof_age_ms;
-  loads = std::move(other135.loads);
-  prefixes = std::move(other135.prefixes);
-  windows = std::move(other135.windows);
-  deaths = std::move(other135.deaths);
-  leaving = other135.leaving;
-  registry_revision = other135.registry_revision;
-  absences = std::move(other135.absences);
-  departures = std::move(other135.departures);
-  served_parts = std::move(other135.served_parts);
-  reports_usage = other135.reports_usage;
-  rate_limits = std::move(other135.rate_limits);
-  stream_origins = std::move(other135.stream_origins);
-  wanted_origins = std::move(other135.wanted_origins);
-  poison_parts = std::move(other135.poison_parts);
-  __isset = other135.__isset;
+Gossip& Gossip::operator=(Gossip&& other141) noexcept {
+  host = std::move(other141.host);
+  boot = std::move(other141.boot);
+  stamp = other141.stamp;
+  echo = other141.echo;
+  unix_ms = other141.unix_ms;
+  plan_version = other141.plan_version;
+  proof_age_ms = other141.proof_age_ms;
+  loads = std::move(other141.loads);
+  prefixes = std::move(other141.prefixes);
+  windows = std::move(other141.windows);
+  deaths = std::move(other141.deaths);
+  leaving = other141.leaving;
+  registry_revision = other141.registry_revision;
+  absences = std::move(other141.absences);
+  departures = std::move(other141.departures);
+  served_parts = std::move(other141.served_parts);
+  reports_usage = other141.reports_usage;
+  rate_limits = std::move(other141.rate_limits);
+  stream_origins = std::move(other141.stream_origins);
+  wanted_origins = std::move(other141.wanted_origins);
+  poison_parts = std::move(other141.poison_parts);
+  wanted_contents = std::move(other141.wanted_contents);
+  __isset = other141.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -2433,6 +2505,7 @@
   out << ", " << "stream_origins="; (__isset.stream_origins ? (out << to_string(stream_origins)) : (out << "<null>"));
   out << ", " << "wanted_origins="; (__isset.wanted_origins ? (out << to_string(wanted_origins)) : (out << "<null>"));
   out << ", " << "poison_parts="; (__isset.poison_parts ? (out << to_string(poison_parts)) : (out << "<null>"));
+  out << ", " << "wanted_contents="; (__isset.wanted_contents ? (out << to_string(wanted_contents)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -520,6 +520,10 @@
 
 std::ostream& operator<<(std::ostream& out, const GossipPoisonPart& obj);
 
+typedef struct _GossipStreamOrigin__isset {
+  _GossipStreamOrigin__isset() : content(false) {}
+  bool content :1;
+} _GossipStreamOrigin__isset;
 
 class GossipStreamOrigin : public virtual ::apache::thrift::TBase {
  public:
@@ -531,13 +535,17 @@
   GossipStreamOrigin() noexcept
                      : first(),
                        software_version(),
-                       age_ms(0) {
+                       age_ms(0),
+                       content() {
   }
 
   virtual ~GossipStreamOrigin() noexcept;
   std::string first;
   std::string software_version;
   int32_t age_ms;
+  std::string content;
+
+  _GossipStreamOrigin__isset __isset;
 
   void __set_first(const std::string& val);
 
@@ -545,6 +553,8 @@
 
   void __set_age_ms(const int32_t val);
 
+  void __set_content(const std::string& val);
+
   bool operator == (const GossipStreamOrigin & rhs) const
   {
     if (!(first == rhs.first))
@@ -553,6 +563,10 @@
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
+    if (__isset.content != rhs.__isset.content)
+      return false;
+    else if (__isset.content && !(content == rhs.content))
+      return false;
     return true;
   }
   bool operator != (const GossipStreamOrigin &rhs) const {
@@ -572,7 +586,7 @@
 std::ostream& operator<<(std::ostream& out, const GossipStreamOrigin& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), wanted_contents(false) {}
   bool absences :1;
   bool departures :1;
   bool served_parts :1;
@@ -581,6 +595,7 @@
   bool stream_origins :1;
   bool wanted_origins :1;
   bool poison_parts :1;
+  bool wanted_contents :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -625,6 +640,7 @@
   std::vector<GossipStreamOrigin>  stream_origins;
   std::vector<std::string>  wanted_origins;
   std::vector<GossipPoisonPart>  poison_parts;
+  std::vector<std::string>  wanted_contents;
 
   _Gossip__isset __isset;
 
@@ -670,6 +686,8 @@
 
   void __set_poison_parts(const std::vector<GossipPoisonPart> & val);
 
+  void __set_wanted_contents(const std::vector<std::string> & val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -730,6 +748,10 @@
       return false;
     else if (__isset.poison_parts && !(poison_parts == rhs.poison_parts))
       return false;
+    if (__isset.wanted_contents != rhs.__isset.wanted_contents)
+      return false;
+    else if (__isset.wanted_contents && !(wanted_contents == rhs.wanted_contents))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -84,6 +84,8 @@
   1: required string first,
   2: required string software_version,
   3: required i32 age_ms,
+  // Digest of what the caller repeats to take the stream up.
+  4: optional string content,
 }
 
 struct Gossip {
@@ -119,4 +121,7 @@
   // The streams whose origin the receiver is asked for, by their first request.
   20: optional list<string> wanted_origins,
   21: optional list<GossipPoisonPart> poison_parts,
+  // The same as `wanted_origins` by the contents of streams whose callers don't
+  // name the first request.
+  25: optional list<string> wanted_contents,
 }
