Refuse what a stopping process may not be able to end

A gateway that had been told to stop served new connections until it was killed. The older entry process did the same with requests on kept connections.

core::StopSchedule takes all requests until the load balancer has noticed, and afterwards only those whose deadline lies before the end of the process. Others are refused as not run. A connection that is opened meanwhile has 200 ms to send its request before it is closed as idle.

--- /dev/null
+++ b/core/src/stop_schedule.cc
@@ -0,0 +1,25 @@
+#include "carawayvalve/core/stop_schedule.h"
+
+namespace carawayvalve::core {
+
+void StopSchedule::Begin(base::Duration balancer_delay,
+                         base::Duration time_to_end,
+                         base::Instant now) {
+  this->balancer_notices = now + balancer_delay;
+  this->end = now + time_to_end;
+}
+
+bool StopSchedule::MayTake(base::Instant deadline, base::Instant now) const {
+  return !this->begun() || !this->BalancerNoticed(now) ||
+         deadline <= *this->end;
+}
+
+bool StopSchedule::BalancerNoticed(base::Instant now) const {
+  return this->begun() && now >= this->balancer_notices;
+}
+
+bool StopSchedule::MustEnd(base::Instant now) const {
+  return this->begun() && now >= *this->end;
+}
+
+}  // namespace carawayvalve::core
--- a/entry/src/request_admitter.cc
+++ b/entry/src/request_admitter.cc
@@ -112,6 +112,12 @@
   });
 }
 
+void RequestAdmitter::BeginStop(base::Duration balancer_delay,
+                                base::Duration time_to_end) {
+  const std::lock_guard lock(this->mutex);
+  this->stop.Begin(balancer_delay, time_to_end, base::Now());
+}
+
 std::shared_ptr<const ActiveConfiguration> RequestAdmitter::Active() const {
   const std::lock_guard lock(this->mutex);
   return this->active_configuration;
@@ -152,6 +158,9 @@
                       std::to_string(kMaxIdempotencyKeyBytes) +
                       " bytes at most");
   }
+  if (auto problem = this->CheckStop(admitted)) {
+    return problem;
+  }
   if (auto problem = this->CheckLimits(admitted)) {
     return problem;
   }
@@ -173,6 +182,17 @@
   return std::nullopt;
 }
 
+std::optional<Problem> RequestAdmitter::CheckStop(
+    const AdmittedRequest& request) const {
+  const std::lock_guard lock(this->mutex);
+  if (this->stop.MayTake(request.options.deadline, base::Now())) {
+    return std::nullopt;
+  }
+  return Problem{.status = 503,
+                 .title = "Stopping",
+                 .detail = "this process stops before the deadline"};
+}
+
 std::optional<Problem> RequestAdmitter::CheckLimits(
     const AdmittedRequest& request) const {
   const core::AdmissionResult result = this->control.Admit(
--- a/entry/src/request_admitter.h
+++ b/entry/src/request_admitter.h
@@ -10,6 +10,7 @@
 #include "carawayvalve/config/configuration.h"
 #include "carawayvalve/core/client_key_index.h"
 #include "carawayvalve/core/route_table.h"
+#include "carawayvalve/core/stop_schedule.h"
 #include "claim_service.h"
 #include "dispatcher.h"
 #include "entry_metrics.h"
@@ -49,6 +50,9 @@
   // whose key it no longer has.
   void Activate(
       const std::shared_ptr<const config::Configuration>& configuration);
+  // Refuses requests that might not end before this process does, which was
+  // told to stop (see core::StopSchedule).
+  void BeginStop(base::Duration balancer_delay, base::Duration time_to_end);
   // Returns null before the first configuration.
   std::shared_ptr<const ActiveConfiguration> Active() const;
 
@@ -85,6 +89,8 @@
   // Counts the request against its account's limits; returns a problem if it
   // may not run.
   std::optional<Problem> CheckLimits(const AdmittedRequest& request) const;
+  // Returns a problem if this process may end before the request does.
+  std::optional<Problem> CheckStop(const AdmittedRequest& request) const;
   // Starts the admitted request, or returns a problem.
   std::optional<Problem> Begin(const CallerRequest& request,
                                AdmittedRequest& admitted);
@@ -96,6 +102,7 @@
   IsFresh is_fresh;
   mutable std::mutex mutex;
   std::shared_ptr<const ActiveConfiguration> active_configuration;
+  core::StopSchedule stop;
 };
 
 }  // namespace carawayvalve::entry
--- a/entry/src/serve.cc
+++ b/entry/src/serve.cc
@@ -235,12 +235,14 @@
 
 void EntryProcess::Drain() {
   this->log.Info("The entry process is draining.");
+  const base::Milliseconds balancer_delay(BalancerDelay(this->admitter));
+  const base::Duration time_to_end =
+      balancer_delay + base::Milliseconds(this->settings.drain_timeout_ms);
+  const base::Instant until = base::Now() + time_to_end;
+  this->admitter.BeginStop(balancer_delay, time_to_end);
   this->leaving = true;
-  std::this_thread::sleep_for(
-      base::Milliseconds(BalancerDelay(this->admitter)));
+  std::this_thread::sleep_for(balancer_delay);
   this->callers.StopAccepting();
-  const base::Instant until =
-      base::Now() + base::Milliseconds(this->settings.drain_timeout_ms);
   while (this->callers.open_requests() > 0 && base::Now() < until) {
     std::this_thread::sleep_for(kDrainInterval);
   }
--- a/gateway/src/duty_holder.cc
+++ b/gateway/src/duty_holder.cc
@@ -90,7 +90,7 @@
   const GatewayState& state = this->context.state;
   const auto delay = core::TakeoverDelay(kDutyName, state.settings.host, live,
                                          kTakeoverDelayStep);
-  this->StepLease(core::LeaseTick{state.stopping ? std::nullopt : delay});
+  this->StepLease(core::LeaseTick{state.stop.begun() ? std::nullopt : delay});
   const base::Instant now = base::Now();
   this->UpdateHolding(now);
   const auto grant = this->lease.Grant(now);
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -31,6 +31,8 @@
 // a request that arrives just before its connection is closed is still
 // answered.
 constexpr base::Milliseconds kStopInterval(50);
+// A connection that is opened while stopping has this long to send a request.
+constexpr base::Milliseconds kStopSilence(200);
 // Connections still open this long before the platform kills the process are
 // aborted.
 constexpr base::Milliseconds kStopMargin(250);
@@ -124,7 +126,7 @@
 }
 
 bool Gateway::Ready() const {
-  return !this->state.stopping && this->state.table != nullptr &&
+  return !this->state.stop.begun() && this->state.table != nullptr &&
          !this->state.directory.entries().empty() &&
          this->state.key_freshness.MayAcceptKeys(base::Now());
 }
@@ -202,7 +204,7 @@
       {"plan_version", this->plan_version},
       {"keys_age_ms", age.has_value() ? base::ToMilliseconds(*age) : -1},
       {"ready", this->Ready()},
-      {"stopping", this->state.stopping},
+      {"stopping", this->state.stop.begun()},
       {"gateways", this->state.retry_members.Count()},
       {"peers_heard", this->peers.live_peers(now)},
       {"holds_duties", this->duties.holds(now)},
@@ -238,11 +240,12 @@
 }
 
 void Gateway::BeginStop() {
-  if (this->state.stopping) {
+  if (this->state.stop.begun()) {
     return;
   }
-  this->state.stopping = true;
-  this->stop_requested_at = base::Now();
+  this->state.stop.Begin(kBalancerDrainTime,
+                         this->state.settings.bounds.stop - kStopMargin,
+                         base::Now());
   this->journal.Write(
       base::LogLevel::kInfo, "stopping",
       {{"connections", static_cast<int64_t>(this->callers->connections())}});
@@ -251,11 +254,9 @@
 }
 
 void Gateway::Stop() {
-  this->callers->CloseIdle();
-  const base::Duration elapsed = base::Now() - this->stop_requested_at;
-  const base::Duration max_wait =
-      this->state.settings.bounds.stop - kStopMargin;
-  if (this->callers->connections() == 0 || elapsed > max_wait) {
+  this->callers->CloseIdle(kStopSilence);
+  if (this->callers->connections() == 0 ||
+      this->state.stop.MustEnd(base::Now())) {
     this->FinishStop();
     return;
   }
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -63,7 +63,6 @@
   // The usage window at the last tick.
   int64_t current_window = 0;
   bool was_ready = false;
-  base::Instant stop_requested_at;
 };
 
 }  // namespace carawayvalve::gateway
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -21,6 +21,7 @@
 #include "carawayvalve/core/serving_table.h"
 #include "carawayvalve/core/silence_detector.h"
 #include "carawayvalve/core/speed_estimator.h"
+#include "carawayvalve/core/stop_schedule.h"
 #include "carawayvalve/core/stream_origins.h"
 #include "carawayvalve/core/wall_clock_estimator.h"
 #include "carawayvalve/core/window_counts.h"
@@ -98,7 +99,7 @@
   std::map<base::HostId, base::Instant> peers_heard;
   // This gateway reports the usage of all gateways.
   bool reports_usage = false;
-  bool stopping = false;
+  core::StopSchedule stop;
 
  private:
   std::map<base::ServiceId, core::RetryBudgetShare> retries;
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -83,6 +83,11 @@
     timeout = std::min<base::Duration>(timeout, *this->caller.timeout);
   }
   this->deadline = this->arrived + timeout;
+  if (!this->context.state.stop.MayTake(this->deadline + kDeadlineGrace,
+                                        base::Now())) {
+    this->Refuse(kUnavailable, "this gateway stops before the deadline", false);
+    return;
+  }
   this->service = core::ChooseService(*this->route, this->caller.id.value);
   this->context.state.RetryBudget(this->service).NoteRequest(base::Now());
   if (!this->shared_parts.empty()) {
--- a/net/include/carawayvalve/net/http_server.h
+++ b/net/include/carawayvalve/net/http_server.h
@@ -101,8 +101,9 @@
 
   // Closes each connection after its next answer, from now on.
   void CloseAfterAnswers();
-  // Closes the connections on which no request is being read or answered.
-  void CloseIdle();
+  // Closes the connections on which no request is being read or answered and
+  // that have been silent for this long, also since they were opened.
+  void CloseIdle(base::Duration silence);
 
   size_t connections() const;
   // Returns the port in use, which the system chooses for port 0.
--- a/net/src/http_server.cc
+++ b/net/src/http_server.cc
@@ -151,8 +151,8 @@
   this->server->close_after_answers = true;
 }
 
-void HttpServer::CloseIdle() {
-  this->server->CloseIdle();
+void HttpServer::CloseIdle(base::Duration silence) {
+  this->server->CloseIdle(silence);
 }
 
 size_t HttpServer::connections() const {
--- a/net/src/server_connection.cc
+++ b/net/src/server_connection.cc
@@ -93,10 +93,11 @@
   this->sweep_timer.Start(kSweepInterval, [this] { this->Sweep(); });
 }
 
-void ServerState::CloseIdle() {
+void ServerState::CloseIdle(base::Duration silence) {
+  const base::Instant since = base::Now() - silence;
   const auto connections = this->open;
   for (const auto& connection : connections) {
-    if (connection->idle()) {
+    if (connection->IdleSince(since)) {
       connection->Close();
     }
   }
--- a/net/src/server_connection.h
+++ b/net/src/server_connection.h
@@ -24,7 +24,7 @@
   void Close();
   // Checks all connections for timeouts, periodically.
   void Sweep();
-  void CloseIdle();
+  void CloseIdle(base::Duration silence);
   size_t connections() const { return this->open.size(); }
   uint16_t port() const { return this->acceptor.local_endpoint().port(); }
 
@@ -56,7 +56,11 @@
   // Closes the connection, or rejects its request with 408, if a timeout has
   // passed at `now`.
   void CheckTimeouts(base::Instant now);
-  bool idle() const { return this->phase == Phase::kIdle; }
+  // Returns whether no request is being read or answered and nothing has been
+  // received or sent since `since`.
+  bool IdleSince(base::Instant since) const {
+    return this->phase == Phase::kIdle && this->last_activity <= since;
+  }
 
   void Write(std::string_view data);
   // Ends the answer to the current request: continues with the next request, or
--- a/net/tests/http_server_test.cc
+++ b/net/tests/http_server_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <future>
 #include <vector>
 
 #include "loop_thread.h"
@@ -99,6 +100,38 @@
   }
 }
 
+// Guards against connections that are closed under a request on its way while
+// the process stops.
+TEST_CASE("HttpServer closes idle connections") {
+  EchoServer echo;
+  const auto close_idle = [&](base::Duration silence) {
+    std::promise<void> closed;
+    echo.loop.Post([&] {
+      echo.server.CloseIdle(silence);
+      closed.set_value();
+    });
+    closed.get_future().wait();
+  };
+  std::string answer;
+  bool ended = false;
+  RunWhile(echo.loop, [&] {
+    RawCaller caller(echo.server.port());
+    close_idle(std::chrono::seconds(10));
+    caller.Send(kNextRequest);
+    answer = caller.ReadUntil("/next|");
+    close_idle(base::Duration(0));
+    caller.ReadAll();
+    ended = caller.ended();
+  });
+
+  SUBCASE("but not one that was just opened") {
+    CHECK(StatusOf(answer) == "HTTP/1.1 200");
+  }
+  SUBCASE("and one that was silent for long enough") {
+    CHECK(ended);
+  }
+}
+
 TEST_CASE("HttpServer rejects the request and closes the connection for") {
   EchoServer echo;
   const auto refusal_status = [&](const std::string& bytes) {
--- a/tests/processes/drain_test.cc
+++ b/tests/processes/drain_test.cc
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <nlohmann/json.hpp>
 
+#include "../../net/tests/raw_caller.h"
 #include "background_call.h"
 #include "deployment.h"
 
@@ -17,6 +18,7 @@
 namespace {
 
 constexpr char kLongPrompt[] = "tell of a watch length=60";
+constexpr char kLongestPrompt[] = "tell of all watches length=300";
 
 std::string ServerOfFirstAttempt(const Deployment& deployment) {
   std::string server;
@@ -114,11 +116,38 @@
   }
 
   SUBCASE("the entry process is stopped") {
-    deployment.process("entry-1").Signal(SIGTERM);
-    const auto result = call.Wait();
-    CHECK(result.complete);
-    CHECK(HasEndMarker(result.body));
-    CHECK(deployment.process("entry-1").WaitForEnd() == 0);
+    net::RawCaller kept(static_cast<uint16_t>(deployment.port("entry-1")));
+    kept.Send("GET /none HTTP/1.1\r\nHost: a\r\n\r\n");
+    kept.ReadUntil("}");
+
+    SUBCASE("the request in flight is answered completely") {
+      deployment.process("entry-1").Signal(SIGTERM);
+      const auto result = call.Wait();
+      CHECK(result.complete);
+      CHECK(HasEndMarker(result.body));
+      CHECK(deployment.process("entry-1").WaitForEnd() == 0);
+    }
+    SUBCASE("a request that may last longer than the process isn't begun") {
+      // Keeps the process from ending before it has read the request.
+      const BackgroundCall longer(deployment, "entry-1", "POST", kChatPath, key,
+                                  ChatBody(kLongestPrompt, true, 300));
+      Await("another answer to be streaming",
+            [&] { return StreamText(longer.Body()).size() > 10; });
+      deployment.process("entry-1").Signal(SIGTERM);
+      Await("the entry process to stop", [&] {
+        return deployment.Dump("entry-1")["leaving"].get<bool>();
+      });
+      const int before = generations_at("engine-1") + generations_at("engine-2");
+      const std::string body = ChatBody("length=2", false);
+      kept.Send(std::string("POST ") + kChatPath +
+                " HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + key +
+                "\r\nContent-Length: " + std::to_string(body.size()) +
+                "\r\n\r\n" + body);
+      const std::string answer = kept.ReadUntil("}");
+      CHECK(answer.find("HTTP/1.1 503") == 0);
+      CHECK(generations_at("engine-1") + generations_at("engine-2") == before);
+      CHECK(HasEndMarker(call.Wait().body));
+    }
   }
 
   SUBCASE("the model is removed from the configuration") {
