Keep retries within the budget while the load moves

Each request earned credit that lapsed after a quarter of the window, at 0.8 of the ratio: the retries of a window were earned by the requests of 1.25 windows. When the load is high, sinks and rises again, no window of the rule has 0.8 of those.

A share now bounds its retries in every window that will include a retry by the ratio of half of its requests in the window and the one before. A mean of two windows is never more than the larger, which the rule counts, and can be added up over processes, so the bound holds for any order of arrivals, joins and restarts. 0.8 of ratio and slack are used as before; a steady load may repeat as much as before.

--- a/core/include/carawayvalve/core/retry_budget_share.h
+++ b/core/include/carawayvalve/core/retry_budget_share.h
@@ -11,14 +11,17 @@
 
 // This process's share of the retry budget of one service. All entry processes
 // together may send, in any span of `window`, retries for at most `ratio` of
-// the service's requests, plus `slack` more.
+// the service's requests, plus `slack` more. The requests are those of that
+// span, or of the span before it if there were more.
 //
-// Each request earns credit, a fraction of a retry, that expires soon: a
-// request counts once, whichever process its caller moves to, and only for
-// retries close to it in time. Retries beyond the credit use the slack, of
-// which a process has an equal part once it knows how many processes share it
-// (see RetryBudgetMembers). So no retry needs communication between processes,
-// and the bound also holds while they are cut off from one another.
+// The mean of the two spans is never more than the larger one, and unlike that
+// it can be added up over processes. So each process keeps its own retries of
+// any span within the ratio of half of its own requests of the two spans, plus
+// its part of the slack (see RetryBudgetMembers). No retry needs communication
+// between processes, and the bound holds in whatever order requests arrive,
+// whichever process their callers move to, and while processes are cut off from
+// one another. A retry counts in all spans that will include it, against the
+// requests known so far: later requests only add to what is allowed.
 class RetryBudgetShare {
  public:
   struct Settings {
@@ -29,7 +32,8 @@
     bool operator==(const Settings&) const = default;
   };
 
-  // What is left to spend at one instant, in retries.
+  // What is left to spend at one instant, in retries: from requests, and from
+  // the slack.
   struct Balance {
     double credit = 0;
     double slack = 0;
@@ -42,7 +46,7 @@
   // Changes the bounds; credit and spent slack are kept.
   void SetSettings(const Settings& changed) { this->settings = changed; }
 
-  // Counts a caller's request, which earns credit.
+  // Counts a caller's request, which earns credit for a part of a retry.
   void NoteRequest(base::Instant now);
 
   // Spends a retry and returns true if one is left. The slack is divided by
@@ -62,16 +66,17 @@
   };
 
   void DropExpired(base::Instant now);
-  int64_t RemainingSlack(std::optional<int64_t> slack_divisor) const;
-  void SpendCredit(int64_t millionths);
+  // Returns the least, over all spans that will include a retry sent at `now`,
+  // of what their requests have earned less what their retries have spent.
+  // Negative if these have used slack.
+  int64_t LeastCredit(base::Instant now) const;
+  int64_t SlackPart(std::optional<int64_t> slack_divisor) const;
 
   Settings settings;
-  // Unspent credit, the oldest first; `credit` is the sum in millionths.
+  // What the requests of two windows earned, the oldest first.
   std::deque<Portion> earned;
-  int64_t credit = 0;
-  // Slack spent within the window; `slack_spent` is the sum in millionths.
+  // The retries of one window, the oldest first.
   std::deque<Portion> spent;
-  int64_t slack_spent = 0;
 };
 
 }  // namespace carawayvalve::core
