--- a/tests/processes/drain_test.cc
+++ b/tests/processes/drain_test.cc
@@ -134,10 +134,10 @@
       Await("another answer to be streaming",
             [&] { return StreamText(longer.Body()).size() > 10; });
       deployment.process("entry-1").Signal(SIGTERM);
-      Await("the entry process to stop", [&] {
-        return deployment.Dump("entry-1")["leaving"].get<bool>();
-      });
-      const int before = generations_at("engine-1") + generations_at("engine-2");
+      Await("the entry process to stop",
+            [&] { return deployment.Dump("entry-1")["leaving"].get<bool>(); });
+      const int before =
+          generations_at("engine-1") + generations_at("engine-2");
       const std::string body = ChatBody("length=2", false);
       kept.Send(std::string("POST ") + kChatPath +
                 " HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + key +
