--- a/core/src/backend_directory.cc
+++ b/core/src/backend_directory.cc
@@ -145,7 +145,7 @@
     const base::ServiceId& service,
     base::Duration time,
     base::Instant now) const {
-  const auto present = this->OnlyVersionPresent(service);
+  auto present = this->OnlyVersionPresent(service);
   if (!present.has_value() || time.count() == 0) {
     return present;
   }
