Store what shows the version of a stream after the loss of all gateways

Change: gateway/src/recent_store.* writes and reads objects of the kind carawayvalve-recent as core::RecentStateSchedule decides; origins are told to the writer in stream_origins, marked is_to_be_stored; a take-up that no peer knows lists the kind once for all requests, and so does a holder of the duties that has just started, before it closes windows. A stored record of versions extends the own history only if one watch of the registry shows all that was registered since. Malformed and old objects name nothing. Logs and metrics show writes, reads and streams that went on by stored records. VersionHistory::Recent claims no more time than it lists versions for.

--- a/core/include/carawayvalve/core/backend_directory.h
+++ b/core/include/carawayvalve/core/backend_directory.h
@@ -93,6 +93,11 @@
                                          base::Duration time,
                                          base::Instant now) const;
 
+  // Returns the versions of all services within `time`, those included that are
+  // registered now.
+  std::map<base::ServiceId, ServiceVersions> RecentVersions(base::Duration time,
+                                                            base::Instant now);
+
   VersionHistory& version_history() { return this->versions; }
   const VersionHistory& version_history() const { return this->versions; }
 
@@ -106,6 +111,8 @@
 
  private:
   bool InGracePeriod(base::Instant now) const;
+  // Records the versions that are registered or were since the last call.
+  void NoteVersions(base::Instant now);
 
   bool IsLeaving(const base::BackendServerId& id, int64_t started_ms) const;
   // Returns the only version that is registered or was since the last call of
--- a/core/include/carawayvalve/core/recent_state_schedule.h
+++ b/core/include/carawayvalve/core/recent_state_schedule.h
@@ -68,6 +68,8 @@
     base::Duration settle_time = std::chrono::milliseconds(1500);
     // Datagrams may be lost, so that the writer is told an origin twice.
     int64_t tells = 2;
+    // Keeps the messages to the writer small.
+    size_t max_told = 32;
     // Further origins are dropped, the oldest first.
     size_t max_pending = 8192;
 
--- a/core/include/carawayvalve/core/stream_origins.h
+++ b/core/include/carawayvalve/core/stream_origins.h
@@ -26,6 +26,8 @@
   // Digest of what the caller repeats to take the stream up, see
   // StreamContentDigest. Empty if it isn't known.
   std::string content{};
+  // Read from what lost processes had stored.
+  bool is_from_store = false;
 
   bool operator==(const StreamOrigin&) const = default;
 };
@@ -48,6 +50,10 @@
   std::optional<std::string> Find(const base::RequestId& first) const;
   // Returns the versions that began streams with this content.
   std::set<std::string> VersionsOf(const std::string& content) const;
+  // Returns whether only the store told a stream of this first request, or, if
+  // it is empty, with this content.
+  bool IsFromStore(const base::RequestId& first,
+                   const std::string& content) const;
   // Returns all streams with this content.
   std::vector<StreamOrigin> WithContent(const std::string& content,
                                         base::Instant now) const;
@@ -66,6 +72,7 @@
     std::string software_version;
     std::string content;
     base::Instant noted;
+    bool is_from_store = false;
   };
   using Records = std::unordered_map<base::RequestId, Record>;
 
--- a/core/include/carawayvalve/core/version_history.h
+++ b/core/include/carawayvalve/core/version_history.h
@@ -47,8 +47,7 @@
   bool MayHaveSeveral(const base::ServiceId& service,
                       base::Duration time,
                       base::Instant now) const;
-  // Returns what a successor needs to know, without versions that were last
-  // registered longer than `time` ago.
+  // Returns what a successor needs to know of the last `time`.
   std::map<base::ServiceId, ServiceVersions> Recent(base::Duration time,
                                                     base::Instant now) const;
 
--- a/core/src/backend_directory.cc
+++ b/core/src/backend_directory.cc
@@ -106,14 +106,25 @@
   this->lapsed.erase(id);
 }
 
-std::vector<base::BackendServerId> BackendDirectory::Expire(base::Instant now) {
-  std::vector<base::BackendServerId> expired;
+void BackendDirectory::NoteVersions(base::Instant now) {
   for (const auto& [id, entry] : this->known) {
     this->versions.NoteVersion(entry.service, entry.software_version, now);
   }
   for (const auto& [service, version] : std::exchange(this->new_versions, {})) {
     this->versions.NoteVersion(service, version, now);
   }
+}
+
+std::map<base::ServiceId, ServiceVersions> BackendDirectory::RecentVersions(
+    base::Duration time,
+    base::Instant now) {
+  this->NoteVersions(now);
+  return this->versions.Recent(time, now);
+}
+
+std::vector<base::BackendServerId> BackendDirectory::Expire(base::Instant now) {
+  std::vector<base::BackendServerId> expired;
+  this->NoteVersions(now);
   if (this->InGracePeriod(now)) {
     return expired;
   }
--- a/core/src/recent_state_schedule.cc
+++ b/core/src/recent_state_schedule.cc
@@ -90,6 +90,9 @@
     return told;
   }
   for (Pending& pending : this->untold) {
+    if (told.size() >= this->settings.max_told) {
+      break;
+    }
     told.push_back(pending.origin);
     told.back().age += now - pending.noted;
     --pending.tells_left;
--- a/core/src/stream_origins.cc
+++ b/core/src/stream_origins.cc
@@ -49,7 +49,8 @@
       now - std::clamp<base::Duration>(origin.age, base::Duration(0),
                                        base::Duration(kRetention));
   const auto [found, is_new] = this->records.try_emplace(
-      origin.first, Record{origin.software_version, origin.content, noted});
+      origin.first, Record{origin.software_version, origin.content, noted,
+                           origin.is_from_store});
   if (!is_new && found->second.noted >= noted) {
     return false;
   }
@@ -82,6 +83,19 @@
   return versions;
 }
 
+bool StreamOrigins::IsFromStore(const base::RequestId& first,
+                                const std::string& content) const {
+  const auto is_stored = [&](const base::RequestId& id) {
+    const auto found = this->records.find(id);
+    return found != this->records.end() && found->second.is_from_store;
+  };
+  const auto same = this->by_content.find(content);
+  return first.empty() ? same != this->by_content.end() &&
+                             std::any_of(same->second.begin(),
+                                         same->second.end(), is_stored)
+                       : is_stored(first);
+}
+
 std::vector<StreamOrigin> StreamOrigins::WithContent(const std::string& content,
                                                      base::Instant now) const {
   std::vector<StreamOrigin> origins;
--- a/core/src/version_history.cc
+++ b/core/src/version_history.cc
@@ -82,7 +82,8 @@
   std::map<base::ServiceId, ServiceVersions> recent;
   for (const auto& [id, service] : this->services) {
     ServiceVersions& versions = recent[id];
-    versions.known_for = now - service.known_since;
+    // Older versions are left out.
+    versions.known_for = std::min(now - service.known_since, time);
     for (const auto& [version, seen] : service.last_seen) {
       if (now - seen < time) {
         versions.ages[version] = now - seen;
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -86,10 +86,11 @@
   const base::Instant now = base::Now();
   this->state.stream_origins.Note(origin, now);
   if (this->state.untold_origins.size() < kMaxUntoldOrigins) {
-    this->state.untold_origins.push_back(
-        {origin, now, kMessagesOfOrigin,
-         this->state.directory.version_history().MayHaveSeveral(service,
-                                                                horizon, now)});
+    this->state.untold_origins.push_back({origin, now, kMessagesOfOrigin});
+  }
+  if (this->state.directory.version_history().MayHaveSeveral(service, horizon,
+                                                             now)) {
+    this->state.recent_state.NoteOrigin(origin, now);
   }
 }
 
--- a/gateway/src/duty_holder.cc
+++ b/gateway/src/duty_holder.cc
@@ -36,6 +36,8 @@
 // A process that has just started receives the counts of its peers within this
 // time.
 constexpr base::Milliseconds kStartupDelay(2500);
+// Further time for reading the counts of gateways that are gone.
+constexpr base::Milliseconds kCountsReadTime(3000);
 // The number of reported windows whose calls are kept.
 constexpr int64_t kWindowsKept = 4;
 
@@ -77,9 +79,12 @@
 
 }  // namespace
 
-DutyHolder::DutyHolder(Context& context, platform::ObjectClient& objects)
+DutyHolder::DutyHolder(Context& context,
+                       platform::ObjectClient& objects,
+                       RecentStore& recent)
     : context(context),
       objects(objects),
+      recent(recent),
       started(base::Now()),
       lease(ToLeaseOptions(context.state.settings), context.state.boot),
       reports(ToReporterSettings(context.state.settings)),
@@ -98,7 +103,7 @@
     return;
   }
   this->roles.Tick(*grant);
-  if (now - this->started < kStartupDelay) {
+  if (!this->HasStoredCounts(now) || now - this->started < kStartupDelay) {
     return;
   }
   const base::Duration wall_clock = state.wall_clock.At(now);
@@ -113,6 +118,23 @@
   }
 }
 
+bool DutyHolder::HasStoredCounts(base::Instant now) {
+  const base::Duration age = now - this->started;
+  const auto& duties = this->context.state.settings.duties;
+  // A process that is older was told the counts of all windows that are open.
+  const bool needs_counts = !this->has_read_counts &&
+                            age < duties.usage_window + duties.usage_late &&
+                            age < kStartupDelay + kCountsReadTime;
+  if (needs_counts && !this->reads_counts) {
+    this->reads_counts = true;
+    this->recent.Read([this](bool is_complete) {
+      this->reads_counts = false;
+      this->has_read_counts = is_complete;
+    });
+  }
+  return !needs_counts || this->has_read_counts;
+}
+
 void DutyHolder::UpdateHolding(base::Instant now) {
   const bool holds = this->lease.Holds(now);
   if (holds == this->was_holder) {
--- a/gateway/src/duty_holder.h
+++ b/gateway/src/duty_holder.h
@@ -10,20 +10,20 @@
 #include "carawayvalve/platform/duty_calls.h"
 #include "carawayvalve/platform/objects.h"
 #include "context.h"
+#include "recent_store.h"
 #include "role_controller.h"
 #include "timed_call.h"
 
 namespace carawayvalve::gateway {
 
-// The duty for which the gateways compete: reporting usage and ordering roles.
-inline constexpr char kDutyName[] = "duties";
-
 // Competes for the lease under which one gateway at a time calls the platform.
 // While this gateway holds the lease, it reports the usage of all gateways and
 // controls the engines' roles.
 class DutyHolder {
  public:
-  DutyHolder(Context& context, platform::ObjectClient& objects);
+  DutyHolder(Context& context,
+             platform::ObjectClient& objects,
+             RecentStore& recent);
 
   // Advances the lease and the work under it; must be called several times a
   // second. `live` are the gateways that may take the lease.
@@ -42,6 +42,9 @@
   void OnLeaseRead(int64_t call, const platform::ReadResult& result);
   void OnLeaseWritten(int64_t call, const platform::WriteResult& result);
   void UpdateHolding(base::Instant now);
+  // Returns whether the counts of gateways that are gone are known, as far as
+  // they can be; reads them if not.
+  bool HasStoredCounts(base::Instant now);
   void Perform(const core::StoreSeal& action);
   void Perform(const core::SendReport& action);
   void OnSealed(const core::StoreSeal& action,
@@ -51,6 +54,9 @@
 
   Context& context;
   platform::ObjectClient& objects;
+  RecentStore& recent;
+  bool reads_counts = false;
+  bool has_read_counts = false;
   base::Instant started;
   core::Lease lease;
   platform::ObjectClient::Handle lease_call;
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -61,7 +61,8 @@
               this->on_urgent_news, this->origin_lookup},
       feed(this->context, this->objects),
       peers(this->context, this->objects, this->feed),
-      duties(this->context, this->objects),
+      recent(this->context, this->objects, this->feed),
+      duties(this->context, this->objects, this->recent),
       tick_timer(this->loop),
       stop_timer(this->loop) {}
 
@@ -83,6 +84,10 @@
                        [this](int number) { this->OnSignal(number); });
   this->feed.Start();
   this->peers.Start();
+  this->origin_lookup.SetReadStored([this](const std::function<void()>& done) {
+    this->recent.Read([done](bool /*is_complete*/) { done(); });
+  });
+  this->recent.Start();
   this->Tick();
   this->loop.Run();
   this->journal.Write(base::LogLevel::kInfo, "stopped", {});
@@ -108,7 +113,9 @@
                          {"requests", this->state.usage.CountOf(
                                           this->state.boot, window - 1)}});
   }
-  this->duties.Tick(this->peers.LiveHosts(now));
+  const std::vector<base::HostId> live = this->peers.LiveHosts(now);
+  this->state.recent_state.SetLive(live);
+  this->duties.Tick(live);
   if (this->state.table != nullptr &&
       this->state.table->version() != this->plan_version) {
     this->plan_version = this->state.table->version();
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -11,6 +11,7 @@
 #include "context.h"
 #include "duty_holder.h"
 #include "peer_gossip.h"
+#include "recent_store.h"
 #include "store_feed.h"
 
 namespace carawayvalve::gateway {
@@ -53,6 +54,7 @@
   Context context;
   StoreFeed feed;
   PeerGossip peers;
+  RecentStore recent;
   DutyHolder duties;
   std::unique_ptr<net::HttpServer> callers;
   std::unique_ptr<net::HttpServer> readiness;
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -60,6 +60,12 @@
           .Name("carawayvalve_streams_taken_up_total")
           .Help("Streams that callers took up, by whether they may go on")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& recent_states =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_recent_states_total")
+          .Help(
+              "Calls to store and read what outlives the loss of all gateways")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& first_answer =
       prometheus::BuildHistogram()
           .Name("carawayvalve_first_answer_seconds")
@@ -128,6 +134,10 @@
   this->families->streams_taken_up.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::CountRecentState(const std::string& outcome) {
+  this->families->recent_states.Add({{"outcome", outcome}}).Increment();
+}
+
 void GatewayMetrics::ObserveStateAge(const std::string& source,
                                      base::Duration age) {
   this->families->state_age.Add({{"source", source}}, DurationBuckets())
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -33,7 +33,10 @@
   void CountRetry(const std::string& outcome);
   void CountStoreCall(const std::string& outcome);
   // Counts a stream that a caller takes up, which "goes_on" or is "refused".
+  // The same by "goes_on_stored" if only the store tells its origin.
   void CountStreamTakenUp(const std::string& outcome);
+  // Counts calls for what outlives the loss of all gateways, such as "stored".
+  void CountRecentState(const std::string& outcome);
   // Observes the age of state from `source`, such as the configuration, when a
   // decision uses it.
   void ObserveStateAge(const std::string& source, base::Duration age);
--- a/gateway/src/gateway_state.cc
+++ b/gateway/src/gateway_state.cc
@@ -54,6 +54,7 @@
       retry_members({.window = settings.bounds.retry_window},
                     settings.host,
                     base::Now()),
+      recent_state({}, kDutyName, settings.host, this->started),
       gateway_lost(this->started) {}
 
 core::RetryBudgetShare& GatewayState::RetryBudget(
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -17,6 +17,7 @@
 #include "carawayvalve/core/placement.h"
 #include "carawayvalve/core/poison_request_tracker.h"
 #include "carawayvalve/core/prefix_cache_tracker.h"
+#include "carawayvalve/core/recent_state_schedule.h"
 #include "carawayvalve/core/retry_budget_members.h"
 #include "carawayvalve/core/retry_budget_share.h"
 #include "carawayvalve/core/serving_table.h"
@@ -30,13 +31,14 @@
 
 namespace carawayvalve::gateway {
 
+// The duty for which the gateways compete: reporting usage and ordering roles.
+inline constexpr char kDutyName[] = "duties";
+
 // The origin of a stream, and how many more messages are to tell it.
 struct UntoldOrigin {
   core::StreamOrigin origin;
   base::Instant noted;
   int64_t messages_left = 0;
-  // The gateway that stores what is needed after the loss of all is told too.
-  bool is_stored = false;
 };
 
 // What a gateway knows about the configuration, the backend servers and its
@@ -92,6 +94,8 @@
   // The origins of streams that this gateway serves and has not told often
   // enough to those that keep them.
   std::vector<UntoldOrigin> untold_origins;
+  // When what the successors of all gateways need is stored.
+  core::RecentStateSchedule recent_state;
   core::WindowCounts usage;
   core::WallClockEstimator wall_clock;
   // The engines that this gateway has ordered to change their roles, with the
--- a/gateway/src/origin_gossip.cc
+++ b/gateway/src/origin_gossip.cc
@@ -51,6 +51,12 @@
   std::erase_if(state.untold_origins, [](const UntoldOrigin& untold) {
     return untold.messages_left <= 0;
   });
+  const base::HostId& writer = state.recent_state.writer();
+  for (const core::StreamOrigin& origin :
+       state.recent_state.TakeForWriter(now)) {
+    origins[writer].push_back(ToGossipOrigin(origin));
+    origins[writer].back().__set_is_to_be_stored(true);
+  }
   return origins;
 }
 
@@ -102,11 +108,14 @@
 
 void OriginGossip::Apply(const Gossip& gossip, base::Instant now) {
   for (const wire::gen::GossipStreamOrigin& received : gossip.stream_origins) {
-    const base::RequestId first{received.first};
-    this->context.state.stream_origins.Note(
-        {first, received.software_version, base::Milliseconds(received.age_ms),
-         received.content},
-        now);
+    const core::StreamOrigin origin{{received.first},
+                                    received.software_version,
+                                    base::Milliseconds(received.age_ms),
+                                    received.content};
+    this->context.state.stream_origins.Note(origin, now);
+    if (received.is_to_be_stored) {
+      this->context.state.recent_state.NoteOrigin(origin, now);
+    }
   }
   if (!gossip.stream_origins.empty()) {
     this->context.origin_lookup.NoteLearned();
--- a/gateway/src/request_resumption.cc
+++ b/gateway/src/request_resumption.cc
@@ -35,7 +35,12 @@
 
 void RequestHandler::OnStreamOrigin(const core::OriginVerdict& verdict) {
   const auto* known = std::get_if<core::ContinueAtVersion>(&verdict);
+  const bool is_from_store =
+      known != nullptr && this->context.state.stream_origins.IsFromStore(
+                              this->caller.resumes.value_or(base::RequestId{}),
+                              this->StreamContent());
   this->context.metrics.CountStreamTakenUp(known == nullptr ? "refused"
+                                           : is_from_store  ? "goes_on_stored"
                                                             : "goes_on");
   this->context.journal.Write(
       base::LogLevel::kInfo, "stream_taken_up",
@@ -44,6 +49,7 @@
        {"content", this->StreamContent()},
        {"after", *this->caller.after_event},
        {"version", known == nullptr ? "" : known->version},
+       {"from_store", is_from_store},
        {"age_ms", this->AgeMs(base::Now())}});
   std::visit([&](const auto& kind) { this->Perform(kind); }, verdict);
 }
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -53,6 +53,9 @@
   // Returns the revision of the newest change to this kind that was received.
   // The store's own revision also rises with changes to other kinds.
   int64_t newest_change() const { return this->newest_revision; }
+  // Returns the store's revision up to which changes were received; 0 before
+  // the first list.
+  int64_t read_to() const { return this->revision; }
   // Returns whether all changes that this process or a peer knows of have been
   // received and the last call was answered.
   bool IsCurrent() const {
@@ -113,6 +116,8 @@
   void RenewFreshness(base::Instant now);
   // Returns the revision of the newest received change of backend servers.
   int64_t registry_revision() const { return this->backends.newest_change(); }
+  // Returns the store's revision up to which backend servers are known.
+  int64_t registry_read_to() const { return this->backends.read_to(); }
   // Records the corresponding revision of a peer.
   void NoteRegistryRevision(int64_t peer_revision) {
     this->backends.NoteRevision(peer_revision);
--- a/gateway/tests/stream_version_test.cc
+++ b/gateway/tests/stream_version_test.cc
@@ -65,6 +65,45 @@
   Backend new_engine{gateway.loop, {.id = "new", .version = "v2"}, runs};
 };
 
+// All gateways were lost, and the caller takes a stream up; `first` is empty if
+// it doesn't name the request that began it.
+void TakeUpAfterLoss(const std::string& first) {
+  RestartedGateway fixture;
+  core::BackendDirectory& directory = fixture.gateway.state.directory;
+
+  SUBCASE("while two versions serve") {
+    Backend old_engine(fixture.gateway.loop, {.id = "old", .version = "v1"},
+                       fixture.runs);
+    fixture.Add("old", old_engine.port(), EngineRole::kDecode, "v1");
+    fixture.Tick();
+    CHECK(fixture.TakeUp(first) == 503);
+    CHECK(fixture.runs.empty());
+  }
+  SUBCASE("when the old version has just gone") {
+    CHECK(fixture.TakeUp(first) == 503);
+    CHECK(fixture.runs.empty());
+  }
+  SUBCASE("when another version has come and gone since") {
+    fixture.Add("old", fixture.new_engine.port(), EngineRole::kDecode, "v1");
+    directory.NoteRemoved({"old"}, base::Now());
+    CHECK(fixture.TakeUp(first) == 503);
+    CHECK(fixture.runs.empty());
+  }
+  SUBCASE("when no stream of another version is taken up any more") {
+    fixture.gateway.RunFor(kTakeUpTime);
+    fixture.Tick();
+    CHECK(fixture.TakeUp(first) == 200);
+    CHECK(fixture.runs.size() == 1);
+  }
+  SUBCASE("though changes of the registry are missing") {
+    fixture.gateway.RunFor(kTakeUpTime);
+    fixture.Tick();
+    directory.SetCurrent(false);
+    CHECK(fixture.TakeUp(first) == 503);
+    CHECK(fixture.runs.empty());
+  }
+}
+
 }  // namespace
 
 TEST_CASE("a broken stream goes on at another software version") {
@@ -118,47 +157,12 @@
   }
 }
 
-TEST_CASE("a stream is taken up after the loss of all gateways") {
-  RestartedGateway fixture;
-  core::BackendDirectory& directory = fixture.gateway.state.directory;
-  // With the first request named, and without.
-  for (const std::string first : {"r1", ""}) {
-    CAPTURE(first);
-
-    SUBCASE("while two versions serve") {
-      Backend old_engine(fixture.gateway.loop, {.id = "old", .version = "v1"},
-                         fixture.runs);
-      fixture.Add("old", old_engine.port(), EngineRole::kDecode, "v1");
-      fixture.Tick();
-      CHECK(fixture.TakeUp(first) == 503);
-      CHECK(fixture.runs.empty());
-    }
-    SUBCASE("when the old version has just gone") {
-      CHECK(fixture.TakeUp(first) == 503);
-      CHECK(fixture.runs.empty());
-    }
-    SUBCASE("when another version has come and gone since") {
-      fixture.Add("old", fixture.new_engine.port(), EngineRole::kDecode, "v1");
-      directory.NoteRemoved({"old"}, base::Now());
-      CHECK(fixture.TakeUp(first) == 503);
-      CHECK(fixture.runs.empty());
-    }
-    SUBCASE("when no stream of another version is taken up any more") {
-      fixture.gateway.RunFor(kTakeUpTime);
-      fixture.Tick();
-      CHECK(fixture.TakeUp(first) == 200);
-      CHECK(fixture.runs.size() == 1);
-      fixture.runs.clear();
-    }
-    SUBCASE("though changes of the registry are missing") {
-      fixture.gateway.RunFor(kTakeUpTime);
-      fixture.Tick();
-      directory.SetCurrent(false);
-      CHECK(fixture.TakeUp(first) == 503);
-      CHECK(fixture.runs.empty());
-      directory.SetCurrent(true);
-    }
-  }
+TEST_CASE("a stream that its caller names is taken up after the loss of all") {
+  TakeUpAfterLoss("r1");
+}
+
+TEST_CASE("a stream that no caller names is taken up after the loss of all") {
+  TakeUpAfterLoss("");
 }
 
 TEST_CASE("a caller takes a stream up without naming it") {
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -1492,6 +1492,11 @@
   this->content = val;
 __isset.content = true;
 }
+
+void GossipStreamOrigin::__set_is_to_be_stored(const bool val) {
+  this->is_to_be_stored = val;
+__isset.is_to_be_stored = true;
+}
 std::ostream& operator<<(std::ostream& out, const GossipStreamOrigin& obj)
 {
   obj.printTo(out);
@@ -1555,6 +1560,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_to_be_stored);
+          this->__isset.is_to_be_stored = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1595,6 +1608,11 @@
     xfer += oprot->writeString(this->content);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.is_to_be_stored) {
+    xfer += oprot->writeFieldBegin("is_to_be_stored", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->is_to_be_stored);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1606,6 +1624,7 @@
   swap(a.software_version, b.software_version);
   swap(a.age_ms, b.age_ms);
   swap(a.content, b.content);
+  swap(a.is_to_be_stored, b.is_to_be_stored);
   swap(a.__isset, b.__isset);
 }
 
@@ -1614,6 +1633,7 @@
   software_version = other62.software_version;
   age_ms = other62.age_ms;
   content = other62.content;
+  is_to_be_stored = other62.is_to_be_stored;
   __isset = other62.__isset;
 }
 GossipStreamOrigin::GossipStreamOrigin(GossipStreamOrigin&& other63) noexcept {
@@ -1621,6 +1641,7 @@
   software_version = std::move(other63.software_version);
   age_ms = other63.age_ms;
   content = std::move(other63.content);
+  is_to_be_stored = other63.is_to_be_stored;
   __isset = other63.__isset;
 }
 GossipStreamOrigin& GossipStreamOrigin::operator=(const GossipStreamOrigin& other64) {
@@ -1628,6 +1649,7 @@
   software_version = other64.software_version;
   age_ms = other64.age_ms;
   content = other64.content;
+  is_to_be_stored = other64.is_to_be_stored;
   __isset = other64.__isset;
   return *this;
 }
@@ -1636,6 +1658,7 @@
   software_version = std::move(other65.software_version);
   age_ms = other65.age_ms;
   content = std::move(other65.content);
+  is_to_be_stored = other65.is_to_be_stored;
   __isset = other65.__isset;
   return *this;
 }
@@ -1646,6 +1669,7 @@
   out << ", " << "software_version=" << to_string(software_version);
   out << ", " << "age_ms=" << to_string(age_ms);
   out << ", " << "content="; (__isset.content ? (out << to_string(content)) : (out << "<null>"));
+  out << ", " << "is_to_be_stored="; (__isset.is_to_be_stored ? (out << to_string(is_to_be_stored)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -521,8 +521,9 @@
 std::ostream& operator<<(std::ostream& out, const GossipPoisonPart& obj);
 
 typedef struct _GossipStreamOrigin__isset {
-  _GossipStreamOrigin__isset() : content(false) {}
+  _GossipStreamOrigin__isset() : content(false), is_to_be_stored(false) {}
   bool content :1;
+  bool is_to_be_stored :1;
 } _GossipStreamOrigin__isset;
 
 class GossipStreamOrigin : public virtual ::apache::thrift::TBase {
@@ -536,7 +537,8 @@
                      : first(),
                        software_version(),
                        age_ms(0),
-                       content() {
+                       content(),
+                       is_to_be_stored(0) {
   }
 
   virtual ~GossipStreamOrigin() noexcept;
@@ -544,6 +546,7 @@
   std::string software_version;
   int32_t age_ms;
   std::string content;
+  bool is_to_be_stored;
 
   _GossipStreamOrigin__isset __isset;
 
@@ -555,6 +558,8 @@
 
   void __set_content(const std::string& val);
 
+  void __set_is_to_be_stored(const bool val);
+
   bool operator == (const GossipStreamOrigin & rhs) const
   {
     if (!(first == rhs.first))
@@ -567,6 +572,10 @@
       return false;
     else if (__isset.content && !(content == rhs.content))
       return false;
+    if (__isset.is_to_be_stored != rhs.__isset.is_to_be_stored)
+      return false;
+    else if (__isset.is_to_be_stored && !(is_to_be_stored == rhs.is_to_be_stored))
+      return false;
     return true;
   }
   bool operator != (const GossipStreamOrigin &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -86,6 +86,8 @@
   3: required i32 age_ms,
   // Digest of what the caller repeats to take the stream up.
   4: optional string content,
+  // The receiver stores it for the time after the loss of all gateways.
+  5: optional bool is_to_be_stored,
 }
 
 struct Gossip {
