--- a/gateway/src/recent_store.cc
+++ b/gateway/src/recent_store.cc
@@ -65,7 +65,7 @@
 }
 
 void RecentStore::Write(const core::StoreRecentState& action) {
-  if (this->creates) {
+  if (this->creates && !this->existing.contains(NameOf(action.slot))) {
     this->Create(action);
     return;
   }
@@ -95,6 +95,7 @@
   core::RecentStateSchedule& schedule = this->context.state.recent_state;
   if (std::holds_alternative<platform::StoredObject>(result)) {
     schedule.NoteStored(action.call);
+    this->existing.insert(NameOf(action.slot));
     this->context.metrics.CountRecentState("stored");
     this->context.journal.Write(base::LogLevel::kInfo, "recent_state_stored",
                                 {{"object", NameOf(action.slot)},
@@ -103,9 +104,9 @@
                                  {"waiting", schedule.pending()}});
     return;
   }
-  // The object exists; the next one is replaced.
   if (std::holds_alternative<platform::WriteConflict>(result)) {
     this->creates = false;
+    this->existing.insert(NameOf(action.slot));
   }
   schedule.NoteFailed(action.call);
   this->context.metrics.CountRecentState("store_failed");
@@ -156,6 +157,7 @@
   const base::Duration wall_time = state.wall_clock.At(base::Now());
   std::optional<core::RecentState> newest;
   for (const platform::StoredObject& object : std::exchange(this->listed, {})) {
+    this->existing.insert(object.name);
     auto stored = ParseRecentState(*object.value);
     if (!stored.has_value() || wall_time - stored->written > kMaxAge ||
         stored->written - wall_time > kClockError) {
--- a/gateway/src/recent_store.h
+++ b/gateway/src/recent_store.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,8 +54,11 @@
   net::Timer timer;
   platform::ObjectClient::Handle write_call;
   platform::ObjectClient::Handle read_call;
-  // The objects up to now didn't exist, so that the next one won't either.
+  // The last object that wasn't known to exist didn't, so that the next one
+  // won't either.
   bool creates = false;
+  // The objects that are known to exist.
+  std::set<std::string> existing;
   std::vector<platform::StoredObject> listed;
   base::Instant list_sent_at;
   std::optional<base::Instant> read_failed_at;
