Order roles of many engines only towards a role that stays busy

Cause: the shares of the roles follow the number of engines, so that a fleet of thousands of engines with little to do got hundreds of orders, each with a price and an engine out of service for seconds. Change: beyond 32 engines of each role in a data centre, engines change only towards a role most of whose engines have been busy for as long as an order takes (three seconds); a swing that ends earlier gets none. Smaller fleets are planned as before. Planning takes place less often the more engines there are.

--- a/core/include/carawayvalve/core/role_share_planner.h
+++ b/core/include/carawayvalve/core/role_share_planner.h
@@ -2,6 +2,7 @@
 #define CARAWAYVALVE_CORE_ROLE_SHARE_PLANNER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/base/time.h"
 #include "carawayvalve/core/backend_directory.h"
+#include "carawayvalve/core/fleet_load.h"
 #include "carawayvalve/core/role_planner.h"
 
 namespace carawayvalve::core {
@@ -22,7 +24,11 @@
 // rather than prefills limit what the decode engines serve. Each data centre
 // gets both roles, since KV caches move slowly between data centres. A role
 // change takes an engine out of service for seconds, longer than a swing in
-// demand lasts, so the shares follow the engines, not the demand.
+// demand lasts, so the shares follow the engines, not the demand, as long as a
+// data centre has few engines. With many, an order gains nothing while the
+// engines of that role have little to do: beyond a number that serves a first
+// rush, engines change only towards a role whose present engines have been busy
+// for as long as an order keeps an engine from serving.
 class RoleSharePlanner {
  public:
   struct Settings {
@@ -38,6 +44,15 @@
     int64_t tolerance = 2;
     // Maximum number of changes per plan under load; unlimited without load.
     size_t max_changes_under_load = 1;
+    // Number of engines of each role from which on more are ordered only if
+    // most of these are busy. A rush that comes before any load is known finds
+    // this many at least.
+    int64_t engines_for_rush = 32;
+    // How long these must have been busy without a pause: an order takes its
+    // engine out of service for about this time (platform documentation: three
+    // seconds after its running requests have ended), so that it gains nothing
+    // in a swing that ends earlier.
+    base::Duration busy_for = std::chrono::seconds(3);
     // While engines of several software versions serve, each version of that
     // many engines or more gets as many decode engines: a stream that breaks
     // off goes on at its own version only.
@@ -46,13 +61,17 @@
     bool operator==(const Settings&) const = default;
   };
 
+  using LoadOf = std::function<BackendLoad(const base::BackendServerId&)>;
+
   explicit RoleSharePlanner(const Settings& settings) : settings(settings) {}
 
   // Returns the role changes to order now. `engines` are all engines of a
-  // service.
-  std::vector<RoleChange> Plan(const std::vector<BackendEntry>& engines,
-                               bool under_load,
-                               base::Instant now) const;
+  // service; `load_of` returns the load of each.
+  std::vector<RoleChange> Plan(
+      const std::vector<BackendEntry>& engines,
+      bool under_load,
+      base::Instant now,
+      const LoadOf& load_of = [](const auto&) { return BackendLoad(); });
 
   // Records that a change was ordered; its engine counts as changed for the
   // dwell time.
@@ -80,10 +99,37 @@
       const Engines& engines,
       const std::set<base::BackendServerId>& must_decode,
       bool under_load,
-      base::Instant now) const;
+      base::Instant now,
+      const LoadOf& load_of);
+  // Returns how many engines of a data centre should change to the prefill
+  // role; to the decode role if negative. `wanted` are to prefill.
+  int64_t MissingPrefillEngines(const Engines& engines,
+                                int64_t wanted,
+                                base::Instant now,
+                                const LoadOf& load_of);
+  // Returns whether the engines of a role have been busy for `busy_for`.
+  bool StayBusy(const Engines& engines,
+                bool prefill,
+                base::Instant now,
+                const LoadOf& load_of);
+  // Returns whether most engines of a role have work that waits or little room.
+  bool AreBusy(const Engines& engines,
+               bool prefill,
+               base::Instant now,
+               const LoadOf& load_of) const;
 
   Settings settings;
   std::map<base::BackendServerId, Order> ordered;
+  // A role of the engines of a service in a data centre.
+  struct RoleGroup {
+    base::ServiceId service;
+    base::DataCentreId data_centre;
+    bool prefill = false;
+
+    auto operator<=>(const RoleGroup&) const = default;
+  };
+  // Since when most engines of the group have been busy.
+  std::map<RoleGroup, base::Instant> busy_since;
 };
 
 }  // namespace carawayvalve::core
--- a/core/src/role_share_planner.cc
+++ b/core/src/role_share_planner.cc
@@ -27,7 +27,8 @@
 std::vector<RoleChange> RoleSharePlanner::Plan(
     const std::vector<BackendEntry>& engines,
     bool under_load,
-    base::Instant now) const {
+    base::Instant now,
+    const LoadOf& load_of) {
   std::map<base::DataCentreId, Engines> centres;
   Engines all;
   for (const BackendEntry& engine : engines) {
@@ -46,7 +47,7 @@
   }
   for (const auto& [centre, present] : centres) {
     const auto planned =
-        this->PlanDataCentre(present, must_decode, under_load, now);
+        this->PlanDataCentre(present, must_decode, under_load, now, load_of);
     changes.insert(changes.end(), planned.begin(), planned.end());
   }
   if (under_load && changes.size() > this->settings.max_changes_under_load) {
@@ -107,7 +108,8 @@
     const Engines& engines,
     const std::set<base::BackendServerId>& must_decode,
     bool under_load,
-    base::Instant now) const {
+    base::Instant now,
+    const LoadOf& load_of) {
   const auto count = static_cast<int64_t>(engines.size());
   // A single engine prefills and decodes, so it gets the decode role.
   const int64_t wanted =
@@ -119,7 +121,8 @@
       engines.begin(), engines.end(), [&](const BackendEntry* engine) {
         return this->IsPrefillEngine(*engine, now);
       });
-  const int64_t missing = wanted - present;
+  const int64_t missing =
+      this->MissingPrefillEngines(engines, wanted, now, load_of);
   const bool role_missing = present == 0 || present == count;
   if (missing == 0 || (under_load && !role_missing &&
                        std::abs(missing) < this->settings.tolerance)) {
@@ -140,6 +143,63 @@
   return changes;
 }
 
+int64_t RoleSharePlanner::MissingPrefillEngines(const Engines& engines,
+                                                int64_t wanted,
+                                                base::Instant now,
+                                                const LoadOf& load_of) {
+  const auto count = static_cast<int64_t>(engines.size());
+  const int64_t prefill = std::count_if(
+      engines.begin(), engines.end(), [&](const BackendEntry* engine) {
+        return this->IsPrefillEngine(*engine, now);
+      });
+  const bool to_prefill = prefill < wanted;
+  this->busy_since.erase(
+      {engines.front()->service, engines.front()->data_centre, !to_prefill});
+  const int64_t present = to_prefill ? prefill : count - prefill;
+  int64_t target = to_prefill ? wanted : count - wanted;
+  const int64_t rush = this->settings.engines_for_rush;
+  if (present < rush) {
+    target = std::min(target, rush);
+  } else if (!this->StayBusy(engines, to_prefill, now, load_of)) {
+    return 0;
+  }
+  return to_prefill ? target - present : present - target;
+}
+
+bool RoleSharePlanner::StayBusy(const Engines& engines,
+                                bool prefill,
+                                base::Instant now,
+                                const LoadOf& load_of) {
+  const RoleGroup group{engines.front()->service, engines.front()->data_centre,
+                        prefill};
+  if (!this->AreBusy(engines, prefill, now, load_of)) {
+    this->busy_since.erase(group);
+    return false;
+  }
+  const auto since = this->busy_since.try_emplace(group, now).first->second;
+  return now - since >= this->settings.busy_for;
+}
+
+bool RoleSharePlanner::AreBusy(const Engines& engines,
+                               bool prefill,
+                               base::Instant now,
+                               const LoadOf& load_of) const {
+  int64_t present = 0;
+  int64_t busy = 0;
+  for (const BackendEntry* engine : engines) {
+    if (this->IsPrefillEngine(*engine, now) != prefill) {
+      continue;
+    }
+    ++present;
+    const BackendLoad load = load_of(engine->id);
+    busy +=
+        (prefill ? load.unread_tokens > 0 : load.requests * 2 >= engine->slots)
+            ? 1
+            : 0;
+  }
+  return busy * 2 > present;
+}
+
 void RoleSharePlanner::NoteOrdered(const RoleChange& change,
                                    base::Instant now) {
   this->ordered[change.backend_server] = {change.role, now};
--- a/core/tests/role_share_planner_test.cc
+++ b/core/tests/role_share_planner_test.cc
@@ -126,11 +126,72 @@
   }
 }
 
+// Guards against orders that cost more than callers gain: to thousands of
+// engines that have little to do.
+TEST_CASE("A fleet with far more engines than its load needs") {
+  const Instant now = Instant() + seconds(100);
+  RoleSharePlanner planner({.prefill_share = 0.75});
+  std::vector<BackendEntry> engines;
+  for (const char* centre : {"a", "b", "c"}) {
+    const auto more = Engines(centre, 375, 625);
+    engines.insert(engines.end(), more.begin(), more.end());
+  }
+  // The first `busy` engines of the first data centre have prompts to read.
+  const auto load_of = [&](size_t busy) {
+    return [&engines, busy](const base::BackendServerId& id) {
+      const auto found = std::find_if(
+          engines.begin(), engines.end(),
+          [&](const BackendEntry& engine) { return engine.id == id; });
+      const bool reads = found < engines.begin() + static_cast<int64_t>(busy);
+      return BackendLoad{.requests = 1, .unread_tokens = reads ? 1000 : 0};
+    };
+  };
+
+  SUBCASE("orders nothing, with or without load") {
+    CHECK(planner.Plan(engines, false, now).empty());
+    CHECK(planner.Plan(engines, true, now, load_of(0)).empty());
+    CHECK(planner.Plan(engines, true, now, load_of(150)).empty());
+  }
+  SUBCASE("orders prefill engines where most of them are busy") {
+    CHECK(planner.Plan(engines, true, now, load_of(300)).empty());
+
+    SUBCASE("once that has lasted as long as an order takes") {
+      const auto changes =
+          planner.Plan(engines, true, now + seconds(3), load_of(300));
+      REQUIRE(changes.size() == 1);
+      CHECK(changes.front().role == EngineRole::kPrefill);
+      CHECK(changes.front().backend_server.value.starts_with("a"));
+    }
+    SUBCASE("but not in a swing that ends before the order would pay") {
+      CHECK(
+          planner.Plan(engines, true, now + seconds(2), load_of(300)).empty());
+      CHECK(planner.Plan(engines, true, now + seconds(3), load_of(0)).empty());
+
+      SUBCASE("nor soon after the next one has begun") {
+        CHECK(planner.Plan(engines, true, now + seconds(4), load_of(300))
+                  .empty());
+        CHECK(planner.Plan(engines, true, now + seconds(6), load_of(300))
+                  .empty());
+      }
+    }
+  }
+  SUBCASE("gets enough of both roles for a first rush") {
+    CHECK(CountOf(planner.Plan(Engines("a", 0, 1000), false, now),
+                  EngineRole::kPrefill) == 32);
+    CHECK(CountOf(planner.Plan(Engines("a", 1000, 0), false, now),
+                  EngineRole::kDecode) == 32);
+  }
+  SUBCASE("a smaller one gets the shares that engines call for") {
+    CHECK(CountOf(planner.Plan(Engines("a", 0, 40), false, now),
+                  EngineRole::kPrefill) == 30);
+  }
+}
+
 // Guards against streams that fill the few slots of the few decode engines,
 // while requests for which the prefill engines have room wait behind them.
 TEST_CASE("engines with few slots mostly decode") {
   const Instant now = Instant() + seconds(100);
-  const RoleSharePlanner planner(
+  RoleSharePlanner planner(
       {.prefill_share = 0.75, .min_prefill_share = 0.25, .many_slots = 32});
   const auto planned_prefill = [&](int64_t slots) {
     return CountOf(planner.Plan(Engines("a", 0, 16, slots), false, now),
--- a/gateway/src/role_controller.cc
+++ b/gateway/src/role_controller.cc
@@ -17,6 +17,8 @@
 // The change takes three seconds (platform documentation) after its running
 // requests have ended; the registry shows when it is complete.
 constexpr std::chrono::seconds kRoleChangeTime(6);
+// The planning of a large fleet takes a while; its roles change slowly anyway.
+constexpr base::Milliseconds kPlanIntervalPerEngine(1);
 constexpr int kAccepted = 202;
 // Short, since connections for orders are rarely used twice.
 constexpr std::chrono::seconds kKeepAlive(1);
@@ -45,6 +47,12 @@
     return;
   }
   const base::Instant now = base::Now();
+  if (now < this->next_plan) {
+    return;
+  }
+  const auto engine_count =
+      static_cast<int64_t>(this->context.state.directory.entries().size());
+  this->next_plan = now + kPlanIntervalPerEngine * engine_count;
   for (const config::ServingService& service : table->serving_plan().services) {
     if (!service.engine.has_value()) {
       continue;
@@ -59,7 +67,10 @@
       continue;
     }
     for (const core::RoleChange& change :
-         this->planner.Plan(service_engines, this->UnderLoad(), now)) {
+         this->planner.Plan(service_engines, this->UnderLoad(), now,
+                            [&](const base::BackendServerId& id) {
+                              return this->context.state.load.LoadOf(id, now);
+                            })) {
       this->planner.NoteOrdered(change, now);
       this->RequestReport(change);
     }
--- a/gateway/src/role_controller.h
+++ b/gateway/src/role_controller.h
@@ -47,6 +47,7 @@
   core::RoleSharePlanner planner;
   net::HttpClient engines;
   std::optional<core::LeaseGrant> grant;
+  base::Instant next_plan;
   // The number of a service's engines, and since when it is unchanged.
   struct EngineCount {
     size_t count = 0;
