Count the calls to the platform by what they are for

Change: the store's client counts each call by operation, kind and how it ended (empty watches apart), the usage reports are added. The metric carawayvalve_platform_calls shows the counts, and each usage window logs them (platform_calls).

--- a/gateway/src/duty_holder.cc
+++ b/gateway/src/duty_holder.cc
@@ -266,6 +266,10 @@
                               {{"window", window},
                                {"status", result.status},
                                {"epoch", this->lease.epoch()}});
+  this->objects.counts().Add({"usage report", result.status == kOk ? "answered"
+                                              : result.status == 0
+                                                  ? "failed"
+                                                  : "refused"});
   if (result.status == kOk) {
     this->StepReports(core::ReportAccepted{window});
   } else {
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -107,6 +107,8 @@
                         {{"window", window - 1},
                          {"requests", this->state.usage.CountOf(
                                           this->state.boot, window - 1)}});
+    this->journal.Write(base::LogLevel::kInfo, "platform_calls",
+                        {{"calls", this->objects.counts().Print()}});
   }
   this->duties.Tick(this->peers.LiveHosts(now));
   if (this->state.table != nullptr &&
@@ -172,6 +174,9 @@
   this->metrics.SetGauge("holds_duties", this->duties.holds(now) ? 1 : 0);
   this->metrics.SetGauge("store_calls",
                          static_cast<double>(this->objects.calls()));
+  for (const auto& [reason, count] : this->objects.counts().by_reason()) {
+    this->metrics.SetPlatformCalls(reason.call, reason.outcome, count);
+  }
   this->metrics.SetGauge("log_lines_dropped",
                          static_cast<double>(this->journal.dropped()));
   const auto age = this->state.key_freshness.Age(now);
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -55,6 +55,11 @@
           .Name("carawayvalve_store_calls_total")
           .Help("Calls to the store by how they ended")
           .Register(registry);
+  prometheus::Family<prometheus::Gauge>& platform_calls =
+      prometheus::BuildGauge()
+          .Name("carawayvalve_platform_calls")
+          .Help("Calls to the platform by what for and how they ended")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& streams_taken_up =
       prometheus::BuildCounter()
           .Name("carawayvalve_streams_taken_up_total")
@@ -124,6 +129,13 @@
   this->families->store_calls.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::SetPlatformCalls(const std::string& call,
+                                      const std::string& outcome,
+                                      int64_t count) {
+  this->families->platform_calls.Add({{"call", call}, {"outcome", outcome}})
+      .Set(static_cast<double>(count));
+}
+
 void GatewayMetrics::CountStreamTakenUp(const std::string& outcome) {
   this->families->streams_taken_up.Add({{"outcome", outcome}}).Increment();
 }
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -32,6 +32,11 @@
   // Counts a retry that was "charged" to the retry budget, or "denied".
   void CountRetry(const std::string& outcome);
   void CountStoreCall(const std::string& outcome);
+  // Sets the number of calls to the platform so far that were made for the same
+  // purpose, such as the watch of a kind of objects, and ended the same way.
+  void SetPlatformCalls(const std::string& call,
+                        const std::string& outcome,
+                        int64_t count);
   // Counts a stream that a caller takes up, which "goes_on" or is "refused".
   void CountStreamTakenUp(const std::string& outcome);
   // Observes the age of state from `source`, such as the configuration, when a
--- a/gateway/tests/store_feed_test.cc
+++ b/gateway/tests/store_feed_test.cc
@@ -47,6 +47,14 @@
     CHECK(store.watches["servers"] == 1);
     CHECK(store.watches["config"] > 1);
 
+    SUBCASE("and counts its calls by what they were for") {
+      const auto& counts = objects.counts().by_reason();
+      CHECK(counts.at({"list config", "answered"}) == 1);
+      CHECK(counts.at({"watch config", "empty"}) ==
+            store.watches["config"] - 1);
+      CHECK(!counts.contains({"watch servers", "empty"}));
+    }
+
     SUBCASE("and receives changes at once") {
       store.Put("servers", "i-1", DeskServer());
       gateway.RunFor(seconds(1));
