Take up backend servers page by page

Cause: a list of thousands of backend servers has many pages. A gateway was ready only after the last one, began again at the first page when one failed, and watched from the revision of the last page, so that a change of an object of an earlier page meanwhile was lost. Change: entries are used as soon as their page is there; a page that fails is asked for again; the watch begins at the revision of the first page, and changes that later pages include are dropped. Until the first list is complete no software version counts as the only one. Result: tests of the directory and of the feed pass (a page refused; changes between two pages).

--- a/core/include/carawayvalve/core/backend_directory.h
+++ b/core/include/carawayvalve/core/backend_directory.h
@@ -63,6 +63,12 @@
 
   // Replaces all entries by a complete listing of the store.
   void NoteList(const std::vector<BackendEntry>& entries, base::Instant now);
+  // Adds an entry of a list that isn't complete yet. Until the first list is
+  // complete, no version counts as the only one.
+  void NoteListedEntry(const BackendEntry& entry);
+  // Removes the entries that aren't `listed`, in a list that is complete now.
+  void KeepOnly(const std::set<base::BackendServerId>& listed,
+                base::Instant now);
   void NoteEntry(const BackendEntry& entry);
   void NoteRemoved(const base::BackendServerId& id, base::Instant now);
 
@@ -126,6 +132,8 @@
   // Services and versions that were registered since.
   std::set<std::pair<base::ServiceId, std::string>> new_versions;
   bool has_list = false;
+  // Some pages of the first list are there, but not all.
+  bool listing_first = false;
   bool is_current = true;
 };
 
--- a/core/src/backend_directory.cc
+++ b/core/src/backend_directory.cc
@@ -19,15 +19,26 @@
 
 void BackendDirectory::NoteList(const std::vector<BackendEntry>& entries,
                                 base::Instant now) {
-  // Backend servers may have come and gone between two lists.
-  if (std::exchange(this->has_list, true)) {
-    this->versions.NoteGap(now);
-  }
   std::set<base::BackendServerId> listed;
   for (const BackendEntry& entry : entries) {
     listed.insert(entry.id);
     this->NoteEntry(entry);
   }
+  this->KeepOnly(listed, now);
+}
+
+void BackendDirectory::NoteListedEntry(const BackendEntry& entry) {
+  this->listing_first = !this->has_list;
+  this->NoteEntry(entry);
+}
+
+void BackendDirectory::KeepOnly(const std::set<base::BackendServerId>& listed,
+                                base::Instant now) {
+  this->listing_first = false;
+  // Backend servers may have come and gone between two lists.
+  if (std::exchange(this->has_list, true)) {
+    this->versions.NoteGap(now);
+  }
   std::vector<base::BackendServerId> missing;
   for (const auto& [id, entry] : this->known) {
     if (!listed.contains(id)) {
@@ -145,6 +156,9 @@
     const base::ServiceId& service,
     base::Duration time,
     base::Instant now) const {
+  if (this->listing_first) {
+    return std::nullopt;
+  }
   auto present = this->OnlyVersionPresent(service);
   if (!present.has_value() || time.count() == 0) {
     return present;
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -57,23 +57,31 @@
   if (page == nullptr) {
     const auto* refused = std::get_if<platform::StoreRefused>(&result);
     const auto* failure = std::get_if<platform::StoreCallFailed>(&result);
+    const std::string after =
+        this->listed.empty() ? "" : this->listed.back().name;
     this->RetryLater(refused != nullptr
                          ? "status " + std::to_string(refused->status)
                      : failure != nullptr ? failure->reason
                                           : "history lost",
-                     [this] { this->List(""); });
+                     [this, after] { this->List(after); });
     return;
   }
+  this->NoteSuccess();
+  if (this->listed.empty()) {
+    this->list_revision = page->revision;
+  }
   this->listed.insert(this->listed.end(), page->objects.begin(),
                       page->objects.end());
+  this->hooks.on_page(page->objects);
   if (page->after.has_value()) {
     this->List(*page->after);
     return;
   }
-  this->NoteSuccess();
-  this->revision = page->revision;
+  this->revision = this->list_revision;
+  this->listed_revisions.clear();
   for (const platform::StoredObject& object : this->listed) {
     this->newest_revision = std::max(this->newest_revision, object.revision);
+    this->listed_revisions[object.name] = object.revision;
   }
   this->hooks.on_list(std::exchange(this->listed, {}), sent_at);
   this->Watch(this->wait);
@@ -107,15 +115,17 @@
 void ObjectWatcher::OnWatched(const platform::WatchResult& result,
                               base::Instant sent_at) {
   this->watch_sent_at.reset();
-  if (const auto* changes = std::get_if<platform::ObjectChanges>(&result)) {
+  if (const auto* answer = std::get_if<platform::ObjectChanges>(&result)) {
     this->NoteSuccess();
-    this->revision = std::max(this->revision, changes->revision);
-    for (const platform::ObjectChange& change : changes->changes) {
+    this->revision = std::max(this->revision, answer->revision);
+    std::vector<platform::ObjectChange> changes = answer->changes;
+    this->DropListedChanges(changes);
+    for (const platform::ObjectChange& change : changes) {
       this->newest_revision =
           std::max(this->newest_revision, change.object.revision);
     }
-    this->hooks.on_changes(changes->changes, sent_at);
-    if (changes->changes.empty() || this->batch_delay.count() == 0) {
+    this->hooks.on_changes(changes, sent_at);
+    if (changes.empty() || this->batch_delay.count() == 0) {
       this->Watch(this->wait);
     } else {
       this->timer.Start(this->batch_delay, [this] { this->Watch(this->wait); });
@@ -136,6 +146,20 @@
                    [this] { this->Watch(this->wait); });
 }
 
+void ObjectWatcher::DropListedChanges(
+    std::vector<platform::ObjectChange>& changes) {
+  std::erase_if(changes, [this](const platform::ObjectChange& change) {
+    const auto found = this->listed_revisions.find(change.object.name);
+    if (found == this->listed_revisions.end()) {
+      return false;
+    }
+    // A removed object may have the revision of its last change.
+    return change.removed ? change.object.revision < found->second
+                          : change.object.revision <= found->second;
+  });
+  this->listed_revisions.clear();
+}
+
 void ObjectWatcher::RetryLater(const std::string& reason,
                                std::function<void()> retry) {
   if (this->failures == 0) {
@@ -170,10 +194,12 @@
           context,
           objects,
           platform::kConfigurationKind,
-          {[this](const auto& listed, base::Instant sent_at) {
-             for (const platform::StoredObject& object : listed) {
+          {[this](const auto& page) {
+             for (const platform::StoredObject& object : page) {
                this->ApplyConfiguration(object);
              }
+           },
+           [this](const auto& /*listed*/, base::Instant sent_at) {
              this->context.state.key_freshness.NoteStoreAnswer(sent_at);
            },
            [this](const auto& changes, base::Instant sent_at) {
@@ -185,39 +211,31 @@
              this->context.state.key_freshness.NoteStoreAnswer(sent_at);
            },
            [](const std::string&) {}}),
-      backends(
-          context,
-          objects,
-          platform::kBackendServerKind,
-          {[this](const auto& listed, base::Instant) {
-             std::vector<core::BackendEntry> entries;
-             for (const platform::StoredObject& object : listed) {
-               std::string reason;
-               if (auto entry = platform::DecodeBackendEntry(object, reason)) {
-                 entries.push_back(std::move(*entry));
-               }
-             }
-             const base::Instant now = base::Now();
-             this->context.state.directory.NoteList(entries, now);
-             for (const platform::StoredObject& object : listed) {
-               this->ApplyBackend(object);
-             }
-             this->UpdateCurrent();
-           },
-           [this](const auto& changes, base::Instant) {
-             for (const platform::ObjectChange& change : changes) {
-               if (change.removed) {
-                 this->RemoveBackend({change.object.name}, "removed");
-               } else {
-                 this->ApplyBackend(change.object);
-               }
-             }
-             this->UpdateCurrent();
-           },
-           [this](const std::string&) {
-             this->context.state.directory.NoteStoreFailure(base::Now());
-             this->context.state.directory.SetCurrent(false);
-           }}) {}
+      backends(context,
+               objects,
+               platform::kBackendServerKind,
+               {[this](const auto& page) {
+                  for (const platform::StoredObject& object : page) {
+                    this->ApplyBackend(object, true);
+                  }
+                },
+                [this](const auto& /*listed*/, base::Instant) {
+                  this->OnAllBackendsListed();
+                },
+                [this](const auto& changes, base::Instant) {
+                  for (const platform::ObjectChange& change : changes) {
+                    if (change.removed) {
+                      this->RemoveBackend({change.object.name}, "removed");
+                    } else {
+                      this->ApplyBackend(change.object, false);
+                    }
+                  }
+                  this->UpdateCurrent();
+                },
+                [this](const std::string&) {
+                  this->context.state.directory.NoteStoreFailure(base::Now());
+                  this->context.state.directory.SetCurrent(false);
+                }}) {}
 
 void StoreFeed::Start() {
   this->backends.SetBatchDelay(kBatchDelay);
@@ -259,7 +277,17 @@
   }
 }
 
-void StoreFeed::ApplyBackend(const platform::StoredObject& object) {
+void StoreFeed::OnAllBackendsListed() {
+  const auto listed = std::exchange(this->listed_backends, {});
+  this->context.state.directory.KeepOnly(listed, base::Now());
+  this->UpdateCurrent();
+  this->context.journal.Write(base::LogLevel::kInfo, "backends_listed",
+                              {{"count", static_cast<int64_t>(listed.size())},
+                               {"revision", this->registry_revision()}});
+}
+
+void StoreFeed::ApplyBackend(const platform::StoredObject& object,
+                             bool from_list) {
   std::string reason;
   const auto entry = platform::DecodeBackendEntry(object, reason);
   GatewayState& state = this->context.state;
@@ -268,10 +296,13 @@
                                 {{"backend", object.name}, {"reason", reason}});
     return;
   }
+  if (from_list) {
+    this->listed_backends.insert(entry->id);
+  }
   const core::BackendEntry* previous = state.directory.Find(entry->id);
   const bool restarted =
       previous != nullptr && previous->started_ms != entry->started_ms;
-  const bool changed = previous == nullptr || *previous != *entry;
+  const bool changed = previous == nullptr ? !from_list : *previous != *entry;
   if (restarted) {
     this->context.NoteBackendCrash(entry->id, "restarted");
     state.prefix_caches.Forget(entry->id);
@@ -281,7 +312,11 @@
     state.health.NoteRoleChangeDone(entry->id);
     state.changing_roles.erase(entry->id);
   }
-  state.directory.NoteEntry(*entry);
+  if (from_list) {
+    state.directory.NoteListedEntry(*entry);
+  } else {
+    state.directory.NoteEntry(*entry);
+  }
   if (changed || restarted) {
     this->context.journal.Write(
         base::LogLevel::kInfo, "backend_known",
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
 class ObjectWatcher {
  public:
   struct Hooks {
+    // Receives the objects of each page of a list, as soon as it is there.
+    std::function<void(const std::vector<platform::StoredObject>&)> on_page;
     // Receives all objects, from a list whose first request was sent at
     // `sent_at`.
     std::function<void(const std::vector<platform::StoredObject>&,
@@ -66,6 +69,8 @@
   void OnWatched(const platform::WatchResult& result, base::Instant sent_at);
   // Calls `retry` after a backoff that grows with consecutive failures.
   void RetryLater(const std::string& reason, std::function<void()> retry);
+  // Removes the changes that the list already included.
+  void DropListedChanges(std::vector<platform::ObjectChange>& changes);
   void NoteSuccess();
 
   Context& context;
@@ -77,6 +82,12 @@
   std::vector<platform::StoredObject> listed;
   // When the first page was requested.
   base::Instant list_sent_at;
+  // The revision of the store at the first page. Objects of that page may have
+  // changed by the time of the last one.
+  int64_t list_revision = 0;
+  // The revisions of the listed objects, until the first watch after the list
+  // was answered: it returns changes that later pages include.
+  std::map<std::string, int64_t> listed_revisions;
   base::Milliseconds wait;
   base::Milliseconds batch_delay{0};
   // The revision of the store up to which changes were received.
@@ -128,12 +139,18 @@
     this->context.state.directory.SetCurrent(this->backends.IsCurrent());
   }
   void ApplyConfiguration(const platform::StoredObject& object);
-  void ApplyBackend(const platform::StoredObject& object);
+  // A server that a list shows for the first time isn't logged: there may be
+  // thousands.
+  void ApplyBackend(const platform::StoredObject& object, bool from_list);
+  // Drops the backend servers that weren't on the pages of a list.
+  void OnAllBackendsListed();
   void RemoveBackend(const base::BackendServerId& id, const char* cause);
 
   Context& context;
   ObjectWatcher configuration;
   ObjectWatcher backends;
+  // The readable entries on the pages of the list in progress.
+  std::set<base::BackendServerId> listed_backends;
   std::shared_ptr<const nlohmann::json> plan;
 };
 
--- a/gateway/tests/store_feed_test.cc
+++ b/gateway/tests/store_feed_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <utility>
+
 #include "platform/store.h"
 #include "test_gateway.h"
 
@@ -81,6 +84,51 @@
       CHECK(third_feed.registry_revision() > before);
     }
   }
+  SUBCASE("lists more backend servers than a page holds") {
+    constexpr int kServers = 120;
+    const auto server = [](int number) {
+      return "i-" + std::to_string(number);
+    };
+    for (int i = 0; i < kServers; ++i) {
+      store.Put("servers", server(1000 + i), DeskServer());
+    }
+    const core::BackendDirectory& directory = gateway.state.directory;
+
+    SUBCASE("those of the first page at once, whatever becomes of the rest") {
+      store.refuses_further_pages = true;
+      feed.Start();
+      gateway.RunFor(Milliseconds(300));
+      CHECK(directory.entries().size() == 50);
+      CHECK(directory.Find({server(1000)}) != nullptr);
+
+      SUBCASE("and goes on at the page that failed") {
+        store.refuses_further_pages = false;
+        gateway.RunFor(seconds(1));
+        CHECK(directory.entries().size() == kServers);
+        const auto& pages = store.pages["servers"];
+        CHECK(std::count(pages.begin(), pages.end(), "") == 1);
+      }
+    }
+    SUBCASE("while they change") {
+      bool changed = false;
+      store.on_page = [&](const std::string& after) {
+        if (after.empty() || std::exchange(changed, true)) {
+          return;
+        }
+        nlohmann::json draining = DeskServer();
+        draining["state"] = "draining";
+        store.Put("servers", server(1000), draining);
+        store.Put("servers", server(1119), draining);
+        store.Remove("servers", server(1001));
+      };
+      feed.Start();
+      gateway.RunFor(seconds(1));
+      CHECK(directory.Find({server(1000)})->draining);
+      CHECK(directory.Find({server(1119)})->draining);
+      CHECK(directory.Find({server(1001)}) == nullptr);
+      CHECK(directory.entries().size() == kServers - 1);
+    }
+  }
   SUBCASE("polls the store when its confirmation is old") {
     feed.SetWatchWaits({seconds(60), seconds(60)});
     feed.Start();
--- a/tests/platform/store.cc
+++ b/tests/platform/store.cc
@@ -138,12 +138,20 @@
     return;
   }
   const Answer answer =
-      name.empty()
-          ? Answer(200, this->List(kind, QueryValue(request.target, "after")))
-          : this->OnRead(kind, name);
+      name.empty() ? this->OnList(kind, QueryValue(request.target, "after"))
+                   : this->OnRead(kind, name);
   Respond(*exchange, answer.first, answer.second);
 }
 
+Store::Answer Store::OnList(const std::string& kind, const std::string& after) {
+  this->on_page(after);
+  this->pages[kind].push_back(after);
+  if (!after.empty() && this->refuses_further_pages) {
+    return {429, json::object()};
+  }
+  return {200, this->List(kind, after)};
+}
+
 Store::Answer Store::OnRead(const std::string& kind,
                             const std::string& name) const {
   const auto found = this->objects.find({kind, name});
--- a/tests/platform/store.h
+++ b/tests/platform/store.h
@@ -1,6 +1,7 @@
 #ifndef CARAWAYVALVE_TESTS_PLATFORM_STORE_H_
 #define CARAWAYVALVE_TESTS_PLATFORM_STORE_H_
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -37,6 +38,13 @@
   bool down = false;
   // Number of upcoming writes to apply without answering.
   int lost_writes = 0;
+  // Answers requests for further pages of a list with 429.
+  bool refuses_further_pages = false;
+  // Called before each page of a list, with the name that it begins after.
+  std::function<void(const std::string& after)> on_page =
+      [](const std::string&) {};
+  // The names after which the pages of lists began, by kind.
+  std::map<std::string, std::vector<std::string>> pages;
   // Number of watch requests received, by kind.
   std::map<std::string, int> watches;
 
@@ -57,6 +65,7 @@
 
   void OnCall(const std::shared_ptr<net::Exchange>& exchange);
   Answer OnRead(const std::string& kind, const std::string& name) const;
+  Answer OnList(const std::string& kind, const std::string& after);
   Answer OnWrite(const net::Request& request,
                  const std::string& kind,
                  std::string name);
