--- /dev/null
+++ b/core/include/carawayvalve/core/change_log.h
@@ -0,0 +1,63 @@
+#ifndef CARAWAYVALVE_CORE_CHANGE_LOG_H_
+#define CARAWAYVALVE_CORE_CHANGE_LOG_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace carawayvalve::core {
+
+// A change of an object in the platform's store.
+struct ObjectChangeRecord {
+  std::string name;
+  // The object's revision; of a removed one it may be that of an earlier
+  // change.
+  int64_t revision = 0;
+  bool removed = false;
+  // The object's value as JSON.
+  std::string value;
+
+  bool operator==(const ObjectChangeRecord&) const = default;
+};
+
+// All changes after some revision of the store, in order.
+struct ObjectChangeRange {
+  // The revision up to which these are all changes.
+  int64_t revision = 0;
+  std::vector<ObjectChangeRecord> changes;
+
+  bool operator==(const ObjectChangeRange&) const = default;
+};
+
+// The latest changes of one kind of objects, for peers that lack them: what one
+// process has received from the store needn't be fetched from there again.
+class ChangeLog {
+ public:
+  explicit ChangeLog(size_t max_changes = 256) : max_changes(max_changes) {}
+
+  // Forgets all changes, as a complete list of the objects was received, which
+  // includes all changes up to `revision`.
+  void Restart(int64_t revision);
+  // Adds all changes from the end of the log to `range.revision`.
+  void Append(const ObjectChangeRange& range);
+
+  // Returns all changes after `revision`, or nothing if the log begins later or
+  // hasn't got that far. Changes before `revision` may come first: they are
+  // kept in the ranges in which they were received.
+  std::optional<ObjectChangeRange> Since(int64_t revision) const;
+
+ private:
+  size_t max_changes;
+  // The log holds all changes after the one and up to the other revision.
+  std::optional<int64_t> begin;
+  int64_t end = 0;
+  std::deque<ObjectChangeRange> ranges;
+  size_t change_count = 0;
+};
+
+}  // namespace carawayvalve::core
+
+#endif  // CARAWAYVALVE_CORE_CHANGE_LOG_H_
--- /dev/null
+++ b/core/src/change_log.cc
@@ -0,0 +1,45 @@
+#include "carawayvalve/core/change_log.h"
+
+#include <algorithm>
+
+namespace carawayvalve::core {
+
+void ChangeLog::Restart(int64_t revision) {
+  this->ranges.clear();
+  this->change_count = 0;
+  this->begin = revision;
+  this->end = revision;
+}
+
+void ChangeLog::Append(const ObjectChangeRange& range) {
+  if (!this->begin.has_value()) {
+    return;
+  }
+  this->end = std::max(this->end, range.revision);
+  if (!range.changes.empty()) {
+    this->ranges.push_back({this->end, range.changes});
+    this->change_count += range.changes.size();
+  }
+  while (this->change_count > this->max_changes) {
+    this->begin = this->ranges.front().revision;
+    this->change_count -= this->ranges.front().changes.size();
+    this->ranges.pop_front();
+  }
+}
+
+std::optional<ObjectChangeRange> ChangeLog::Since(int64_t revision) const {
+  if (!this->begin.has_value() || revision < *this->begin ||
+      revision > this->end) {
+    return std::nullopt;
+  }
+  ObjectChangeRange found{this->end, {}};
+  for (const ObjectChangeRange& range : this->ranges) {
+    if (range.revision > revision) {
+      found.changes.insert(found.changes.end(), range.changes.begin(),
+                           range.changes.end());
+    }
+  }
+  return found;
+}
+
+}  // namespace carawayvalve::core
--- /dev/null
+++ b/core/tests/change_log_test.cc
@@ -0,0 +1,86 @@
+#include "carawayvalve/core/change_log.h"
+
+#include <doctest/doctest.h>
+
+#include <rapidcheck.h>
+#include <map>
+
+namespace carawayvalve::core {
+
+TEST_CASE("ChangeLog") {
+  ChangeLog log(2);
+  CHECK(!log.Since(0).has_value());
+  log.Append({4, {{"early", 4, false, "{}"}}});
+  CHECK(!log.Since(0).has_value());
+
+  SUBCASE("begins at a list of all objects") {
+    log.Restart(10);
+    CHECK(log.Since(10) == ObjectChangeRange{10, {}});
+    CHECK(!log.Since(9).has_value());
+
+    SUBCASE("and returns the changes that followed, in order") {
+      const ObjectChangeRecord first{"one", 12, false, "{}"};
+      const ObjectChangeRecord second{"two", 13, true, "{}"};
+      log.Append({15, {first, second}});
+      CHECK(log.Since(10) == ObjectChangeRange{15, {first, second}});
+      CHECK(log.Since(15) == ObjectChangeRange{15, {}});
+
+      SUBCASE("but nothing to one that is further on") {
+        CHECK(!log.Since(16).has_value());
+      }
+      SUBCASE("nor to one that lacks changes which it dropped") {
+        log.Append({16, {{"three", 16, false, "{}"}}});
+        CHECK(!log.Since(14).has_value());
+        CHECK(log.Since(15)->changes.size() == 1);
+      }
+      SUBCASE("a removal whose revision is an earlier one isn't left out") {
+        log.Append({18, {{"one", 12, true, "{}"}}});
+        CHECK(log.Since(15)->changes.size() == 1);
+      }
+      SUBCASE("and begins anew at the next list") {
+        log.Restart(20);
+        CHECK(!log.Since(15).has_value());
+        CHECK(log.Since(20) == ObjectChangeRange{20, {}});
+      }
+    }
+  }
+}
+
+// A process that follows another one's log by any steps has the same objects,
+// or is told that it can't.
+TEST_CASE("ChangeLog gives followers every change") {
+  CHECK(rc::check([] {
+    ChangeLog log(*rc::gen::inRange<size_t>(1, 8));
+    log.Restart(1);
+    std::map<std::string, int64_t> source;
+    std::map<std::string, int64_t> follower;
+    int64_t revision = 1;
+    int64_t followed = 1;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
+    for (const int step : steps) {
+      if (step < 5) {
+        const std::string name(1, static_cast<char>('a' + step % 3));
+        const int64_t changed = ++revision;
+        // A change of another kind of objects follows.
+        revision += step % 2;
+        log.Append({revision, {{name, changed, step == 4, "{}"}}});
+        source[name] = step == 4 ? 0 : changed;
+        continue;
+      }
+      const auto range = log.Since(followed);
+      if (!range.has_value()) {
+        follower = source;
+        followed = revision;
+        continue;
+      }
+      for (const ObjectChangeRecord& change : range->changes) {
+        follower[change.name] = change.removed ? 0 : change.revision;
+      }
+      followed = range->revision;
+      RC_ASSERT(follower == source);
+    }
+  }));
+}
+
+}  // namespace carawayvalve::core
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -55,6 +55,11 @@
           .Name("carawayvalve_store_calls_total")
           .Help("Calls to the store by how they ended")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& registry_fetches =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_registry_fetches_total")
+          .Help("Changes of backend servers asked of a peer, by how it ended")
+          .Register(registry);
   prometheus::Family<prometheus::Gauge>& platform_calls =
       prometheus::BuildGauge()
           .Name("carawayvalve_platform_calls")
@@ -129,6 +134,10 @@
   this->families->store_calls.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::CountRegistryFetch(const std::string& outcome) {
+  this->families->registry_fetches.Add({{"outcome", outcome}}).Increment();
+}
+
 void GatewayMetrics::SetPlatformCalls(const std::string& call,
                                       const std::string& outcome,
                                       int64_t count) {
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -32,6 +32,9 @@
   // Counts a retry that was "charged" to the retry budget, or "denied".
   void CountRetry(const std::string& outcome);
   void CountStoreCall(const std::string& outcome);
+  // Counts a request for changes of backend servers that was sent to a peer,
+  // which "answered" or "failed" to.
+  void CountRegistryFetch(const std::string& outcome);
   // Sets the number of calls to the platform so far that were made for the same
   // purpose, such as the watch of a kind of objects, and ended the same way.
   void SetPlatformCalls(const std::string& call,
--- a/gateway/src/host_registry.cc
+++ b/gateway/src/host_registry.cc
@@ -16,6 +16,9 @@
 const base::Duration kListInterval =
     core::RetryBudgetMembers::Settings().list_interval;
 constexpr base::Milliseconds kRetryInterval(700);
+// A gateway lists its peers once it has registered, or after this time if the
+// store doesn't answer that.
+constexpr base::Milliseconds kFirstListDelay(300);
 
 }  // namespace
 
@@ -30,7 +33,7 @@
 
 void HostRegistry::Start() {
   this->Register();
-  this->List("");
+  this->list_timer.Start(kFirstListDelay, [this] { this->List(""); });
 }
 
 void HostRegistry::Register() {
@@ -76,6 +79,7 @@
 }
 
 void HostRegistry::List(const std::string& after) {
+  this->list_timer.Cancel();
   if (after.empty()) {
     this->listed.clear();
   }
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -95,6 +95,7 @@
       rate_limit_gossip(context),
       origin_gossip(context),
       usage_gossip(context),
+      registry_relay(context, feed),
       round_timer(context.loop),
       update_timer(context.loop) {}
 
@@ -190,6 +191,7 @@
                             : -1;
   gossip.leaving = this->leaving;
   gossip.registry_revision = this->feed.registry_revision();
+  this->registry_relay.AddTo(gossip);
   if (state.reports_usage) {
     gossip.__set_reports_usage(true);
   }
@@ -238,6 +240,7 @@
 void PeerGossip::RunRound() {
   this->round_timer.Start(this->RoundInterval(), [this] { this->RunRound(); });
   this->LogSlackDivisor();
+  this->feed.RenewFreshness(base::Now());
   std::erase_if(
       this->context.state.changing_roles,
       [now = base::Now()](const auto& change) { return change.second <= now; });
@@ -415,7 +418,7 @@
   this->AnswerOrigins(*gossip, sender);
   this->usage_gossip.Apply(*gossip);
   this->ApplyFreshness(*gossip, peer);
-  this->feed.NoteRegistryRevision(gossip->registry_revision);
+  this->registry_relay.Apply(*gossip, sender);
 }
 
 void PeerGossip::ApplyLoads(const Gossip& gossip, base::Instant now) {
@@ -471,9 +474,10 @@
   }
   if (gossip.plan_version == own_version && own_version > 0 &&
       gossip.echo > 0 && gossip.proof_age_ms >= 0) {
-    state.key_freshness.NotePeerAnswer(
-        base::Instant(base::Milliseconds(gossip.echo)),
-        base::Milliseconds(gossip.proof_age_ms));
+    const base::Instant sent_at(base::Milliseconds(gossip.echo));
+    const base::Milliseconds age(gossip.proof_age_ms);
+    state.key_freshness.NotePeerAnswer(sent_at, age);
+    this->feed.NoteConfigurationConfirmed(sent_at - age);
   }
 }
 
@@ -506,6 +510,12 @@
 }
 
 void PeerGossip::OnCall(const std::shared_ptr<net::Exchange>& exchange) {
+  if (const auto changes =
+          this->registry_relay.Answer(exchange->request().target)) {
+    exchange->Respond(
+        {{kOk, {{"Content-Type", "application/json"}}}, *changes});
+    return;
+  }
   const auto& plan = this->feed.plan_value();
   if (exchange->request().target != "/plan" || plan == nullptr) {
     exchange->Respond({{404, {}}, ""});
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -16,6 +16,7 @@
 #include "host_registry.h"
 #include "origin_gossip.h"
 #include "rate_limit_gossip.h"
+#include "registry_relay.h"
 #include "store_feed.h"
 #include "usage_gossip.h"
 
@@ -104,6 +105,7 @@
   RateLimitGossip rate_limit_gossip;
   OriginGossip origin_gossip;
   UsageGossip usage_gossip;
+  RegistryRelay registry_relay;
   bool new_peer_seen = false;
   core::FleetLoad::Loads sent_loads;
   base::Instant loads_sent_at;
--- /dev/null
+++ b/gateway/src/registry_relay.cc
@@ -0,0 +1,155 @@
+#include "registry_relay.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace carawayvalve::gateway {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr char kPath[] = "/registry?after=";
+constexpr int kOk = 200;
+constexpr std::chrono::seconds kKeepAlive(10);
+// After a failed fetch there is no other one for this time: the peer may not
+// have known the changes any more.
+constexpr base::Milliseconds kFailedFetchDelay(500);
+// A peer that hasn't answered within this time is taken for lost.
+constexpr base::Milliseconds kFetchTimeout(250);
+
+json Encode(const core::ObjectChangeRange& range) {
+  json changes = json::array();
+  for (const core::ObjectChangeRecord& change : range.changes) {
+    changes.push_back({{"name", change.name},
+                       {"revision", change.revision},
+                       {"removed", change.removed},
+                       {"value", change.value}});
+  }
+  return {{"revision", range.revision}, {"changes", changes}};
+}
+
+// Throws nlohmann::json::exception when the body isn't such an answer.
+platform::ObjectChanges Decode(const std::string& body) {
+  const json document = json::parse(body);
+  platform::ObjectChanges changes;
+  changes.revision = document.at("revision").get<int64_t>();
+  for (const json& change : document.at("changes")) {
+    platform::StoredObject object;
+    object.name = change.at("name").get<std::string>();
+    object.revision = change.at("revision").get<int64_t>();
+    object.value = std::make_shared<const json>(
+        json::parse(change.at("value").get<std::string>()));
+    changes.changes.push_back(
+        {std::move(object), change.at("removed").get<bool>()});
+  }
+  return changes;
+}
+
+}  // namespace
+
+RegistryRelay::RegistryRelay(Context& context, StoreFeed& feed)
+    : context(context),
+      feed(feed),
+      client(context.loop, kKeepAlive),
+      timeout(context.loop) {}
+
+void RegistryRelay::AddTo(wire::gen::Gossip& gossip) const {
+  const auto confirmed = this->feed.registry().confirmed();
+  if (!confirmed.has_value()) {
+    return;
+  }
+  wire::gen::GossipRegistryProof proof;
+  proof.age_ms = static_cast<int32_t>(std::min<int64_t>(
+      base::ToMilliseconds(base::Now() - *confirmed) + 1, INT32_MAX));
+  proof.revision = this->feed.registry().proof_revision();
+  gossip.__set_registry_proof(proof);
+}
+
+void RegistryRelay::Apply(const wire::gen::Gossip& gossip,
+                          const base::Address& address) {
+  this->feed.NoteRegistryRevision(gossip.registry_revision);
+  const ObjectWatcher& registry = this->feed.registry();
+  int64_t known_there = gossip.registry_revision;
+  if (gossip.__isset.registry_proof) {
+    const wire::gen::GossipRegistryProof& proof = gossip.registry_proof;
+    known_there = std::max(known_there, proof.revision);
+    if (gossip.echo > 0 && proof.age_ms >= 0 &&
+        registry.received_revision() >= proof.revision) {
+      // Only this process's clock counts, so that a delay in transit makes no
+      // confirmation look newer.
+      this->feed.NoteRegistryConfirmed(
+          base::Instant(base::Milliseconds(gossip.echo)) -
+          base::Milliseconds(proof.age_ms));
+    }
+  }
+  if (this->call == nullptr && registry.IsIdle() &&
+      known_there > registry.received_revision() &&
+      base::Now() >= this->next_fetch) {
+    this->Fetch(address);
+  }
+}
+
+std::optional<std::string> RegistryRelay::Answer(
+    const std::string& target) const {
+  if (!target.starts_with(kPath)) {
+    return std::nullopt;
+  }
+  const std::string number = target.substr(sizeof(kPath) - 1);
+  int64_t revision = 0;
+  const auto [end, error] =
+      std::from_chars(number.data(), number.data() + number.size(), revision);
+  if (error != std::errc() || end != number.data() + number.size()) {
+    return std::nullopt;
+  }
+  const auto range = this->feed.registry().log().Since(revision);
+  return range.has_value() ? std::optional(Encode(*range).dump())
+                           : std::nullopt;
+}
+
+void RegistryRelay::Fetch(const base::Address& address) {
+  this->status = 0;
+  this->body.clear();
+  const std::string target =
+      kPath + std::to_string(this->feed.registry().received_revision());
+  this->next_fetch = base::Now() + kFailedFetchDelay;
+  this->timeout.Start(kFetchTimeout, [this] { this->call.reset(); });
+  this->call = this->client.Start(
+      address, {"GET", target, {}, {}}, {},
+      [this](const net::CallEvent& event) { this->OnCall(event); });
+}
+
+void RegistryRelay::OnCall(const net::CallEvent& event) {
+  if (const auto* head = std::get_if<net::CallHead>(&event)) {
+    this->status = head->head.status;
+    return;
+  }
+  if (const auto* part = std::get_if<net::CallBody>(&event)) {
+    this->body += part->data;
+    return;
+  }
+  const bool done = std::holds_alternative<net::CallDone>(event);
+  if (!done && !std::holds_alternative<net::CallFailed>(event)) {
+    return;
+  }
+  this->timeout.Cancel();
+  this->call.reset();
+  this->context.metrics.CountRegistryFetch(
+      done && this->status == kOk ? "answered" : "failed");
+  if (!done || this->status != kOk) {
+    return;
+  }
+  this->next_fetch = {};
+  try {
+    this->feed.ApplyPeerChanges(Decode(this->body));
+  } catch (const json::exception& error) {
+    this->context.journal.Write(base::LogLevel::kWarning,
+                                "registry_changes_unreadable",
+                                {{"reason", error.what()}});
+  }
+}
+
+}  // namespace carawayvalve::gateway
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -1,6 +1,7 @@
 #include "store_feed.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "carawayvalve/base/error.h"
@@ -25,6 +26,9 @@
 constexpr double kRenewAgeFraction = 0.6;
 // A watch older than this is sent again when a peer knows a newer revision.
 constexpr base::Milliseconds kMinWatchAge(700);
+// Changes that peers know and haven't passed on for this long are fetched from
+// the store.
+constexpr base::Milliseconds kMaxLack(300);
 
 }  // namespace
 
@@ -37,10 +41,11 @@
       kind(std::move(kind)),
       hooks(std::move(hooks)),
       timer(context.loop),
-      wait(context.state.settings.store.watch_wait) {}
+      schedule{context.state.settings.store.watch_wait, std::nullopt} {}
 
 void ObjectWatcher::List(const std::string& after) {
   const base::Instant sent_at = base::Now();
+  this->activity = Activity::kBusy;
   if (after.empty()) {
     this->listed.clear();
     this->list_sent_at = sent_at;
@@ -78,26 +83,62 @@
     return;
   }
   this->revision = this->list_revision;
+  this->hidden_revision = this->revision;
   this->listed_revisions.clear();
   for (const platform::StoredObject& object : this->listed) {
     this->newest_revision = std::max(this->newest_revision, object.revision);
     this->listed_revisions[object.name] = object.revision;
   }
+  this->change_log.Restart(this->revision);
+  this->NoteConfirmed(sent_at);
   this->hooks.on_list(std::exchange(this->listed, {}), sent_at);
-  this->Watch(this->wait);
+  this->Follow();
+}
+
+void ObjectWatcher::Follow() {
+  if (this->schedule.wait.has_value()) {
+    this->Watch(*this->schedule.wait);
+  } else {
+    this->activity = Activity::kIdle;
+  }
+}
+
+void ObjectWatcher::Renew(base::Instant now) {
+  if (this->activity == Activity::kIdle && this->schedule.wait.has_value()) {
+    this->Follow();
+    return;
+  }
+  const auto& limit = this->schedule.renew_age;
+  const bool old = limit.has_value() && this->confirmed_at.has_value() &&
+                   now - *this->confirmed_at > *limit;
+  const bool lacks =
+      this->lacking_since.has_value() && now - *this->lacking_since > kMaxLack;
+  const bool replaces = this->activity == Activity::kWatching &&
+                        now - *this->watch_sent_at > kMinWatchAge;
+  if ((this->activity == Activity::kIdle && (old || lacks)) ||
+      (replaces && old)) {
+    this->Watch(base::Milliseconds(0));
+  }
 }
 
 void ObjectWatcher::NoteRevision(int64_t peer_revision) {
   this->peers_revision = std::max(this->peers_revision, peer_revision);
-  if (peer_revision > this->revision && this->watch_sent_at.has_value() &&
-      base::Now() - *this->watch_sent_at > kMinWatchAge) {
-    this->Watch(this->wait);
+  if (this->peers_revision <= this->revision) {
+    this->lacking_since.reset();
+    return;
+  }
+  const base::Instant now = base::Now();
+  this->lacking_since = this->lacking_since.value_or(now);
+  if (this->activity == Activity::kWatching &&
+      now - *this->watch_sent_at > kMinWatchAge) {
+    this->Follow();
   }
 }
 
 void ObjectWatcher::PollNow() {
-  if (this->watch_sent_at.has_value() &&
-      base::Now() - *this->watch_sent_at > kMinPollInterval) {
+  const bool replaces = this->activity == Activity::kWatching &&
+                        base::Now() - *this->watch_sent_at > kMinPollInterval;
+  if (replaces || this->activity == Activity::kIdle) {
     this->Watch(base::Milliseconds(0));
   }
 }
@@ -105,6 +146,8 @@
 void ObjectWatcher::Watch(base::Milliseconds watch_wait) {
   const base::Instant sent_at = base::Now();
   this->watch_sent_at = sent_at;
+  this->activity =
+      watch_wait.count() > 0 ? Activity::kWatching : Activity::kBusy;
   this->call =
       this->objects.Watch(this->kind, this->revision, watch_wait,
                           [this, sent_at](const platform::WatchResult& result) {
@@ -115,20 +158,23 @@
 void ObjectWatcher::OnWatched(const platform::WatchResult& result,
                               base::Instant sent_at) {
   this->watch_sent_at.reset();
+  this->activity = Activity::kBusy;
   if (const auto* answer = std::get_if<platform::ObjectChanges>(&result)) {
     this->NoteSuccess();
-    this->revision = std::max(this->revision, answer->revision);
-    std::vector<platform::ObjectChange> changes = answer->changes;
-    this->DropListedChanges(changes);
-    for (const platform::ObjectChange& change : changes) {
-      this->newest_revision =
-          std::max(this->newest_revision, change.object.revision);
+    // A peer may have passed on later changes meanwhile.
+    if (answer->revision == 0 || answer->revision >= this->revision) {
+      this->ApplyChanges(*answer, sent_at);
+    }
+    this->NoteConfirmed(sent_at);
+    // Peers without a watch of their own rely on it.
+    if (this->schedule.renew_age.has_value()) {
+      this->context.on_urgent_news();
     }
-    this->hooks.on_changes(changes, sent_at);
-    if (changes.empty() || this->batch_delay.count() == 0) {
-      this->Watch(this->wait);
+    if (answer->changes.empty() || this->batch_delay.count() == 0 ||
+        !this->schedule.wait.has_value()) {
+      this->Follow();
     } else {
-      this->timer.Start(this->batch_delay, [this] { this->Watch(this->wait); });
+      this->timer.Start(this->batch_delay, [this] { this->Follow(); });
     }
     return;
   }
@@ -143,7 +189,41 @@
   this->RetryLater(refused != nullptr
                        ? "status " + std::to_string(refused->status)
                        : std::get<platform::StoreCallFailed>(result).reason,
-                   [this] { this->Watch(this->wait); });
+                   [this] { this->Follow(); });
+}
+
+void ObjectWatcher::ApplyPeerChanges(const platform::ObjectChanges& received) {
+  if (received.revision > this->revision) {
+    this->ApplyChanges(received, base::Now());
+  }
+}
+
+void ObjectWatcher::ApplyChanges(const platform::ObjectChanges& received,
+                                 base::Instant sent_at) {
+  this->revision = std::max(this->revision, received.revision);
+  if (this->peers_revision <= this->revision) {
+    this->lacking_since.reset();
+  }
+  if (this->keeps_log) {
+    core::ObjectChangeRange range{this->revision, {}};
+    for (const platform::ObjectChange& change : received.changes) {
+      range.changes.push_back({change.object.name, change.object.revision,
+                               change.removed, change.object.value->dump()});
+    }
+    this->change_log.Append(range);
+  }
+  std::vector<platform::ObjectChange> changes = received.changes;
+  for (const platform::ObjectChange& change : changes) {
+    if (change.removed) {
+      this->hidden_revision = this->revision;
+    }
+  }
+  this->DropListedChanges(changes);
+  for (const platform::ObjectChange& change : changes) {
+    this->newest_revision =
+        std::max(this->newest_revision, change.object.revision);
+  }
+  this->hooks.on_changes(changes, sent_at);
 }
 
 void ObjectWatcher::DropListedChanges(
@@ -170,6 +250,8 @@
   this->hooks.on_failure(reason);
   const int64_t doublings = std::min(this->failures, kMaxDoublings);
   ++this->failures;
+  this->failed_at = base::Now();
+  this->activity = Activity::kBusy;
   std::uniform_real_distribution<double> jitter(0.5, 1.0);
   const base::Duration wait = std::chrono::duration_cast<base::Duration>(
       std::min<base::Milliseconds>(kFirstRetryDelay * (int64_t{1} << doublings),
@@ -239,6 +321,7 @@
 
 void StoreFeed::Start() {
   this->backends.SetBatchDelay(kBatchDelay);
+  this->backends.KeepLog();
   this->configuration.Start();
   this->backends.Start();
 }
@@ -250,6 +333,15 @@
       *age > state.settings.bounds.key_withdrawal * kRenewAgeFraction) {
     this->configuration.PollNow();
   }
+  this->configuration.Renew(now);
+  this->backends.Renew(now);
+}
+
+void StoreFeed::NoteRegistryConfirmed(base::Instant at) {
+  if (!this->backends.IsBehind()) {
+    this->backends.NoteConfirmed(at);
+    this->UpdateCurrent();
+  }
 }
 
 void StoreFeed::ApplyConfiguration(const platform::StoredObject& object) {
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -1,6 +1,7 @@
 #ifndef CARAWAYVALVE_GATEWAY_SRC_STORE_FEED_H_
 #define CARAWAYVALVE_GATEWAY_SRC_STORE_FEED_H_
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -8,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "carawayvalve/core/change_log.h"
 #include "carawayvalve/core/watch_plan.h"
 #include "carawayvalve/platform/objects.h"
 #include "context.h"
@@ -41,11 +43,38 @@
 
   void Start() { this->List(""); }
 
-  // Sets how long watches wait for changes, from the next watch on.
-  void SetWait(base::Milliseconds watch_wait) { this->wait = watch_wait; }
-  // Replaces the pending watch by one that is answered at once, unless it was
-  // sent less than a second ago.
+  // Sets how the objects are followed, from the next call on.
+  void SetSchedule(const core::WatchSchedule& changed) {
+    this->schedule = changed;
+  }
+  // Asks the store if the schedule calls for it, or if peers know changes that
+  // they haven't passed on. Must be called several times a second.
+  void Renew(base::Instant now);
+  // Asks the store for changes with an answer at once. Replaces the pending
+  // watch unless it was sent less than a second ago.
   void PollNow();
+  // Keeps the changes for peers.
+  void KeepLog() { this->keeps_log = true; }
+  const core::ChangeLog& log() const { return this->change_log; }
+  // Applies changes that a peer returned for the revision known here then.
+  void ApplyPeerChanges(const platform::ObjectChanges& received);
+  // Records that a peer which has no changes that are missing here had all
+  // changes at this instant.
+  void NoteConfirmed(base::Instant at) {
+    this->confirmed_at = std::max(this->confirmed_at.value_or(at), at);
+  }
+  // Returns since when changes may be missing, nothing before the first list.
+  std::optional<base::Instant> confirmed() const { return this->confirmed_at; }
+  // Returns the revision up to which changes were received.
+  int64_t received_revision() const { return this->revision; }
+  // Returns a revision: who has received all changes up to it has all that were
+  // received here. A list or a removal may show no newer object.
+  int64_t proof_revision() const {
+    return std::max(this->newest_revision, this->hidden_revision);
+  }
+  bool IsIdle() const { return this->activity == Activity::kIdle; }
+  // Returns whether peers know changes that are missing here.
+  bool IsBehind() const { return this->peers_revision > this->revision; }
   // Sets the delay after changes before the next watch: many backend servers
   // change at about the same time, and each watch is a call.
   void SetBatchDelay(base::Milliseconds time) { this->batch_delay = time; }
@@ -57,15 +86,23 @@
   // The store's own revision also rises with changes to other kinds.
   int64_t newest_change() const { return this->newest_revision; }
   // Returns whether all changes that this process or a peer knows of have been
-  // received and the last call was answered.
+  // received, and the store has answered this process or a peer since the last
+  // failure.
   bool IsCurrent() const {
-    return this->failures == 0 && this->peers_revision <= this->revision;
+    const bool answered =
+        this->failures == 0 ||
+        this->confirmed_at.value_or(this->failed_at) > this->failed_at;
+    return answered && this->peers_revision <= this->revision;
   }
 
  private:
   void List(const std::string& after);
   void OnListed(const platform::ListResult& result, base::Instant sent_at);
+  // Goes on after an answer: with a watch, or idle.
+  void Follow();
   void Watch(base::Milliseconds watch_wait);
+  void ApplyChanges(const platform::ObjectChanges& received,
+                    base::Instant sent_at);
   void OnWatched(const platform::WatchResult& result, base::Instant sent_at);
   // Calls `retry` after a backoff that grows with consecutive failures.
   void RetryLater(const std::string& reason, std::function<void()> retry);
@@ -88,14 +125,26 @@
   // The revisions of the listed objects, until the first watch after the list
   // was answered: it returns changes that later pages include.
   std::map<std::string, int64_t> listed_revisions;
-  base::Milliseconds wait;
+  // A list, a call that is answered at once or a delay is under way; a watch is
+  // pending; or neither.
+  enum class Activity { kBusy, kWatching, kIdle };
+  Activity activity = Activity::kBusy;
+  core::WatchSchedule schedule;
   base::Milliseconds batch_delay{0};
+  bool keeps_log = false;
+  core::ChangeLog change_log;
   // The revision of the store up to which changes were received.
   int64_t revision = 0;
   int64_t newest_revision = 0;
+  // The store's revision at the last list or removal.
+  int64_t hidden_revision = 0;
   // The newest change that peers have received.
   int64_t peers_revision = 0;
+  // Since when changes that peers know have been missing; empty if none are.
+  std::optional<base::Instant> lacking_since;
+  std::optional<base::Instant> confirmed_at;
   int64_t failures = 0;
+  base::Instant failed_at;
   // When the pending watch was sent; empty while none is pending.
   std::optional<base::Instant> watch_sent_at;
 };
@@ -116,12 +165,26 @@
     return this->plan;
   }
   void SetWatchWaits(const core::WatchWaits& waits) {
-    this->configuration.SetWait(waits.configuration);
-    this->backends.SetWait(waits.backends);
+    this->configuration.SetSchedule(waits.configuration);
+    this->backends.SetSchedule(waits.backends);
   }
-  // Polls the store to confirm that the configuration is current, if neither
-  // the store nor a peer has confirmed it for some time.
+  // Polls the store to confirm that the configuration and the list of backend
+  // servers are current, if neither the store nor a peer has confirmed it for
+  // some time. Must be called several times a second.
   void RenewFreshness(base::Instant now);
+  // Records that a peer's configuration, of the version known here, was current
+  // at this instant.
+  void NoteConfigurationConfirmed(base::Instant at) {
+    this->configuration.NoteConfirmed(at);
+  }
+  const ObjectWatcher& registry() const { return this->backends; }
+  // Applies changes of backend servers that a peer returned.
+  void ApplyPeerChanges(const platform::ObjectChanges& received) {
+    this->backends.ApplyPeerChanges(received);
+  }
+  // Records that a peer had all changes of backend servers at this instant; no
+  // effect while changes that peers know are missing here.
+  void NoteRegistryConfirmed(base::Instant at);
   // Returns the revision of the newest received change of backend servers.
   int64_t registry_revision() const { return this->backends.newest_change(); }
   // Records the corresponding revision of a peer.
--- a/gateway/tests/store_feed_test.cc
+++ b/gateway/tests/store_feed_test.cc
@@ -44,7 +44,8 @@
   StoreFeed feed(gateway.context, objects);
 
   SUBCASE("renews watches no more often than planned") {
-    feed.SetWatchWaits({Milliseconds(50), seconds(60)});
+    feed.SetWatchWaits(
+        {{Milliseconds(50), std::nullopt}, {seconds(60), std::nullopt}});
     feed.Start();
     gateway.RunFor(seconds(1));
     CHECK(store.watches["servers"] == 1);
@@ -66,7 +67,8 @@
   }
   SUBCASE("changes of other kinds do not advance the registry revision") {
     store.Put("servers", "i-1", DeskServer());
-    feed.SetWatchWaits({seconds(60), seconds(60)});
+    feed.SetWatchWaits(
+        {{seconds(60), std::nullopt}, {seconds(60), std::nullopt}});
     feed.Start();
     gateway.RunFor(Milliseconds(300));
     store.Put("leases", "duties", {{"holder", "other"}});
@@ -130,7 +132,8 @@
     }
   }
   SUBCASE("polls the store when its confirmation is old") {
-    feed.SetWatchWaits({seconds(60), seconds(60)});
+    feed.SetWatchWaits(
+        {{seconds(60), std::nullopt}, {seconds(60), std::nullopt}});
     feed.Start();
     gateway.RunFor(Milliseconds(1500));
     const base::Instant now = base::Now();
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -1650,6 +1650,130 @@
 }
 
 
+GossipRegistryProof::~GossipRegistryProof() noexcept {
+}
+
+
+void GossipRegistryProof::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void GossipRegistryProof::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipRegistryProof& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipRegistryProof::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_age_ms = false;
+  bool isset_revision = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          isset_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_revision)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipRegistryProof::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipRegistryProof");
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipRegistryProof &a, GossipRegistryProof &b) {
+  using ::std::swap;
+  swap(a.age_ms, b.age_ms);
+  swap(a.revision, b.revision);
+}
+
+GossipRegistryProof::GossipRegistryProof(const GossipRegistryProof& other66) noexcept {
+  age_ms = other66.age_ms;
+  revision = other66.revision;
+}
+GossipRegistryProof::GossipRegistryProof(GossipRegistryProof&& other67) noexcept {
+  age_ms = other67.age_ms;
+  revision = other67.revision;
+}
+GossipRegistryProof& GossipRegistryProof::operator=(const GossipRegistryProof& other68) noexcept {
+  age_ms = other68.age_ms;
+  revision = other68.revision;
+  return *this;
+}
+GossipRegistryProof& GossipRegistryProof::operator=(GossipRegistryProof&& other69) noexcept {
+  age_ms = other69.age_ms;
+  revision = other69.revision;
+  return *this;
+}
+void GossipRegistryProof::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipRegistryProof(";
+  out << "age_ms=" << to_string(age_ms);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -1750,6 +1874,11 @@
   this->wanted_contents = val;
 __isset.wanted_contents = true;
 }
+
+void Gossip::__set_registry_proof(const GossipRegistryProof& val) {
+  this->registry_proof = val;
+__isset.registry_proof = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -1851,14 +1980,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->loads.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->loads.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->loads[_i70].read(iprot);
+              xfer += this->loads[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1871,14 +2000,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->prefixes.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->prefixes.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += this->prefixes[_i75].read(iprot);
+              xfer += this->prefixes[_i79].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1891,14 +2020,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->windows.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->windows.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->windows.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->windows[_i80].read(iprot);
+              xfer += this->windows[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1911,14 +2040,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->deaths.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->deaths.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->deaths[_i85].read(iprot);
+              xfer += this->deaths[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1947,14 +2076,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->absences.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->absences.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->absences.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->absences[_i90].read(iprot);
+              xfer += this->absences[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1967,14 +2096,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departures.clear();
-            uint32_t _size91;
-            ::apache::thrift::protocol::TType _etype94;
-            xfer += iprot->readListBegin(_etype94, _size91);
-            this->departures.resize(_size91);
-            uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95)
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->departures.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
             {
-              xfer += this->departures[_i95].read(iprot);
+              xfer += this->departures[_i99].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1987,14 +2116,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->served_parts.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->served_parts.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->served_parts.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->served_parts[_i100].read(iprot);
+              xfer += this->served_parts[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2015,14 +2144,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rate_limits.clear();
-            uint32_t _size101;
-            ::apache::thrift::protocol::TType _etype104;
-            xfer += iprot->readListBegin(_etype104, _size101);
-            this->rate_limits.resize(_size101);
-            uint32_t _i105;
-            for (_i105 = 0; _i105 < _size101; ++_i105)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->rate_limits.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += this->rate_limits[_i105].read(iprot);
+              xfer += this->rate_limits[_i109].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2035,14 +2164,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stream_origins.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->stream_origins.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->stream_origins.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->stream_origins[_i110].read(iprot);
+              xfer += this->stream_origins[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2055,14 +2184,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted_origins.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->wanted_origins.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->wanted_origins.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += iprot->readString(this->wanted_origins[_i115]);
+              xfer += iprot->readString(this->wanted_origins[_i119]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2075,14 +2204,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->poison_parts.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->poison_parts.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->poison_parts.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->poison_parts[_i120].read(iprot);
+              xfer += this->poison_parts[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2095,14 +2224,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted_contents.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->wanted_contents.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->wanted_contents.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += iprot->readString(this->wanted_contents[_i125]);
+              xfer += iprot->readString(this->wanted_contents[_i129]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2111,6 +2240,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->registry_proof.read(iprot);
+          this->__isset.registry_proof = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2185,10 +2322,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GossipLoad> ::const_iterator _iter126;
-    for (_iter126 = this->loads.begin(); _iter126 != this->loads.end(); ++_iter126)
+    std::vector<GossipLoad> ::const_iterator _iter130;
+    for (_iter130 = this->loads.begin(); _iter130 != this->loads.end(); ++_iter130)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter130).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2197,10 +2334,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<GossipPrefix> ::const_iterator _iter127;
-    for (_iter127 = this->prefixes.begin(); _iter127 != this->prefixes.end(); ++_iter127)
+    std::vector<GossipPrefix> ::const_iterator _iter131;
+    for (_iter131 = this->prefixes.begin(); _iter131 != this->prefixes.end(); ++_iter131)
     {
-      xfer += (*_iter127).write(oprot);
+      xfer += (*_iter131).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2209,10 +2346,10 @@
   xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->windows.size()));
-    std::vector<GossipWindow> ::const_iterator _iter128;
-    for (_iter128 = this->windows.begin(); _iter128 != this->windows.end(); ++_iter128)
+    std::vector<GossipWindow> ::const_iterator _iter132;
+    for (_iter132 = this->windows.begin(); _iter132 != this->windows.end(); ++_iter132)
     {
-      xfer += (*_iter128).write(oprot);
+      xfer += (*_iter132).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2221,10 +2358,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<GossipDeath> ::const_iterator _iter129;
-    for (_iter129 = this->deaths.begin(); _iter129 != this->deaths.end(); ++_iter129)
+    std::vector<GossipDeath> ::const_iterator _iter133;
+    for (_iter133 = this->deaths.begin(); _iter133 != this->deaths.end(); ++_iter133)
     {
-      xfer += (*_iter129).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2242,10 +2379,10 @@
     xfer += oprot->writeFieldBegin("absences", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->absences.size()));
-      std::vector<GossipAbsence> ::const_iterator _iter130;
-      for (_iter130 = this->absences.begin(); _iter130 != this->absences.end(); ++_iter130)
+      std::vector<GossipAbsence> ::const_iterator _iter134;
+      for (_iter134 = this->absences.begin(); _iter134 != this->absences.end(); ++_iter134)
       {
-        xfer += (*_iter130).write(oprot);
+        xfer += (*_iter134).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2255,10 +2392,10 @@
     xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
-      std::vector<GossipDeparture> ::const_iterator _iter131;
-      for (_iter131 = this->departures.begin(); _iter131 != this->departures.end(); ++_iter131)
+      std::vector<GossipDeparture> ::const_iterator _iter135;
+      for (_iter135 = this->departures.begin(); _iter135 != this->departures.end(); ++_iter135)
       {
-        xfer += (*_iter131).write(oprot);
+        xfer += (*_iter135).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2268,10 +2405,10 @@
     xfer += oprot->writeFieldBegin("served_parts", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->served_parts.size()));
-      std::vector<GossipServedPart> ::const_iterator _iter132;
-      for (_iter132 = this->served_parts.begin(); _iter132 != this->served_parts.end(); ++_iter132)
+      std::vector<GossipServedPart> ::const_iterator _iter136;
+      for (_iter136 = this->served_parts.begin(); _iter136 != this->served_parts.end(); ++_iter136)
       {
-        xfer += (*_iter132).write(oprot);
+        xfer += (*_iter136).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2286,10 +2423,10 @@
     xfer += oprot->writeFieldBegin("rate_limits", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rate_limits.size()));
-      std::vector<GossipRateLimit> ::const_iterator _iter133;
-      for (_iter133 = this->rate_limits.begin(); _iter133 != this->rate_limits.end(); ++_iter133)
+      std::vector<GossipRateLimit> ::const_iterator _iter137;
+      for (_iter137 = this->rate_limits.begin(); _iter137 != this->rate_limits.end(); ++_iter137)
       {
-        xfer += (*_iter133).write(oprot);
+        xfer += (*_iter137).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2299,10 +2436,10 @@
     xfer += oprot->writeFieldBegin("stream_origins", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stream_origins.size()));
-      std::vector<GossipStreamOrigin> ::const_iterator _iter134;
-      for (_iter134 = this->stream_origins.begin(); _iter134 != this->stream_origins.end(); ++_iter134)
+      std::vector<GossipStreamOrigin> ::const_iterator _iter138;
+      for (_iter138 = this->stream_origins.begin(); _iter138 != this->stream_origins.end(); ++_iter138)
       {
-        xfer += (*_iter134).write(oprot);
+        xfer += (*_iter138).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2312,10 +2449,10 @@
     xfer += oprot->writeFieldBegin("wanted_origins", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted_origins.size()));
-      std::vector<std::string> ::const_iterator _iter135;
-      for (_iter135 = this->wanted_origins.begin(); _iter135 != this->wanted_origins.end(); ++_iter135)
+      std::vector<std::string> ::const_iterator _iter139;
+      for (_iter139 = this->wanted_origins.begin(); _iter139 != this->wanted_origins.end(); ++_iter139)
       {
-        xfer += oprot->writeString((*_iter135));
+        xfer += oprot->writeString((*_iter139));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2325,10 +2462,10 @@
     xfer += oprot->writeFieldBegin("poison_parts", ::apache::thrift::protocol::T_LIST, 21);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->poison_parts.size()));
-      std::vector<GossipPoisonPart> ::const_iterator _iter136;
-      for (_iter136 = this->poison_parts.begin(); _iter136 != this->poison_parts.end(); ++_iter136)
+      std::vector<GossipPoisonPart> ::const_iterator _iter140;
+      for (_iter140 = this->poison_parts.begin(); _iter140 != this->poison_parts.end(); ++_iter140)
       {
-        xfer += (*_iter136).write(oprot);
+        xfer += (*_iter140).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2338,15 +2475,20 @@
     xfer += oprot->writeFieldBegin("wanted_contents", ::apache::thrift::protocol::T_LIST, 25);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted_contents.size()));
-      std::vector<std::string> ::const_iterator _iter137;
-      for (_iter137 = this->wanted_contents.begin(); _iter137 != this->wanted_contents.end(); ++_iter137)
+      std::vector<std::string> ::const_iterator _iter141;
+      for (_iter141 = this->wanted_contents.begin(); _iter141 != this->wanted_contents.end(); ++_iter141)
       {
-        xfer += oprot->writeString((*_iter137));
+        xfer += oprot->writeString((*_iter141));
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.registry_proof) {
+    xfer += oprot->writeFieldBegin("registry_proof", ::apache::thrift::protocol::T_STRUCT, 26);
+    xfer += this->registry_proof.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2376,109 +2518,114 @@
   swap(a.wanted_origins, b.wanted_origins);
   swap(a.poison_parts, b.poison_parts);
   swap(a.wanted_contents, b.wanted_contents);
+  swap(a.registry_proof, b.registry_proof);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other138) {
-  host = other138.host;
-  boot = other138.boot;
-  stamp = other138.stamp;
-  echo = other138.echo;
-  unix_ms = other138.unix_ms;
-  plan_version = other138.plan_version;
-  proof_age_ms = other138.proof_age_ms;
-  loads = other138.loads;
-  prefixes = other138.prefixes;
-  windows = other138.windows;
-  deaths = other138.deaths;
-  leaving = other138.leaving;
-  registry_revision = other138.registry_revision;
-  absences = other138.absences;
-  departures = other138.departures;
-  served_parts = other138.served_parts;
-  reports_usage = other138.reports_usage;
-  rate_limits = other138.rate_limits;
-  stream_origins = other138.stream_origins;
-  wanted_origins = other138.wanted_origins;
-  poison_parts = other138.poison_parts;
-  wanted_contents = other138.wanted_contents;
-  __isset = other138.__isset;
-}
-Gossip::Gossip(Gossip&& other139) noexcept {
-  host = std::move(other139.host);
-  boot = std::move(other139.boot);
-  stamp = other139.stamp;
-  echo = other139.echo;
-  unix_ms = other139.unix_ms;
-  plan_version = other139.plan_version;
-  proof_age_ms = other139.proof_age_ms;
-  loads = std::move(other139.loads);
-  prefixes = std::move(other139.prefixes);
-  windows = std::move(other139.windows);
-  deaths = std::move(other139.deaths);
-  leaving = other139.leaving;
-  registry_revision = other139.registry_revision;
-  absences = std::move(other139.absences);
-  departures = std::move(other139.departures);
-  served_parts = std::move(other139.served_parts);
-  reports_usage = other139.reports_usage;
-  rate_limits = std::move(other139.rate_limits);
-  stream_origins = std::move(other139.stream_origins);
-  wanted_origins = std::move(other139.wanted_origins);
-  poison_parts = std::move(other139.poison_parts);
-  wanted_contents = std::move(other139.wanted_contents);
-  __isset = other139.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other140) {
-  host = other140.host;
-  boot = other140.boot;
-  stamp = other140.stamp;
-  echo = other140.echo;
-  unix_ms = other140.unix_ms;
-  plan_version = other140.plan_version;
-  proof_age_ms = other140.proof_age_ms;
-  loads = other140.loads;
-  prefixes = other140.prefixes;
-  windows = other140.windows;
-  deaths = other140.deaths;
-  leaving = other140.leaving;
-  registry_revision = other140.registry_revision;
-  absences = other140.absences;
-  departures = other140.departures;
-  served_parts = other140.served_parts;
-  reports_usage = other140.reports_usage;
-  rate_limits = other140.rate_limits;
-  stream_origins = other140.stream_origins;
-  wanted_origins = other140.wanted_origins;
-  poison_parts = other140.poison_parts;
-  wanted_contents = other140.wanted_contents;
-  __isset = other140.__isset;
+Gossip::Gossip(const Gossip& other142) {
+  host = other142.host;
+  boot = other142.boot;
+  stamp = other142.stamp;
+  echo = other142.echo;
+  unix_ms = other142.unix_ms;
+  plan_version = other142.plan_version;
+  proof_age_ms = other142.proof_age_ms;
+  loads = other142.loads;
+  prefixes = other142.prefixes;
+  windows = other142.windows;
+  deaths = other142.deaths;
+  leaving = other142.leaving;
+  registry_revision = other142.registry_revision;
+  absences = other142.absences;
+  departures = other142.departures;
+  served_parts = other142.served_parts;
+  reports_usage = other142.reports_usage;
+  rate_limits = other142.rate_limits;
+  stream_origins = other142.stream_origins;
+  wanted_origins = other142.wanted_origins;
+  poison_parts = other142.poison_parts;
+  wanted_contents = other142.wanted_contents;
+  registry_proof = other142.registry_proof;
+  __isset = other142.__isset;
+}
+Gossip::Gossip(Gossip&& other143) noexcept {
+  host = std::move(other143.host);
+  boot = std::move(other143.boot);
+  stamp = other143.stamp;
+  echo = other143.echo;
+  unix_ms = other143.unix_ms;
+  plan_version = other143.plan_version;
+  proof_age_ms = other143.proof_age_ms;
+  loads = std::move(other143.loads);
+  prefixes = std::move(other143.prefixes);
+  windows = std::move(other143.windows);
+  deaths = std::move(other143.deaths);
+  leaving = other143.leaving;
+  registry_revision = other143.registry_revision;
+  absences = std::move(other143.absences);
+  departures = std::move(other143.departures);
+  served_parts = std::move(other143.served_parts);
+  reports_usage = other143.reports_usage;
+  rate_limits = std::move(other143.rate_limits);
+  stream_origins = std::move(other143.stream_origins);
+  wanted_origins = std::move(other143.wanted_origins);
+  poison_parts = std::move(other143.poison_parts);
+  wanted_contents = std::move(other143.wanted_contents);
+  registry_proof = std::move(other143.registry_proof);
+  __isset = other143.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other144) {
+  host = other144.host;
+  boot = other144.boot;
+  stamp = other144.stamp;
+  echo = other144.echo;
+  unix_ms = other144.unix_ms;
+  plan_version = other144.plan_version;
+  proof_age_ms = other144.proof_age_ms;
+  loads = other144.loads;
+  prefixes = other144.prefixes;
+  windows = other144.windows;
+  deaths = other144.deaths;
+  leaving = other144.leaving;
+  registry_revision = other144.registry_revision;
+  absences = other144.absences;
+  departures = other144.departures;
+  served_parts = other144.served_parts;
+  reports_usage = other144.reports_usage;
+  rate_limits = other144.rate_limits;
+  stream_origins = other144.stream_origins;
+  wanted_origins = other144.wanted_origins;
+  poison_parts = other144.poison_parts;
+  wanted_contents = other144.wanted_contents;
+  registry_proof = other144.registry_proof;
+  __isset = other144.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other141) noexcept {
-  host = std::move(other141.host);
-  boot = std::move(other141.boot);
-  stamp = other141.stamp;
-  echo = other141.echo;
-  unix_ms = other141.unix_ms;
-  plan_version = other141.plan_version;
-  proof_age_ms = other141.proof_age_ms;
-  loads = std::move(other141.loads);
-  prefixes = std::move(other141.prefixes);
-  windows = std::move(other141.windows);
-  deaths = std::move(other141.deaths);
-  leaving = other141.leaving;
-  registry_revision = other141.registry_revision;
-  absences = std::move(other141.absences);
-  departures = std::move(other141.departures);
-  served_parts = std::move(other141.served_parts);
-  reports_usage = other141.reports_usage;
-  rate_limits = std::move(other141.rate_limits);
-  stream_origins = std::move(other141.stream_origins);
-  wanted_origins = std::move(other141.wanted_origins);
-  poison_parts = std::move(other141.poison_parts);
-  wanted_contents = std::move(other141.wanted_contents);
-  __isset = other141.__isset;
+Gossip& Gossip::operator=(Gossip&& other145) noexcept {
+  host = std::move(other145.host);
+  boot = std::move(other145.boot);
+  stamp = other145.stamp;
+  echo = other145.echo;
+  unix_ms = other145.unix_ms;
+  plan_version = other145.plan_version;
+  proof_age_ms = other145.proof_age_ms;
+  loads = std::move(other145.loads);
+  prefixes = std::move(other145.prefixes);
+  windows = std::move(other145.windows);
+  deaths = std::move(other145.deaths);
+  leaving = other145.leaving;
+  registry_revision = other145.registry_revision;
+  absences = std::move(other145.absences);
+  departures = std::move(other145.departures);
+  served_parts = std::move(other145.served_parts);
+  reports_usage = other145.reports_usage;
+  rate_limits = std::move(other145.rate_limits);
+  stream_origins = std::move(other145.stream_origins);
+  wanted_origins = std::move(other145.wanted_origins);
+  poison_parts = std::move(other145.poison_parts);
+  wanted_contents = std::move(other145.wanted_contents);
+  registry_proof = std::move(other145.registry_proof);
+  __isset = other145.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -2506,6 +2653,7 @@
   out << ", " << "wanted_origins="; (__isset.wanted_origins ? (out << to_string(wanted_origins)) : (out << "<null>"));
   out << ", " << "poison_parts="; (__isset.poison_parts ? (out << to_string(poison_parts)) : (out << "<null>"));
   out << ", " << "wanted_contents="; (__isset.wanted_contents ? (out << to_string(wanted_contents)) : (out << "<null>"));
+  out << ", " << "registry_proof="; (__isset.registry_proof ? (out << to_string(registry_proof)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -41,6 +41,8 @@
 
 class GossipStreamOrigin;
 
+class GossipRegistryProof;
+
 class Gossip;
 
 
@@ -585,8 +587,53 @@
 
 std::ostream& operator<<(std::ostream& out, const GossipStreamOrigin& obj);
 
+
+class GossipRegistryProof : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipRegistryProof(const GossipRegistryProof&) noexcept;
+  GossipRegistryProof(GossipRegistryProof&&) noexcept;
+  GossipRegistryProof& operator=(const GossipRegistryProof&) noexcept;
+  GossipRegistryProof& operator=(GossipRegistryProof&&) noexcept;
+  GossipRegistryProof() noexcept
+                      : age_ms(0),
+                        revision(0) {
+  }
+
+  virtual ~GossipRegistryProof() noexcept;
+  int32_t age_ms;
+  int64_t revision;
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const GossipRegistryProof & rhs) const
+  {
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipRegistryProof &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipRegistryProof & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipRegistryProof &a, GossipRegistryProof &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipRegistryProof& obj);
+
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), wanted_contents(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), wanted_contents(false), registry_proof(false) {}
   bool absences :1;
   bool departures :1;
   bool served_parts :1;
@@ -596,6 +643,7 @@
   bool wanted_origins :1;
   bool poison_parts :1;
   bool wanted_contents :1;
+  bool registry_proof :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -641,6 +689,7 @@
   std::vector<std::string>  wanted_origins;
   std::vector<GossipPoisonPart>  poison_parts;
   std::vector<std::string>  wanted_contents;
+  GossipRegistryProof registry_proof;
 
   _Gossip__isset __isset;
 
@@ -688,6 +737,8 @@
 
   void __set_wanted_contents(const std::vector<std::string> & val);
 
+  void __set_registry_proof(const GossipRegistryProof& val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -752,6 +803,10 @@
       return false;
     else if (__isset.wanted_contents && !(wanted_contents == rhs.wanted_contents))
       return false;
+    if (__isset.registry_proof != rhs.__isset.registry_proof)
+      return false;
+    else if (__isset.registry_proof && !(registry_proof == rhs.registry_proof))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -88,6 +88,15 @@
   4: optional string content,
 }
 
+// The store's confirmation of the sender's list of backend servers.
+struct GossipRegistryProof {
+  // Time since then.
+  1: required i32 age_ms,
+  // Who has received all changes up to this revision of the store has all that
+  // the sender has.
+  2: required i64 revision,
+}
+
 struct Gossip {
   1: required string host,
   2: required string boot,
@@ -124,4 +133,5 @@
   // The same as `wanted_origins` by the contents of streams whose callers don't
   // name the first request.
   25: optional list<string> wanted_contents,
+  26: optional GossipRegistryProof registry_proof,
 }
