Report on every backend server that a request could go to

Operators can't see why a request goes to one backend server and not to another. Placer::Report gives each one's terms of cost by the estimates that decide, or why it isn't a candidate; the reasons are told apart in one place, which the choice uses too.

--- a/core/include/carawayvalve/core/placement.h
+++ b/core/include/carawayvalve/core/placement.h
@@ -17,6 +17,7 @@
 #include "carawayvalve/core/caller_request.h"
 #include "carawayvalve/core/engine_speeds.h"
 #include "carawayvalve/core/fleet_load.h"
+#include "carawayvalve/core/placement_report.h"
 #include "carawayvalve/core/prefix_cache_tracker.h"
 #include "carawayvalve/core/silence_detector.h"
 
@@ -146,6 +147,11 @@
                                      const BackendEntry& prefill_engine,
                                      base::Instant now) const;
 
+  // Reports on every backend server of the service, in the order of their ids,
+  // by the same estimates as Choose. Changes nothing.
+  std::vector<CandidateReport> Report(const PlacementQuery& query,
+                                      base::Instant now) const;
+
   // Returns whether a backend server that isn't excluded could serve the
   // request. Prefill engines don't count.
   bool HasAlternative(const PlacementQuery& query, base::Instant now) const;
@@ -179,6 +185,10 @@
   };
   using Candidates = std::vector<const BackendEntry*>;
 
+  std::optional<Exclusion> WhyExcluded(const BackendEntry& entry,
+                                       const PlacementQuery& query,
+                                       base::Instant now) const;
+  bool IsHealthy(const BackendEntry& entry, base::Instant now) const;
   Candidates FindCandidates(const PlacementQuery& query,
                             base::Instant now) const;
   const EngineSpeeds& SpeedsOf(const BackendEntry& entry) const;
@@ -224,6 +234,13 @@
                           const BackendEntry& prefill_engine,
                           base::Instant now) const;
   static Placement ToPlacement(const Estimate& estimate);
+  CostTerms TermsOf(const Estimate& estimate, base::Instant now) const;
+  // Returns the terms of the candidates for each step of the request that they
+  // can take: the prefill, or the whole request.
+  std::map<base::BackendServerId, CostTerms> TermsOfAll(
+      const Candidates& candidates,
+      const PlacementQuery& query,
+      base::Instant now) const;
   base::Duration Penalty(const BackendEntry& entry, base::Instant now) const;
   PlacementResult ChoosePlain(const Candidates& candidates,
                               base::Instant now) const;
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -31,23 +31,43 @@
       load(load),
       prefix_cache(prefix_cache) {}
 
+std::optional<Exclusion> Placer::WhyExcluded(const BackendEntry& entry,
+                                             const PlacementQuery& query,
+                                             base::Instant now) const {
+  if (entry.draining) {
+    return Exclusion::kLeaves;
+  }
+  if (query.excluded.contains(entry.id)) {
+    return Exclusion::kTried;
+  }
+  if (!IsPrefillEngine(entry) && query.software_version.has_value() &&
+      entry.software_version != *query.software_version) {
+    return Exclusion::kOtherVersion;
+  }
+  if (this->health.AskedToWait(entry.id, now)) {
+    return Exclusion::kAskedToWait;
+  }
+  if (!this->rate_limits.MaySend(entry.id, entry.started_ms, now)) {
+    return Exclusion::kRateLimit;
+  }
+  return std::nullopt;
+}
+
+bool Placer::IsHealthy(const BackendEntry& entry, base::Instant now) const {
+  return this->health.Usable(entry.id, this->load.OwnRequests(entry.id), now) &&
+         !this->silence.IsSilent(entry.id, now);
+}
+
 Placer::Candidates Placer::FindCandidates(const PlacementQuery& query,
                                           base::Instant now) const {
   Candidates usable;
   Candidates unhealthy;
   for (const auto& [id, entry] : this->directory.entries()) {
-    const bool fits_stream = IsPrefillEngine(entry) ||
-                             !query.software_version.has_value() ||
-                             entry.software_version == *query.software_version;
-    if (entry.service != query.service || entry.draining || !fits_stream ||
-        query.excluded.contains(id) || this->health.AskedToWait(id, now) ||
-        !this->rate_limits.MaySend(id, entry.started_ms, now)) {
+    if (entry.service != query.service ||
+        this->WhyExcluded(entry, query, now).has_value()) {
       continue;
     }
-    const bool healthy =
-        this->health.Usable(id, this->load.OwnRequests(id), now) &&
-        !this->silence.IsSilent(id, now);
-    (healthy ? usable : unhealthy).push_back(&entry);
+    (this->IsHealthy(entry, now) ? usable : unhealthy).push_back(&entry);
   }
   // Unhealthy backend servers are candidates only when no healthy one can
   // answer.
