Explain where a request would go without sending it

Operators couldn't see why a request goes to one backend server, waits or is refused. A gateway answers POST /explain on its operators' address: route, time left, outcome, and each backend server with the terms of its cost or why it isn't a candidate; `carawayvalve explain` prints that for people or as JSON.

--- a/entry/src/commands/command_line.cc
+++ b/entry/src/commands/command_line.cc
@@ -123,6 +123,10 @@
   if (arguments.IsGiven("status")) {
     return StatusCommand{arguments.Address("--operator"), json};
   }
+  if (arguments.IsGiven("explain")) {
+    return ExplainCommand{arguments.Text("FILE"),
+                          arguments.Address("--operator"), json};
+  }
   return DumpCommand{arguments.Address("--operator"), json};
 }
 
--- a/entry/src/commands/command_line.h
+++ b/entry/src/commands/command_line.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "declaration_commands.h"
+#include "explain_command.h"
 #include "inspect_commands.h"
 #include "key_commands.h"
 #include "process_commands.h"
@@ -23,7 +24,8 @@
                              KeyGrantCommand,
                              KeyWithdrawCommand,
                              StatusCommand,
-                             DumpCommand>;
+                             DumpCommand,
+                             ExplainCommand>;
 
 // The value of one element of Manual()'s usage: monostate for an option or
 // argument that isn't given, bool for a command or flag, else the given text.
--- a/entry/src/commands/manual.cc
+++ b/entry/src/commands/manual.cc
@@ -16,6 +16,7 @@
   carawayvalve key withdraw (--label=L [--account=NAME] | --sha256=D) --store=HOST:PORT [--json]
   carawayvalve status --operator=HOST:PORT [--json]
   carawayvalve dump --operator=HOST:PORT [--json]
+  carawayvalve explain FILE --operator=HOST:PORT [--json]
   carawayvalve --help
 
 COMMANDS
@@ -48,11 +49,17 @@
                   changes.
   status          Shows the status of one entry process.
   dump            Prints the whole state of one entry process as JSON.
+  explain         Shows where a gateway would send the request in the file
+                  now, and why: what its account's rate limit and the load
+                  allow, and each backend server with the terms of its cost.
+                  Nothing is sent, and nothing in the gateway changes. Exit
+                  status 1 if the request would be refused.
 
 Options:
   --settings=FILE        Settings of the process, JSON with comments.
   --store=HOST:PORT      The platform's Object API.
-  --operator=HOST:PORT   Operator address of an entry process.
+  --operator=HOST:PORT   Operator address of an entry process; of a gateway
+                         that of its metrics.
   --expect-generation=N  Apply only if generation N is in force.
   --label=L              Operators' name for the key, unique in its account.
   --account=NAME         The key's client account, if several accounts have a
@@ -81,6 +88,7 @@
   carawayvalve key grant guild-north --label=bench-3 --store=127.0.0.1:8000
   carawayvalve key withdraw --label=bench-3 --store=127.0.0.1:8000
   carawayvalve status --operator=127.0.0.1:7101
+  carawayvalve explain request.json --operator=127.0.0.1:9464
 )";
 }
 
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -9,6 +9,7 @@
 
 #include "carawayvalve/base/error.h"
 #include "carawayvalve/gateway/gateway.h"
+#include "explanation.h"
 #include "request_handler.h"
 
 namespace carawayvalve::gateway {
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
@@ -148,6 +150,10 @@
         {{kOk, {{"Content-Type", "application/json"}}}, this->Dump()});
     return;
   }
+  if (target == "/explain") {
+    this->Explain(*exchange);
+    return;
+  }
   if (target != "/metrics") {
     exchange->Respond({{kNotFound, {}}, ""});
     return;
@@ -187,6 +193,18 @@
                      this->metrics.Print()});
 }
 
+void Gateway::Explain(net::Exchange& exchange) const {
+  try {
+    const auto explanation = gateway::Explain(
+        this->context, ReadExplainedRequest(exchange.request().body),
+        base::Now());
+    exchange.Respond(
+        {{kOk, {{"Content-Type", "application/json"}}}, explanation.dump()});
+  } catch (const base::Error& error) {
+    exchange.Respond({{kBadRequest, {}}, error.reason()});
+  }
+}
+
 std::string Gateway::Dump() const {
   const base::Instant now = base::Now();
   nlohmann::json backends = nlohmann::json::array();
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -35,6 +35,8 @@
   void OnMetrics(const std::shared_ptr<net::Exchange>& exchange);
   bool Ready() const;
   std::string Dump() const;
+  // Answers an operator who asks where a request would go.
+  void Explain(net::Exchange& exchange) const;
 
   std::string settings_path;
   net::EventLoop loop;
--- a/gateway/src/request_admission.cc
+++ b/gateway/src/request_admission.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "carawayvalve/core/deadline_fit.h"
 #include "request_handler.h"
 
 namespace carawayvalve::gateway {
@@ -7,9 +8,6 @@
 namespace {
 
 constexpr int kUnavailable = 503;
-// Divides an estimate to get its margin: an estimate may be too short, and it
-// leaves out the rest of the answer after the first event.
-constexpr int64_t kEstimateMarginDivisor = 2;
 
 }  // namespace
 
@@ -38,10 +36,7 @@
 
 bool RequestHandler::FitsDeadline(const core::Placement& placement,
                                   base::Instant now) const {
-  const base::Duration max_answer_time =
-      placement.expected + placement.expected / kEstimateMarginDivisor +
-      kMinTimeLeft;
-  return max_answer_time <= this->TimeLeft(now);
+  return core::FitsDeadline(placement.expected, this->TimeLeft(now));
 }
 
 bool RequestHandler::MustWait(const core::Placement& placement,
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -197,7 +197,7 @@
     plan.order.account = this->account->name;
   }
   plan.order.time_left = std::chrono::duration_cast<base::Milliseconds>(
-      std::max(this->TimeLeft(now), base::Duration(kMinTimeLeft)));
+      std::max(this->TimeLeft(now), base::Duration(core::kMinTimeLeft)));
   plan.order.stage = stage;
   if (this->progress.answer_begun) {
     plan.order.last_event_id = this->splitter.last_event_id();
@@ -436,7 +436,7 @@
   const base::Instant now = base::Now();
   core::RetryConditions conditions = {
       this->context.state.placer.HasAlternative(this->Query(), now), true,
-      this->TimeLeft(now) > kMinTimeLeft};
+      this->TimeLeft(now) > core::kMinTimeLeft};
   core::NextStep step =
       core::DecideNextStep(this->Rules(), this->progress, end, conditions);
   if (std::holds_alternative<core::TryAgain>(step) &&
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -9,6 +9,7 @@
 
 #include "backend_call.h"
 #include "carawayvalve/core/attempt_policy.h"
+#include "carawayvalve/core/deadline_fit.h"
 #include "carawayvalve/core/server_sent_event_splitter.h"
 #include "carawayvalve/net/http_server.h"
 #include "context.h"
@@ -25,9 +26,6 @@
   void Start();
 
  private:
-  // A request with less time left isn't sent to a backend server.
-  static constexpr base::Milliseconds kMinTimeLeft{20};
-
   // Return whether the request may proceed. If not, it has been answered.
   bool FindRoute();
   bool CheckKey();
