--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -9,6 +9,7 @@
 
 #include "carawayvalve/base/error.h"
 #include "carawayvalve/gateway/gateway.h"
+#include "explanation.h"
 #include "request_handler.h"
 
 namespace carawayvalve::gateway {
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
@@ -112,6 +114,8 @@
                         {{"window", window - 1},
                          {"requests", this->state.usage.CountOf(
                                           this->state.boot, window - 1)}});
+    this->journal.Write(base::LogLevel::kInfo, "platform_calls",
+                        {{"calls", this->objects.counts().Print()}});
   }
   const std::vector<base::HostId> live = this->peers.LiveHosts(now);
   this->state.recent_state.SetLive(live);
@@ -153,6 +157,10 @@
         {{kOk, {{"Content-Type", "application/json"}}}, this->Dump()});
     return;
   }
+  if (target == "/explain") {
+    this->Explain(*exchange);
+    return;
+  }
   if (target != "/metrics") {
     exchange->Respond({{kNotFound, {}}, ""});
     return;
@@ -179,6 +187,9 @@
   this->metrics.SetGauge("holds_duties", this->duties.holds(now) ? 1 : 0);
   this->metrics.SetGauge("store_calls",
                          static_cast<double>(this->objects.calls()));
+  for (const auto& [reason, count] : this->objects.counts().by_reason()) {
+    this->metrics.SetPlatformCalls(reason.call, reason.outcome, count);
+  }
   this->metrics.SetGauge("log_lines_dropped",
                          static_cast<double>(this->journal.dropped()));
   const auto age = this->state.key_freshness.Age(now);
@@ -189,6 +200,18 @@
                      this->metrics.Print()});
 }
 
+void Gateway::Explain(net::Exchange& exchange) const {
+  try {
+    const auto explanation = gateway::Explain(
+        this->context, ReadExplainedRequest(exchange.request().body),
+        base::Now());
+    exchange.Respond(
+        {{kOk, {{"Content-Type", "application/json"}}}, explanation.dump()});
+  } catch (const base::Error& error) {
+    exchange.Respond({{kBadRequest, {}}, error.reason()});
+  }
+}
+
 std::string Gateway::Dump() const {
   const base::Instant now = base::Now();
   nlohmann::json backends = nlohmann::json::array();
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -1,6 +1,7 @@
 #include "store_feed.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "carawayvalve/base/error.h"
@@ -25,6 +26,9 @@
 constexpr double kRenewAgeFraction = 0.6;
 // A watch older than this is sent again when a peer knows a newer revision.
 constexpr base::Milliseconds kMinWatchAge(700);
+// Changes that peers know and haven't passed on for this long are fetched from
+// the store.
+constexpr base::Milliseconds kMaxLack(300);
 
 }  // namespace
 
@@ -37,10 +41,11 @@
       kind(std::move(kind)),
       hooks(std::move(hooks)),
       timer(context.loop),
-      wait(context.state.settings.store.watch_wait) {}
+      schedule{context.state.settings.store.watch_wait, std::nullopt} {}
 
 void ObjectWatcher::List(const std::string& after) {
   const base::Instant sent_at = base::Now();
+  this->activity = Activity::kBusy;
   if (after.empty()) {
     this->listed.clear();
     this->list_sent_at = sent_at;
@@ -57,39 +62,83 @@
   if (page == nullptr) {
     const auto* refused = std::get_if<platform::StoreRefused>(&result);
     const auto* failure = std::get_if<platform::StoreCallFailed>(&result);
+    const std::string after =
+        this->listed.empty() ? "" : this->listed.back().name;
     this->RetryLater(refused != nullptr
                          ? "status " + std::to_string(refused->status)
                      : failure != nullptr ? failure->reason
                                           : "history lost",
-                     [this] { this->List(""); });
+                     [this, after] { this->List(after); });
     return;
   }
+  this->NoteSuccess();
+  if (this->listed.empty()) {
+    this->list_revision = page->revision;
+  }
   this->listed.insert(this->listed.end(), page->objects.begin(),
                       page->objects.end());
+  this->hooks.on_page(page->objects);
   if (page->after.has_value()) {
     this->List(*page->after);
     return;
   }
-  this->NoteSuccess();
-  this->revision = page->revision;
+  this->revision = this->list_revision;
+  this->hidden_revision = this->revision;
+  this->listed_revisions.clear();
   for (const platform::StoredObject& object : this->listed) {
     this->newest_revision = std::max(this->newest_revision, object.revision);
+    this->listed_revisions[object.name] = object.revision;
   }
+  this->change_log.Restart(this->revision);
+  this->NoteConfirmed(sent_at);
   this->hooks.on_list(std::exchange(this->listed, {}), sent_at);
-  this->Watch(this->wait);
+  this->Follow();
+}
+
+void ObjectWatcher::Follow() {
+  if (this->schedule.wait.has_value()) {
+    this->Watch(*this->schedule.wait);
+  } else {
+    this->activity = Activity::kIdle;
+  }
+}
+
+void ObjectWatcher::Renew(base::Instant now) {
+  if (this->activity == Activity::kIdle && this->schedule.wait.has_value()) {
+    this->Follow();
+    return;
+  }
+  const auto& limit = this->schedule.renew_age;
+  const bool old = limit.has_value() && this->confirmed_at.has_value() &&
+                   now - *this->confirmed_at > *limit;
+  const bool lacks =
+      this->lacking_since.has_value() && now - *this->lacking_since > kMaxLack;
+  const bool replaces = this->activity == Activity::kWatching &&
+                        now - *this->watch_sent_at > kMinWatchAge;
+  if ((this->activity == Activity::kIdle && (old || lacks)) ||
+      (replaces && old)) {
+    this->Watch(base::Milliseconds(0));
+  }
 }
 
 void ObjectWatcher::NoteRevision(int64_t peer_revision) {
   this->peers_revision = std::max(this->peers_revision, peer_revision);
-  if (peer_revision > this->revision && this->watch_sent_at.has_value() &&
-      base::Now() - *this->watch_sent_at > kMinWatchAge) {
-    this->Watch(this->wait);
+  if (this->peers_revision <= this->revision) {
+    this->lacking_since.reset();
+    return;
+  }
+  const base::Instant now = base::Now();
+  this->lacking_since = this->lacking_since.value_or(now);
+  if (this->activity == Activity::kWatching &&
+      now - *this->watch_sent_at > kMinWatchAge) {
+    this->Follow();
   }
 }
 
 void ObjectWatcher::PollNow() {
-  if (this->watch_sent_at.has_value() &&
-      base::Now() - *this->watch_sent_at > kMinPollInterval) {
+  const bool replaces = this->activity == Activity::kWatching &&
+                        base::Now() - *this->watch_sent_at > kMinPollInterval;
+  if (replaces || this->activity == Activity::kIdle) {
     this->Watch(base::Milliseconds(0));
   }
 }
@@ -97,6 +146,8 @@
 void ObjectWatcher::Watch(base::Milliseconds watch_wait) {
   const base::Instant sent_at = base::Now();
   this->watch_sent_at = sent_at;
+  this->activity =
+      watch_wait.count() > 0 ? Activity::kWatching : Activity::kBusy;
   this->call =
       this->objects.Watch(this->kind, this->revision, watch_wait,
                           [this, sent_at](const platform::WatchResult& result) {
@@ -107,18 +158,23 @@
 void ObjectWatcher::OnWatched(const platform::WatchResult& result,
                               base::Instant sent_at) {
   this->watch_sent_at.reset();
-  if (const auto* changes = std::get_if<platform::ObjectChanges>(&result)) {
+  this->activity = Activity::kBusy;
+  if (const auto* answer = std::get_if<platform::ObjectChanges>(&result)) {
     this->NoteSuccess();
-    this->revision = std::max(this->revision, changes->revision);
-    for (const platform::ObjectChange& change : changes->changes) {
-      this->newest_revision =
-          std::max(this->newest_revision, change.object.revision);
+    // A peer may have passed on later changes meanwhile.
+    if (answer->revision == 0 || answer->revision >= this->revision) {
+      this->ApplyChanges(*answer, sent_at);
     }
-    this->hooks.on_changes(changes->changes, sent_at);
-    if (changes->changes.empty() || this->batch_delay.count() == 0) {
-      this->Watch(this->wait);
+    this->NoteConfirmed(sent_at);
+    // Peers without a watch of their own rely on it.
+    if (this->schedule.renew_age.has_value()) {
+      this->context.on_urgent_news();
+    }
+    if (answer->changes.empty() || this->batch_delay.count() == 0 ||
+        !this->schedule.wait.has_value()) {
+      this->Follow();
     } else {
-      this->timer.Start(this->batch_delay, [this] { this->Watch(this->wait); });
+      this->timer.Start(this->batch_delay, [this] { this->Follow(); });
     }
     return;
   }
@@ -133,7 +189,55 @@
   this->RetryLater(refused != nullptr
                        ? "status " + std::to_string(refused->status)
                        : std::get<platform::StoreCallFailed>(result).reason,
-                   [this] { this->Watch(this->wait); });
+                   [this] { this->Follow(); });
+}
+
+void ObjectWatcher::ApplyPeerChanges(const platform::ObjectChanges& received) {
+  if (received.revision > this->revision) {
+    this->ApplyChanges(received, base::Now());
+  }
+}
+
+void ObjectWatcher::ApplyChanges(const platform::ObjectChanges& received,
+                                 base::Instant sent_at) {
+  this->revision = std::max(this->revision, received.revision);
+  if (this->peers_revision <= this->revision) {
+    this->lacking_since.reset();
+  }
+  if (this->keeps_log) {
+    core::ObjectChangeRange range{this->revision, {}};
+    for (const platform::ObjectChange& change : received.changes) {
+      range.changes.push_back({change.object.name, change.object.revision,
+                               change.removed, change.object.value->dump()});
+    }
+    this->change_log.Append(range);
+  }
+  std::vector<platform::ObjectChange> changes = received.changes;
+  for (const platform::ObjectChange& change : changes) {
+    if (change.removed) {
+      this->hidden_revision = this->revision;
+    }
+  }
+  this->DropListedChanges(changes);
+  for (const platform::ObjectChange& change : changes) {
+    this->newest_revision =
+        std::max(this->newest_revision, change.object.revision);
+  }
+  this->hooks.on_changes(changes, sent_at);
+}
+
+void ObjectWatcher::DropListedChanges(
+    std::vector<platform::ObjectChange>& changes) {
+  std::erase_if(changes, [this](const platform::ObjectChange& change) {
+    const auto found = this->listed_revisions.find(change.object.name);
+    if (found == this->listed_revisions.end()) {
+      return false;
+    }
+    // A removed object may have the revision of its last change.
+    return change.removed ? change.object.revision < found->second
+                          : change.object.revision <= found->second;
+  });
+  this->listed_revisions.clear();
 }
 
 void ObjectWatcher::RetryLater(const std::string& reason,
@@ -146,6 +250,8 @@
   this->hooks.on_failure(reason);
   const int64_t doublings = std::min(this->failures, kMaxDoublings);
   ++this->failures;
+  this->failed_at = base::Now();
+  this->activity = Activity::kBusy;
   std::uniform_real_distribution<double> jitter(0.5, 1.0);
   const base::Duration wait = std::chrono::duration_cast<base::Duration>(
       std::min<base::Milliseconds>(kFirstRetryDelay * (int64_t{1} << doublings),
@@ -170,10 +276,12 @@
           context,
           objects,
           platform::kConfigurationKind,
-          {[this](const auto& listed, base::Instant sent_at) {
-             for (const platform::StoredObject& object : listed) {
+          {[this](const auto& page) {
+             for (const platform::StoredObject& object : page) {
                this->ApplyConfiguration(object);
              }
+           },
+           [this](const auto& /*listed*/, base::Instant sent_at) {
              this->context.state.key_freshness.NoteStoreAnswer(sent_at);
            },
            [this](const auto& changes, base::Instant sent_at) {
@@ -185,42 +293,35 @@
              this->context.state.key_freshness.NoteStoreAnswer(sent_at);
            },
            [](const std::string&) {}}),
-      backends(
-          context,
-          objects,
-          platform::kBackendServerKind,
-          {[this](const auto& listed, base::Instant) {
-             std::vector<core::BackendEntry> entries;
-             for (const platform::StoredObject& object : listed) {
-               std::string reason;
-               if (auto entry = platform::DecodeBackendEntry(object, reason)) {
-                 entries.push_back(std::move(*entry));
-               }
-             }
-             const base::Instant now = base::Now();
-             this->context.state.directory.NoteList(entries, now);
-             for (const platform::StoredObject& object : listed) {
-               this->ApplyBackend(object);
-             }
-             this->UpdateCurrent();
-           },
-           [this](const auto& changes, base::Instant) {
-             for (const platform::ObjectChange& change : changes) {
-               if (change.removed) {
-                 this->RemoveBackend({change.object.name}, "removed");
-               } else {
-                 this->ApplyBackend(change.object);
-               }
-             }
-             this->UpdateCurrent();
-           },
-           [this](const std::string&) {
-             this->context.state.directory.NoteStoreFailure(base::Now());
-             this->context.state.directory.SetCurrent(false);
-           }}) {}
+      backends(context,
+               objects,
+               platform::kBackendServerKind,
+               {[this](const auto& page) {
+                  for (const platform::StoredObject& object : page) {
+                    this->ApplyBackend(object, true);
+                  }
+                },
+                [this](const auto& /*listed*/, base::Instant) {
+                  this->OnAllBackendsListed();
+                },
+                [this](const auto& changes, base::Instant) {
+                  for (const platform::ObjectChange& change : changes) {
+                    if (change.removed) {
+                      this->RemoveBackend({change.object.name}, "removed");
+                    } else {
+                      this->ApplyBackend(change.object, false);
+                    }
+                  }
+                  this->UpdateCurrent();
+                },
+                [this](const std::string&) {
+                  this->context.state.directory.NoteStoreFailure(base::Now());
+                  this->context.state.directory.SetCurrent(false);
+                }}) {}
 
 void StoreFeed::Start() {
   this->backends.SetBatchDelay(kBatchDelay);
+  this->backends.KeepLog();
   this->configuration.Start();
   this->backends.Start();
 }
@@ -232,6 +333,15 @@
       *age > state.settings.bounds.key_withdrawal * kRenewAgeFraction) {
     this->configuration.PollNow();
   }
+  this->configuration.Renew(now);
+  this->backends.Renew(now);
+}
+
+void StoreFeed::NoteRegistryConfirmed(base::Instant at) {
+  if (!this->backends.IsBehind()) {
+    this->backends.NoteConfirmed(at);
+    this->UpdateCurrent();
+  }
 }
 
 void StoreFeed::ApplyConfiguration(const platform::StoredObject& object) {
@@ -259,7 +369,17 @@
   }
 }
 
-void StoreFeed::ApplyBackend(const platform::StoredObject& object) {
+void StoreFeed::OnAllBackendsListed() {
+  const auto listed = std::exchange(this->listed_backends, {});
+  this->context.state.directory.KeepOnly(listed, base::Now());
+  this->UpdateCurrent();
+  this->context.journal.Write(base::LogLevel::kInfo, "backends_listed",
+                              {{"count", static_cast<int64_t>(listed.size())},
+                               {"revision", this->registry_revision()}});
+}
+
+void StoreFeed::ApplyBackend(const platform::StoredObject& object,
+                             bool from_list) {
   std::string reason;
   const auto entry = platform::DecodeBackendEntry(object, reason);
   GatewayState& state = this->context.state;
@@ -268,10 +388,13 @@
                                 {{"backend", object.name}, {"reason", reason}});
     return;
   }
+  if (from_list) {
+    this->listed_backends.insert(entry->id);
+  }
   const core::BackendEntry* previous = state.directory.Find(entry->id);
   const bool restarted =
       previous != nullptr && previous->started_ms != entry->started_ms;
-  const bool changed = previous == nullptr || *previous != *entry;
+  const bool changed = previous == nullptr ? !from_list : *previous != *entry;
   if (restarted) {
     this->context.NoteBackendCrash(entry->id, "restarted");
     state.prefix_caches.Forget(entry->id);
@@ -281,7 +404,11 @@
     state.health.NoteRoleChangeDone(entry->id);
     state.changing_roles.erase(entry->id);
   }
-  state.directory.NoteEntry(*entry);
+  if (from_list) {
+    state.directory.NoteListedEntry(*entry);
+  } else {
+    state.directory.NoteEntry(*entry);
+  }
   if (changed || restarted) {
     this->context.journal.Write(
         base::LogLevel::kInfo, "backend_known",
