--- a/core/include/carawayvalve/core/retry_budget_members.h
+++ b/core/include/carawayvalve/core/retry_budget_members.h
@@ -45,11 +45,26 @@
   // Adds a process that sent a message, whether it is listed or not.
   void NoteSeen(const base::HostId& host) { this->members.insert(host); }
 
+  // Records that a process has said that it counts this run of this one.
+  void NoteCountedBy(const base::HostId& host) {
+    this->counted_by.insert(host);
+  }
+
+  bool IsCountedBy(const base::HostId& host) const {
+    return this->counted_by.contains(host);
+  }
+
   // Returns whether a list was received since the registration.
   bool HasListed() const { return this->listed_all; }
   // Returns the number of processes that share the slack, nothing while this
   // process may not use any of it.
   std::optional<int64_t> SlackDivisor(base::Instant now) const;
+  // Returns the number of processes among which a rate is divided; nothing
+  // while this process may not use any of it, since others may not yet count
+  // it. That ends when each has said that it does, or after the time in which
+  // each lists all others. Unlike the slack, a rate needs no further wait: what
+  // a previous process of the same name used was its own part.
+  std::optional<int64_t> RateDivisor(base::Instant now) const;
   // Returns the number of known processes, including this one.
   int64_t Count() const { return static_cast<int64_t>(this->members.size()); }
 
@@ -58,6 +73,9 @@
   base::Instant started;
   // Never shrinks: a process that stopped may have spent its part just before.
   std::set<base::HostId> members;
+  std::set<base::HostId> counted_by;
+  // When all others have listed this process; none before the registration.
+  std::optional<base::Instant> listed_by_all;
   // When this process may use slack; none before the registration.
   std::optional<base::Instant> slack_from;
   bool listed_all = false;
--- a/core/src/retry_budget_members.cc
+++ b/core/src/retry_budget_members.cc
@@ -1,5 +1,7 @@
 #include "carawayvalve/core/retry_budget_members.h"
 
+#include <algorithm>
+
 namespace carawayvalve::core {
 
 void RetryBudgetMembers::NoteRegistered(bool existed_before,
@@ -7,6 +9,8 @@
   if (!this->slack_from.has_value()) {
     const base::Instant known_by_others =
         existed_before ? this->started : now + this->settings.list_interval;
+    this->listed_by_all =
+        (existed_before ? this->started : now) + this->settings.list_interval;
     this->slack_from = known_by_others + this->settings.window;
   }
 }
@@ -24,4 +28,22 @@
   return this->Count();
 }
 
+std::optional<int64_t> RetryBudgetMembers::RateDivisor(
+    base::Instant now) const {
+  if (!this->listed_all) {
+    return std::nullopt;
+  }
+  // All but this process itself.
+  const bool counted = std::count_if(this->members.begin(), this->members.end(),
+                                     [this](const base::HostId& host) {
+                                       return this->counted_by.contains(host);
+                                     }) +
+                           1 >=
+                       this->Count();
+  if (!counted && now < *this->listed_by_all) {
+    return std::nullopt;
+  }
+  return this->Count();
+}
+
 }  // namespace carawayvalve::core
