--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -5,6 +5,7 @@
 #include <random>
 #include <vector>
 
+#include "account_limits.h"
 #include "carawayvalve/base/journal.h"
 #include "carawayvalve/net/event_loop.h"
 #include "carawayvalve/net/http_client.h"
@@ -40,6 +41,7 @@
   // a backend server leaves, or what ran when one crashed.
   std::function<void()>& on_urgent_news;
   StreamOriginLookup& origin_lookup;
+  AccountLimits& account_limits;
 
   // Records that a request of this kind, such as "attempt", is sent to a
   // backend server.
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -54,11 +54,12 @@
       backends(this->loop, kBackendKeepAlive),
       waiting(this->loop),
       origin_lookup(this->loop, this->state),
+      account_limits(this->loop, this->state.account_rates),
       objects(this->loop, settings.store.address, settings.store.call_timeout),
       context{this->loop,           this->state,         this->journal,
               this->metrics,        this->backends,      this->waiting,
               this->generator,      this->sent_prefixes, this->on_load_changed,
-              this->on_urgent_news, this->origin_lookup},
+              this->on_urgent_news, this->origin_lookup, this->account_limits},
       feed(this->context, this->objects),
       peers(this->context, this->objects, this->feed),
       duties(this->context, this->objects),
@@ -167,6 +168,13 @@
   this->metrics.SetGauge(
       "rate_limited_backends",
       static_cast<double>(this->state.rate_limits.limited_count()));
+  this->metrics.SetGauge(
+      "account_rate_gateways",
+      static_cast<double>(
+          this->state.retry_members.RateDivisor(now).value_or(0)));
+  this->metrics.SetGauge(
+      "requests_waiting_for_credit",
+      static_cast<double>(this->account_limits.waiting_count()));
   this->metrics.SetGauge("late_requests_waiting",
                          static_cast<double>(this->waiting.size()));
   this->metrics.SetGauge("holds_duties", this->duties.holds(now) ? 1 : 0);
@@ -182,7 +190,7 @@
                      this->metrics.Print()});
 }
 
-std::string Gateway::Dump() const {
+std::string Gateway::Dump() {
   const base::Instant now = base::Now();
   nlohmann::json backends = nlohmann::json::array();
   for (const auto& [id, entry] : this->state.directory.entries()) {
@@ -197,6 +205,19 @@
                         {"slowness", this->state.health.Slowness(id, now)},
                         {"failures", this->state.health.FailureRate(id, now)}});
   }
+  nlohmann::json accounts = nlohmann::json::array();
+  for (const auto& [account, status] :
+       this->state.account_rates.Statuses(now)) {
+    accounts.push_back(
+        {{"account", account.value},
+         {"spent", status.spent},
+         {"refused", status.refused},
+         {"share_per_second", status.share_per_second},
+         {"balance", status.balance},
+         {"grant_age_ms", status.grant_age.has_value()
+                              ? base::ToMilliseconds(*status.grant_age)
+                              : -1}});
+  }
   const auto age = this->state.key_freshness.Age(now);
   return nlohmann::json{
       {"host", this->state.settings.host.value},
@@ -210,6 +231,7 @@
       {"holds_duties", this->duties.holds(now)},
       {"epoch", this->duties.epoch()},
       {"windows_reported", this->duties.reported()},
+      {"limited_accounts", accounts},
       {"backend_servers", backends}}
       .dump(2);
 }
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -34,7 +34,7 @@
   void OnReadiness(const std::shared_ptr<net::Exchange>& exchange);
   void OnMetrics(const std::shared_ptr<net::Exchange>& exchange);
   bool Ready() const;
-  std::string Dump() const;
+  std::string Dump();
 
   std::string settings_path;
   net::EventLoop loop;
@@ -49,6 +49,7 @@
   net::HttpClient backends;
   LateRequestScheduler waiting;
   StreamOriginLookup origin_lookup;
+  AccountLimits account_limits;
   platform::ObjectClient objects;
   Context context;
   StoreFeed feed;
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -50,6 +50,11 @@
           .Name("carawayvalve_retries_total")
           .Help("Retries charged to the shared budget, or denied")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& account_refusals =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_account_refusals_total")
+          .Help("Requests beyond their accounts' rate limits")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& store_calls =
       prometheus::BuildCounter()
           .Name("carawayvalve_store_calls_total")
@@ -120,6 +125,10 @@
   this->families->retries.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::CountAccountRefusal(const std::string& reason) {
+  this->families->account_refusals.Add({{"reason", reason}}).Increment();
+}
+
 void GatewayMetrics::CountStoreCall(const std::string& outcome) {
   this->families->store_calls.Add({{"outcome", outcome}}).Increment();
 }
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -31,6 +31,9 @@
   void CountBackendRequest(const std::string& kind);
   // Counts a retry that was "charged" to the retry budget, or "denied".
   void CountRetry(const std::string& outcome);
+  // Counts a request beyond its account's rate limit: "exceeded", or
+  // "too_large" for ever.
+  void CountAccountRefusal(const std::string& reason);
   void CountStoreCall(const std::string& outcome);
   // Counts a stream that a caller takes up, which "goes_on" or is "refused".
   void CountStreamTakenUp(const std::string& outcome);
--- a/gateway/src/gateway_state.cc
+++ b/gateway/src/gateway_state.cc
@@ -111,6 +111,23 @@
   for (auto& [service, share] : this->retries) {
     share.SetSettings(ToRetryBudgetSettings(bounds));
   }
+  this->SetAccountLimits();
+}
+
+void GatewayState::SetAccountLimits() {
+  core::AccountRateShares::Limits limits;
+  if (this->table != nullptr) {
+    for (const config::ServingAccount& account :
+         this->table->serving_plan().accounts) {
+      if (account.rate_limit.has_value()) {
+        limits.emplace(account.name, *account.rate_limit);
+      }
+    }
+  }
+  this->account_rates.SetLimits(limits,
+                                {this->settings.bounds.account_tolerance,
+                                 this->settings.bounds.account_slack},
+                                base::Now());
 }
 
 bool GatewayState::ApplyPlan(const config::ServingPlan& plan) {
@@ -118,6 +135,7 @@
     return false;
   }
   this->table = std::make_shared<const core::ServingTable>(plan);
+  this->SetAccountLimits();
   int64_t min_kv_tokens = 0;
   for (const config::ServingService& service : plan.services) {
     if (service.engine.has_value() && service.engine->kv_tokens > 0) {
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "carawayvalve/core/account_rate_shares.h"
 #include "carawayvalve/core/backend_directory.h"
 #include "carawayvalve/core/backend_health.h"
 #include "carawayvalve/core/backend_rate_limits.h"
@@ -106,6 +107,8 @@
   std::vector<base::HostId> live_hosts;
   // The gateways that share the slack of the retry budget.
   core::RetryBudgetMembers retry_members;
+  // The rate limits of client accounts.
+  core::AccountRateShares account_rates;
   // When each peer was last heard.
   std::map<base::HostId, base::Instant> peers_heard;
   // When a gateway was last found to have stopped or restarted; this one has
@@ -118,6 +121,8 @@
   core::StopSchedule stop;
 
  private:
+  void SetAccountLimits();
+
   std::map<base::ServiceId, core::RetryBudgetShare> retries;
 };
 
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -95,6 +95,11 @@
       rate_limit_gossip(context),
       origin_gossip(context),
       usage_gossip(context),
+      account_rate_gossip(context,
+                          [this](const base::HostId& host,
+                                 const wire::gen::GossipAccountRates& rates) {
+                            this->SendAccountRates(host, rates);
+                          }),
       round_timer(context.loop),
       update_timer(context.loop) {}
 
@@ -116,6 +121,7 @@
   };
   this->context.origin_lookup.SetAsk(
       [this](const OriginQuestion& question) { this->AskForOrigin(question); });
+  this->account_rate_gossip.Start();
   this->registry.Start();
   this->RunRound();
 }
@@ -353,6 +359,19 @@
   }
 }
 
+void PeerGossip::SendAccountRates(const base::HostId& host,
+                                  const wire::gen::GossipAccountRates& rates) {
+  const auto found = this->peers.find(host);
+  if (found == this->peers.end()) {
+    return;
+  }
+  Gossip message = this->BaseMessage();
+  message.echo = found->second.stamp;
+  message.__set_account_rates(rates);
+  message.account_rates.__set_receiver_boot(found->second.boot);
+  this->datagrams->Send(PrintGossip(message), found->second.address);
+}
+
 void PeerGossip::SendBootstrap(const base::Address& address) {
   const Gossip base = this->LoadMessage();
   std::vector<Gossip> messages =
@@ -409,11 +428,12 @@
   peer.stamp = std::max(gossip->stamp, int64_t{0});
   state.wall_clock.RecordPeerTime(host, base::Milliseconds(gossip->unix_ms),
                                   now);
-  if (gossip->windows.empty()) {
+  if (gossip->windows.empty() && !gossip->__isset.account_rates) {
     this->ApplyLoads(*gossip, now);
   }
   this->AnswerOrigins(*gossip, sender);
   this->usage_gossip.Apply(*gossip);
+  this->account_rate_gossip.Apply(*gossip, now);
   this->ApplyFreshness(*gossip, peer);
   this->feed.NoteRegistryRevision(gossip->registry_revision);
 }
@@ -516,6 +536,7 @@
 }
 
 void PeerGossip::Leave() {
+  this->account_rate_gossip.Leave();
   this->leaving = true;
   this->Send(this->BaseMessage());
 }
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "account_rate_gossip.h"
 #include "carawayvalve/net/datagram_socket.h"
 #include "carawayvalve/net/http_server.h"
 #include "carawayvalve/platform/objects.h"
@@ -60,6 +61,8 @@
   void ScheduleUpdate(base::Duration interval);
   void SendLoads();
   void Send(const wire::gen::Gossip& gossip);
+  void SendAccountRates(const base::HostId& host,
+                        const wire::gen::GossipAccountRates& rates);
   // Sends the load message, to each peer with the origins of streams that it is
   // to keep.
   void SendWithOrigins(const wire::gen::Gossip& gossip);
@@ -104,6 +107,7 @@
   RateLimitGossip rate_limit_gossip;
   OriginGossip origin_gossip;
   UsageGossip usage_gossip;
+  AccountRateGossip account_rate_gossip;
   bool new_peer_seen = false;
   core::FleetLoad::Loads sent_loads;
   base::Instant loads_sent_at;
--- a/gateway/src/request_answer.cc
+++ b/gateway/src/request_answer.cc
@@ -89,6 +89,12 @@
         std::max(remaining, base::Duration(0)) / kRetryAfterDivisor *
         jitter(this->context.generator));
   }
+  this->RefuseWith(status, reason, retry_after);
+}
+
+void RequestHandler::RefuseWith(int status,
+                                const std::string& reason,
+                                std::optional<base::Duration> retry_after) {
   this->exchange->Respond(platform::EncodeRefusal(status, reason, retry_after));
   this->End(status, reason);
 }
@@ -97,6 +103,9 @@
   if (std::exchange(this->ended, true)) {
     return;
   }
+  if (!this->progress.may_have_run && !this->prompt_may_have_run) {
+    this->RefundAccount();
+  }
   const base::Instant now = base::Now();
   const std::string route_name =
       this->route == nullptr ? "none" : this->route->name.value;
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -94,6 +94,10 @@
   this->exchange->OnDisconnect([self] { self->OnCallerDisconnected(); });
   this->deadline_timer.Start(this->TimeLeft(base::Now()) + kDeadlineGrace,
                              [self] { self->OnDeadline(); });
+  this->ChargeAccount();
+}
+
+void RequestHandler::Begin() {
   if (this->IsStream() && this->caller.after_event.has_value()) {
     this->TakeUpStream();
     return;
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -32,6 +32,17 @@
   bool FindRoute();
   bool CheckKey();
 
+  // Takes the credit for the request off its account's limit, which may take a
+  // short time, then begins it or refuses it.
+  void ChargeAccount();
+  void OnAccountDecided(const core::CreditStep& step);
+  // `exceeded` is null for a request that is too large for ever.
+  void LogAccountRefused(const core::AccountExceeded* exceeded);
+  // Returns the credit.
+  void RefundAccount();
+  // Takes a stream up, or makes the first attempt.
+  void Begin();
+
   // Finds out which software version began the stream that the caller takes up,
   // then makes the first attempt.
   void TakeUpStream();
@@ -98,6 +109,9 @@
   void OnDeadline();
   void OnCallerDisconnected();
   void Refuse(int status, const std::string& reason, bool send_retry_after);
+  void RefuseWith(int status,
+                  const std::string& reason,
+                  std::optional<base::Duration> retry_after);
   void End(int status, const std::string& outcome);
   // Counts the request once as usage of its client account.
   void CountUsage(base::Instant at);
@@ -152,6 +166,12 @@
   std::set<base::BackendServerId> excluded;
   bool may_hand_over = true;
   int64_t failed_prefills = 0;
+  // Taken off the account's limit; empty for none.
+  core::Credit account_charge;
+  // A prefill engine may have run the prompt.
+  bool prompt_may_have_run = false;
+  // The same before the last attempt at one.
+  bool earlier_prompt_may_have_run = false;
   // An engine has prefilled the prompt; each further prefill is a retry.
   bool prefilled_once = false;
   std::optional<core::LateRequestQueue::Ticket> queue_ticket;
--- a/gateway/src/request_prefill.cc
+++ b/gateway/src/request_prefill.cc
@@ -65,6 +65,12 @@
   if (this->ended) {
     return;
   }
+  if (std::holds_alternative<BackendRequestSent>(event)) {
+    this->earlier_prompt_may_have_run =
+        std::exchange(this->prompt_may_have_run, true);
+  } else if (std::holds_alternative<BackendDeclined>(event)) {
+    this->prompt_may_have_run = this->earlier_prompt_may_have_run;
+  }
   if (const auto* data = std::get_if<BackendAnswerData>(&event)) {
     this->prefill_answer += data->data;
   } else if (std::holds_alternative<BackendAnswerDone>(event)) {
--- a/gateway/tests/test_gateway.h
+++ b/gateway/tests/test_gateway.h
@@ -32,10 +32,11 @@
   std::function<void()> on_load_changed = [] {};
   std::function<void()> on_urgent_news = [] {};
   StreamOriginLookup origin_lookup{loop, state};
+  AccountLimits account_limits{loop, state.account_rates};
   Context context{loop,           state,         journal,
                   metrics,        backends,      late_requests,
                   generator,      sent_prefixes, on_load_changed,
-                  on_urgent_news, origin_lookup};
+                  on_urgent_news, origin_lookup, account_limits};
 };
 
 }  // namespace carawayvalve::gateway
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -1650,6 +1650,765 @@
 }
 
 
+GossipCreditQuestion::~GossipCreditQuestion() noexcept {
+}
+
+
+void GossipCreditQuestion::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void GossipCreditQuestion::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void GossipCreditQuestion::__set_amount(const int64_t val) {
+  this->amount = val;
+}
+
+void GossipCreditQuestion::__set_takes_part(const bool val) {
+  this->takes_part = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipCreditQuestion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipCreditQuestion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_account = false;
+  bool isset_id = false;
+  bool isset_amount = false;
+  bool isset_takes_part = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          isset_account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->amount);
+          isset_amount = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->takes_part);
+          isset_takes_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_account)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_amount)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_takes_part)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipCreditQuestion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipCreditQuestion");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("amount", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->amount);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("takes_part", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->takes_part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipCreditQuestion &a, GossipCreditQuestion &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.id, b.id);
+  swap(a.amount, b.amount);
+  swap(a.takes_part, b.takes_part);
+}
+
+GossipCreditQuestion::GossipCreditQuestion(const GossipCreditQuestion& other66) {
+  account = other66.account;
+  id = other66.id;
+  amount = other66.amount;
+  takes_part = other66.takes_part;
+}
+GossipCreditQuestion::GossipCreditQuestion(GossipCreditQuestion&& other67) noexcept {
+  account = std::move(other67.account);
+  id = other67.id;
+  amount = other67.amount;
+  takes_part = other67.takes_part;
+}
+GossipCreditQuestion& GossipCreditQuestion::operator=(const GossipCreditQuestion& other68) {
+  account = other68.account;
+  id = other68.id;
+  amount = other68.amount;
+  takes_part = other68.takes_part;
+  return *this;
+}
+GossipCreditQuestion& GossipCreditQuestion::operator=(GossipCreditQuestion&& other69) noexcept {
+  account = std::move(other69.account);
+  id = other69.id;
+  amount = other69.amount;
+  takes_part = other69.takes_part;
+  return *this;
+}
+void GossipCreditQuestion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipCreditQuestion(";
+  out << "account=" << to_string(account);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "amount=" << to_string(amount);
+  out << ", " << "takes_part=" << to_string(takes_part);
+  out << ")";
+}
+
+
+GossipCreditPortion::~GossipCreditPortion() noexcept {
+}
+
+
+void GossipCreditPortion::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void GossipCreditPortion::__set_amount(const int64_t val) {
+  this->amount = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipCreditPortion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipCreditPortion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_age_ms = false;
+  bool isset_amount = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->amount);
+          isset_amount = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_amount)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipCreditPortion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipCreditPortion");
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("amount", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->amount);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipCreditPortion &a, GossipCreditPortion &b) {
+  using ::std::swap;
+  swap(a.age_ms, b.age_ms);
+  swap(a.amount, b.amount);
+}
+
+GossipCreditPortion::GossipCreditPortion(const GossipCreditPortion& other70) noexcept {
+  age_ms = other70.age_ms;
+  amount = other70.amount;
+}
+GossipCreditPortion::GossipCreditPortion(GossipCreditPortion&& other71) noexcept {
+  age_ms = other71.age_ms;
+  amount = other71.amount;
+}
+GossipCreditPortion& GossipCreditPortion::operator=(const GossipCreditPortion& other72) noexcept {
+  age_ms = other72.age_ms;
+  amount = other72.amount;
+  return *this;
+}
+GossipCreditPortion& GossipCreditPortion::operator=(GossipCreditPortion&& other73) noexcept {
+  age_ms = other73.age_ms;
+  amount = other73.amount;
+  return *this;
+}
+void GossipCreditPortion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipCreditPortion(";
+  out << "age_ms=" << to_string(age_ms);
+  out << ", " << "amount=" << to_string(amount);
+  out << ")";
+}
+
+
+GossipCreditGrant::~GossipCreditGrant() noexcept {
+}
+
+
+void GossipCreditGrant::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void GossipCreditGrant::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void GossipCreditGrant::__set_question(const int64_t val) {
+  this->question = val;
+__isset.question = true;
+}
+
+void GossipCreditGrant::__set_credit(const std::vector<GossipCreditPortion> & val) {
+  this->credit = val;
+}
+
+void GossipCreditGrant::__set_balance(const int64_t val) {
+  this->balance = val;
+__isset.balance = true;
+}
+std::ostream& operator<<(std::ostream& out, const GossipCreditGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipCreditGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_account = false;
+  bool isset_id = false;
+  bool isset_credit = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          isset_account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          this->__isset.question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->credit.clear();
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->credit.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
+            {
+              xfer += this->credit[_i78].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_credit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->balance);
+          this->__isset.balance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_account)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_credit)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipCreditGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipCreditGrant");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.question) {
+    xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->question);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("credit", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->credit.size()));
+    std::vector<GossipCreditPortion> ::const_iterator _iter79;
+    for (_iter79 = this->credit.begin(); _iter79 != this->credit.end(); ++_iter79)
+    {
+      xfer += (*_iter79).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.balance) {
+    xfer += oprot->writeFieldBegin("balance", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->balance);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipCreditGrant &a, GossipCreditGrant &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.id, b.id);
+  swap(a.question, b.question);
+  swap(a.credit, b.credit);
+  swap(a.balance, b.balance);
+  swap(a.__isset, b.__isset);
+}
+
+GossipCreditGrant::GossipCreditGrant(const GossipCreditGrant& other80) {
+  account = other80.account;
+  id = other80.id;
+  question = other80.question;
+  credit = other80.credit;
+  balance = other80.balance;
+  __isset = other80.__isset;
+}
+GossipCreditGrant::GossipCreditGrant(GossipCreditGrant&& other81) noexcept {
+  account = std::move(other81.account);
+  id = other81.id;
+  question = other81.question;
+  credit = std::move(other81.credit);
+  balance = other81.balance;
+  __isset = other81.__isset;
+}
+GossipCreditGrant& GossipCreditGrant::operator=(const GossipCreditGrant& other82) {
+  account = other82.account;
+  id = other82.id;
+  question = other82.question;
+  credit = other82.credit;
+  balance = other82.balance;
+  __isset = other82.__isset;
+  return *this;
+}
+GossipCreditGrant& GossipCreditGrant::operator=(GossipCreditGrant&& other83) noexcept {
+  account = std::move(other83.account);
+  id = other83.id;
+  question = other83.question;
+  credit = std::move(other83.credit);
+  balance = other83.balance;
+  __isset = other83.__isset;
+  return *this;
+}
+void GossipCreditGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipCreditGrant(";
+  out << "account=" << to_string(account);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "question="; (__isset.question ? (out << to_string(question)) : (out << "<null>"));
+  out << ", " << "credit=" << to_string(credit);
+  out << ", " << "balance="; (__isset.balance ? (out << to_string(balance)) : (out << "<null>"));
+  out << ")";
+}
+
+
+GossipAccountRates::~GossipAccountRates() noexcept {
+}
+
+
+void GossipAccountRates::__set_receiver_boot(const std::string& val) {
+  this->receiver_boot = val;
+__isset.receiver_boot = true;
+}
+
+void GossipAccountRates::__set_questions(const std::vector<GossipCreditQuestion> & val) {
+  this->questions = val;
+__isset.questions = true;
+}
+
+void GossipAccountRates::__set_grants(const std::vector<GossipCreditGrant> & val) {
+  this->grants = val;
+__isset.grants = true;
+}
+
+void GossipAccountRates::__set_asks_to_be_counted(const bool val) {
+  this->asks_to_be_counted = val;
+__isset.asks_to_be_counted = true;
+}
+
+void GossipAccountRates::__set_counts_receiver(const bool val) {
+  this->counts_receiver = val;
+__isset.counts_receiver = true;
+}
+std::ostream& operator<<(std::ostream& out, const GossipAccountRates& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipAccountRates::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->receiver_boot);
+          this->__isset.receiver_boot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->questions.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->questions.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->questions[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.questions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->grants.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
+            {
+              xfer += this->grants[_i93].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->asks_to_be_counted);
+          this->__isset.asks_to_be_counted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->counts_receiver);
+          this->__isset.counts_receiver = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GossipAccountRates::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipAccountRates");
+
+  if (this->__isset.receiver_boot) {
+    xfer += oprot->writeFieldBegin("receiver_boot", ::apache::thrift::protocol::T_STRING, 1);
+    xfer += oprot->writeString(this->receiver_boot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.questions) {
+    xfer += oprot->writeFieldBegin("questions", ::apache::thrift::protocol::T_LIST, 2);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->questions.size()));
+      std::vector<GossipCreditQuestion> ::const_iterator _iter94;
+      for (_iter94 = this->questions.begin(); _iter94 != this->questions.end(); ++_iter94)
+      {
+        xfer += (*_iter94).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.grants) {
+    xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+      std::vector<GossipCreditGrant> ::const_iterator _iter95;
+      for (_iter95 = this->grants.begin(); _iter95 != this->grants.end(); ++_iter95)
+      {
+        xfer += (*_iter95).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.asks_to_be_counted) {
+    xfer += oprot->writeFieldBegin("asks_to_be_counted", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->asks_to_be_counted);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.counts_receiver) {
+    xfer += oprot->writeFieldBegin("counts_receiver", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->counts_receiver);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipAccountRates &a, GossipAccountRates &b) {
+  using ::std::swap;
+  swap(a.receiver_boot, b.receiver_boot);
+  swap(a.questions, b.questions);
+  swap(a.grants, b.grants);
+  swap(a.asks_to_be_counted, b.asks_to_be_counted);
+  swap(a.counts_receiver, b.counts_receiver);
+  swap(a.__isset, b.__isset);
+}
+
+GossipAccountRates::GossipAccountRates(const GossipAccountRates& other96) {
+  receiver_boot = other96.receiver_boot;
+  questions = other96.questions;
+  grants = other96.grants;
+  asks_to_be_counted = other96.asks_to_be_counted;
+  counts_receiver = other96.counts_receiver;
+  __isset = other96.__isset;
+}
+GossipAccountRates::GossipAccountRates(GossipAccountRates&& other97) noexcept {
+  receiver_boot = std::move(other97.receiver_boot);
+  questions = std::move(other97.questions);
+  grants = std::move(other97.grants);
+  asks_to_be_counted = other97.asks_to_be_counted;
+  counts_receiver = other97.counts_receiver;
+  __isset = other97.__isset;
+}
+GossipAccountRates& GossipAccountRates::operator=(const GossipAccountRates& other98) {
+  receiver_boot = other98.receiver_boot;
+  questions = other98.questions;
+  grants = other98.grants;
+  asks_to_be_counted = other98.asks_to_be_counted;
+  counts_receiver = other98.counts_receiver;
+  __isset = other98.__isset;
+  return *this;
+}
+GossipAccountRates& GossipAccountRates::operator=(GossipAccountRates&& other99) noexcept {
+  receiver_boot = std::move(other99.receiver_boot);
+  questions = std::move(other99.questions);
+  grants = std::move(other99.grants);
+  asks_to_be_counted = other99.asks_to_be_counted;
+  counts_receiver = other99.counts_receiver;
+  __isset = other99.__isset;
+  return *this;
+}
+void GossipAccountRates::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipAccountRates(";
+  out << "receiver_boot="; (__isset.receiver_boot ? (out << to_string(receiver_boot)) : (out << "<null>"));
+  out << ", " << "questions="; (__isset.questions ? (out << to_string(questions)) : (out << "<null>"));
+  out << ", " << "grants="; (__isset.grants ? (out << to_string(grants)) : (out << "<null>"));
+  out << ", " << "asks_to_be_counted="; (__isset.asks_to_be_counted ? (out << to_string(asks_to_be_counted)) : (out << "<null>"));
+  out << ", " << "counts_receiver="; (__isset.counts_receiver ? (out << to_string(counts_receiver)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -1746,6 +2505,11 @@
 __isset.poison_parts = true;
 }
 
+void Gossip::__set_account_rates(const GossipAccountRates& val) {
+  this->account_rates = val;
+__isset.account_rates = true;
+}
+
 void Gossip::__set_wanted_contents(const std::vector<std::string> & val) {
   this->wanted_contents = val;
 __isset.wanted_contents = true;
@@ -1851,14 +2615,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->loads.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->loads.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->loads[_i70].read(iprot);
+              xfer += this->loads[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1871,14 +2635,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->prefixes.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->prefixes.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += this->prefixes[_i75].read(iprot);
+              xfer += this->prefixes[_i109].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1891,14 +2655,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->windows.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->windows.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->windows.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->windows[_i80].read(iprot);
+              xfer += this->windows[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1911,14 +2675,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->deaths.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->deaths.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += this->deaths[_i85].read(iprot);
+              xfer += this->deaths[_i119].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1947,14 +2711,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->absences.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->absences.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->absences.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->absences[_i90].read(iprot);
+              xfer += this->absences[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1967,14 +2731,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departures.clear();
-            uint32_t _size91;
-            ::apache::thrift::protocol::TType _etype94;
-            xfer += iprot->readListBegin(_etype94, _size91);
-            this->departures.resize(_size91);
-            uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->departures.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += this->departures[_i95].read(iprot);
+              xfer += this->departures[_i129].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1987,14 +2751,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->served_parts.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->served_parts.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->served_parts.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->served_parts[_i100].read(iprot);
+              xfer += this->served_parts[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2015,14 +2779,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rate_limits.clear();
-            uint32_t _size101;
-            ::apache::thrift::protocol::TType _etype104;
-            xfer += iprot->readListBegin(_etype104, _size101);
-            this->rate_limits.resize(_size101);
-            uint32_t _i105;
-            for (_i105 = 0; _i105 < _size101; ++_i105)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->rate_limits.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              xfer += this->rate_limits[_i105].read(iprot);
+              xfer += this->rate_limits[_i139].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2035,14 +2799,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stream_origins.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->stream_origins.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->stream_origins.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += this->stream_origins[_i110].read(iprot);
+              xfer += this->stream_origins[_i144].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2055,14 +2819,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted_origins.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->wanted_origins.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->wanted_origins.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += iprot->readString(this->wanted_origins[_i115]);
+              xfer += iprot->readString(this->wanted_origins[_i149]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2075,14 +2839,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->poison_parts.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->poison_parts.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->poison_parts.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
             {
-              xfer += this->poison_parts[_i120].read(iprot);
+              xfer += this->poison_parts[_i154].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2091,18 +2855,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->account_rates.read(iprot);
+          this->__isset.account_rates = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 25:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted_contents.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->wanted_contents.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size155;
+            ::apache::thrift::protocol::TType _etype158;
+            xfer += iprot->readListBegin(_etype158, _size155);
+            this->wanted_contents.resize(_size155);
+            uint32_t _i159;
+            for (_i159 = 0; _i159 < _size155; ++_i159)
             {
-              xfer += iprot->readString(this->wanted_contents[_i125]);
+              xfer += iprot->readString(this->wanted_contents[_i159]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2185,10 +2957,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GossipLoad> ::const_iterator _iter126;
-    for (_iter126 = this->loads.begin(); _iter126 != this->loads.end(); ++_iter126)
+    std::vector<GossipLoad> ::const_iterator _iter160;
+    for (_iter160 = this->loads.begin(); _iter160 != this->loads.end(); ++_iter160)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter160).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2197,10 +2969,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<GossipPrefix> ::const_iterator _iter127;
-    for (_iter127 = this->prefixes.begin(); _iter127 != this->prefixes.end(); ++_iter127)
+    std::vector<GossipPrefix> ::const_iterator _iter161;
+    for (_iter161 = this->prefixes.begin(); _iter161 != this->prefixes.end(); ++_iter161)
     {
-      xfer += (*_iter127).write(oprot);
+      xfer += (*_iter161).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2209,10 +2981,10 @@
   xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->windows.size()));
-    std::vector<GossipWindow> ::const_iterator _iter128;
-    for (_iter128 = this->windows.begin(); _iter128 != this->windows.end(); ++_iter128)
+    std::vector<GossipWindow> ::const_iterator _iter162;
+    for (_iter162 = this->windows.begin(); _iter162 != this->windows.end(); ++_iter162)
     {
-      xfer += (*_iter128).write(oprot);
+      xfer += (*_iter162).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2221,10 +2993,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<GossipDeath> ::const_iterator _iter129;
-    for (_iter129 = this->deaths.begin(); _iter129 != this->deaths.end(); ++_iter129)
+    std::vector<GossipDeath> ::const_iterator _iter163;
+    for (_iter163 = this->deaths.begin(); _iter163 != this->deaths.end(); ++_iter163)
     {
-      xfer += (*_iter129).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2242,10 +3014,10 @@
     xfer += oprot->writeFieldBegin("absences", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->absences.size()));
-      std::vector<GossipAbsence> ::const_iterator _iter130;
-      for (_iter130 = this->absences.begin(); _iter130 != this->absences.end(); ++_iter130)
+      std::vector<GossipAbsence> ::const_iterator _iter164;
+      for (_iter164 = this->absences.begin(); _iter164 != this->absences.end(); ++_iter164)
       {
-        xfer += (*_iter130).write(oprot);
+        xfer += (*_iter164).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2255,10 +3027,10 @@
     xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
-      std::vector<GossipDeparture> ::const_iterator _iter131;
-      for (_iter131 = this->departures.begin(); _iter131 != this->departures.end(); ++_iter131)
+      std::vector<GossipDeparture> ::const_iterator _iter165;
+      for (_iter165 = this->departures.begin(); _iter165 != this->departures.end(); ++_iter165)
       {
-        xfer += (*_iter131).write(oprot);
+        xfer += (*_iter165).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2268,10 +3040,10 @@
     xfer += oprot->writeFieldBegin("served_parts", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->served_parts.size()));
-      std::vector<GossipServedPart> ::const_iterator _iter132;
-      for (_iter132 = this->served_parts.begin(); _iter132 != this->served_parts.end(); ++_iter132)
+      std::vector<GossipServedPart> ::const_iterator _iter166;
+      for (_iter166 = this->served_parts.begin(); _iter166 != this->served_parts.end(); ++_iter166)
       {
-        xfer += (*_iter132).write(oprot);
+        xfer += (*_iter166).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2286,10 +3058,10 @@
     xfer += oprot->writeFieldBegin("rate_limits", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rate_limits.size()));
-      std::vector<GossipRateLimit> ::const_iterator _iter133;
-      for (_iter133 = this->rate_limits.begin(); _iter133 != this->rate_limits.end(); ++_iter133)
+      std::vector<GossipRateLimit> ::const_iterator _iter167;
+      for (_iter167 = this->rate_limits.begin(); _iter167 != this->rate_limits.end(); ++_iter167)
       {
-        xfer += (*_iter133).write(oprot);
+        xfer += (*_iter167).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2299,10 +3071,10 @@
     xfer += oprot->writeFieldBegin("stream_origins", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stream_origins.size()));
-      std::vector<GossipStreamOrigin> ::const_iterator _iter134;
-      for (_iter134 = this->stream_origins.begin(); _iter134 != this->stream_origins.end(); ++_iter134)
+      std::vector<GossipStreamOrigin> ::const_iterator _iter168;
+      for (_iter168 = this->stream_origins.begin(); _iter168 != this->stream_origins.end(); ++_iter168)
       {
-        xfer += (*_iter134).write(oprot);
+        xfer += (*_iter168).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2312,10 +3084,10 @@
     xfer += oprot->writeFieldBegin("wanted_origins", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted_origins.size()));
-      std::vector<std::string> ::const_iterator _iter135;
-      for (_iter135 = this->wanted_origins.begin(); _iter135 != this->wanted_origins.end(); ++_iter135)
+      std::vector<std::string> ::const_iterator _iter169;
+      for (_iter169 = this->wanted_origins.begin(); _iter169 != this->wanted_origins.end(); ++_iter169)
       {
-        xfer += oprot->writeString((*_iter135));
+        xfer += oprot->writeString((*_iter169));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2325,23 +3097,28 @@
     xfer += oprot->writeFieldBegin("poison_parts", ::apache::thrift::protocol::T_LIST, 21);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->poison_parts.size()));
-      std::vector<GossipPoisonPart> ::const_iterator _iter136;
-      for (_iter136 = this->poison_parts.begin(); _iter136 != this->poison_parts.end(); ++_iter136)
+      std::vector<GossipPoisonPart> ::const_iterator _iter170;
+      for (_iter170 = this->poison_parts.begin(); _iter170 != this->poison_parts.end(); ++_iter170)
       {
-        xfer += (*_iter136).write(oprot);
+        xfer += (*_iter170).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.account_rates) {
+    xfer += oprot->writeFieldBegin("account_rates", ::apache::thrift::protocol::T_STRUCT, 22);
+    xfer += this->account_rates.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.wanted_contents) {
     xfer += oprot->writeFieldBegin("wanted_contents", ::apache::thrift::protocol::T_LIST, 25);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted_contents.size()));
-      std::vector<std::string> ::const_iterator _iter137;
-      for (_iter137 = this->wanted_contents.begin(); _iter137 != this->wanted_contents.end(); ++_iter137)
+      std::vector<std::string> ::const_iterator _iter171;
+      for (_iter171 = this->wanted_contents.begin(); _iter171 != this->wanted_contents.end(); ++_iter171)
       {
-        xfer += oprot->writeString((*_iter137));
+        xfer += oprot->writeString((*_iter171));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2375,110 +3152,115 @@
   swap(a.stream_origins, b.stream_origins);
   swap(a.wanted_origins, b.wanted_origins);
   swap(a.poison_parts, b.poison_parts);
+  swap(a.account_rates, b.account_rates);
   swap(a.wanted_contents, b.wanted_contents);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other138) {
-  host = other138.host;
-  boot = other138.boot;
-  stamp = other138.stamp;
-  echo = other138.echo;
-  unix_ms = other138.unix_ms;
-  plan_version = other138.plan_version;
-  proof_age_ms = other138.proof_age_ms;
-  loads = other138.loads;
-  prefixes = other138.prefixes;
-  windows = other138.windows;
-  deaths = other138.deaths;
-  leaving = other138.leaving;
-  registry_revision = other138.registry_revision;
-  absences = other138.absences;
-  departures = other138.departures;
-  served_parts = other138.served_parts;
-  reports_usage = other138.reports_usage;
-  rate_limits = other138.rate_limits;
-  stream_origins = other138.stream_origins;
-  wanted_origins = other138.wanted_origins;
-  poison_parts = other138.poison_parts;
-  wanted_contents = other138.wanted_contents;
-  __isset = other138.__isset;
-}
-Gossip::Gossip(Gossip&& other139) noexcept {
-  host = std::move(other139.host);
-  boot = std::move(other139.boot);
-  stamp = other139.stamp;
-  echo = other139.echo;
-  unix_ms = other139.unix_ms;
-  plan_version = other139.plan_version;
-  proof_age_ms = other139.proof_age_ms;
-  loads = std::move(other139.loads);
-  prefixes = std::move(other139.prefixes);
-  windows = std::move(other139.windows);
-  deaths = std::move(other139.deaths);
-  leaving = other139.leaving;
-  registry_revision = other139.registry_revision;
-  absences = std::move(other139.absences);
-  departures = std::move(other139.departures);
-  served_parts = std::move(other139.served_parts);
-  reports_usage = other139.reports_usage;
-  rate_limits = std::move(other139.rate_limits);
-  stream_origins = std::move(other139.stream_origins);
-  wanted_origins = std::move(other139.wanted_origins);
-  poison_parts = std::move(other139.poison_parts);
-  wanted_contents = std::move(other139.wanted_contents);
-  __isset = other139.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other140) {
-  host = other140.host;
-  boot = other140.boot;
-  stamp = other140.stamp;
-  echo = other140.echo;
-  unix_ms = other140.unix_ms;
-  plan_version = other140.plan_version;
-  proof_age_ms = other140.proof_age_ms;
-  loads = other140.loads;
-  prefixes = other140.prefixes;
-  windows = other140.windows;
-  deaths = other140.deaths;
-  leaving = other140.leaving;
-  registry_revision = other140.registry_revision;
-  absences = other140.absences;
-  departures = other140.departures;
-  served_parts = other140.served_parts;
-  reports_usage = other140.reports_usage;
-  rate_limits = other140.rate_limits;
-  stream_origins = other140.stream_origins;
-  wanted_origins = other140.wanted_origins;
-  poison_parts = other140.poison_parts;
-  wanted_contents = other140.wanted_contents;
-  __isset = other140.__isset;
+Gossip::Gossip(const Gossip& other172) {
+  host = other172.host;
+  boot = other172.boot;
+  stamp = other172.stamp;
+  echo = other172.echo;
+  unix_ms = other172.unix_ms;
+  plan_version = other172.plan_version;
+  proof_age_ms = other172.proof_age_ms;
+  loads = other172.loads;
+  prefixes = other172.prefixes;
+  windows = other172.windows;
+  deaths = other172.deaths;
+  leaving = other172.leaving;
+  registry_revision = other172.registry_revision;
+  absences = other172.absences;
+  departures = other172.departures;
+  served_parts = other172.served_parts;
+  reports_usage = other172.reports_usage;
+  rate_limits = other172.rate_limits;
+  stream_origins = other172.stream_origins;
+  wanted_origins = other172.wanted_origins;
+  poison_parts = other172.poison_parts;
+  account_rates = other172.account_rates;
+  wanted_contents = other172.wanted_contents;
+  __isset = other172.__isset;
+}
+Gossip::Gossip(Gossip&& other173) noexcept {
+  host = std::move(other173.host);
+  boot = std::move(other173.boot);
+  stamp = other173.stamp;
+  echo = other173.echo;
+  unix_ms = other173.unix_ms;
+  plan_version = other173.plan_version;
+  proof_age_ms = other173.proof_age_ms;
+  loads = std::move(other173.loads);
+  prefixes = std::move(other173.prefixes);
+  windows = std::move(other173.windows);
+  deaths = std::move(other173.deaths);
+  leaving = other173.leaving;
+  registry_revision = other173.registry_revision;
+  absences = std::move(other173.absences);
+  departures = std::move(other173.departures);
+  served_parts = std::move(other173.served_parts);
+  reports_usage = other173.reports_usage;
+  rate_limits = std::move(other173.rate_limits);
+  stream_origins = std::move(other173.stream_origins);
+  wanted_origins = std::move(other173.wanted_origins);
+  poison_parts = std::move(other173.poison_parts);
+  account_rates = std::move(other173.account_rates);
+  wanted_contents = std::move(other173.wanted_contents);
+  __isset = other173.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other174) {
+  host = other174.host;
+  boot = other174.boot;
+  stamp = other174.stamp;
+  echo = other174.echo;
+  unix_ms = other174.unix_ms;
+  plan_version = other174.plan_version;
+  proof_age_ms = other174.proof_age_ms;
+  loads = other174.loads;
+  prefixes = other174.prefixes;
+  windows = other174.windows;
+  deaths = other174.deaths;
+  leaving = other174.leaving;
+  registry_revision = other174.registry_revision;
+  absences = other174.absences;
+  departures = other174.departures;
+  served_parts = other174.served_parts;
+  reports_usage = other174.reports_usage;
+  rate_limits = other174.rate_limits;
+  stream_origins = other174.stream_origins;
+  wanted_origins = other174.wanted_origins;
+  poison_parts = other174.poison_parts;
+  account_rates = other174.account_rates;
+  wanted_contents = other174.wanted_contents;
+  __isset = other174.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other141) noexcept {
-  host = std::move(other141.host);
-  boot = std::move(other141.boot);
-  stamp = other141.stamp;
-  echo = other141.echo;
-  unix_ms = other141.unix_ms;
-  plan_version = other141.plan_version;
-  proof_age_ms = other141.proof_age_ms;
-  loads = std::move(other141.loads);
-  prefixes = std::move(other141.prefixes);
-  windows = std::move(other141.windows);
-  deaths = std::move(other141.deaths);
-  leaving = other141.leaving;
-  registry_revision = other141.registry_revision;
-  absences = std::move(other141.absences);
-  departures = std::move(other141.departures);
-  served_parts = std::move(other141.served_parts);
-  reports_usage = other141.reports_usage;
-  rate_limits = std::move(other141.rate_limits);
-  stream_origins = std::move(other141.stream_origins);
-  wanted_origins = std::move(other141.wanted_origins);
-  poison_parts = std::move(other141.poison_parts);
-  wanted_contents = std::move(other141.wanted_contents);
-  __isset = other141.__isset;
+Gossip& Gossip::operator=(Gossip&& other175) noexcept {
+  host = std::move(other175.host);
+  boot = std::move(other175.boot);
+  stamp = other175.stamp;
+  echo = other175.echo;
+  unix_ms = other175.unix_ms;
+  plan_version = other175.plan_version;
+  proof_age_ms = other175.proof_age_ms;
+  loads = std::move(other175.loads);
+  prefixes = std::move(other175.prefixes);
+  windows = std::move(other175.windows);
+  deaths = std::move(other175.deaths);
+  leaving = other175.leaving;
+  registry_revision = other175.registry_revision;
+  absences = std::move(other175.absences);
+  departures = std::move(other175.departures);
+  served_parts = std::move(other175.served_parts);
+  reports_usage = other175.reports_usage;
+  rate_limits = std::move(other175.rate_limits);
+  stream_origins = std::move(other175.stream_origins);
+  wanted_origins = std::move(other175.wanted_origins);
+  poison_parts = std::move(other175.poison_parts);
+  account_rates = std::move(other175.account_rates);
+  wanted_contents = std::move(other175.wanted_contents);
+  __isset = other175.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -2505,6 +3287,7 @@
   out << ", " << "stream_origins="; (__isset.stream_origins ? (out << to_string(stream_origins)) : (out << "<null>"));
   out << ", " << "wanted_origins="; (__isset.wanted_origins ? (out << to_string(wanted_origins)) : (out << "<null>"));
   out << ", " << "poison_parts="; (__isset.poison_parts ? (out << to_string(poison_parts)) : (out << "<null>"));
+  out << ", " << "account_rates="; (__isset.account_rates ? (out << to_string(account_rates)) : (out << "<null>"));
   out << ", " << "wanted_contents="; (__isset.wanted_contents ? (out << to_string(wanted_contents)) : (out << "<null>"));
   out << ")";
 }
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -41,6 +41,14 @@
 
 class GossipStreamOrigin;
 
+class GossipCreditQuestion;
+
+class GossipCreditPortion;
+
+class GossipCreditGrant;
+
+class GossipAccountRates;
+
 class Gossip;
 
 
@@ -585,8 +593,264 @@
 
 std::ostream& operator<<(std::ostream& out, const GossipStreamOrigin& obj);
 
+
+class GossipCreditQuestion : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipCreditQuestion(const GossipCreditQuestion&);
+  GossipCreditQuestion(GossipCreditQuestion&&) noexcept;
+  GossipCreditQuestion& operator=(const GossipCreditQuestion&);
+  GossipCreditQuestion& operator=(GossipCreditQuestion&&) noexcept;
+  GossipCreditQuestion() noexcept
+                       : account(),
+                         id(0),
+                         amount(0),
+                         takes_part(0) {
+  }
+
+  virtual ~GossipCreditQuestion() noexcept;
+  std::string account;
+  int64_t id;
+  int64_t amount;
+  bool takes_part;
+
+  void __set_account(const std::string& val);
+
+  void __set_id(const int64_t val);
+
+  void __set_amount(const int64_t val);
+
+  void __set_takes_part(const bool val);
+
+  bool operator == (const GossipCreditQuestion & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(id == rhs.id))
+      return false;
+    if (!(amount == rhs.amount))
+      return false;
+    if (!(takes_part == rhs.takes_part))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipCreditQuestion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipCreditQuestion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipCreditQuestion &a, GossipCreditQuestion &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipCreditQuestion& obj);
+
+
+class GossipCreditPortion : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipCreditPortion(const GossipCreditPortion&) noexcept;
+  GossipCreditPortion(GossipCreditPortion&&) noexcept;
+  GossipCreditPortion& operator=(const GossipCreditPortion&) noexcept;
+  GossipCreditPortion& operator=(GossipCreditPortion&&) noexcept;
+  GossipCreditPortion() noexcept
+                      : age_ms(0),
+                        amount(0) {
+  }
+
+  virtual ~GossipCreditPortion() noexcept;
+  int64_t age_ms;
+  int64_t amount;
+
+  void __set_age_ms(const int64_t val);
+
+  void __set_amount(const int64_t val);
+
+  bool operator == (const GossipCreditPortion & rhs) const
+  {
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(amount == rhs.amount))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipCreditPortion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipCreditPortion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipCreditPortion &a, GossipCreditPortion &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipCreditPortion& obj);
+
+typedef struct _GossipCreditGrant__isset {
+  _GossipCreditGrant__isset() : question(false), balance(false) {}
+  bool question :1;
+  bool balance :1;
+} _GossipCreditGrant__isset;
+
+class GossipCreditGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipCreditGrant(const GossipCreditGrant&);
+  GossipCreditGrant(GossipCreditGrant&&) noexcept;
+  GossipCreditGrant& operator=(const GossipCreditGrant&);
+  GossipCreditGrant& operator=(GossipCreditGrant&&) noexcept;
+  GossipCreditGrant() noexcept
+                    : account(),
+                      id(0),
+                      question(0),
+                      balance(0) {
+  }
+
+  virtual ~GossipCreditGrant() noexcept;
+  std::string account;
+  int64_t id;
+  int64_t question;
+  std::vector<GossipCreditPortion>  credit;
+  int64_t balance;
+
+  _GossipCreditGrant__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_id(const int64_t val);
+
+  void __set_question(const int64_t val);
+
+  void __set_credit(const std::vector<GossipCreditPortion> & val);
+
+  void __set_balance(const int64_t val);
+
+  bool operator == (const GossipCreditGrant & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(id == rhs.id))
+      return false;
+    if (__isset.question != rhs.__isset.question)
+      return false;
+    else if (__isset.question && !(question == rhs.question))
+      return false;
+    if (!(credit == rhs.credit))
+      return false;
+    if (__isset.balance != rhs.__isset.balance)
+      return false;
+    else if (__isset.balance && !(balance == rhs.balance))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipCreditGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipCreditGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipCreditGrant &a, GossipCreditGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipCreditGrant& obj);
+
+typedef struct _GossipAccountRates__isset {
+  _GossipAccountRates__isset() : receiver_boot(false), questions(false), grants(false), asks_to_be_counted(false), counts_receiver(false) {}
+  bool receiver_boot :1;
+  bool questions :1;
+  bool grants :1;
+  bool asks_to_be_counted :1;
+  bool counts_receiver :1;
+} _GossipAccountRates__isset;
+
+class GossipAccountRates : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipAccountRates(const GossipAccountRates&);
+  GossipAccountRates(GossipAccountRates&&) noexcept;
+  GossipAccountRates& operator=(const GossipAccountRates&);
+  GossipAccountRates& operator=(GossipAccountRates&&) noexcept;
+  GossipAccountRates() noexcept
+                     : receiver_boot(),
+                       asks_to_be_counted(0),
+                       counts_receiver(0) {
+  }
+
+  virtual ~GossipAccountRates() noexcept;
+  std::string receiver_boot;
+  std::vector<GossipCreditQuestion>  questions;
+  std::vector<GossipCreditGrant>  grants;
+  bool asks_to_be_counted;
+  bool counts_receiver;
+
+  _GossipAccountRates__isset __isset;
+
+  void __set_receiver_boot(const std::string& val);
+
+  void __set_questions(const std::vector<GossipCreditQuestion> & val);
+
+  void __set_grants(const std::vector<GossipCreditGrant> & val);
+
+  void __set_asks_to_be_counted(const bool val);
+
+  void __set_counts_receiver(const bool val);
+
+  bool operator == (const GossipAccountRates & rhs) const
+  {
+    if (__isset.receiver_boot != rhs.__isset.receiver_boot)
+      return false;
+    else if (__isset.receiver_boot && !(receiver_boot == rhs.receiver_boot))
+      return false;
+    if (__isset.questions != rhs.__isset.questions)
+      return false;
+    else if (__isset.questions && !(questions == rhs.questions))
+      return false;
+    if (__isset.grants != rhs.__isset.grants)
+      return false;
+    else if (__isset.grants && !(grants == rhs.grants))
+      return false;
+    if (__isset.asks_to_be_counted != rhs.__isset.asks_to_be_counted)
+      return false;
+    else if (__isset.asks_to_be_counted && !(asks_to_be_counted == rhs.asks_to_be_counted))
+      return false;
+    if (__isset.counts_receiver != rhs.__isset.counts_receiver)
+      return false;
+    else if (__isset.counts_receiver && !(counts_receiver == rhs.counts_receiver))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipAccountRates &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipAccountRates & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipAccountRates &a, GossipAccountRates &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipAccountRates& obj);
+
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), wanted_contents(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), account_rates(false), wanted_contents(false) {}
   bool absences :1;
   bool departures :1;
   bool served_parts :1;
@@ -595,6 +859,7 @@
   bool stream_origins :1;
   bool wanted_origins :1;
   bool poison_parts :1;
+  bool account_rates :1;
   bool wanted_contents :1;
 } _Gossip__isset;
 
@@ -640,6 +905,7 @@
   std::vector<GossipStreamOrigin>  stream_origins;
   std::vector<std::string>  wanted_origins;
   std::vector<GossipPoisonPart>  poison_parts;
+  GossipAccountRates account_rates;
   std::vector<std::string>  wanted_contents;
 
   _Gossip__isset __isset;
@@ -686,6 +952,8 @@
 
   void __set_poison_parts(const std::vector<GossipPoisonPart> & val);
 
+  void __set_account_rates(const GossipAccountRates& val);
+
   void __set_wanted_contents(const std::vector<std::string> & val);
 
   bool operator == (const Gossip & rhs) const
@@ -748,6 +1016,10 @@
       return false;
     else if (__isset.poison_parts && !(poison_parts == rhs.poison_parts))
       return false;
+    if (__isset.account_rates != rhs.__isset.account_rates)
+      return false;
+    else if (__isset.account_rates && !(account_rates == rhs.account_rates))
+      return false;
     if (__isset.wanted_contents != rhs.__isset.wanted_contents)
       return false;
     else if (__isset.wanted_contents && !(wanted_contents == rhs.wanted_contents))
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -88,6 +88,47 @@
   4: optional string content,
 }
 
+// The sender asks the receiver for credit of a client account.
+struct GossipCreditQuestion {
+  1: required string account,
+  2: required i64 id,
+  // In thousandths of a request or token.
+  3: required i64 amount,
+  // A part of it helps too.
+  4: required bool takes_part,
+}
+
+// Credit that was earned at one time.
+struct GossipCreditPortion {
+  1: required i64 age_ms,
+  // In thousandths of a request or token.
+  2: required i64 amount,
+}
+
+// Credit of a client account that the sender has taken off for the receiver.
+struct GossipCreditGrant {
+  1: required string account,
+  // Increases from one grant of the sender's run to the next.
+  2: required i64 id,
+  // The question that it answers; absent for none.
+  3: optional i64 question,
+  4: required list<GossipCreditPortion> credit,
+  // What the sender has left.
+  5: optional i64 balance,
+}
+
+// What keeps the rate limits of client accounts.
+struct GossipAccountRates {
+  // The run of the receiver for which this is meant; absent for any.
+  1: optional string receiver_boot,
+  2: optional list<GossipCreditQuestion> questions,
+  3: optional list<GossipCreditGrant> grants,
+  // The sender asks whether the receiver counts its run, or says that it counts
+  // the receiver's.
+  4: optional bool asks_to_be_counted,
+  5: optional bool counts_receiver,
+}
+
 struct Gossip {
   1: required string host,
   2: required string boot,
@@ -121,6 +162,8 @@
   // The streams whose origin the receiver is asked for, by their first request.
   20: optional list<string> wanted_origins,
   21: optional list<GossipPoisonPart> poison_parts,
+  // Only in messages that tell nothing of the sender's load.
+  22: optional GossipAccountRates account_rates,
   // The same as `wanted_origins` by the contents of streams whose callers don't
   // name the first request.
   25: optional list<string> wanted_contents,
