--- a/core/include/carawayvalve/core/account_credit.h
+++ b/core/include/carawayvalve/core/account_credit.h
@@ -37,6 +37,10 @@
   base::Instant OldestEarned(base::Instant now);
   // Takes up to this amount off, the oldest first.
   Credit Take(double amount, base::Instant now);
+  // Returns and takes only what lasts some time yet: on its way to another
+  // process, credit seems to get older than it is.
+  double LastingBalance(base::Instant now);
+  Credit TakeLasting(double amount, base::Instant now);
   // Adds credit of another process, or takes credit back.
   void Add(const Credit& credit, base::Instant now);
   // Changes the lifetime, and each amount by this factor.
@@ -47,6 +51,9 @@
   base::Instant SlotOf(base::Instant earned) const;
   void AddPortion(const CreditPortion& portion);
   void DropExpired(base::Instant now);
+  // Returns the oldest portion that lasts some time yet.
+  std::deque<CreditPortion>::iterator FirstLasting(base::Instant now);
+  Credit TakeFrom(std::deque<CreditPortion>::iterator first, double amount);
 
   base::Duration lifetime;
   base::Instant earned_until;
--- a/core/include/carawayvalve/core/account_credit_request.h
+++ b/core/include/carawayvalve/core/account_credit_request.h
@@ -9,7 +9,8 @@
 
 namespace carawayvalve::core {
 
-// The request waits until a peer answers this, or for Timeout().
+// The request waits until a peer answers this, or for Timeout(). Without peers,
+// it only waits.
 struct AskPeers {
   std::vector<base::HostId> peers;
   CreditQuestion question;
@@ -26,9 +27,9 @@
                                 AccountExceeded,
                                 AccountRequestTooLarge>;
 
-// Finds the credit for one request: with this process; with the account's
-// collector; or, if that one is silent or has too little, with all peers,
-// unless that was tried just before.
+// Finds the credit for one request: with this process, with the account's
+// collector or, if that one is silent, with any peer. A request that lacks
+// little waits until that is earned.
 class AccountCreditRequest {
  public:
   // `objective`: time within which the request should be answered.
@@ -45,24 +46,25 @@
   // Called for each grant that has been applied.
   CreditStep OnGrant(const CreditGrant& grant, base::Instant now);
   CreditStep OnTimeout(base::Instant now);
-  // Returns how long to wait for the answer to a question.
+  // Returns how long to wait after AskPeers.
   base::Duration Timeout() const;
 
  private:
-  enum class Stage { kCollector, kSearch };
+  enum class Stage { kCollector, kPause, kSearch };
 
+  // Returns the longest time for one step.
+  base::Duration MaxWait() const;
   CreditStep AskCollector(base::Instant now);
-  // `peer_balance` is what the collector has told to have.
-  CreditStep Search(bool collector_is_silent,
-                    double peer_balance,
-                    base::Instant now);
-  CreditStep Refuse(double peer_balance, base::Instant now);
+  CreditStep Search(base::Instant now);
+  // Waits or refuses. `peer_balance` is what the collector has told to have.
+  CreditStep OnTooLittle(double peer_balance, base::Instant now);
 
   AccountRateShares& shares;
   base::ClientAccountId account;
   double amount;
   base::Duration objective;
   Stage stage = Stage::kCollector;
+  base::Duration pause{};
   int64_t questions = 0;
   // The question that was asked last.
   int64_t question = 0;
--- a/core/include/carawayvalve/core/account_rate_shares.h
+++ b/core/include/carawayvalve/core/account_rate_shares.h
@@ -144,6 +144,12 @@
   bool CanAdmit(const base::ClientAccountId& account,
                 double amount,
                 base::Instant now);
+  // Returns the time in which all processes together earn what the request
+  // lacks. `peer_balance` is what a peer has told to have.
+  base::Duration TimeToEarn(const base::ClientAccountId& account,
+                            double amount,
+                            double peer_balance,
+                            base::Instant now);
   // Counts a request as refused, as it can't get credit. `peer_balance` is what
   // a peer has told to have.
   AccountExceeded Refuse(const base::ClientAccountId& account,
@@ -156,9 +162,8 @@
               base::Instant now);
 
   // Returns the peers to ask for any credit, as the account's collector is
-  // silent or has too little; none if that was done just before.
+  // silent; none if that was done just before.
   std::vector<base::HostId> PeersToSearch(const base::ClientAccountId& account,
-                                          bool collector_is_silent,
                                           base::Instant now);
   CreditQuestion Ask(const base::ClientAccountId& account,
                      double missing,
--- a/core/src/account_credit.cc
+++ b/core/src/account_credit.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int64_t kSlotsPerLifetime = 16;
+// Credit lasts while it has this part of its lifetime left.
+constexpr int64_t kLastingDivisor = 8;
 
 double ToSeconds(base::Duration time) {
   return std::chrono::duration<double>(time).count();
@@ -78,22 +80,52 @@
   return this->portions.empty() ? now : this->portions.front().earned;
 }
 
-Credit AccountCredit::Take(double amount, base::Instant now) {
+std::deque<CreditPortion>::iterator AccountCredit::FirstLasting(
+    base::Instant now) {
   this->DropExpired(now);
+  const base::Duration max_age =
+      this->lifetime - this->lifetime / kLastingDivisor;
+  return std::find_if(this->portions.begin(), this->portions.end(),
+                      [&](const CreditPortion& portion) {
+                        return now - portion.earned < max_age;
+                      });
+}
+
+double AccountCredit::LastingBalance(base::Instant now) {
+  double sum = 0;
+  for (auto portion = this->FirstLasting(now); portion != this->portions.end();
+       ++portion) {
+    sum += portion->amount;
+  }
+  return sum;
+}
+
+Credit AccountCredit::TakeFrom(std::deque<CreditPortion>::iterator first,
+                               double amount) {
   Credit taken;
-  while (amount > 0 && !this->portions.empty()) {
-    CreditPortion& oldest = this->portions.front();
-    const double part = std::min(amount, oldest.amount);
-    taken.push_back({oldest.earned, part});
+  auto portion = first;
+  for (; amount > 0 && portion != this->portions.end(); ++portion) {
+    const double part = std::min(amount, portion->amount);
+    taken.push_back({portion->earned, part});
     amount -= part;
-    oldest.amount -= part;
-    if (oldest.amount <= 0) {
-      this->portions.pop_front();
+    portion->amount -= part;
+    if (portion->amount > 0) {
+      break;
     }
   }
+  this->portions.erase(first, portion);
   return taken;
 }
 
+Credit AccountCredit::Take(double amount, base::Instant now) {
+  this->DropExpired(now);
+  return this->TakeFrom(this->portions.begin(), amount);
+}
+
+Credit AccountCredit::TakeLasting(double amount, base::Instant now) {
+  return this->TakeFrom(this->FirstLasting(now), amount);
+}
+
 void AccountCredit::Add(const Credit& credit, base::Instant now) {
   for (const CreditPortion& portion : credit) {
     if (portion.amount > 0 && portion.earned <= now) {
--- a/core/src/account_rate_shares.cc
+++ b/core/src/account_rate_shares.cc
@@ -15,15 +15,13 @@
 constexpr double kUsablePart = 0.75;
 // Credit is passed to the collector from this part of its lifetime on, except
 // for this part of a process's share of the burst, which serves small requests.
-constexpr double kPassAge = 0.2;
-constexpr double kKeptPart = 0.1;
+constexpr double kPassAge = 0.1;
+constexpr double kKeptPart = 0.03;
 // Amounts that differ by less are equal.
 constexpr double kPrecision = 1e-6;
 constexpr base::Milliseconds kMinRetryAfter(50);
-// The minimum interval between two searches for an account's credit while its
-// collector is silent, and while it has too little.
+// The minimum interval between two searches for an account's credit.
 constexpr base::Milliseconds kSearchInterval(250);
-constexpr std::chrono::seconds kExtraSearchInterval(2);
 
 base::Duration ToDuration(double seconds) {
   return std::chrono::duration_cast<base::Duration>(
@@ -134,17 +132,23 @@
   return account.credit.Balance(now) + kPrecision >= amount;
 }
 
+base::Duration AccountRateShares::TimeToEarn(const base::ClientAccountId& name,
+                                             double amount,
+                                             double peer_balance,
+                                             base::Instant now) {
+  Account& account = this->accounts.at(name);
+  const double missing =
+      amount - account.credit.Balance(now) - std::max(peer_balance, 0.0);
+  return ToDuration(std::max(missing, 0.0) / account.rate.per_second);
+}
+
 AccountExceeded AccountRateShares::Refuse(const base::ClientAccountId& name,
                                           double amount,
                                           double peer_balance,
                                           base::Instant now) {
-  Account& account = this->accounts.at(name);
-  ++account.refused;
-  const double missing =
-      amount - account.credit.Balance(now) - std::max(peer_balance, 0.0);
+  ++this->accounts.at(name).refused;
   return {std::max<base::Duration>(
-      ToDuration(std::max(missing, 0.0) / account.rate.per_second),
-      kMinRetryAfter)};
+      this->TimeToEarn(name, amount, peer_balance, now), kMinRetryAfter)};
 }
 
 void AccountRateShares::Refund(const base::ClientAccountId& name,
@@ -160,12 +164,10 @@
 
 std::vector<base::HostId> AccountRateShares::PeersToSearch(
     const base::ClientAccountId& name,
-    bool collector_is_silent,
     base::Instant now) {
   Account& account = this->accounts.at(name);
-  const base::Duration interval =
-      collector_is_silent ? kSearchInterval : kExtraSearchInterval;
-  if (account.searched.has_value() && now - *account.searched < interval) {
+  if (account.searched.has_value() &&
+      now - *account.searched < kSearchInterval) {
     return {};
   }
   account.searched = now;
@@ -189,10 +191,11 @@
   }
   Account& account = found->second;
   account.credit.Earn(this->ShareOf(account), now);
-  if (question.takes_part || account.credit.Balance(now) >= question.amount) {
-    grant.credit = account.credit.Take(question.amount, now);
+  if (question.takes_part ||
+      account.credit.LastingBalance(now) >= question.amount) {
+    grant.credit = account.credit.TakeLasting(question.amount, now);
   }
-  grant.balance = account.credit.Balance(now);
+  grant.balance = account.credit.LastingBalance(now);
   return grant;
 }
 
@@ -231,7 +234,7 @@
       continue;
     }
     CreditGrant grant{name, ++this->last_grant, 0, {}, 0};
-    grant.credit = account.credit.Take(excess, now);
+    grant.credit = account.credit.TakeLasting(excess, now);
     grants.emplace_back(collector, std::move(grant));
   }
   return grants;
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -35,9 +35,9 @@
   void OnReadiness(const std::shared_ptr<net::Exchange>& exchange);
   void OnMetrics(const std::shared_ptr<net::Exchange>& exchange);
   bool Ready() const;
-  std::string Dump() const;
   // Answers an operator who asks where a request would go.
   void Explain(net::Exchange& exchange) const;
+  std::string Dump();
 
   std::string settings_path;
   net::EventLoop loop;
@@ -52,6 +52,7 @@
   net::HttpClient backends;
   LateRequestScheduler waiting;
   StreamOriginLookup origin_lookup;
+  AccountLimits account_limits;
   platform::ObjectClient objects;
   Context context;
   StoreFeed feed;
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -1798,6 +1798,765 @@
 }
 
 
+GossipCreditQuestion::~GossipCreditQuestion() noexcept {
+}
+
+
+void GossipCreditQuestion::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void GossipCreditQuestion::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void GossipCreditQuestion::__set_amount(const int64_t val) {
+  this->amount = val;
+}
+
+void GossipCreditQuestion::__set_takes_part(const bool val) {
+  this->takes_part = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipCreditQuestion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipCreditQuestion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_account = false;
+  bool isset_id = false;
+  bool isset_amount = false;
+  bool isset_takes_part = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          isset_account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->amount);
+          isset_amount = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->takes_part);
+          isset_takes_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_account)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_amount)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_takes_part)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipCreditQuestion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipCreditQuestion");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("amount", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->amount);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("takes_part", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->takes_part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipCreditQuestion &a, GossipCreditQuestion &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.id, b.id);
+  swap(a.amount, b.amount);
+  swap(a.takes_part, b.takes_part);
+}
+
+GossipCreditQuestion::GossipCreditQuestion(const GossipCreditQuestion& other70) {
+  account = other70.account;
+  id = other70.id;
+  amount = other70.amount;
+  takes_part = other70.takes_part;
+}
+GossipCreditQuestion::GossipCreditQuestion(GossipCreditQuestion&& other71) noexcept {
+  account = std::move(other71.account);
+  id = other71.id;
+  amount = other71.amount;
+  takes_part = other71.takes_part;
+}
+GossipCreditQuestion& GossipCreditQuestion::operator=(const GossipCreditQuestion& other72) {
+  account = other72.account;
+  id = other72.id;
+  amount = other72.amount;
+  takes_part = other72.takes_part;
+  return *this;
+}
+GossipCreditQuestion& GossipCreditQuestion::operator=(GossipCreditQuestion&& other73) noexcept {
+  account = std::move(other73.account);
+  id = other73.id;
+  amount = other73.amount;
+  takes_part = other73.takes_part;
+  return *this;
+}
+void GossipCreditQuestion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipCreditQuestion(";
+  out << "account=" << to_string(account);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "amount=" << to_string(amount);
+  out << ", " << "takes_part=" << to_string(takes_part);
+  out << ")";
+}
+
+
+GossipCreditPortion::~GossipCreditPortion() noexcept {
+}
+
+
+void GossipCreditPortion::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void GossipCreditPortion::__set_amount(const int64_t val) {
+  this->amount = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipCreditPortion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipCreditPortion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_age_ms = false;
+  bool isset_amount = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->amount);
+          isset_amount = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_amount)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipCreditPortion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipCreditPortion");
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("amount", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->amount);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipCreditPortion &a, GossipCreditPortion &b) {
+  using ::std::swap;
+  swap(a.age_ms, b.age_ms);
+  swap(a.amount, b.amount);
+}
+
+GossipCreditPortion::GossipCreditPortion(const GossipCreditPortion& other74) noexcept {
+  age_ms = other74.age_ms;
+  amount = other74.amount;
+}
+GossipCreditPortion::GossipCreditPortion(GossipCreditPortion&& other75) noexcept {
+  age_ms = other75.age_ms;
+  amount = other75.amount;
+}
+GossipCreditPortion& GossipCreditPortion::operator=(const GossipCreditPortion& other76) noexcept {
+  age_ms = other76.age_ms;
+  amount = other76.amount;
+  return *this;
+}
+GossipCreditPortion& GossipCreditPortion::operator=(GossipCreditPortion&& other77) noexcept {
+  age_ms = other77.age_ms;
+  amount = other77.amount;
+  return *this;
+}
+void GossipCreditPortion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipCreditPortion(";
+  out << "age_ms=" << to_string(age_ms);
+  out << ", " << "amount=" << to_string(amount);
+  out << ")";
+}
+
+
+GossipCreditGrant::~GossipCreditGrant() noexcept {
+}
+
+
+void GossipCreditGrant::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void GossipCreditGrant::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void GossipCreditGrant::__set_question(const int64_t val) {
+  this->question = val;
+__isset.question = true;
+}
+
+void GossipCreditGrant::__set_credit(const std::vector<GossipCreditPortion> & val) {
+  this->credit = val;
+}
+
+void GossipCreditGrant::__set_balance(const int64_t val) {
+  this->balance = val;
+__isset.balance = true;
+}
+std::ostream& operator<<(std::ostream& out, const GossipCreditGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipCreditGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_account = false;
+  bool isset_id = false;
+  bool isset_credit = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          isset_account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          this->__isset.question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->credit.clear();
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->credit.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
+            {
+              xfer += this->credit[_i82].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_credit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->balance);
+          this->__isset.balance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_account)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_credit)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipCreditGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipCreditGrant");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.question) {
+    xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->question);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("credit", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->credit.size()));
+    std::vector<GossipCreditPortion> ::const_iterator _iter83;
+    for (_iter83 = this->credit.begin(); _iter83 != this->credit.end(); ++_iter83)
+    {
+      xfer += (*_iter83).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.balance) {
+    xfer += oprot->writeFieldBegin("balance", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->balance);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipCreditGrant &a, GossipCreditGrant &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.id, b.id);
+  swap(a.question, b.question);
+  swap(a.credit, b.credit);
+  swap(a.balance, b.balance);
+  swap(a.__isset, b.__isset);
+}
+
+GossipCreditGrant::GossipCreditGrant(const GossipCreditGrant& other84) {
+  account = other84.account;
+  id = other84.id;
+  question = other84.question;
+  credit = other84.credit;
+  balance = other84.balance;
+  __isset = other84.__isset;
+}
+GossipCreditGrant::GossipCreditGrant(GossipCreditGrant&& other85) noexcept {
+  account = std::move(other85.account);
+  id = other85.id;
+  question = other85.question;
+  credit = std::move(other85.credit);
+  balance = other85.balance;
+  __isset = other85.__isset;
+}
+GossipCreditGrant& GossipCreditGrant::operator=(const GossipCreditGrant& other86) {
+  account = other86.account;
+  id = other86.id;
+  question = other86.question;
+  credit = other86.credit;
+  balance = other86.balance;
+  __isset = other86.__isset;
+  return *this;
+}
+GossipCreditGrant& GossipCreditGrant::operator=(GossipCreditGrant&& other87) noexcept {
+  account = std::move(other87.account);
+  id = other87.id;
+  question = other87.question;
+  credit = std::move(other87.credit);
+  balance = other87.balance;
+  __isset = other87.__isset;
+  return *this;
+}
+void GossipCreditGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipCreditGrant(";
+  out << "account=" << to_string(account);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "question="; (__isset.question ? (out << to_string(question)) : (out << "<null>"));
+  out << ", " << "credit=" << to_string(credit);
+  out << ", " << "balance="; (__isset.balance ? (out << to_string(balance)) : (out << "<null>"));
+  out << ")";
+}
+
+
+GossipAccountRates::~GossipAccountRates() noexcept {
+}
+
+
+void GossipAccountRates::__set_receiver_boot(const std::string& val) {
+  this->receiver_boot = val;
+__isset.receiver_boot = true;
+}
+
+void GossipAccountRates::__set_questions(const std::vector<GossipCreditQuestion> & val) {
+  this->questions = val;
+__isset.questions = true;
+}
+
+void GossipAccountRates::__set_grants(const std::vector<GossipCreditGrant> & val) {
+  this->grants = val;
+__isset.grants = true;
+}
+
+void GossipAccountRates::__set_asks_to_be_counted(const bool val) {
+  this->asks_to_be_counted = val;
+__isset.asks_to_be_counted = true;
+}
+
+void GossipAccountRates::__set_counts_receiver(const bool val) {
+  this->counts_receiver = val;
+__isset.counts_receiver = true;
+}
+std::ostream& operator<<(std::ostream& out, const GossipAccountRates& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipAccountRates::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->receiver_boot);
+          this->__isset.receiver_boot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->questions.clear();
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->questions.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
+            {
+              xfer += this->questions[_i92].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.questions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->grants.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
+            {
+              xfer += this->grants[_i97].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->asks_to_be_counted);
+          this->__isset.asks_to_be_counted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->counts_receiver);
+          this->__isset.counts_receiver = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GossipAccountRates::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipAccountRates");
+
+  if (this->__isset.receiver_boot) {
+    xfer += oprot->writeFieldBegin("receiver_boot", ::apache::thrift::protocol::T_STRING, 1);
+    xfer += oprot->writeString(this->receiver_boot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.questions) {
+    xfer += oprot->writeFieldBegin("questions", ::apache::thrift::protocol::T_LIST, 2);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->questions.size()));
+      std::vector<GossipCreditQuestion> ::const_iterator _iter98;
+      for (_iter98 = this->questions.begin(); _iter98 != this->questions.end(); ++_iter98)
+      {
+        xfer += (*_iter98).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.grants) {
+    xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+      std::vector<GossipCreditGrant> ::const_iterator _iter99;
+      for (_iter99 = this->grants.begin(); _iter99 != this->grants.end(); ++_iter99)
+      {
+        xfer += (*_iter99).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.asks_to_be_counted) {
+    xfer += oprot->writeFieldBegin("asks_to_be_counted", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->asks_to_be_counted);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.counts_receiver) {
+    xfer += oprot->writeFieldBegin("counts_receiver", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->counts_receiver);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipAccountRates &a, GossipAccountRates &b) {
+  using ::std::swap;
+  swap(a.receiver_boot, b.receiver_boot);
+  swap(a.questions, b.questions);
+  swap(a.grants, b.grants);
+  swap(a.asks_to_be_counted, b.asks_to_be_counted);
+  swap(a.counts_receiver, b.counts_receiver);
+  swap(a.__isset, b.__isset);
+}
+
+GossipAccountRates::GossipAccountRates(const GossipAccountRates& other100) {
+  receiver_boot = other100.receiver_boot;
+  questions = other100.questions;
+  grants = other100.grants;
+  asks_to_be_counted = other100.asks_to_be_counted;
+  counts_receiver = other100.counts_receiver;
+  __isset = other100.__isset;
+}
+GossipAccountRates::GossipAccountRates(GossipAccountRates&& other101) noexcept {
+  receiver_boot = std::move(other101.receiver_boot);
+  questions = std::move(other101.questions);
+  grants = std::move(other101.grants);
+  asks_to_be_counted = other101.asks_to_be_counted;
+  counts_receiver = other101.counts_receiver;
+  __isset = other101.__isset;
+}
+GossipAccountRates& GossipAccountRates::operator=(const GossipAccountRates& other102) {
+  receiver_boot = other102.receiver_boot;
+  questions = other102.questions;
+  grants = other102.grants;
+  asks_to_be_counted = other102.asks_to_be_counted;
+  counts_receiver = other102.counts_receiver;
+  __isset = other102.__isset;
+  return *this;
+}
+GossipAccountRates& GossipAccountRates::operator=(GossipAccountRates&& other103) noexcept {
+  receiver_boot = std::move(other103.receiver_boot);
+  questions = std::move(other103.questions);
+  grants = std::move(other103.grants);
+  asks_to_be_counted = other103.asks_to_be_counted;
+  counts_receiver = other103.counts_receiver;
+  __isset = other103.__isset;
+  return *this;
+}
+void GossipAccountRates::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipAccountRates(";
+  out << "receiver_boot="; (__isset.receiver_boot ? (out << to_string(receiver_boot)) : (out << "<null>"));
+  out << ", " << "questions="; (__isset.questions ? (out << to_string(questions)) : (out << "<null>"));
+  out << ", " << "grants="; (__isset.grants ? (out << to_string(grants)) : (out << "<null>"));
+  out << ", " << "asks_to_be_counted="; (__isset.asks_to_be_counted ? (out << to_string(asks_to_be_counted)) : (out << "<null>"));
+  out << ", " << "counts_receiver="; (__isset.counts_receiver ? (out << to_string(counts_receiver)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -1894,6 +2653,11 @@
 __isset.poison_parts = true;
 }
 
+void Gossip::__set_account_rates(const GossipAccountRates& val) {
+  this->account_rates = val;
+__isset.account_rates = true;
+}
+
 void Gossip::__set_wanted_contents(const std::vector<std::string> & val) {
   this->wanted_contents = val;
 __isset.wanted_contents = true;
@@ -2004,14 +2768,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->loads.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->loads.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->loads[_i74].read(iprot);
+              xfer += this->loads[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2024,14 +2788,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _etype78;
-            xfer += iprot->readListBegin(_etype78, _size75);
-            this->prefixes.resize(_size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->prefixes.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->prefixes[_i79].read(iprot);
+              xfer += this->prefixes[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2044,14 +2808,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->windows.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->windows.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->windows.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->windows[_i84].read(iprot);
+              xfer += this->windows[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2064,14 +2828,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->deaths.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->deaths.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              xfer += this->deaths[_i89].read(iprot);
+              xfer += this->deaths[_i123].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2100,14 +2864,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->absences.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->absences.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->absences.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->absences[_i94].read(iprot);
+              xfer += this->absences[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2120,14 +2884,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departures.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->departures.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->departures.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += this->departures[_i99].read(iprot);
+              xfer += this->departures[_i133].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2140,14 +2904,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->served_parts.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->served_parts.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->served_parts.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->served_parts[_i104].read(iprot);
+              xfer += this->served_parts[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2168,14 +2932,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rate_limits.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->rate_limits.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->rate_limits.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->rate_limits[_i109].read(iprot);
+              xfer += this->rate_limits[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2188,14 +2952,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stream_origins.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->stream_origins.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->stream_origins.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += this->stream_origins[_i114].read(iprot);
+              xfer += this->stream_origins[_i148].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2208,14 +2972,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted_origins.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _etype118;
-            xfer += iprot->readListBegin(_etype118, _size115);
-            this->wanted_origins.resize(_size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->wanted_origins.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
             {
-              xfer += iprot->readString(this->wanted_origins[_i119]);
+              xfer += iprot->readString(this->wanted_origins[_i153]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2228,14 +2992,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->poison_parts.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->poison_parts.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->poison_parts.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->poison_parts[_i124].read(iprot);
+              xfer += this->poison_parts[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2244,18 +3008,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->account_rates.read(iprot);
+          this->__isset.account_rates = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 25:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted_contents.clear();
-            uint32_t _size125;
-            ::apache::thrift::protocol::TType _etype128;
-            xfer += iprot->readListBegin(_etype128, _size125);
-            this->wanted_contents.resize(_size125);
-            uint32_t _i129;
-            for (_i129 = 0; _i129 < _size125; ++_i129)
+            uint32_t _size159;
+            ::apache::thrift::protocol::TType _etype162;
+            xfer += iprot->readListBegin(_etype162, _size159);
+            this->wanted_contents.resize(_size159);
+            uint32_t _i163;
+            for (_i163 = 0; _i163 < _size159; ++_i163)
             {
-              xfer += iprot->readString(this->wanted_contents[_i129]);
+              xfer += iprot->readString(this->wanted_contents[_i163]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2346,10 +3118,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GossipLoad> ::const_iterator _iter130;
-    for (_iter130 = this->loads.begin(); _iter130 != this->loads.end(); ++_iter130)
+    std::vector<GossipLoad> ::const_iterator _iter164;
+    for (_iter164 = this->loads.begin(); _iter164 != this->loads.end(); ++_iter164)
     {
-      xfer += (*_iter130).write(oprot);
+      xfer += (*_iter164).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2358,10 +3130,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<GossipPrefix> ::const_iterator _iter131;
-    for (_iter131 = this->prefixes.begin(); _iter131 != this->prefixes.end(); ++_iter131)
+    std::vector<GossipPrefix> ::const_iterator _iter165;
+    for (_iter165 = this->prefixes.begin(); _iter165 != this->prefixes.end(); ++_iter165)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter165).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2370,10 +3142,10 @@
   xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->windows.size()));
-    std::vector<GossipWindow> ::const_iterator _iter132;
-    for (_iter132 = this->windows.begin(); _iter132 != this->windows.end(); ++_iter132)
+    std::vector<GossipWindow> ::const_iterator _iter166;
+    for (_iter166 = this->windows.begin(); _iter166 != this->windows.end(); ++_iter166)
     {
-      xfer += (*_iter132).write(oprot);
+      xfer += (*_iter166).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2382,10 +3154,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<GossipDeath> ::const_iterator _iter133;
-    for (_iter133 = this->deaths.begin(); _iter133 != this->deaths.end(); ++_iter133)
+    std::vector<GossipDeath> ::const_iterator _iter167;
+    for (_iter167 = this->deaths.begin(); _iter167 != this->deaths.end(); ++_iter167)
     {
-      xfer += (*_iter133).write(oprot);
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2403,10 +3175,10 @@
     xfer += oprot->writeFieldBegin("absences", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->absences.size()));
-      std::vector<GossipAbsence> ::const_iterator _iter134;
-      for (_iter134 = this->absences.begin(); _iter134 != this->absences.end(); ++_iter134)
+      std::vector<GossipAbsence> ::const_iterator _iter168;
+      for (_iter168 = this->absences.begin(); _iter168 != this->absences.end(); ++_iter168)
       {
-        xfer += (*_iter134).write(oprot);
+        xfer += (*_iter168).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2416,10 +3188,10 @@
     xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
-      std::vector<GossipDeparture> ::const_iterator _iter135;
-      for (_iter135 = this->departures.begin(); _iter135 != this->departures.end(); ++_iter135)
+      std::vector<GossipDeparture> ::const_iterator _iter169;
+      for (_iter169 = this->departures.begin(); _iter169 != this->departures.end(); ++_iter169)
       {
-        xfer += (*_iter135).write(oprot);
+        xfer += (*_iter169).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2429,10 +3201,10 @@
     xfer += oprot->writeFieldBegin("served_parts", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->served_parts.size()));
-      std::vector<GossipServedPart> ::const_iterator _iter136;
-      for (_iter136 = this->served_parts.begin(); _iter136 != this->served_parts.end(); ++_iter136)
+      std::vector<GossipServedPart> ::const_iterator _iter170;
+      for (_iter170 = this->served_parts.begin(); _iter170 != this->served_parts.end(); ++_iter170)
       {
-        xfer += (*_iter136).write(oprot);
+        xfer += (*_iter170).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2447,10 +3219,10 @@
     xfer += oprot->writeFieldBegin("rate_limits", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rate_limits.size()));
-      std::vector<GossipRateLimit> ::const_iterator _iter137;
-      for (_iter137 = this->rate_limits.begin(); _iter137 != this->rate_limits.end(); ++_iter137)
+      std::vector<GossipRateLimit> ::const_iterator _iter171;
+      for (_iter171 = this->rate_limits.begin(); _iter171 != this->rate_limits.end(); ++_iter171)
       {
-        xfer += (*_iter137).write(oprot);
+        xfer += (*_iter171).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2460,10 +3232,10 @@
     xfer += oprot->writeFieldBegin("stream_origins", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stream_origins.size()));
-      std::vector<GossipStreamOrigin> ::const_iterator _iter138;
-      for (_iter138 = this->stream_origins.begin(); _iter138 != this->stream_origins.end(); ++_iter138)
+      std::vector<GossipStreamOrigin> ::const_iterator _iter172;
+      for (_iter172 = this->stream_origins.begin(); _iter172 != this->stream_origins.end(); ++_iter172)
       {
-        xfer += (*_iter138).write(oprot);
+        xfer += (*_iter172).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2473,10 +3245,10 @@
     xfer += oprot->writeFieldBegin("wanted_origins", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted_origins.size()));
-      std::vector<std::string> ::const_iterator _iter139;
-      for (_iter139 = this->wanted_origins.begin(); _iter139 != this->wanted_origins.end(); ++_iter139)
+      std::vector<std::string> ::const_iterator _iter173;
+      for (_iter173 = this->wanted_origins.begin(); _iter173 != this->wanted_origins.end(); ++_iter173)
       {
-        xfer += oprot->writeString((*_iter139));
+        xfer += oprot->writeString((*_iter173));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2486,23 +3258,28 @@
     xfer += oprot->writeFieldBegin("poison_parts", ::apache::thrift::protocol::T_LIST, 21);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->poison_parts.size()));
-      std::vector<GossipPoisonPart> ::const_iterator _iter140;
-      for (_iter140 = this->poison_parts.begin(); _iter140 != this->poison_parts.end(); ++_iter140)
+      std::vector<GossipPoisonPart> ::const_iterator _iter174;
+      for (_iter174 = this->poison_parts.begin(); _iter174 != this->poison_parts.end(); ++_iter174)
       {
-        xfer += (*_iter140).write(oprot);
+        xfer += (*_iter174).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.account_rates) {
+    xfer += oprot->writeFieldBegin("account_rates", ::apache::thrift::protocol::T_STRUCT, 22);
+    xfer += this->account_rates.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.wanted_contents) {
     xfer += oprot->writeFieldBegin("wanted_contents", ::apache::thrift::protocol::T_LIST, 25);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted_contents.size()));
-      std::vector<std::string> ::const_iterator _iter141;
-      for (_iter141 = this->wanted_contents.begin(); _iter141 != this->wanted_contents.end(); ++_iter141)
+      std::vector<std::string> ::const_iterator _iter175;
+      for (_iter175 = this->wanted_contents.begin(); _iter175 != this->wanted_contents.end(); ++_iter175)
       {
-        xfer += oprot->writeString((*_iter141));
+        xfer += oprot->writeString((*_iter175));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2541,115 +3318,120 @@
   swap(a.stream_origins, b.stream_origins);
   swap(a.wanted_origins, b.wanted_origins);
   swap(a.poison_parts, b.poison_parts);
+  swap(a.account_rates, b.account_rates);
   swap(a.wanted_contents, b.wanted_contents);
   swap(a.registry_proof, b.registry_proof);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other142) {
-  host = other142.host;
-  boot = other142.boot;
-  stamp = other142.stamp;
-  echo = other142.echo;
-  unix_ms = other142.unix_ms;
-  plan_version = other142.plan_version;
-  proof_age_ms = other142.proof_age_ms;
-  loads = other142.loads;
-  prefixes = other142.prefixes;
-  windows = other142.windows;
-  deaths = other142.deaths;
-  leaving = other142.leaving;
-  registry_revision = other142.registry_revision;
-  absences = other142.absences;
-  departures = other142.departures;
-  served_parts = other142.served_parts;
-  reports_usage = other142.reports_usage;
-  rate_limits = other142.rate_limits;
-  stream_origins = other142.stream_origins;
-  wanted_origins = other142.wanted_origins;
-  poison_parts = other142.poison_parts;
-  wanted_contents = other142.wanted_contents;
-  registry_proof = other142.registry_proof;
-  __isset = other142.__isset;
-}
-Gossip::Gossip(Gossip&& other143) noexcept {
-  host = std::move(other143.host);
-  boot = std::move(other143.boot);
-  stamp = other143.stamp;
-  echo = other143.echo;
-  unix_ms = other143.unix_ms;
-  plan_version = other143.plan_version;
-  proof_age_ms = other143.proof_age_ms;
-  loads = std::move(other143.loads);
-  prefixes = std::move(other143.prefixes);
-  windows = std::move(other143.windows);
-  deaths = std::move(other143.deaths);
-  leaving = other143.leaving;
-  registry_revision = other143.registry_revision;
-  absences = std::move(other143.absences);
-  departures = std::move(other143.departures);
-  served_parts = std::move(other143.served_parts);
-  reports_usage = other143.reports_usage;
-  rate_limits = std::move(other143.rate_limits);
-  stream_origins = std::move(other143.stream_origins);
-  wanted_origins = std::move(other143.wanted_origins);
-  poison_parts = std::move(other143.poison_parts);
-  wanted_contents = std::move(other143.wanted_contents);
-  registry_proof = std::move(other143.registry_proof);
-  __isset = other143.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other144) {
-  host = other144.host;
-  boot = other144.boot;
-  stamp = other144.stamp;
-  echo = other144.echo;
-  unix_ms = other144.unix_ms;
-  plan_version = other144.plan_version;
-  proof_age_ms = other144.proof_age_ms;
-  loads = other144.loads;
-  prefixes = other144.prefixes;
-  windows = other144.windows;
-  deaths = other144.deaths;
-  leaving = other144.leaving;
-  registry_revision = other144.registry_revision;
-  absences = other144.absences;
-  departures = other144.departures;
-  served_parts = other144.served_parts;
-  reports_usage = other144.reports_usage;
-  rate_limits = other144.rate_limits;
-  stream_origins = other144.stream_origins;
-  wanted_origins = other144.wanted_origins;
-  poison_parts = other144.poison_parts;
-  wanted_contents = other144.wanted_contents;
-  registry_proof = other144.registry_proof;
-  __isset = other144.__isset;
+Gossip::Gossip(const Gossip& other176) {
+  host = other176.host;
+  boot = other176.boot;
+  stamp = other176.stamp;
+  echo = other176.echo;
+  unix_ms = other176.unix_ms;
+  plan_version = other176.plan_version;
+  proof_age_ms = other176.proof_age_ms;
+  loads = other176.loads;
+  prefixes = other176.prefixes;
+  windows = other176.windows;
+  deaths = other176.deaths;
+  leaving = other176.leaving;
+  registry_revision = other176.registry_revision;
+  absences = other176.absences;
+  departures = other176.departures;
+  served_parts = other176.served_parts;
+  reports_usage = other176.reports_usage;
+  rate_limits = other176.rate_limits;
+  stream_origins = other176.stream_origins;
+  wanted_origins = other176.wanted_origins;
+  poison_parts = other176.poison_parts;
+  account_rates = other176.account_rates;
+  wanted_contents = other176.wanted_contents;
+  registry_proof = other176.registry_proof;
+  __isset = other176.__isset;
+}
+Gossip::Gossip(Gossip&& other177) noexcept {
+  host = std::move(other177.host);
+  boot = std::move(other177.boot);
+  stamp = other177.stamp;
+  echo = other177.echo;
+  unix_ms = other177.unix_ms;
+  plan_version = other177.plan_version;
+  proof_age_ms = other177.proof_age_ms;
+  loads = std::move(other177.loads);
+  prefixes = std::move(other177.prefixes);
+  windows = std::move(other177.windows);
+  deaths = std::move(other177.deaths);
+  leaving = other177.leaving;
+  registry_revision = other177.registry_revision;
+  absences = std::move(other177.absences);
+  departures = std::move(other177.departures);
+  served_parts = std::move(other177.served_parts);
+  reports_usage = other177.reports_usage;
+  rate_limits = std::move(other177.rate_limits);
+  stream_origins = std::move(other177.stream_origins);
+  wanted_origins = std::move(other177.wanted_origins);
+  poison_parts = std::move(other177.poison_parts);
+  account_rates = std::move(other177.account_rates);
+  wanted_contents = std::move(other177.wanted_contents);
+  registry_proof = std::move(other177.registry_proof);
+  __isset = other177.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other178) {
+  host = other178.host;
+  boot = other178.boot;
+  stamp = other178.stamp;
+  echo = other178.echo;
+  unix_ms = other178.unix_ms;
+  plan_version = other178.plan_version;
+  proof_age_ms = other178.proof_age_ms;
+  loads = other178.loads;
+  prefixes = other178.prefixes;
+  windows = other178.windows;
+  deaths = other178.deaths;
+  leaving = other178.leaving;
+  registry_revision = other178.registry_revision;
+  absences = other178.absences;
+  departures = other178.departures;
+  served_parts = other178.served_parts;
+  reports_usage = other178.reports_usage;
+  rate_limits = other178.rate_limits;
+  stream_origins = other178.stream_origins;
+  wanted_origins = other178.wanted_origins;
+  poison_parts = other178.poison_parts;
+  account_rates = other178.account_rates;
+  wanted_contents = other178.wanted_contents;
+  registry_proof = other178.registry_proof;
+  __isset = other178.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other145) noexcept {
-  host = std::move(other145.host);
-  boot = std::move(other145.boot);
-  stamp = other145.stamp;
-  echo = other145.echo;
-  unix_ms = other145.unix_ms;
-  plan_version = other145.plan_version;
-  proof_age_ms = other145.proof_age_ms;
-  loads = std::move(other145.loads);
-  prefixes = std::move(other145.prefixes);
-  windows = std::move(other145.windows);
-  deaths = std::move(other145.deaths);
-  leaving = other145.leaving;
-  registry_revision = other145.registry_revision;
-  absences = std::move(other145.absences);
-  departures = std::move(other145.departures);
-  served_parts = std::move(other145.served_parts);
-  reports_usage = other145.reports_usage;
-  rate_limits = std::move(other145.rate_limits);
-  stream_origins = std::move(other145.stream_origins);
-  wanted_origins = std::move(other145.wanted_origins);
-  poison_parts = std::move(other145.poison_parts);
-  wanted_contents = std::move(other145.wanted_contents);
-  registry_proof = std::move(other145.registry_proof);
-  __isset = other145.__isset;
+Gossip& Gossip::operator=(Gossip&& other179) noexcept {
+  host = std::move(other179.host);
+  boot = std::move(other179.boot);
+  stamp = other179.stamp;
+  echo = other179.echo;
+  unix_ms = other179.unix_ms;
+  plan_version = other179.plan_version;
+  proof_age_ms = other179.proof_age_ms;
+  loads = std::move(other179.loads);
+  prefixes = std::move(other179.prefixes);
+  windows = std::move(other179.windows);
+  deaths = std::move(other179.deaths);
+  leaving = other179.leaving;
+  registry_revision = other179.registry_revision;
+  absences = std::move(other179.absences);
+  departures = std::move(other179.departures);
+  served_parts = std::move(other179.served_parts);
+  reports_usage = other179.reports_usage;
+  rate_limits = std::move(other179.rate_limits);
+  stream_origins = std::move(other179.stream_origins);
+  wanted_origins = std::move(other179.wanted_origins);
+  poison_parts = std::move(other179.poison_parts);
+  account_rates = std::move(other179.account_rates);
+  wanted_contents = std::move(other179.wanted_contents);
+  registry_proof = std::move(other179.registry_proof);
+  __isset = other179.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -2676,6 +3458,7 @@
   out << ", " << "stream_origins="; (__isset.stream_origins ? (out << to_string(stream_origins)) : (out << "<null>"));
   out << ", " << "wanted_origins="; (__isset.wanted_origins ? (out << to_string(wanted_origins)) : (out << "<null>"));
   out << ", " << "poison_parts="; (__isset.poison_parts ? (out << to_string(poison_parts)) : (out << "<null>"));
+  out << ", " << "account_rates="; (__isset.account_rates ? (out << to_string(account_rates)) : (out << "<null>"));
   out << ", " << "wanted_contents="; (__isset.wanted_contents ? (out << to_string(wanted_contents)) : (out << "<null>"));
   out << ", " << "registry_proof="; (__isset.registry_proof ? (out << to_string(registry_proof)) : (out << "<null>"));
   out << ")";
