Reckon with servers' own words and with the age of figures in placement

Cause: nothing read the load that servers state with their answers, and all gateways took the one engine of lowest estimated cost at the same moment.

Change: platform decodes the load of answers that pass; core::ReportedLoad keeps the stated slowness with its age and how far answers bear it out, and placement takes the larger of it and the observed slowness, where Features::contention. core::ChooseCandidate makes the final choice in view of the figures' age; it is behind PlacementSettings::even_load, which is off here.

--- a/core/include/carawayvalve/core/fleet_load.h
+++ b/core/include/carawayvalve/core/fleet_load.h
@@ -44,6 +44,9 @@
   BackendLoad LoadOf(const base::BackendServerId& id, base::Instant now) const;
   // Returns the number of requests in flight from this process alone.
   int64_t OwnRequests(const base::BackendServerId& id) const;
+  // Returns how long ago, on average, the peers with requests in flight have
+  // reported them.
+  base::Duration ReportAge(base::Instant now) const;
   // Load sent by this process, to be reported to its peers.
   const Loads& own() const { return this->own_loads; }
 
--- a/core/include/carawayvalve/core/placement.h
+++ b/core/include/carawayvalve/core/placement.h
@@ -18,6 +18,7 @@
 #include "carawayvalve/core/engine_speeds.h"
 #include "carawayvalve/core/fleet_load.h"
 #include "carawayvalve/core/prefix_cache_tracker.h"
+#include "carawayvalve/core/reported_load.h"
 #include "carawayvalve/core/silence_detector.h"
 
 namespace carawayvalve::core {
@@ -68,6 +69,9 @@
   // Delay that is added in proportion to the failure rate; this much if all
   // requests fail.
   base::Duration failure_penalty = base::Milliseconds(800);
+  // Whether the age of the load that peers report is reckoned with, so that
+  // many processes don't choose the same backend server at one moment.
+  bool even_load = false;
 
   bool operator==(const PlacementSettings&) const = default;
 };
@@ -84,6 +88,9 @@
   // The software version that began the stream, which only backend servers of
   // that version continue. Any version may prefill the prompt.
   std::optional<std::string> software_version;
+  // The request's id, by which one of several equally good backend servers is
+  // chosen.
+  std::string request;
 };
 
 // The backend server that a request goes to first.
@@ -110,6 +117,9 @@
   // The same as requests, and as prefill work in tokens of a short prompt.
   int64_t requests_ahead = 0;
   int64_t tokens_ahead = 0;
+  // Whether a backend server with a lower estimated cost was passed over, as
+  // other processes probably choose it at the same moment.
+  bool passed_over_lowest = false;
 
   bool operator==(const Placement&) const = default;
 };
@@ -133,7 +143,8 @@
          const BackendRateLimits& rate_limits,
          const SilenceDetector& silence,
          const FleetLoad& load,
-         const PrefixCacheTracker& prefix_cache);
+         const PrefixCacheTracker& prefix_cache,
+         const ReportedLoad& reported_load);
 
   // Sets the speeds that are assumed of a service's backend servers.
   void SetSpeeds(const base::ServiceId& service, const EngineSpeeds& speeds);
@@ -170,12 +181,16 @@
     int64_t requests_ahead = 0;
     int64_t tokens_ahead = 0;
     base::Duration work_ahead{};
+    // See CandidateCost, also for the next one.
+    base::Duration turnover{};
+    base::Duration usual_cost{};
     // Expected time until the first event: at data sheet speed, and at the
     // engine's observed speed.
     base::Duration at_full_speed{};
     base::Duration wait{};
     // The wait plus all penalties.
     base::Duration cost{};
+    bool passed_over_lowest = false;
   };
   using Candidates = std::vector<const BackendEntry*>;
 
@@ -210,9 +225,20 @@
   base::Duration CopyTime(const BackendEntry& from,
                           const BackendEntry& to,
                           int64_t tokens) const;
-  // Returns the candidate with the lowest cost.
+  // Returns how many times longer than usual work takes at a backend server, by
+  // what was observed and by what it says itself.
+  double SlownessOf(const BackendEntry& entry, base::Instant now) const;
+  // Returns the estimate of the candidate that is chosen, one with the lowest
+  // cost as far as is known; none if there are none. `purpose` tells the
+  // choices of one request apart.
+  Estimate ChooseEstimate(const std::vector<Estimate>& estimates,
+                          const PlacementQuery& query,
+                          const char* purpose,
+                          base::Instant now) const;
+  // Returns the estimate of the candidate that is chosen for the prompt.
   Estimate BestEngine(const Candidates& candidates,
-                      const Prompt& prompt,
+                      const PlacementQuery& query,
+                      const char* purpose,
                       base::Instant now) const;
   // Returns the prefill engines among the candidates that may prefill the
   // prompt.
@@ -226,6 +252,7 @@
   static Placement ToPlacement(const Estimate& estimate);
   base::Duration Penalty(const BackendEntry& entry, base::Instant now) const;
   PlacementResult ChoosePlain(const Candidates& candidates,
+                              const PlacementQuery& query,
                               base::Instant now) const;
   PlacementResult ChooseEngine(const Candidates& candidates,
                                const PlacementQuery& query,
@@ -239,6 +266,7 @@
   const SilenceDetector& silence;
   const FleetLoad& load;
   const PrefixCacheTracker& prefix_cache;
+  const ReportedLoad& reported_load;
 };
 
 }  // namespace carawayvalve::core
--- a/core/src/fleet_load.cc
+++ b/core/src/fleet_load.cc
@@ -92,6 +92,19 @@
   return own == this->own_loads.end() ? 0 : own->second.requests;
 }
 
+base::Duration FleetLoad::ReportAge(base::Instant now) const {
+  base::Duration sum{};
+  int64_t count = 0;
+  for (const auto& [host, peer] : this->peers) {
+    const base::Duration age = now - peer.received;
+    if (age <= kPeerLoadTtl && !peer.loads.empty()) {
+      sum += age;
+      ++count;
+    }
+  }
+  return count == 0 ? sum : sum / count;
+}
+
 BackendLoad FleetLoad::LoadOf(const base::BackendServerId& id,
                               base::Instant now) const {
   BackendLoad sum;
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <utility>
 
+#include "carawayvalve/core/candidate_choice.h"
 #include "placement_engines.h"
 
 namespace carawayvalve::core {
@@ -13,6 +14,11 @@
 
 // Hash by which the engines reserved for short prompts are ranked.
 constexpr uint64_t kShortPromptsHash = 1;
+// The purposes of a request's choices.
+constexpr char kPlainChoice[] = "plain";
+constexpr char kDirectChoice[] = "direct";
+constexpr char kPrefillChoice[] = "prefill";
+constexpr char kDecodeChoice[] = "decode";
 
 }  // namespace
 
@@ -22,14 +28,16 @@
                const BackendRateLimits& rate_limits,
                const SilenceDetector& silence,
                const FleetLoad& load,
-               const PrefixCacheTracker& prefix_cache)
+               const PrefixCacheTracker& prefix_cache,
+               const ReportedLoad& reported_load)
     : settings(settings),
       directory(directory),
       health(health),
       rate_limits(rate_limits),
       silence(silence),
       load(load),
-      prefix_cache(prefix_cache) {}
+      prefix_cache(prefix_cache),
+      reported_load(reported_load) {}
 
 Placer::Candidates Placer::FindCandidates(const PlacementQuery& query,
                                           base::Instant now) const {
@@ -142,19 +150,48 @@
   return affinity;
 }
 
+Placer::Estimate Placer::ChooseEstimate(const std::vector<Estimate>& estimates,
+                                        const PlacementQuery& query,
+                                        const char* purpose,
+                                        base::Instant now) const {
+  if (estimates.empty()) {
+    return {};
+  }
+  const auto lowest = std::min_element(
+      estimates.begin(), estimates.end(),
+      [](const Estimate& a, const Estimate& b) { return a.cost < b.cost; });
+  if (!this->settings.even_load) {
+    return *lowest;
+  }
+  std::vector<CandidateCost> costs;
+  costs.reserve(estimates.size());
+  for (const Estimate& estimate : estimates) {
+    costs.push_back({estimate.cost, estimate.work_ahead, estimate.turnover,
+                     estimate.usual_cost});
+  }
+  Estimate chosen = estimates[ChooseCandidate(costs, this->load.ReportAge(now),
+                                              DrawOf(query.request, purpose))];
+  // Being late for the sake of even load helps nobody.
+  if (chosen.wait > query.objective && lowest->wait <= query.objective) {
+    return *lowest;
+  }
+  chosen.passed_over_lowest = chosen.cost > lowest->cost;
+  return chosen;
+}
+
 Placer::Estimate Placer::BestEngine(const Candidates& candidates,
-                                    const Prompt& prompt,
+                                    const PlacementQuery& query,
+                                    const char* purpose,
                                     base::Instant now) const {
-  const PrefixAffinity affinity = this->FindAffinity(candidates, prompt, now);
-  Estimate best;
+  const PrefixAffinity affinity =
+      this->FindAffinity(candidates, *query.prompt, now);
+  std::vector<Estimate> estimates;
+  estimates.reserve(candidates.size());
   for (const BackendEntry* entry : candidates) {
-    const Estimate estimate =
-        this->EstimateEngine(*entry, prompt, affinity, now);
-    if (best.entry == nullptr || estimate.cost < best.cost) {
-      best = estimate;
-    }
+    estimates.push_back(
+        this->EstimateEngine(*entry, *query.prompt, affinity, now));
   }
-  return best;
+  return this->ChooseEstimate(estimates, query, purpose, now);
 }
 
 Placement Placer::ToPlacement(const Estimate& estimate) {
@@ -170,19 +207,19 @@
   placement.work_ahead = estimate.work_ahead;
   placement.requests_ahead = estimate.requests_ahead;
   placement.tokens_ahead = estimate.tokens_ahead;
+  placement.passed_over_lowest = estimate.passed_over_lowest;
   return placement;
 }
 
 PlacementResult Placer::ChoosePlain(const Candidates& candidates,
+                                    const PlacementQuery& query,
                                     base::Instant now) const {
-  Estimate best;
+  std::vector<Estimate> estimates;
+  estimates.reserve(candidates.size());
   for (const BackendEntry* entry : candidates) {
-    const Estimate estimate = this->EstimatePlain(*entry, now);
-    if (best.entry == nullptr || estimate.cost < best.cost) {
-      best = estimate;
-    }
+    estimates.push_back(this->EstimatePlain(*entry, now));
   }
-  return ToPlacement(best);
+  return ToPlacement(this->ChooseEstimate(estimates, query, kPlainChoice, now));
 }
 
 bool Placer::PrefersDirect(const Estimate& direct,
@@ -206,12 +243,14 @@
   std::copy_if(
       candidates.begin(), candidates.end(), std::back_inserter(decode_engines),
       [](const BackendEntry* entry) { return !IsPrefillEngine(*entry); });
-  const Estimate direct = this->BestEngine(decode_engines, *query.prompt, now);
+  const Estimate direct =
+      this->BestEngine(decode_engines, query, kDirectChoice, now);
   if (direct.entry == nullptr) {
     return NoBackend{"no engine generates"};
   }
-  const Estimate prefill_engine = this->BestEngine(
-      this->PrefillEngines(candidates, *query.prompt), *query.prompt, now);
+  const Estimate prefill_engine =
+      this->BestEngine(this->PrefillEngines(candidates, *query.prompt), query,
+                       kPrefillChoice, now);
   if (!query.may_hand_over || prefill_engine.entry == nullptr ||
       this->PrefersDirect(direct, prefill_engine)) {
     return ToPlacement(direct);
@@ -226,20 +265,17 @@
 PlacementResult Placer::ChooseDecodeEngine(const PlacementQuery& query,
                                            const BackendEntry& prefill_engine,
                                            base::Instant now) const {
-  Estimate best;
+  std::vector<Estimate> estimates;
   for (const BackendEntry* entry : this->FindCandidates(query, now)) {
-    if (IsPrefillEngine(*entry)) {
-      continue;
-    }
-    const Estimate estimate = this->EstimateDecode(*entry, prefill_engine, now);
-    if (best.entry == nullptr || estimate.cost < best.cost) {
-      best = estimate;
+    if (!IsPrefillEngine(*entry)) {
+      estimates.push_back(this->EstimateDecode(*entry, prefill_engine, now));
     }
   }
-  if (best.entry == nullptr) {
+  if (estimates.empty()) {
     return NoBackend{"no engine generates"};
   }
-  return ToPlacement(best);
+  return ToPlacement(
+      this->ChooseEstimate(estimates, query, kDecodeChoice, now));
 }
 
 PlacementResult Placer::Choose(const PlacementQuery& query,
@@ -248,7 +284,7 @@
   if (candidates.empty()) {
     return NoBackend{"no backend server of the service takes requests"};
   }
-  return query.prompt == nullptr ? this->ChoosePlain(candidates, now)
+  return query.prompt == nullptr ? this->ChoosePlain(candidates, query, now)
                                  : this->ChooseEngine(candidates, query, now);
 }
 
--- a/core/src/placement_estimates.cc
+++ b/core/src/placement_estimates.cc
@@ -36,6 +36,11 @@
   return found == this->speeds.end() ? this->settings.speeds : found->second;
 }
 
+double Placer::SlownessOf(const BackendEntry& entry, base::Instant now) const {
+  return std::max(this->health.Slowness(entry.id, now),
+                  this->reported_load.Slowness(entry.id, now));
+}
+
 double Placer::PrefillRate(const BackendEntry& entry) const {
   const double rate = this->SpeedsOf(entry).prefill_tokens_per_ms;
   return IsPrefillEngine(entry) ? rate
@@ -65,9 +70,19 @@
   estimate.at_full_speed = std::chrono::duration_cast<base::Duration>(
       this->SpeedsOf(entry).plain_request * (1 + rounds_ahead));
   estimate.requests_ahead = present.requests;
-  estimate.wait = ScaleBySlowness(estimate.at_full_speed,
-                                  this->health.Slowness(entry.id, now));
-  estimate.cost = estimate.wait + this->Penalty(entry, now);
+  const double slowness = this->SlownessOf(entry, now);
+  estimate.wait = ScaleBySlowness(estimate.at_full_speed, slowness);
+  estimate.work_ahead =
+      ScaleBySlowness(std::chrono::duration_cast<base::Duration>(
+                          this->SpeedsOf(entry).plain_request * rounds_ahead),
+                      slowness);
+  estimate.turnover = ScaleBySlowness(
+      std::chrono::duration_cast<base::Duration>(
+          this->SpeedsOf(entry).plain_request * std::max(rounds_ahead, 1.0)),
+      slowness);
+  const base::Duration penalty = this->Penalty(entry, now);
+  estimate.usual_cost = this->SpeedsOf(entry).plain_request + penalty;
+  estimate.cost = estimate.wait + penalty;
   return estimate;
 }
 
@@ -85,13 +100,21 @@
                            prefilling;
   estimate.requests_ahead = present.requests;
   estimate.tokens_ahead = present.unread_tokens;
-  estimate.wait = ScaleBySlowness(estimate.at_full_speed,
-                                  this->health.Slowness(entry.id, now)) +
-                  this->SlotWait(entry, present);
-  estimate.cost = estimate.wait + this->Penalty(entry, now);
+  const double slowness = this->SlownessOf(entry, now);
+  const base::Duration slot_wait = this->SlotWait(entry, present);
+  estimate.work_ahead =
+      ScaleBySlowness(speeds.step_per_request * present.requests + prefilling,
+                      slowness) +
+      slot_wait;
+  // Each request that runs delays a further one by a step, while it has a slot.
+  estimate.turnover = std::max(ScaleBySlowness(speeds.slot_time, slowness),
+                               estimate.work_ahead);
+  estimate.wait = ScaleBySlowness(estimate.at_full_speed, slowness) + slot_wait;
+  estimate.usual_cost = speeds.first_event + this->Penalty(entry, now);
   if (entry.data_centre != prefill_engine.data_centre) {
-    estimate.cost += this->settings.handover;
+    estimate.usual_cost += this->settings.handover;
   }
+  estimate.cost = estimate.wait + estimate.usual_cost - speeds.first_event;
   return estimate;
 }
 
@@ -102,7 +125,7 @@
   const BackendLoad present = this->load.LoadOf(entry.id, now);
   const EngineSpeeds& speeds = this->SpeedsOf(entry);
   const double rate = this->PrefillRate(entry);
-  const double slowness = this->health.Slowness(entry.id, now);
+  const double slowness = this->SlownessOf(entry, now);
   const std::vector<PrefixKey>& keys = affinity.keys;
   int64_t cached = this->prefix_cache.CachedTokens(entry.id, keys);
   const int64_t shared = keys.empty() ? 0 : keys.back().tokens;
@@ -137,12 +160,16 @@
   } else if (&entry == affinity.second) {
     penalty_factor = affinity.penalty_factor;
   }
-  estimate.cost =
-      estimate.wait + this->Penalty(entry, now) +
+  base::Duration penalties =
+      this->Penalty(entry, now) +
       FromMs(penalty_factor * static_cast<double>(shared - cached) / rate);
   if (estimate.copy_from != nullptr) {
-    estimate.cost += this->settings.copy_penalty;
+    penalties += this->settings.copy_penalty;
   }
+  estimate.cost = estimate.wait + penalties;
+  estimate.usual_cost =
+      copying + base +
+      FromMs(static_cast<double>(estimate.prefill_work) / rate) + penalties;
   return estimate;
 }
 
--- a/core/tests/placement_test.cc
+++ b/core/tests/placement_test.cc
@@ -62,13 +62,23 @@
   SilenceDetector silence;
   FleetLoad load;
   PrefixCacheTracker prefix_cache{400000};
+  ReportedLoad reported_load;
   Placer placer{{.data_centre = {"here"}},
                 directory,
                 health,
                 rate_limits,
                 silence,
                 load,
-                prefix_cache};
+                prefix_cache,
+                reported_load};
+  Placer even_placer{{.data_centre = {"here"}, .even_load = true},
+                     directory,
+                     health,
+                     rate_limits,
+                     silence,
+                     load,
+                     prefix_cache,
+                     reported_load};
 };
 
 Prompt MakeLongPrompt(const std::string& shared, int64_t own = 3700) {
@@ -376,4 +386,53 @@
   }
 }
 
+// Many processes choose at one moment from the same figures.
+TEST_CASE("Placer: reports of peers' load are some time old") {
+  Fleet fleet(6, 2, 3);
+  fleet.load.NotePeer({"p"}, {{{"desk0"}, {3, 0, 0}}, {{"desk1"}, {2, 0, 0}}},
+                      fleet.now);
+  const auto chosen_by_100 = [&](const Prompt* prompt) {
+    std::map<std::string, int> chosen;
+    PlacementQuery query = fleet.MakeQuery(prompt);
+    for (int i = 0; i < 100; ++i) {
+      query.request = "r" + std::to_string(i);
+      const auto result = fleet.even_placer.Choose(query, fleet.now);
+      ++chosen[std::get<Placement>(result).target.id.value];
+    }
+    return chosen;
+  };
+
+  SUBCASE("fresh ones: all take the server with the lowest cost") {
+    CHECK(chosen_by_100(nullptr) == std::map<std::string, int>{{"desk2", 100}});
+  }
+  SUBCASE("older ones: the others get a part") {
+    fleet.now += Milliseconds(30);
+    const auto chosen = chosen_by_100(nullptr);
+    CHECK(chosen.size() == 3);
+    CHECK(chosen.at("desk2") > chosen.at("desk1"));
+    CHECK(chosen.at("desk1") > chosen.at("desk0"));
+
+    SUBCASE("but none of what would be late there") {
+      PlacementQuery query = fleet.MakeQuery(nullptr);
+      query.objective = Milliseconds(41);
+      for (int i = 0; i < 20; ++i) {
+        query.request = "r" + std::to_string(i);
+        const auto result = fleet.even_placer.Choose(query, fleet.now);
+        CHECK(std::get<Placement>(result).target.id.value == "desk2");
+      }
+    }
+  }
+  SUBCASE("a shared part is still read at one engine") {
+    fleet.now += Milliseconds(100);
+    const Prompt prompt = MakeLongPrompt("s");
+    CHECK(chosen_by_100(&prompt).size() == 1);
+  }
+  SUBCASE("a request that is placed again goes to the same server") {
+    fleet.now += Milliseconds(100);
+    const PlacementQuery query = fleet.MakeQuery(nullptr);
+    CHECK(fleet.even_placer.Choose(query, fleet.now) ==
+          fleet.even_placer.Choose(query, fleet.now));
+  }
+}
+
 }  // namespace carawayvalve::core
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -137,6 +137,8 @@
     const base::Instant now = base::Now();
     state.health.NoteAnswer(this->call_plan.backend.id, now - this->sent,
                             this->call_plan.at_full_speed, now);
+    state.reported_load.NoteAnswer(this->call_plan.backend.id, now - this->sent,
+                                   this->call_plan.at_full_speed, now);
     if (const auto observed = this->ObserveFirstData(now - this->sent)) {
       this->context.NoteSpeed(this->call_plan.backend.service, *observed);
     }
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -66,6 +66,9 @@
                         {{"backend", backend.id.value},
                          {"wait_ms", base::ToMilliseconds(*decoded.wait)}});
   }
+  if (this->state.settings.features.contention) {
+    this->state.reported_load.NoteStatement(backend.id, decoded.load, now);
+  }
   if (decoded.rate.has_value()) {
     this->NoteBackendRate(
         {backend.id, backend.started_ms, *decoded.rate, now, sent, false},
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -187,15 +187,18 @@
   nlohmann::json backends = nlohmann::json::array();
   for (const auto& [id, entry] : this->state.directory.entries()) {
     const core::BackendLoad load = this->state.load.LoadOf(id, now);
-    backends.push_back({{"id", id.value},
-                        {"service", entry.service.value},
-                        {"draining", entry.draining},
-                        {"requests", load.requests},
-                        {"unread_tokens", load.unread_tokens},
-                        {"usable", this->state.health.Usable(id, 0, now)},
-                        {"silent", this->state.silence.IsSilent(id, now)},
-                        {"slowness", this->state.health.Slowness(id, now)},
-                        {"failures", this->state.health.FailureRate(id, now)}});
+    backends.push_back(
+        {{"id", id.value},
+         {"service", entry.service.value},
+         {"draining", entry.draining},
+         {"requests", load.requests},
+         {"unread_tokens", load.unread_tokens},
+         {"usable", this->state.health.Usable(id, 0, now)},
+         {"silent", this->state.silence.IsSilent(id, now)},
+         {"slowness", this->state.health.Slowness(id, now)},
+         {"stated_slowness", this->state.reported_load.Slowness(id, now)},
+         {"statement_trust", this->state.reported_load.Trust(id)},
+         {"failures", this->state.health.FailureRate(id, now)}});
   }
   const auto age = this->state.key_freshness.Age(now);
   return nlohmann::json{
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -40,6 +40,11 @@
           .Name("carawayvalve_backend_answers_total")
           .Help("Backend servers' answers by framing and how they ended")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& placements =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_placements_total")
+          .Help("Choices of backend servers by estimated cost: lowest or equal")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& backend_requests =
       prometheus::BuildCounter()
           .Name("carawayvalve_backend_requests_total")
@@ -112,6 +117,12 @@
       .Increment();
 }
 
+void GatewayMetrics::CountPlacement(bool passed_over_lowest) {
+  this->families->placements
+      .Add({{"choice", passed_over_lowest ? "equal" : "lowest"}})
+      .Increment();
+}
+
 void GatewayMetrics::CountBackendRequest(const std::string& kind) {
   this->families->backend_requests.Add({{"kind", kind}}).Increment();
 }
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -27,6 +27,9 @@
   // Counts an answer whose head was received, by how the end of its body is
   // marked and by whether the body was "complete" or "broken".
   void CountBackendAnswer(const std::string& framing, const std::string& end);
+  // Counts a choice of a backend server: the one of the "lowest" estimated
+  // cost, or an "equal" one in view of the age of the load that peers report.
+  void CountPlacement(bool passed_over_lowest);
   // Counts a request to a backend server of any kind, such as "attempt".
   void CountBackendRequest(const std::string& kind);
   // Counts a retry that was "charged" to the retry budget, or "denied".
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -17,6 +17,7 @@
 #include "carawayvalve/core/placement.h"
 #include "carawayvalve/core/poison_request_tracker.h"
 #include "carawayvalve/core/prefix_cache_tracker.h"
+#include "carawayvalve/core/reported_load.h"
 #include "carawayvalve/core/retry_budget_members.h"
 #include "carawayvalve/core/retry_budget_share.h"
 #include "carawayvalve/core/serving_table.h"
@@ -81,6 +82,7 @@
   core::BackendRateLimits rate_limits;
   core::SilenceDetector silence;
   core::FleetLoad load;
+  core::ReportedLoad reported_load;
   core::PrefixCacheTracker prefix_caches;
   core::Placer placer;
   core::SpeedEstimator speeds;
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -165,6 +165,7 @@
   query.objective = this->route->objective;
   query.may_hand_over = this->may_hand_over;
   query.software_version = this->stream_version;
+  query.request = this->caller.id.value;
   return query;
 }
 
@@ -247,6 +248,7 @@
   const base::BackendServerId& id = placement.target.id;
   this->NotePrefix(id, false);
   const base::Instant now = base::Now();
+  this->context.metrics.CountPlacement(placement.passed_over_lowest);
   this->context.journal.Write(
       base::LogLevel::kInfo, "attempt_sent",
       {{"request", this->caller.id.value},
@@ -255,6 +257,7 @@
        {"attempt", this->progress.attempts + 1},
        {"missing_tokens", placement.missing_tokens},
        {"expected_ms", base::ToMilliseconds(placement.expected)},
+       {"lowest_cost", !placement.passed_over_lowest},
        {"backend_requests", this->context.state.load.LoadOf(id, now).requests},
        {"plan", this->table->version()},
        {"age_ms", this->AgeMs(now)}});
--- a/gateway/src/request_prefill.cc
+++ b/gateway/src/request_prefill.cc
@@ -43,6 +43,7 @@
   }
   this->prefill_answer.clear();
   this->NotePrefix(placement.target.id, false);
+  this->context.metrics.CountPlacement(placement.passed_over_lowest);
   this->context.journal.Write(
       base::LogLevel::kInfo, "prompt_sent",
       {{"request", this->caller.id.value},
@@ -51,6 +52,7 @@
        {"copy_from",
         placement.copy_from.has_value() ? placement.copy_from->id.value : ""},
        {"expected_ms", base::ToMilliseconds(placement.expected)},
+       {"lowest_cost", !placement.passed_over_lowest},
        {"age_ms", this->AgeMs(base::Now())}});
   this->call = std::make_unique<BackendCall>(
       this->context, this->exchange->request(), this->caller,
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -276,6 +276,7 @@
     this->context.NoteBackendCrash(entry->id, "restarted");
     state.prefix_caches.Forget(entry->id);
     state.health.Forget(entry->id);
+    state.reported_load.Forget(entry->id);
   }
   if (previous != nullptr && previous->role != entry->role) {
     state.health.NoteRoleChangeDone(entry->id);
@@ -305,6 +306,7 @@
     this->context.NoteBackendCrash(id, "removed");
     state.prefix_caches.Forget(id);
     state.health.Forget(id);
+    state.reported_load.Forget(id);
     state.rate_limits.Forget(id);
   }
   this->context.journal.Write(
@@ -317,6 +319,7 @@
   for (const base::BackendServerId& id : state.directory.Expire(base::Now())) {
     state.prefix_caches.Forget(id);
     state.health.Forget(id);
+    state.reported_load.Forget(id);
     state.rate_limits.Forget(id);
     this->context.journal.Write(
         base::LogLevel::kInfo, "backend_removed",
--- a/tests/platform/backend.cc
+++ b/tests/platform/backend.cc
@@ -51,6 +51,9 @@
   if (this->leaves) {
     fields.push_back({"Server-Leaving", "1"});
   }
+  if (!this->stated_load.empty()) {
+    fields.push_back({"X-Load", this->stated_load});
+  }
   if (!this->rate_limit.empty()) {
     fields.push_back({kRateLimitField, this->rate_limit});
   }
--- a/tests/platform/backend.h
+++ b/tests/platform/backend.h
@@ -80,6 +80,8 @@
   // The requests a second that it says in every answer it takes; empty for any
   // number. It doesn't enforce the limit.
   std::string rate_limit;
+  // What its answers say of its load; empty for nothing.
+  std::string stated_load;
   // The Retry-After of declined requests, in seconds; empty for none.
   std::string retry_after;
   // Answers every request with 500.
