--- a/core/include/carawayvalve/core/backend_directory.h
+++ b/core/include/carawayvalve/core/backend_directory.h
@@ -63,6 +63,12 @@
 
   // Replaces all entries by a complete listing of the store.
   void NoteList(const std::vector<BackendEntry>& entries, base::Instant now);
+  // Adds an entry of a list that isn't complete yet. Until the first list is
+  // complete, no version counts as the only one.
+  void NoteListedEntry(const BackendEntry& entry);
+  // Removes the entries that aren't `listed`, in a list that is complete now.
+  void KeepOnly(const std::set<base::BackendServerId>& listed,
+                base::Instant now);
   void NoteEntry(const BackendEntry& entry);
   void NoteRemoved(const base::BackendServerId& id, base::Instant now);
 
@@ -93,6 +99,11 @@
                                          base::Duration time,
                                          base::Instant now) const;
 
+  // Returns the versions of all services within `time`, those included that are
+  // registered now.
+  std::map<base::ServiceId, ServiceVersions> RecentVersions(base::Duration time,
+                                                            base::Instant now);
+
   VersionHistory& version_history() { return this->versions; }
   const VersionHistory& version_history() const { return this->versions; }
 
@@ -106,6 +117,8 @@
 
  private:
   bool InGracePeriod(base::Instant now) const;
+  // Records the versions that are registered or were since the last call.
+  void NoteVersions(base::Instant now);
 
   bool IsLeaving(const base::BackendServerId& id, int64_t started_ms) const;
   // Returns the only version that is registered or was since the last call of
@@ -126,6 +139,8 @@
   // Services and versions that were registered since.
   std::set<std::pair<base::ServiceId, std::string>> new_versions;
   bool has_list = false;
+  // Some pages of the first list are there, but not all.
+  bool listing_first = false;
   bool is_current = true;
 };
 
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -9,6 +9,7 @@
 
 #include "carawayvalve/base/error.h"
 #include "carawayvalve/gateway/gateway.h"
+#include "explanation.h"
 #include "request_handler.h"
 
 namespace carawayvalve::gateway {
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
@@ -61,7 +63,8 @@
               this->on_urgent_news, this->origin_lookup},
       feed(this->context, this->objects),
       peers(this->context, this->objects, this->feed),
-      duties(this->context, this->objects),
+      recent(this->context, this->objects, this->feed),
+      duties(this->context, this->objects, this->recent),
       tick_timer(this->loop),
       stop_timer(this->loop) {}
 
@@ -83,6 +86,10 @@
                        [this](int number) { this->OnSignal(number); });
   this->feed.Start();
   this->peers.Start();
+  this->origin_lookup.SetReadStored([this](const std::function<void()>& done) {
+    this->recent.Read([done](bool /*is_complete*/) { done(); });
+  });
+  this->recent.Start();
   this->Tick();
   this->loop.Run();
   this->journal.Write(base::LogLevel::kInfo, "stopped", {});
@@ -107,8 +114,12 @@
                         {{"window", window - 1},
                          {"requests", this->state.usage.CountOf(
                                           this->state.boot, window - 1)}});
+    this->journal.Write(base::LogLevel::kInfo, "platform_calls",
+                        {{"calls", this->objects.counts().Print()}});
   }
-  this->duties.Tick(this->peers.LiveHosts(now));
+  const std::vector<base::HostId> live = this->peers.LiveHosts(now);
+  this->state.recent_state.SetLive(live);
+  this->duties.Tick(live);
   if (this->state.table != nullptr &&
       this->state.table->version() != this->plan_version) {
     this->plan_version = this->state.table->version();
@@ -146,6 +157,10 @@
         {{kOk, {{"Content-Type", "application/json"}}}, this->Dump()});
     return;
   }
+  if (target == "/explain") {
+    this->Explain(*exchange);
+    return;
+  }
   if (target != "/metrics") {
     exchange->Respond({{kNotFound, {}}, ""});
     return;
@@ -172,6 +187,9 @@
   this->metrics.SetGauge("holds_duties", this->duties.holds(now) ? 1 : 0);
   this->metrics.SetGauge("store_calls",
                          static_cast<double>(this->objects.calls()));
+  for (const auto& [reason, count] : this->objects.counts().by_reason()) {
+    this->metrics.SetPlatformCalls(reason.call, reason.outcome, count);
+  }
   this->metrics.SetGauge("log_lines_dropped",
                          static_cast<double>(this->journal.dropped()));
   const auto age = this->state.key_freshness.Age(now);
@@ -182,6 +200,18 @@
                      this->metrics.Print()});
 }
 
+void Gateway::Explain(net::Exchange& exchange) const {
+  try {
+    const auto explanation = gateway::Explain(
+        this->context, ReadExplainedRequest(exchange.request().body),
+        base::Now());
+    exchange.Respond(
+        {{kOk, {{"Content-Type", "application/json"}}}, explanation.dump()});
+  } catch (const base::Error& error) {
+    exchange.Respond({{kBadRequest, {}}, error.reason()});
+  }
+}
+
 std::string Gateway::Dump() const {
   const base::Instant now = base::Now();
   nlohmann::json backends = nlohmann::json::array();
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -11,6 +11,7 @@
 #include "context.h"
 #include "duty_holder.h"
 #include "peer_gossip.h"
+#include "recent_store.h"
 #include "store_feed.h"
 
 namespace carawayvalve::gateway {
@@ -35,6 +36,8 @@
   void OnMetrics(const std::shared_ptr<net::Exchange>& exchange);
   bool Ready() const;
   std::string Dump() const;
+  // Answers an operator who asks where a request would go.
+  void Explain(net::Exchange& exchange) const;
 
   std::string settings_path;
   net::EventLoop loop;
@@ -53,6 +56,7 @@
   Context context;
   StoreFeed feed;
   PeerGossip peers;
+  RecentStore recent;
   DutyHolder duties;
   std::unique_ptr<net::HttpServer> callers;
   std::unique_ptr<net::HttpServer> readiness;
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -35,8 +35,19 @@
   // Counts a retry that was "charged" to the retry budget, or "denied".
   void CountRetry(const std::string& outcome);
   void CountStoreCall(const std::string& outcome);
+  // Counts a request for changes of backend servers that was sent to a peer,
+  // which "answered" or "failed" to.
+  void CountRegistryFetch(const std::string& outcome);
+  // Sets the number of calls to the platform so far that were made for the same
+  // purpose, such as the watch of a kind of objects, and ended the same way.
+  void SetPlatformCalls(const std::string& call,
+                        const std::string& outcome,
+                        int64_t count);
   // Counts a stream that a caller takes up, which "goes_on" or is "refused".
+  // The same by "goes_on_stored" if only the store tells its origin.
   void CountStreamTakenUp(const std::string& outcome);
+  // Counts calls for what outlives the loss of all gateways, such as "stored".
+  void CountRecentState(const std::string& outcome);
   // Observes the age of state from `source`, such as the configuration, when a
   // decision uses it.
   void ObserveStateAge(const std::string& source, base::Duration age);
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -86,6 +86,17 @@
   3: required i32 age_ms,
   // Digest of what the caller repeats to take the stream up.
   4: optional string content,
+  // The receiver stores it for the time after the loss of all gateways.
+  5: optional bool is_to_be_stored,
+}
+
+// The store's confirmation of the sender's list of backend servers.
+struct GossipRegistryProof {
+  // Time since then.
+  1: required i32 age_ms,
+  // Who has received all changes up to this revision of the store has all that
+  // the sender has.
+  2: required i64 revision,
 }
 
 struct Gossip {
@@ -124,4 +135,5 @@
   // The same as `wanted_origins` by the contents of streams whose callers don't
   // name the first request.
   25: optional list<string> wanted_contents,
+  26: optional GossipRegistryProof registry_proof,
 }
