--- a/core/src/placement_report.cc
+++ b/core/src/placement_report.cc
@@ -35,7 +35,7 @@
   terms.failure_and_distance = this->Penalty(*estimate.entry, now);
   terms.affinity = estimate.cost - estimate.wait - terms.failure_and_distance;
   terms.cost = estimate.cost;
-  terms.slowness = this->health.Slowness(estimate.entry->id, now);
+  terms.slowness = this->SlownessOf(*estimate.entry, now);
   terms.missing_tokens = estimate.missing_tokens;
   terms.requests_ahead = estimate.requests_ahead;
   terms.tokens_ahead = estimate.tokens_ahead;
--- a/core/tests/placement_report_test.cc
+++ b/core/tests/placement_report_test.cc
@@ -65,13 +65,15 @@
   SilenceDetector silence;
   FleetLoad load;
   PrefixCacheTracker prefix_cache{400000};
+  ReportedLoad reported_load;
   Placer placer{{.data_centre = {"here"}},
                 directory,
                 health,
                 rate_limits,
                 silence,
                 load,
-                prefix_cache};
+                prefix_cache,
+                reported_load};
 };
 
 const CostTerms* TermsOf(const std::vector<CandidateReport>& reports,
