Let a deployment's settings switch even load, and explain rate limits

Nothing could switch the even choice on: gateways' settings have even_load now, off by default. An explanation says what the rate limit of the request's account allows, by the functions of a request, on a copy of the credit.

--- a/gateway/include/carawayvalve/gateway/settings.h
+++ b/gateway/include/carawayvalve/gateway/settings.h
@@ -71,6 +71,9 @@
   } bounds;
 
   config::Features features;
+  // Spreads requests over backend servers that are equally good in view of how
+  // old their figures are, see core::ChooseCandidate.
+  bool even_load = false;
 
   base::Journal::Settings log;
 
--- a/gateway/src/account_limits.cc
+++ b/gateway/src/account_limits.cc
@@ -4,6 +4,17 @@
 
 namespace carawayvalve::gateway {
 
+double RateAmountOf(const core::CallerRequest& request,
+                    const config::AccountRateLimit& limit) {
+  if (limit.unit == config::RateUnit::kRequests) {
+    return 1;
+  }
+  return static_cast<double>(request.prompt.has_value()
+                                 ? request.prompt->prompt_tokens +
+                                       request.prompt->max_output_tokens
+                                 : limit.default_tokens);
+}
+
 void AccountLimits::Admit(const base::ClientAccountId& account,
                           double amount,
                           base::Duration objective,
--- a/gateway/src/account_limits.h
+++ b/gateway/src/account_limits.h
@@ -5,10 +5,15 @@
 #include <list>
 
 #include "carawayvalve/core/account_credit_request.h"
+#include "carawayvalve/core/caller_request.h"
 #include "carawayvalve/net/event_loop.h"
 
 namespace carawayvalve::gateway {
 
+// Returns what the request counts against the limit.
+double RateAmountOf(const core::CallerRequest& request,
+                    const config::AccountRateLimit& limit);
+
 // The requests that wait for credit of their accounts, see
 // core::AccountCreditRequest.
 class AccountLimits {
--- a/gateway/src/explanation.cc
+++ b/gateway/src/explanation.cc
@@ -14,6 +14,7 @@
 
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 
 double ToMs(base::Duration time) {
@@ -24,6 +25,29 @@
   return {{"outcome", "refused"}, {"status", status}, {"reason", reason}};
 }
 
+// Prints what the rate limit of the request's account allows.
+struct CreditPrinter {
+  ordered_json operator()(const core::AccountAdmitted& /*step*/) const {
+    return {{"allows", true}};
+  }
+  ordered_json operator()(const core::AskPeers& step) const {
+    ordered_json peers = ordered_json::array();
+    for (const base::HostId& peer : step.peers) {
+      peers.push_back(peer.value);
+    }
+    return {{"asks_peers", peers}, {"missing", step.question.amount}};
+  }
+  ordered_json operator()(const core::KeepWaiting& /*step*/) const {
+    return {{"waits", true}};
+  }
+  ordered_json operator()(const core::AccountExceeded& step) const {
+    return {{"retry_after_ms", ToMs(step.retry_after)}};
+  }
+  ordered_json operator()(const core::AccountRequestTooLarge& /*step*/) const {
+    return {{"too_large", true}};
+  }
+};
+
 // Prints what one backend server means to the placement.
 struct OutcomePrinter {
   ordered_json& printed;
@@ -67,7 +91,16 @@
     if (!refusal.empty()) {
       return refusal;
     }
+    const ordered_json rate = this->CheckRate();
+    if (rate.contains("retry_after_ms") || rate.contains("too_large")) {
+      refusal = Refused(kTooManyRequests, "beyond the account's rate limit");
+      refusal["rate_limit"] = rate;
+      return refusal;
+    }
     ordered_json explanation = this->Place();
+    if (!rate.empty()) {
+      explanation["rate_limit"] = rate;
+    }
     explanation["route"] = this->route->name.value;
     explanation["service"] = this->query.service.value;
     explanation["objective_ms"] = this->route->objective.count();
@@ -107,6 +140,7 @@
     if (!state.stop.MayTake(this->now + this->time_left, this->now)) {
       return Refused(kUnavailable, "this gateway stops before the deadline");
     }
+    this->query.request = this->request.caller.id.value;
     this->query.service =
         core::ChooseService(*this->route, this->request.caller.id.value);
     this->query.objective = this->route->objective;
@@ -127,6 +161,26 @@
     return this->account != nullptr;
   }
 
+  // Says what the rate limit of the account allows; empty without a limit.
+  ordered_json CheckRate() const {
+    core::AccountRateShares shares = this->context.state.account_rates;
+    if (this->account == nullptr || !this->account->rate_limit.has_value() ||
+        !shares.HasLimit(this->account->name)) {
+      return {};
+    }
+    const double amount =
+        RateAmountOf(this->request.caller, *this->account->rate_limit);
+    core::AccountCreditRequest credit(shares, this->account->name, amount,
+                                      this->route->objective);
+    const core::AccountRateStatus status =
+        shares.Statuses(this->now)[this->account->name];
+    ordered_json printed = std::visit(CreditPrinter(), credit.Start(this->now));
+    printed["amount"] = amount;
+    printed["balance"] = status.balance;
+    printed["share_per_second"] = status.share_per_second;
+    return printed;
+  }
+
   ordered_json Place() {
     const core::PlacementResult result =
         this->context.state.placer.Choose(this->query, this->now);
--- a/gateway/src/gateway_state.cc
+++ b/gateway/src/gateway_state.cc
@@ -24,6 +24,7 @@
 core::PlacementSettings ToPlacementSettings(const GatewaySettings& settings) {
   core::PlacementSettings placement;
   placement.data_centre = settings.data_centre;
+  placement.even_load = settings.even_load;
   return placement;
 }
 
--- a/gateway/src/request_account.cc
+++ b/gateway/src/request_account.cc
@@ -9,18 +9,6 @@
 
 constexpr int kTooManyRequests = 429;
 
-// Returns what the request counts against the limit.
-double AmountOf(const core::CallerRequest& request,
-                const config::AccountRateLimit& limit) {
-  if (limit.unit == config::RateUnit::kRequests) {
-    return 1;
-  }
-  return static_cast<double>(request.prompt.has_value()
-                                 ? request.prompt->prompt_tokens +
-                                       request.prompt->max_output_tokens
-                                 : limit.default_tokens);
-}
-
 }  // namespace
 
 void RequestHandler::ChargeAccount() {
@@ -32,7 +20,8 @@
   }
   const auto self = this->shared_from_this();
   this->context.account_limits.Admit(
-      this->account->name, AmountOf(this->caller, *this->account->rate_limit),
+      this->account->name,
+      RateAmountOf(this->caller, *this->account->rate_limit),
       this->route->objective,
       [self](const core::CreditStep& step) { self->OnAccountDecided(step); });
 }
@@ -74,7 +63,7 @@
       base::LogLevel::kInfo, "account_refused",
       {{"request", this->caller.id.value},
        {"account", this->account->name.value},
-       {"amount", AmountOf(this->caller, *this->account->rate_limit)},
+       {"amount", RateAmountOf(this->caller, *this->account->rate_limit)},
        {"retry_after_ms",
         exceeded == nullptr ? -1 : base::ToMilliseconds(exceeded->retry_after)},
        {"share_per_second", status.share_per_second},
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -142,6 +142,7 @@
   ReadDuties(reader, faults, settings.duties);
   ReadBounds(reader, faults, settings.bounds);
   settings.features = platform::DecodeFeatures(reader.Strings("rule_parts"));
+  settings.even_load = reader.Boolean("even_load", settings.even_load);
   ReadLog(reader, faults, settings.log);
   reader.Finish();
   base::ThrowIfAny(faults, source);
--- a/gateway/tests/settings_test.cc
+++ b/gateway/tests/settings_test.cc
@@ -51,6 +51,7 @@
     CHECK(settings.log.level == base::LogLevel::kWarning);
     CHECK(settings.store.watch_wait == base::Milliseconds(2000));
     CHECK(settings.features.contention);
+    CHECK_FALSE(settings.even_load);
   }
   SUBCASE("are rejected with the path of each fault") {
     document["listen"]["callers"] = "somewhere";
