--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -12,6 +12,7 @@
 #include "gateway_metrics.h"
 #include "gateway_state.h"
 #include "late_request_scheduler.h"
+#include "room_scheduler.h"
 #include "stream_origin_lookup.h"
 
 namespace carawayvalve::gateway {
@@ -32,6 +33,8 @@
   GatewayMetrics& metrics;
   net::HttpClient& backends;
   LateRequestScheduler& late_requests;
+  // Decides about requests where load exceeds the capacity at times.
+  RoomScheduler& room;
   std::mt19937_64& generator;
   std::vector<SentPrefix>& sent_prefixes;
   // Called when the load that this gateway puts on backend servers changes.
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -53,11 +53,14 @@
       generator(std::random_device()()),
       backends(this->loop, kBackendKeepAlive),
       waiting(this->loop),
+      room(this->loop),
       origin_lookup(this->loop, this->state),
       objects(this->loop, settings.store.address, settings.store.call_timeout),
-      context{this->loop,           this->state,         this->journal,
-              this->metrics,        this->backends,      this->waiting,
-              this->generator,      this->sent_prefixes, this->on_load_changed,
+      context{this->loop,           this->state,
+              this->journal,        this->metrics,
+              this->backends,       this->waiting,
+              this->room,           this->generator,
+              this->sent_prefixes,  this->on_load_changed,
               this->on_urgent_news, this->origin_lookup},
       feed(this->context, this->objects),
       peers(this->context, this->objects, this->feed),
@@ -169,6 +172,8 @@
       static_cast<double>(this->state.rate_limits.limited_count()));
   this->metrics.SetGauge("late_requests_waiting",
                          static_cast<double>(this->waiting.size()));
+  this->metrics.SetGauge("room_requests_waiting",
+                         static_cast<double>(this->room.size()));
   this->metrics.SetGauge("holds_duties", this->duties.holds(now) ? 1 : 0);
   this->metrics.SetGauge("store_calls",
                          static_cast<double>(this->objects.calls()));
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -48,6 +48,7 @@
   std::function<void()> on_urgent_news = [] {};
   net::HttpClient backends;
   LateRequestScheduler waiting;
+  RoomScheduler room;
   StreamOriginLookup origin_lookup;
   platform::ObjectClient objects;
   Context context;
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -50,6 +50,19 @@
           .Name("carawayvalve_retries_total")
           .Help("Retries charged to the shared budget, or denied")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& room =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_room_decisions_total")
+          .Help(
+              "Requests that compete for room at engines, by what was decided")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& room_of_accounts =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_room_short_total")
+          .Help(
+              "Requests that waited or were refused for lack of room, by "
+              "client account")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& store_calls =
       prometheus::BuildCounter()
           .Name("carawayvalve_store_calls_total")
@@ -120,6 +133,19 @@
   this->families->retries.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::CountRoom(const std::string& route,
+                               const std::string& outcome) {
+  this->families->room.Add({{"route", route}, {"outcome", outcome}})
+      .Increment();
+}
+
+void GatewayMetrics::CountRoomOfAccount(const std::string& account,
+                                        const std::string& outcome) {
+  this->families->room_of_accounts
+      .Add({{"account", account}, {"outcome", outcome}})
+      .Increment();
+}
+
 void GatewayMetrics::CountStoreCall(const std::string& outcome) {
   this->families->store_calls.Add({{"outcome", outcome}}).Increment();
 }
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -31,6 +31,11 @@
   void CountBackendRequest(const std::string& kind);
   // Counts a retry that was "charged" to the retry budget, or "denied".
   void CountRetry(const std::string& outcome);
+  // Counts a request that is "sent" to an engine, "waits" for room or is
+  // "refused", by its route and by its client account.
+  void CountRoom(const std::string& route, const std::string& outcome);
+  void CountRoomOfAccount(const std::string& account,
+                          const std::string& outcome);
   void CountStoreCall(const std::string& outcome);
   // Counts a stream that a caller takes up, which "goes_on" or is "refused".
   void CountStreamTakenUp(const std::string& outcome);
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -12,6 +12,7 @@
 #include "carawayvalve/core/backend_health.h"
 #include "carawayvalve/core/backend_rate_limits.h"
 #include "carawayvalve/core/crash_correlator.h"
+#include "carawayvalve/core/expectation_correction.h"
 #include "carawayvalve/core/fleet_load.h"
 #include "carawayvalve/core/key_freshness.h"
 #include "carawayvalve/core/placement.h"
@@ -84,6 +85,8 @@
   core::PrefixCacheTracker prefix_caches;
   core::Placer placer;
   core::SpeedEstimator speeds;
+  // By service; only where load exceeds the capacity at times.
+  std::map<base::ServiceId, core::ExpectationCorrection> corrections;
   // When the estimate of each service was last logged.
   std::map<base::ServiceId, base::Instant> speeds_logged;
   core::PoisonRequestTracker poison_requests;
--- a/gateway/src/request_admission.cc
+++ b/gateway/src/request_admission.cc
@@ -25,6 +25,10 @@
     return;
   }
   const core::Placement& placement = std::get<core::Placement>(result);
+  if (this->CompetesForRoom()) {
+    this->CompeteForRoom(placement, now);
+    return;
+  }
   if (!this->FitsDeadline(placement, now) && !this->progress.may_have_run) {
     this->Refuse(kUnavailable, "no backend server can answer in time", true);
     return;
@@ -46,13 +50,44 @@
 
 bool RequestHandler::MustWait(const core::Placement& placement,
                               base::Instant now) const {
-  const bool late =
-      now - this->arrived + placement.expected > this->route->objective;
-  return late && this->caller.prompt.has_value() &&
+  return this->IsLate(placement, now) && this->caller.prompt.has_value() &&
          this->progress.attempts == 0 &&
          !core::MayServeLate(placement.work_ahead);
 }
 
+bool RequestHandler::IsLate(const core::Placement& placement,
+                            base::Instant now) const {
+  return now - this->arrived + this->Corrected(placement.expected, now) >
+         this->route->objective;
+}
+
+base::Duration RequestHandler::Corrected(base::Duration expected,
+                                         base::Instant now) const {
+  const GatewayState& state = this->context.state;
+  if (!state.settings.features.contention || !this->caller.prompt.has_value()) {
+    return expected;
+  }
+  const auto found = state.corrections.find(this->service);
+  return found == state.corrections.end()
+             ? core::ExpectationCorrection().Correct(expected, now)
+             : found->second.Correct(expected, now);
+}
+
+void RequestHandler::NoteExpected(const core::Placement& placement) {
+  if (!this->expected_sent.has_value()) {
+    this->expected_sent = {base::Now(), placement.expected};
+  }
+}
+
+void RequestHandler::NoteFirstEvent(base::Instant received) {
+  if (this->expected_sent.has_value() && this->progress.attempts == 1 &&
+      this->failed_prefills == 0 && this->caller.prompt.has_value()) {
+    this->context.state.corrections[this->service].Note(
+        this->expected_sent->expected, received - this->expected_sent->at,
+        received);
+  }
+}
+
 void RequestHandler::WaitForCapacity(const core::Placement& placement) {
   const auto self = this->shared_from_this();
   this->context.journal.Write(
@@ -74,10 +109,8 @@
   const base::Instant now = base::Now();
   const core::PlacementResult result =
       this->context.state.placer.Choose(this->Query(), now);
-  const auto* placement = std::get_if<core::Placement>(&result);
-  if (placement != nullptr) {
-    if (this->FitsDeadline(*placement, now) &&
-        this->MustWait(*placement, now)) {
+  if (const auto* chosen = std::get_if<core::Placement>(&result)) {
+    if (this->FitsDeadline(*chosen, now) && this->MustWait(*chosen, now)) {
       return false;
     }
   }
--- a/gateway/src/request_answer.cc
+++ b/gateway/src/request_answer.cc
@@ -89,6 +89,12 @@
         std::max(remaining, base::Duration(0)) / kRetryAfterDivisor *
         jitter(this->context.generator));
   }
+  this->RefuseUntil(status, reason, retry_after);
+}
+
+void RequestHandler::RefuseUntil(int status,
+                                 const std::string& reason,
+                                 std::optional<base::Duration> retry_after) {
   this->exchange->Respond(platform::EncodeRefusal(status, reason, retry_after));
   this->End(status, reason);
 }
@@ -120,6 +126,9 @@
   if (this->queue_ticket.has_value()) {
     this->context.late_requests.Remove(*this->queue_ticket);
   }
+  if (this->room_ticket.has_value()) {
+    this->context.room.Remove(*this->room_ticket);
+  }
   this->exchange->OnDisconnect(nullptr);
   this->call.reset();
   this->ReleasePrompt();
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -169,6 +169,7 @@
 }
 
 void RequestHandler::Send(const core::Placement& placement) {
+  this->NoteExpected(placement);
   if (placement.prefill_only) {
     this->PrefillPrompt(placement);
     return;
@@ -210,11 +211,10 @@
   plan.expects_events =
       this->IsStream() && !std::holds_alternative<platform::PrefillOnly>(stage);
   if (this->caller.prompt.has_value()) {
-    const bool late =
-        now - this->arrived + placement.expected > this->route->objective;
-    plan.order.urgency = late ? kLateUrgency
-                              : std::clamp(kFirstUrgency + this->Priority(),
-                                           kFirstUrgency, kLastUrgency);
+    plan.order.urgency = this->IsLate(placement, now)
+                             ? kLateUrgency
+                             : std::clamp(kFirstUrgency + this->Priority(),
+                                          kFirstUrgency, kLastUrgency);
     plan.kv_tokens = this->caller.prompt->prompt_tokens + kMeanOutputTokens;
   }
   return plan;
@@ -315,6 +315,7 @@
   this->CountUsage(received);
   if (!this->progress.answer_begun) {
     this->progress.answer_begun = true;
+    this->NoteFirstEvent(received);
     const core::BackendEntry& backend = this->call->plan().backend;
     this->stream_version = backend.software_version;
     if (this->route->resumable) {
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -53,6 +53,32 @@
   // Returns whether a request that can't meet its objective must wait until the
   // target has less work.
   bool MustWait(const core::Placement& placement, base::Instant now) const;
+  // Returns whether the first event is expected after the objective.
+  bool IsLate(const core::Placement& placement, base::Instant now) const;
+  // Corrects an expected time by how long requests really took; only where load
+  // exceeds the capacity at times.
+  base::Duration Corrected(base::Duration expected, base::Instant now) const;
+  void NoteExpected(const core::Placement& placement);
+  // Compares the time of the first event with the expected time.
+  void NoteFirstEvent(base::Instant received);
+  // Returns whether RoomAdmission decides when the request is sent.
+  bool CompetesForRoom() const;
+  void CompeteForRoom(const core::Placement& placement, base::Instant now);
+  // Called while the request waits for room. Returns whether it stops waiting.
+  bool TryRoom();
+  core::RoomRequest ToRoomRequest() const;
+  core::RoomOffer ToRoomOffer(const core::Placement& placement,
+                              base::Instant now) const;
+  void Perform(const core::SendToEngine& decision,
+               const core::Placement& placement);
+  void Perform(const core::WaitForRoom& decision,
+               const core::Placement& placement);
+  void Perform(const core::RefuseForRoom& decision,
+               const core::Placement& placement);
+  void LogRoom(const char* event,
+               const char* outcome,
+               const std::string& reason,
+               const core::Placement& placement);
   void WaitForCapacity(const core::Placement& placement);
   // Called while the request waits for capacity. Returns whether it stops
   // waiting.
@@ -98,6 +124,9 @@
   void OnDeadline();
   void OnCallerDisconnected();
   void Refuse(int status, const std::string& reason, bool send_retry_after);
+  void RefuseUntil(int status,
+                   const std::string& reason,
+                   std::optional<base::Duration> retry_after);
   void End(int status, const std::string& outcome);
   // Counts the request once as usage of its client account.
   void CountUsage(base::Instant at);
@@ -146,6 +175,13 @@
   // The software version that began the stream; nothing while there is none.
   std::optional<std::string> stream_version;
 
+  // What was expected of the first attempt when it was sent.
+  struct ExpectedSent {
+    base::Instant at;
+    base::Duration expected{};
+  };
+  std::optional<ExpectedSent> expected_sent;
+
   core::RequestProgress progress;
   // Whether an attempt before the current one may have run.
   bool earlier_may_have_run = false;
@@ -155,6 +191,7 @@
   // An engine has prefilled the prompt; each further prefill is a retry.
   bool prefilled_once = false;
   std::optional<core::LateRequestQueue::Ticket> queue_ticket;
+  std::optional<core::RoomAdmission::Ticket> room_ticket;
   std::unique_ptr<BackendCall> call;
   // The body of the prefill engine's answer.
   std::string prefill_answer;
--- a/gateway/tests/test_gateway.h
+++ b/gateway/tests/test_gateway.h
@@ -27,15 +27,16 @@
   GatewayState state;
   net::HttpClient backends{loop, std::chrono::seconds(1)};
   LateRequestScheduler late_requests{loop};
+  RoomScheduler room{loop};
   std::mt19937_64 generator{1};
   std::vector<SentPrefix> sent_prefixes;
   std::function<void()> on_load_changed = [] {};
   std::function<void()> on_urgent_news = [] {};
   StreamOriginLookup origin_lookup{loop, state};
-  Context context{loop,           state,         journal,
-                  metrics,        backends,      late_requests,
-                  generator,      sent_prefixes, on_load_changed,
-                  on_urgent_news, origin_lookup};
+  Context context{
+      loop,          state,           journal,        metrics,
+      backends,      late_requests,   room,           generator,
+      sent_prefixes, on_load_changed, on_urgent_news, origin_lookup};
 };
 
 }  // namespace carawayvalve::gateway
