Begin an answer at the old version before the new one serves in its test

In a third of its runs the process test began at the only engine of the new version and then showed the broken end alone. The new version's engine now starts once the answer streams, so each run shows the crossing.

--- a/gateway/tests/recent_store_test.cc
+++ b/gateway/tests/recent_store_test.cc
@@ -53,7 +53,8 @@
                 shared.sent_prefixes,
                 shared.on_load_changed,
                 shared.on_urgent_news,
-                lookup},
+                lookup,
+                shared.account_limits},
         objects(shared.loop, base::ParseAddress(store), Milliseconds(1000)),
         feed(context, objects),
         recent(context, objects, feed) {
--- a/tests/processes/stream_version_test.cc
+++ b/tests/processes/stream_version_test.cc
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr char kLongPrompt[] = "tell of a watch length=60";
+// Long enough for an engine to start meanwhile.
+constexpr char kLongPrompt[] = "tell of a watch length=2400";
 
 // Starts an engine of a version and its agent.
 void StartEngine(Deployment& deployment,
@@ -46,35 +47,29 @@
   const std::string key = deployment.GrantKey("north", "test");
   StartEngine(deployment, "1", "v1");
   StartEngine(deployment, "2", "v1");
-  StartEngine(deployment, "3", "v2");
   deployment.StartEntry("entry-1");
-  deployment.AwaitReady("entry-1", 3);
-  // Each engine that serves the answer is killed, the second one only if the
-  // answer went on there.
+  deployment.AwaitReady("entry-1", 2);
+  // The answer begins at the old version, as there is no other yet.
   BackgroundCall call(deployment, "entry-1", "POST", kChatPath, key,
                       ChatBody(kLongPrompt, true));
   Await("the answer to be streaming",
         [&] { return StreamText(call.Body()).size() > 10; });
+  StartEngine(deployment, "3", "v2");
+  deployment.AwaitReady("entry-1", 3);
   const std::string first = ServerOfAttempt(deployment);
+  REQUIRE(first != "bench-3");
   deployment.process("engine-" + first.substr(first.size() - 1)).Kill();
-
-  if (first == "bench-3") {
-    // No other engine has its version.
-    const auto result = call.Wait();
-    CHECK_FALSE(result.complete);
-    CHECK_FALSE(HasEndMarker(result.body));
-  } else {
-    std::string second;
-    Await("the answer to go on elsewhere", [&] {
-      second = ServerOfAttempt(deployment);
-      return second != first;
-    });
-    CHECK(second != "bench-3");
-    deployment.process("engine-" + second.substr(second.size() - 1)).Kill();
-    const auto result = call.Wait();
-    CHECK_FALSE(result.complete);
-    CHECK_FALSE(HasEndMarker(result.body));
-  }
+  std::string second;
+  Await("the answer to go on elsewhere", [&] {
+    second = ServerOfAttempt(deployment);
+    return second != first;
+  });
+  CHECK(second != "bench-3");
+  // Only the new version is left.
+  deployment.process("engine-" + second.substr(second.size() - 1)).Kill();
+  const auto result = call.Wait();
+  CHECK_FALSE(result.complete);
+  CHECK_FALSE(HasEndMarker(result.body));
 }
 
 }  // namespace carawayvalve::tests
