Pass an iterator by reference, and say what the burst of a limit bounds

The linter rejected the copy. A request may count more than the burst by what the deployment tolerates; the description said that it never runs.

--- a/config/include/carawayvalve/config/rate_limit.h
+++ b/config/include/carawayvalve/config/rate_limit.h
@@ -15,7 +15,8 @@
 struct AccountRateLimit {
   RateUnit unit = RateUnit::kRequests;
   double per_second = 1;
-  // A request that counts more than this never runs.
+  // A request that counts more than this, with what the deployment tolerates,
+  // never runs.
   int64_t burst = 1;
   // What a request counts that names no tokens; only for tokens.
   int64_t default_tokens = 1;
--- a/core/include/carawayvalve/core/account_credit.h
+++ b/core/include/carawayvalve/core/account_credit.h
@@ -53,7 +53,8 @@
   void DropExpired(base::Instant now);
   // Returns the oldest portion that lasts some time yet.
   std::deque<CreditPortion>::iterator FirstLasting(base::Instant now);
-  Credit TakeFrom(std::deque<CreditPortion>::iterator first, double amount);
+  Credit TakeFrom(const std::deque<CreditPortion>::iterator& first,
+                  double amount);
 
   base::Duration lifetime;
   base::Instant earned_until;
--- a/core/src/account_credit.cc
+++ b/core/src/account_credit.cc
@@ -100,7 +100,7 @@
   return sum;
 }
 
-Credit AccountCredit::TakeFrom(std::deque<CreditPortion>::iterator first,
+Credit AccountCredit::TakeFrom(const std::deque<CreditPortion>::iterator& first,
                                double amount) {
   Credit taken;
   auto portion = first;
