--- a/entry/tests/command_line_test.cc
+++ b/entry/tests/command_line_test.cc
@@ -20,7 +20,7 @@
   ArgumentValues values;
   for (const char* command :
        {"serve", "gateway", "check", "print-defaults", "diff", "apply", "key",
-        "grant", "withdraw", "status", "dump", "--json", "--help"}) {
+        "grant", "withdraw", "status", "dump", "explain", "--json", "--help"}) {
     values[command] = false;
   }
   for (const char* option :
@@ -84,6 +84,10 @@
         Command(StatusCommand{kStore, false}));
     CHECK(ToCommand(WithArguments({{"dump", true}, {"--operator", kStore}})) ==
           Command(DumpCommand{kStore, false}));
+    CHECK(ToCommand(WithArguments({{"explain", true},
+                                   {"FILE", "request.json"},
+                                   {"--operator", kStore}})) ==
+          Command(ExplainCommand{"request.json", kStore, false}));
   }
 
   SUBCASE("takes the settings path of a gateway from the environment") {
