--- a/config/tests/json_test.cc
+++ b/config/tests/json_test.cc
@@ -70,10 +70,9 @@
   }
 
   SUBCASE("is in the examples folder") {
-    const auto root =
-        std::filesystem::path(__FILE__).parent_path() / ".." / "..";
+    const std::filesystem::path examples = CARAWAYVALVE_EXAMPLES;
     std::ostringstream text;
-    text << std::ifstream(root / "examples" / "declaration.json").rdbuf();
+    text << std::ifstream(examples / "declaration.json").rdbuf();
     const Declaration example = ParseDeclaration(text.str(), "example");
     CHECK(example.limits == Limits());
     CHECK(example.routes.size() == 3);
--- a/entry/tests/settings_test.cc
+++ b/entry/tests/settings_test.cc
@@ -59,10 +59,9 @@
   }
 
   SUBCASE("the printed example equals examples/entry.json") {
-    const auto root =
-        std::filesystem::path(__FILE__).parent_path() / ".." / "..";
+    const std::filesystem::path examples = CARAWAYVALVE_EXAMPLES;
     std::ostringstream text;
-    text << std::ifstream(root / "examples" / "entry.json").rdbuf();
+    text << std::ifstream(examples / "entry.json").rdbuf();
     CHECK(text.str() == PrintDefaultEntrySettings());
   }
 
