Keep the logs of a test's processes when it ends by an exception

Cause: process_orders_test once timed out awaiting a resumed process, and nothing of its processes was left to read. Change: when a test of processes ends by an exception, as after a wait that timed out, Deployment copies its folder into kept-logs of the build folder and prints where. No wait, bound or check is changed.

--- a/tests/processes/deployment.cc
+++ b/tests/processes/deployment.cc
@@ -2,8 +2,11 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
+#include <system_error>
 
 #include "carawayvalve/base/error.h"
 
@@ -37,9 +40,24 @@
 
 Deployment::~Deployment() {
   this->processes.clear();
+  if (std::uncaught_exceptions() > 0) {
+    this->KeepFiles();
+  }
   std::filesystem::remove_all(this->folder);
 }
 
+void Deployment::KeepFiles() const {
+  const std::filesystem::path kept =
+      std::filesystem::path(CARAWAYVALVE_KEPT_LOGS) /
+      std::filesystem::path(this->folder).filename();
+  std::error_code error;
+  std::filesystem::create_directories(kept.parent_path(), error);
+  std::filesystem::copy(this->folder, kept,
+                        std::filesystem::copy_options::recursive, error);
+  std::cerr << (error ? "Can't keep the logs in " : "The logs are kept in ")
+            << kept.string() << "\n";
+}
+
 void Deployment::Start(const std::string& name,
                        const std::vector<std::string>& command) {
   this->processes.erase(name);
--- a/tests/processes/deployment.h
+++ b/tests/processes/deployment.h
@@ -13,7 +13,9 @@
 namespace carawayvalve::tests {
 
 // A small deployment of real processes on loopback: stand-ins of the platform's
-// systems, agents and entry processes. The destructor kills all of them.
+// systems, agents and entry processes. The destructor kills all of them. When a
+// test ends by an exception, as after a wait that timed out, their settings and
+// logs are kept in the build folder and the folder's name is printed.
 class Deployment {
  public:
   Deployment();
@@ -88,6 +90,7 @@
  private:
   void Start(const std::string& name, const std::vector<std::string>& command);
   std::string WriteFile(const std::string& name, const std::string& text) const;
+  void KeepFiles() const;
 
   std::string folder;
   std::map<std::string, std::unique_ptr<Process>> processes;
