--- a/core/include/carawayvalve/core/speed_estimator.h
+++ b/core/include/carawayvalve/core/speed_estimator.h
@@ -37,6 +37,8 @@
   // similar load; it is returned unless the observations contradict it.
   std::optional<Estimate> Fit(const Estimate& prior) const;
 
+  int64_t observations() const { return this->count; }
+
  private:
   struct Observation {
     int64_t units = 0;
@@ -94,27 +96,63 @@
                                       PlainAnswerObserved,
                                       SlotTimeObserved>;
 
+// The speeds of a service's backend servers, and the number of observations of
+// all processes that show them.
+struct SharedSpeeds {
+  EngineSpeeds speeds;
+  int64_t observations = 0;
+
+  bool operator==(const SharedSpeeds&) const = default;
+};
+
 // Estimates the speeds of each service's backend servers from the requests of
-// this process. Slow ones, waits in queues and misjudged caches are the
-// minority that it is robust against.
+// this process, and of others while it knows little. Slow ones, waits in queues
+// and misjudged caches are the minority that it is robust against.
 class SpeedEstimator {
  public:
   explicit SpeedEstimator(const EngineSpeeds& prior) : prior(prior) {}
 
   // Returns whether the estimate has changed.
   bool Note(const base::ServiceId& service, const SpeedObservation& observed);
+  // The same by another process's request. Has no effect once enough is known:
+  // newer observations of this process then replace what others have said.
+  bool NotePeer(const base::ServiceId& service,
+                const SpeedObservation& observed);
+  // Returns whether so little is known of what is observed that other processes
+  // should be told too.
+  bool IsYoung(const base::ServiceId& service,
+               const SpeedObservation& observed) const;
+
+  // Returns what a process that has just started should be told.
+  std::map<base::ServiceId, SharedSpeeds> Known() const;
+  // Assumes the speeds that others have found, until as many observations of
+  // this process contradict them as are kept of one load. Has no effect unless
+  // they rest on more observations than what is known. Returns whether the
+  // estimate has changed.
+  bool Adopt(const base::ServiceId& service, const SharedSpeeds& shared);
 
   const EngineSpeeds& SpeedsOf(const base::ServiceId& service) const;
 
  private:
   struct ServiceSpeeds {
+    // Returns the number of observations that show the speeds.
+    int64_t observations() const;
+
     EngineSpeeds speeds;
+    // What holds until observations contradict it.
+    EngineSpeeds prior;
+    // The number of observations of others that show the prior.
+    int64_t adopted = 0;
     double mean_slot_ms = 0;
+    int64_t slot_times = 0;
     LatencyLine prefill;
     LatencyLine first_event;
     LatencyLine plain;
   };
   struct Updater;
+  struct Counter;
+
+  ServiceSpeeds& Find(const base::ServiceId& service);
 
   EngineSpeeds prior;
   std::map<base::ServiceId, ServiceSpeeds> services;
--- a/core/src/speed_estimator.cc
+++ b/core/src/speed_estimator.cc
@@ -34,6 +34,15 @@
 constexpr Ms kMaxSlotTime(2000);
 // The slot time changes the estimate only by steps of this part of it.
 constexpr double kSlotTimeStep = 0.1;
+// With fewer observations of a kind, an estimate is young. Enough for a few
+// groups of observations.
+constexpr int64_t kYoungObservations = 128;
+constexpr int64_t kYoungSlotTimes = 32;
+// Own observations that may contradict what others have found.
+constexpr int64_t kMinToContradict = kGroupSize;
+// Speeds that others state are believed within these bounds.
+constexpr double kMaxTokensPerMs = 100000;
+constexpr Ms kMaxTime(60000);
 
 base::Duration FromMs(double ms) {
   return std::chrono::duration_cast<base::Duration>(Ms(ms));
@@ -189,33 +198,39 @@
 
 // Adds one observation to a service's estimate. Returns whether that changed.
 struct SpeedEstimator::Updater {
-  const EngineSpeeds& prior;
   ServiceSpeeds& service;
 
+  bool Add(LatencyLine& line, int64_t units, base::Duration time) {
+    return line.Add(units, time) && (this->service.adopted == 0 ||
+                                     line.observations() >= kMinToContradict);
+  }
+
   bool operator()(const PrefillObserved& observed) {
-    if (!this->service.prefill.Add(observed.work, observed.time)) {
+    if (!this->Add(this->service.prefill, observed.work, observed.time)) {
       return false;
     }
     const LatencyLine::Estimate before = {
-        this->prior.prefill_base,
-        FromMs(1 / this->prior.prefill_tokens_per_ms)};
+        this->service.prior.prefill_base,
+        FromMs(1 / this->service.prior.prefill_tokens_per_ms)};
     const auto fit = this->service.prefill.Fit(before);
     if (!fit.has_value() || fit->per_unit.count() <= 0) {
       return false;
     }
     this->service.speeds.prefill_base = fit->base;
     this->service.speeds.prefill_tokens_per_ms =
-        *fit == before ? this->prior.prefill_tokens_per_ms
+        *fit == before ? this->service.prior.prefill_tokens_per_ms
                        : 1 / ToMs(fit->per_unit);
     return true;
   }
 
   bool operator()(const FirstEventObserved& observed) {
-    if (!this->service.first_event.Add(observed.requests, observed.time)) {
+    if (!this->Add(this->service.first_event, observed.requests,
+                   observed.time)) {
       return false;
     }
-    const auto fit = this->service.first_event.Fit(
-        {this->prior.first_event, this->prior.step_per_request});
+    const auto fit =
+        this->service.first_event.Fit({this->service.prior.first_event,
+                                       this->service.prior.step_per_request});
     if (!fit.has_value()) {
       return false;
     }
@@ -229,10 +244,11 @@
     const int64_t slots = std::max<int64_t>(observed.slots, 1);
     const base::Duration alone =
         observed.time * slots / (slots + observed.requests);
-    if (!this->service.plain.Add(0, alone)) {
+    if (!this->Add(this->service.plain, 0, alone)) {
       return false;
     }
-    const auto fit = this->service.plain.Fit({this->prior.plain_request, {}});
+    const auto fit =
+        this->service.plain.Fit({this->service.prior.plain_request, {}});
     if (!fit.has_value()) {
       return false;
     }
@@ -242,6 +258,7 @@
 
   bool operator()(const SlotTimeObserved& observed) {
     double& mean = this->service.mean_slot_ms;
+    this->service.slot_times += 1;
     mean +=
         kSlotTimeWeight * (std::clamp(ToMs(observed.time), kMinSlotTime.count(),
                                       kMaxSlotTime.count()) -
@@ -255,19 +272,100 @@
   }
 };
 
-bool SpeedEstimator::Note(const base::ServiceId& service,
-                          const SpeedObservation& observed) {
+// Returns the number of observations of one kind.
+struct SpeedEstimator::Counter {
+  const ServiceSpeeds& service;
+
+  int64_t operator()(const PrefillObserved& /*observed*/) const {
+    return this->service.prefill.observations();
+  }
+  int64_t operator()(const FirstEventObserved& /*observed*/) const {
+    return this->service.first_event.observations();
+  }
+  int64_t operator()(const PlainAnswerObserved& /*observed*/) const {
+    return this->service.plain.observations();
+  }
+  int64_t operator()(const SlotTimeObserved& /*observed*/) const {
+    return this->service.slot_times;
+  }
+};
+
+int64_t SpeedEstimator::ServiceSpeeds::observations() const {
+  return std::max(this->adopted, this->prefill.observations() +
+                                     this->first_event.observations() +
+                                     this->plain.observations());
+}
+
+SpeedEstimator::ServiceSpeeds& SpeedEstimator::Find(
+    const base::ServiceId& service) {
   const auto [found, is_new] = this->services.try_emplace(service);
-  ServiceSpeeds& estimated = found->second;
   if (is_new) {
-    estimated.speeds = this->prior;
-    estimated.mean_slot_ms = ToMs(this->prior.slot_time);
+    found->second.speeds = this->prior;
+    found->second.prior = this->prior;
+    found->second.mean_slot_ms = ToMs(this->prior.slot_time);
   }
+  return found->second;
+}
+
+bool SpeedEstimator::Note(const base::ServiceId& service,
+                          const SpeedObservation& observed) {
+  ServiceSpeeds& estimated = this->Find(service);
   const EngineSpeeds before = estimated.speeds;
-  const bool updated = std::visit(Updater{this->prior, estimated}, observed);
+  const bool updated = std::visit(Updater{estimated}, observed);
   return updated && estimated.speeds != before;
 }
 
+bool SpeedEstimator::NotePeer(const base::ServiceId& service,
+                              const SpeedObservation& observed) {
+  return this->IsYoung(service, observed) && this->Note(service, observed);
+}
+
+bool SpeedEstimator::IsYoung(const base::ServiceId& service,
+                             const SpeedObservation& observed) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) {
+    return true;
+  }
+  const int64_t enough = std::holds_alternative<SlotTimeObserved>(observed)
+                             ? kYoungSlotTimes
+                             : kYoungObservations;
+  return found->second.adopted == 0 &&
+         std::visit(Counter{found->second}, observed) < enough;
+}
+
+std::map<base::ServiceId, SharedSpeeds> SpeedEstimator::Known() const {
+  std::map<base::ServiceId, SharedSpeeds> known;
+  for (const auto& [service, estimated] : this->services) {
+    if (estimated.observations() >= kMinObservations) {
+      known[service] = {estimated.speeds, estimated.observations()};
+    }
+  }
+  return known;
+}
+
+bool SpeedEstimator::Adopt(const base::ServiceId& service,
+                           const SharedSpeeds& shared) {
+  const EngineSpeeds& speeds = shared.speeds;
+  const double rate = speeds.prefill_tokens_per_ms;
+  bool plausible = rate > 0 && rate <= kMaxTokensPerMs;
+  for (const base::Duration time :
+       {speeds.prefill_base, speeds.first_event, speeds.step_per_request,
+        speeds.plain_request, speeds.slot_time}) {
+    plausible = plausible && time >= base::Duration(0) && time <= kMaxTime;
+  }
+  ServiceSpeeds& estimated = this->Find(service);
+  if (!plausible || shared.observations <= estimated.observations()) {
+    return false;
+  }
+  const EngineSpeeds before = estimated.speeds;
+  estimated.speeds = estimated.prior = speeds;
+  // Larger than what the observations of one process show.
+  estimated.adopted = std::min(shared.observations, 3 * kYoungObservations);
+  estimated.mean_slot_ms = std::clamp(
+      ToMs(speeds.slot_time), kMinSlotTime.count(), kMaxSlotTime.count());
+  return estimated.speeds != before;
+}
+
 const EngineSpeeds& SpeedEstimator::SpeedsOf(
     const base::ServiceId& service) const {
   const auto found = this->services.find(service);
--- a/core/tests/speed_estimator_test.cc
+++ b/core/tests/speed_estimator_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <random>
+#include <vector>
 
 namespace carawayvalve::core {
 
@@ -195,4 +196,60 @@
   }
 }
 
+// Guards against gateways that each relearn, from a few requests of their own,
+// what all of them together have seen.
+TEST_CASE("gateways tell each other what they observe of speeds") {
+  constexpr size_t kGateways = 28;
+  const Engine engine{600, 5};
+  Fleet fleet(engine, 1);
+  std::vector<SpeedEstimator> gateways(kGateways, SpeedEstimator({}));
+  for (int i = 0; i < kPromptsToConverge; ++i) {
+    const PrefillObserved observed = fleet.Prefill();
+    const size_t sender = static_cast<size_t>(i) % kGateways;
+    const bool is_young = gateways[sender].IsYoung(kModels, observed);
+    gateways[sender].Note(kModels, observed);
+    for (size_t peer = 0; is_young && peer < kGateways; ++peer) {
+      if (peer != sender) {
+        gateways[peer].NotePeer(kModels, observed);
+      }
+    }
+  }
+  constexpr int64_t kPrompt = 3000;
+  const double truth = engine.TimeOf(kPrompt);
+
+  SUBCASE("all know them after a few prompts each") {
+    for (const SpeedEstimator& gateway : gateways) {
+      CHECK(WithinQuarter(PredictedMs(gateway.SpeedsOf(kModels), kPrompt),
+                          truth));
+    }
+  }
+  SUBCASE("one that has just started is told") {
+    SpeedEstimator restarted({});
+    const SharedSpeeds known = gateways.front().Known().at(kModels);
+    CHECK(restarted.Adopt(kModels, known));
+    CHECK(restarted.SpeedsOf(kModels) == known.speeds);
+
+    SUBCASE("and tells nobody what it then observes") {
+      CHECK_FALSE(restarted.IsYoung(kModels, fleet.Prefill()));
+    }
+    SUBCASE("and finds out when engines have become slower") {
+      Fleet slower({200, 5}, 2);
+      for (int i = 0; i < kPromptsToConverge; ++i) {
+        restarted.Note(kModels, slower.Prefill());
+      }
+      CHECK(WithinQuarter(PredictedMs(restarted.SpeedsOf(kModels), kPrompt),
+                          Engine{200, 5}.TimeOf(kPrompt)));
+    }
+  }
+  SUBCASE("what rests on fewer observations, or can't be, isn't taken over") {
+    SharedSpeeds other = gateways.back().Known().at(kModels);
+    const EngineSpeeds before = gateways.front().SpeedsOf(kModels);
+    other.speeds.first_event = std::chrono::seconds(1);
+    CHECK_FALSE(gateways.front().Adopt(kModels, {other.speeds, 16}));
+    other.speeds.prefill_tokens_per_ms = -1;
+    CHECK_FALSE(gateways.front().Adopt(kModels, {other.speeds, 100000}));
+    CHECK(gateways.front().SpeedsOf(kModels) == before);
+  }
+}
+
 }  // namespace carawayvalve::core
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -140,7 +140,7 @@
     state.reported_load.NoteAnswer(this->call_plan.backend.id, now - this->sent,
                                    this->call_plan.at_full_speed, now);
     if (const auto observed = this->ObserveFirstData(now - this->sent)) {
-      this->context.NoteSpeed(this->call_plan.backend.service, *observed);
+      this->context.NoteSpeed(this->call_plan.backend, *observed);
     }
   }
 }
@@ -173,7 +173,7 @@
                          !std::holds_alternative<platform::PrefillOnly>(
                              this->call_plan.order.stage);
   if (held_slot) {
-    this->context.NoteSpeed(this->call_plan.backend.service,
+    this->context.NoteSpeed(this->call_plan.backend,
                             core::SlotTimeObserved{base::Now() - this->sent});
   }
 }
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -16,6 +16,8 @@
 constexpr int64_t kMessagesOfOrigin = 2;
 // Further origins aren't told: the gossip is behind by seconds.
 constexpr size_t kMaxUntoldOrigins = 4096;
+// More than one message tells.
+constexpr size_t kMaxUntoldSpeeds = 64;
 
 std::string Join(const std::vector<std::string>& texts) {
   std::string joined;
@@ -151,11 +153,19 @@
   });
 }
 
-void Context::NoteSpeed(const base::ServiceId& service,
+void Context::NoteSpeed(const core::BackendEntry& backend,
                         const core::SpeedObservation& observed) {
-  if (!this->state.speeds.Note(service, observed)) {
-    return;
+  if (this->state.speeds.IsYoung(backend.service, observed) &&
+      this->state.untold_speeds.size() < kMaxUntoldSpeeds) {
+    this->state.untold_speeds.push_back(
+        {backend.id, backend.started_ms, observed});
+  }
+  if (this->state.speeds.Note(backend.service, observed)) {
+    this->UseSpeeds(backend.service, "observations");
   }
+}
+
+void Context::UseSpeeds(const base::ServiceId& service, const char* source) {
   const core::EngineSpeeds& speeds = this->state.speeds.SpeedsOf(service);
   this->state.placer.SetSpeeds(service, speeds);
   const base::Instant now = base::Now();
@@ -167,6 +177,7 @@
   this->journal.Write(
       base::LogLevel::kInfo, "speeds_estimated",
       {{"service", service.value},
+       {"source", source},
        {"prefill_tokens_per_ms", std::llround(speeds.prefill_tokens_per_ms)},
        {"prefill_base_ms", base::ToMilliseconds(speeds.prefill_base)},
        {"first_event_ms", base::ToMilliseconds(speeds.first_event)},
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -67,9 +67,12 @@
   void ProbeBackend(const core::BackendEntry& backend);
   // Logs the parts that came under quarantine or left it since the last call.
   void LogPoisonParts();
-  // Applies an observation of the speed of a service's backend servers.
-  void NoteSpeed(const base::ServiceId& service,
+  // Applies an observation of a backend server's speed.
+  void NoteSpeed(const core::BackendEntry& backend,
                  const core::SpeedObservation& observed);
+  // Places requests by the speeds that are now estimated of a service. `source`
+  // is "observations", or who told them.
+  void UseSpeeds(const base::ServiceId& service, const char* source);
 };
 
 }  // namespace carawayvalve::gateway
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -43,6 +43,13 @@
   int64_t messages_left = 0;
 };
 
+// What was observed of a backend server's speed, to be told to the peers.
+struct UntoldSpeed {
+  base::BackendServerId backend_server;
+  int64_t started_ms = 0;
+  core::SpeedObservation observed;
+};
+
 // What a gateway knows about the configuration, the backend servers and its
 // peers. Not thread-safe: used on the event loop only.
 struct GatewayState {
@@ -89,6 +96,8 @@
   core::PrefixCacheTracker prefix_caches;
   core::Placer placer;
   core::SpeedEstimator speeds;
+  // Since the last message to the peers.
+  std::vector<UntoldSpeed> untold_speeds;
   // When the estimate of each service was last logged.
   std::map<base::ServiceId, base::Instant> speeds_logged;
   core::PoisonRequestTracker poison_requests;
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -94,6 +94,7 @@
       crash_gossip(context),
       rate_limit_gossip(context),
       origin_gossip(context),
+      speed_gossip(context),
       usage_gossip(context),
       registry_relay(context, feed),
       account_rate_gossip(context,
@@ -293,6 +294,7 @@
   }
   this->crash_gossip.AddTo(gossip, this->rounds % kRoundsPerOldCrashes == 0);
   this->rate_limit_gossip.AddTo(gossip);
+  this->speed_gossip.AddTo(gossip, this->peers.size());
   this->SendWithOrigins(gossip);
 }
 
@@ -376,13 +378,15 @@
 }
 
 void PeerGossip::SendBootstrap(const base::Address& address) {
-  const Gossip base = this->LoadMessage();
+  Gossip base = this->LoadMessage();
   std::vector<Gossip> messages =
       this->usage_gossip.Messages(true, this->BaseMessage());
   for (const auto& part : {this->crash_gossip.MessagesForNewPeer(base),
                            this->origin_gossip.MessagesForNewPeer(base)}) {
     messages.insert(messages.end(), part.begin(), part.end());
   }
+  this->speed_gossip.AddForNewPeer(base);
+  messages.insert(messages.begin(), base);
   for (const Gossip& message : messages) {
     this->datagrams->Send(PrintGossip(message), address);
   }
@@ -468,6 +472,7 @@
   }
   this->ApplyDepartures(gossip, now);
   this->rate_limit_gossip.Apply(gossip, now);
+  this->speed_gossip.Apply(gossip);
   this->origin_gossip.Apply(gossip, now);
   this->crash_gossip.Apply(gossip, now);
 }
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -18,6 +18,7 @@
 #include "origin_gossip.h"
 #include "rate_limit_gossip.h"
 #include "registry_relay.h"
+#include "speed_gossip.h"
 #include "store_feed.h"
 #include "usage_gossip.h"
 
@@ -107,6 +108,7 @@
   CrashGossip crash_gossip;
   RateLimitGossip rate_limit_gossip;
   OriginGossip origin_gossip;
+  SpeedGossip speed_gossip;
   UsageGossip usage_gossip;
   RegistryRelay registry_relay;
   AccountRateGossip account_rate_gossip;
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -311,6 +311,49 @@
   }
 }
 
+TEST_CASE("gateways tell each other how fast backend servers are") {
+  GossipTest test(kWithoutStore);
+  GatewayState& state = test.gateway.state;
+  core::BackendEntry entry;
+  entry.id = {"reader"};
+  entry.service = {"models"};
+  entry.started_ms = 7;
+  state.directory.NoteEntry(entry);
+  test.Start();
+  net::DatagramSocket peer(test.gateway.loop, {"127.0.0.1", 0},
+                           [](const std::string&, const base::Address&) {});
+  wire::gen::Gossip message = FirstMessage("other", "boot");
+
+  SUBCASE("one that has just started takes over what a peer knows") {
+    wire::gen::GossipServiceSpeeds speeds;
+    speeds.service_name = "models";
+    speeds.prefill_tokens_per_ms = 600;
+    speeds.observations = 100;
+    message.__set_service_speeds({speeds});
+    test.SendToGateway(peer, message);
+    test.gateway.RunFor(kFewRounds);
+    CHECK(state.speeds.SpeedsOf({"models"}).prefill_tokens_per_ms == 600);
+  }
+  SUBCASE("what a peer observed counts, of the run that it observed") {
+    wire::gen::GossipSpeedObservation observation;
+    observation.backend_server = "reader";
+    observation.kind = 1;
+    observation.load = 6000;
+    observation.time_us = 10000;
+    for (const int64_t run : {8, 7}) {
+      observation.started_ms = run;
+      message.__set_speed_observations(
+          std::vector<wire::gen::GossipSpeedObservation>(16, observation));
+      ++message.stamp;
+      test.SendToGateway(peer, message);
+      test.gateway.RunFor(kFewRounds);
+      const bool known =
+          state.speeds.SpeedsOf({"models"}).prefill_tokens_per_ms > 100;
+      CHECK(known == (run == 7));
+    }
+  }
+}
+
 // Guards against evidence that stays with one gateway: each request with the
 // part may come to another one.
 TEST_CASE("gateways tell each other which prompt parts ran during crashes") {
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -2557,6 +2557,479 @@
 }
 
 
+GossipSpeedObservation::~GossipSpeedObservation() noexcept {
+}
+
+
+void GossipSpeedObservation::__set_backend_server(const std::string& val) {
+  this->backend_server = val;
+}
+
+void GossipSpeedObservation::__set_started_ms(const int64_t val) {
+  this->started_ms = val;
+}
+
+void GossipSpeedObservation::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void GossipSpeedObservation::__set_load(const int64_t val) {
+  this->load = val;
+}
+
+void GossipSpeedObservation::__set_time_us(const int64_t val) {
+  this->time_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipSpeedObservation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipSpeedObservation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_backend_server = false;
+  bool isset_started_ms = false;
+  bool isset_kind = false;
+  bool isset_load = false;
+  bool isset_time_us = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->backend_server);
+          isset_backend_server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_ms);
+          isset_started_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          isset_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->load);
+          isset_load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->time_us);
+          isset_time_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_backend_server)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_started_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kind)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_load)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_time_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipSpeedObservation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipSpeedObservation");
+
+  xfer += oprot->writeFieldBegin("backend_server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->backend_server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->started_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->load);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("time_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->time_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipSpeedObservation &a, GossipSpeedObservation &b) {
+  using ::std::swap;
+  swap(a.backend_server, b.backend_server);
+  swap(a.started_ms, b.started_ms);
+  swap(a.kind, b.kind);
+  swap(a.load, b.load);
+  swap(a.time_us, b.time_us);
+}
+
+GossipSpeedObservation::GossipSpeedObservation(const GossipSpeedObservation& other104) {
+  backend_server = other104.backend_server;
+  started_ms = other104.started_ms;
+  kind = other104.kind;
+  load = other104.load;
+  time_us = other104.time_us;
+}
+GossipSpeedObservation::GossipSpeedObservation(GossipSpeedObservation&& other105) noexcept {
+  backend_server = std::move(other105.backend_server);
+  started_ms = other105.started_ms;
+  kind = other105.kind;
+  load = other105.load;
+  time_us = other105.time_us;
+}
+GossipSpeedObservation& GossipSpeedObservation::operator=(const GossipSpeedObservation& other106) {
+  backend_server = other106.backend_server;
+  started_ms = other106.started_ms;
+  kind = other106.kind;
+  load = other106.load;
+  time_us = other106.time_us;
+  return *this;
+}
+GossipSpeedObservation& GossipSpeedObservation::operator=(GossipSpeedObservation&& other107) noexcept {
+  backend_server = std::move(other107.backend_server);
+  started_ms = other107.started_ms;
+  kind = other107.kind;
+  load = other107.load;
+  time_us = other107.time_us;
+  return *this;
+}
+void GossipSpeedObservation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipSpeedObservation(";
+  out << "backend_server=" << to_string(backend_server);
+  out << ", " << "started_ms=" << to_string(started_ms);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "load=" << to_string(load);
+  out << ", " << "time_us=" << to_string(time_us);
+  out << ")";
+}
+
+
+GossipServiceSpeeds::~GossipServiceSpeeds() noexcept {
+}
+
+
+void GossipServiceSpeeds::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void GossipServiceSpeeds::__set_prefill_tokens_per_ms(const double val) {
+  this->prefill_tokens_per_ms = val;
+}
+
+void GossipServiceSpeeds::__set_prefill_base_us(const int64_t val) {
+  this->prefill_base_us = val;
+}
+
+void GossipServiceSpeeds::__set_first_event_us(const int64_t val) {
+  this->first_event_us = val;
+}
+
+void GossipServiceSpeeds::__set_step_per_request_us(const int64_t val) {
+  this->step_per_request_us = val;
+}
+
+void GossipServiceSpeeds::__set_plain_request_us(const int64_t val) {
+  this->plain_request_us = val;
+}
+
+void GossipServiceSpeeds::__set_slot_time_us(const int64_t val) {
+  this->slot_time_us = val;
+}
+
+void GossipServiceSpeeds::__set_observations(const int64_t val) {
+  this->observations = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipServiceSpeeds& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipServiceSpeeds::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_service_name = false;
+  bool isset_prefill_tokens_per_ms = false;
+  bool isset_prefill_base_us = false;
+  bool isset_first_event_us = false;
+  bool isset_step_per_request_us = false;
+  bool isset_plain_request_us = false;
+  bool isset_slot_time_us = false;
+  bool isset_observations = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          isset_service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->prefill_tokens_per_ms);
+          isset_prefill_tokens_per_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prefill_base_us);
+          isset_prefill_base_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->first_event_us);
+          isset_first_event_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->step_per_request_us);
+          isset_step_per_request_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->plain_request_us);
+          isset_plain_request_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->slot_time_us);
+          isset_slot_time_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->observations);
+          isset_observations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_service_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_prefill_tokens_per_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_prefill_base_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_first_event_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_step_per_request_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_plain_request_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_slot_time_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_observations)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t GossipServiceSpeeds::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipServiceSpeeds");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prefill_tokens_per_ms", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->prefill_tokens_per_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prefill_base_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->prefill_base_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first_event_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->first_event_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step_per_request_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->step_per_request_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("plain_request_us", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->plain_request_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slot_time_us", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->slot_time_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("observations", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->observations);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipServiceSpeeds &a, GossipServiceSpeeds &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.prefill_tokens_per_ms, b.prefill_tokens_per_ms);
+  swap(a.prefill_base_us, b.prefill_base_us);
+  swap(a.first_event_us, b.first_event_us);
+  swap(a.step_per_request_us, b.step_per_request_us);
+  swap(a.plain_request_us, b.plain_request_us);
+  swap(a.slot_time_us, b.slot_time_us);
+  swap(a.observations, b.observations);
+}
+
+GossipServiceSpeeds::GossipServiceSpeeds(const GossipServiceSpeeds& other108) {
+  service_name = other108.service_name;
+  prefill_tokens_per_ms = other108.prefill_tokens_per_ms;
+  prefill_base_us = other108.prefill_base_us;
+  first_event_us = other108.first_event_us;
+  step_per_request_us = other108.step_per_request_us;
+  plain_request_us = other108.plain_request_us;
+  slot_time_us = other108.slot_time_us;
+  observations = other108.observations;
+}
+GossipServiceSpeeds::GossipServiceSpeeds(GossipServiceSpeeds&& other109) noexcept {
+  service_name = std::move(other109.service_name);
+  prefill_tokens_per_ms = other109.prefill_tokens_per_ms;
+  prefill_base_us = other109.prefill_base_us;
+  first_event_us = other109.first_event_us;
+  step_per_request_us = other109.step_per_request_us;
+  plain_request_us = other109.plain_request_us;
+  slot_time_us = other109.slot_time_us;
+  observations = other109.observations;
+}
+GossipServiceSpeeds& GossipServiceSpeeds::operator=(const GossipServiceSpeeds& other110) {
+  service_name = other110.service_name;
+  prefill_tokens_per_ms = other110.prefill_tokens_per_ms;
+  prefill_base_us = other110.prefill_base_us;
+  first_event_us = other110.first_event_us;
+  step_per_request_us = other110.step_per_request_us;
+  plain_request_us = other110.plain_request_us;
+  slot_time_us = other110.slot_time_us;
+  observations = other110.observations;
+  return *this;
+}
+GossipServiceSpeeds& GossipServiceSpeeds::operator=(GossipServiceSpeeds&& other111) noexcept {
+  service_name = std::move(other111.service_name);
+  prefill_tokens_per_ms = other111.prefill_tokens_per_ms;
+  prefill_base_us = other111.prefill_base_us;
+  first_event_us = other111.first_event_us;
+  step_per_request_us = other111.step_per_request_us;
+  plain_request_us = other111.plain_request_us;
+  slot_time_us = other111.slot_time_us;
+  observations = other111.observations;
+  return *this;
+}
+void GossipServiceSpeeds::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipServiceSpeeds(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "prefill_tokens_per_ms=" << to_string(prefill_tokens_per_ms);
+  out << ", " << "prefill_base_us=" << to_string(prefill_base_us);
+  out << ", " << "first_event_us=" << to_string(first_event_us);
+  out << ", " << "step_per_request_us=" << to_string(step_per_request_us);
+  out << ", " << "plain_request_us=" << to_string(plain_request_us);
+  out << ", " << "slot_time_us=" << to_string(slot_time_us);
+  out << ", " << "observations=" << to_string(observations);
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -2667,6 +3140,16 @@
   this->registry_proof = val;
 __isset.registry_proof = true;
 }
+
+void Gossip::__set_speed_observations(const std::vector<GossipSpeedObservation> & val) {
+  this->speed_observations = val;
+__isset.speed_observations = true;
+}
+
+void Gossip::__set_service_speeds(const std::vector<GossipServiceSpeeds> & val) {
+  this->service_speeds = val;
+__isset.service_speeds = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -2768,14 +3251,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->loads.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->loads.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->loads[_i108].read(iprot);
+              xfer += this->loads[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2788,14 +3271,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->prefixes.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->prefixes.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->prefixes.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += this->prefixes[_i113].read(iprot);
+              xfer += this->prefixes[_i121].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2808,14 +3291,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->windows.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->windows.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->windows.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += this->windows[_i118].read(iprot);
+              xfer += this->windows[_i126].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2828,14 +3311,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->deaths.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->deaths.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
             {
-              xfer += this->deaths[_i123].read(iprot);
+              xfer += this->deaths[_i131].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2864,14 +3347,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->absences.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->absences.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->absences.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += this->absences[_i128].read(iprot);
+              xfer += this->absences[_i136].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2884,14 +3367,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departures.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->departures.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->departures.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              xfer += this->departures[_i133].read(iprot);
+              xfer += this->departures[_i141].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2904,14 +3387,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->served_parts.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->served_parts.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->served_parts.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += this->served_parts[_i138].read(iprot);
+              xfer += this->served_parts[_i146].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2932,14 +3415,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rate_limits.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->rate_limits.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->rate_limits.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              xfer += this->rate_limits[_i143].read(iprot);
+              xfer += this->rate_limits[_i151].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2952,14 +3435,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stream_origins.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->stream_origins.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->stream_origins.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->stream_origins[_i148].read(iprot);
+              xfer += this->stream_origins[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2972,14 +3455,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted_origins.clear();
-            uint32_t _size149;
-            ::apache::thrift::protocol::TType _etype152;
-            xfer += iprot->readListBegin(_etype152, _size149);
-            this->wanted_origins.resize(_size149);
-            uint32_t _i153;
-            for (_i153 = 0; _i153 < _size149; ++_i153)
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->wanted_origins.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
             {
-              xfer += iprot->readString(this->wanted_origins[_i153]);
+              xfer += iprot->readString(this->wanted_origins[_i161]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2992,14 +3475,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->poison_parts.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->poison_parts.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size162;
+            ::apache::thrift::protocol::TType _etype165;
+            xfer += iprot->readListBegin(_etype165, _size162);
+            this->poison_parts.resize(_size162);
+            uint32_t _i166;
+            for (_i166 = 0; _i166 < _size162; ++_i166)
             {
-              xfer += this->poison_parts[_i158].read(iprot);
+              xfer += this->poison_parts[_i166].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3020,14 +3503,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted_contents.clear();
-            uint32_t _size159;
-            ::apache::thrift::protocol::TType _etype162;
-            xfer += iprot->readListBegin(_etype162, _size159);
-            this->wanted_contents.resize(_size159);
-            uint32_t _i163;
-            for (_i163 = 0; _i163 < _size159; ++_i163)
+            uint32_t _size167;
+            ::apache::thrift::protocol::TType _etype170;
+            xfer += iprot->readListBegin(_etype170, _size167);
+            this->wanted_contents.resize(_size167);
+            uint32_t _i171;
+            for (_i171 = 0; _i171 < _size167; ++_i171)
             {
-              xfer += iprot->readString(this->wanted_contents[_i163]);
+              xfer += iprot->readString(this->wanted_contents[_i171]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3044,6 +3527,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->speed_observations.clear();
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _etype175;
+            xfer += iprot->readListBegin(_etype175, _size172);
+            this->speed_observations.resize(_size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
+            {
+              xfer += this->speed_observations[_i176].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.speed_observations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 28:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->service_speeds.clear();
+            uint32_t _size177;
+            ::apache::thrift::protocol::TType _etype180;
+            xfer += iprot->readListBegin(_etype180, _size177);
+            this->service_speeds.resize(_size177);
+            uint32_t _i181;
+            for (_i181 = 0; _i181 < _size177; ++_i181)
+            {
+              xfer += this->service_speeds[_i181].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.service_speeds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3118,10 +3641,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GossipLoad> ::const_iterator _iter164;
-    for (_iter164 = this->loads.begin(); _iter164 != this->loads.end(); ++_iter164)
+    std::vector<GossipLoad> ::const_iterator _iter182;
+    for (_iter182 = this->loads.begin(); _iter182 != this->loads.end(); ++_iter182)
     {
-      xfer += (*_iter164).write(oprot);
+      xfer += (*_iter182).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3130,10 +3653,10 @@
   xfer += oprot->writeFieldBegin("prefixes", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prefixes.size()));
-    std::vector<GossipPrefix> ::const_iterator _iter165;
-    for (_iter165 = this->prefixes.begin(); _iter165 != this->prefixes.end(); ++_iter165)
+    std::vector<GossipPrefix> ::const_iterator _iter183;
+    for (_iter183 = this->prefixes.begin(); _iter183 != this->prefixes.end(); ++_iter183)
     {
-      xfer += (*_iter165).write(oprot);
+      xfer += (*_iter183).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3142,10 +3665,10 @@
   xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->windows.size()));
-    std::vector<GossipWindow> ::const_iterator _iter166;
-    for (_iter166 = this->windows.begin(); _iter166 != this->windows.end(); ++_iter166)
+    std::vector<GossipWindow> ::const_iterator _iter184;
+    for (_iter184 = this->windows.begin(); _iter184 != this->windows.end(); ++_iter184)
     {
-      xfer += (*_iter166).write(oprot);
+      xfer += (*_iter184).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3154,10 +3677,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<GossipDeath> ::const_iterator _iter167;
-    for (_iter167 = this->deaths.begin(); _iter167 != this->deaths.end(); ++_iter167)
+    std::vector<GossipDeath> ::const_iterator _iter185;
+    for (_iter185 = this->deaths.begin(); _iter185 != this->deaths.end(); ++_iter185)
     {
-      xfer += (*_iter167).write(oprot);
+      xfer += (*_iter185).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3175,10 +3698,10 @@
     xfer += oprot->writeFieldBegin("absences", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->absences.size()));
-      std::vector<GossipAbsence> ::const_iterator _iter168;
-      for (_iter168 = this->absences.begin(); _iter168 != this->absences.end(); ++_iter168)
+      std::vector<GossipAbsence> ::const_iterator _iter186;
+      for (_iter186 = this->absences.begin(); _iter186 != this->absences.end(); ++_iter186)
       {
-        xfer += (*_iter168).write(oprot);
+        xfer += (*_iter186).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3188,10 +3711,10 @@
     xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
-      std::vector<GossipDeparture> ::const_iterator _iter169;
-      for (_iter169 = this->departures.begin(); _iter169 != this->departures.end(); ++_iter169)
+      std::vector<GossipDeparture> ::const_iterator _iter187;
+      for (_iter187 = this->departures.begin(); _iter187 != this->departures.end(); ++_iter187)
       {
-        xfer += (*_iter169).write(oprot);
+        xfer += (*_iter187).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3201,10 +3724,10 @@
     xfer += oprot->writeFieldBegin("served_parts", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->served_parts.size()));
-      std::vector<GossipServedPart> ::const_iterator _iter170;
-      for (_iter170 = this->served_parts.begin(); _iter170 != this->served_parts.end(); ++_iter170)
+      std::vector<GossipServedPart> ::const_iterator _iter188;
+      for (_iter188 = this->served_parts.begin(); _iter188 != this->served_parts.end(); ++_iter188)
       {
-        xfer += (*_iter170).write(oprot);
+        xfer += (*_iter188).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3219,10 +3742,10 @@
     xfer += oprot->writeFieldBegin("rate_limits", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rate_limits.size()));
-      std::vector<GossipRateLimit> ::const_iterator _iter171;
-      for (_iter171 = this->rate_limits.begin(); _iter171 != this->rate_limits.end(); ++_iter171)
+      std::vector<GossipRateLimit> ::const_iterator _iter189;
+      for (_iter189 = this->rate_limits.begin(); _iter189 != this->rate_limits.end(); ++_iter189)
       {
-        xfer += (*_iter171).write(oprot);
+        xfer += (*_iter189).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3232,10 +3755,10 @@
     xfer += oprot->writeFieldBegin("stream_origins", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stream_origins.size()));
-      std::vector<GossipStreamOrigin> ::const_iterator _iter172;
-      for (_iter172 = this->stream_origins.begin(); _iter172 != this->stream_origins.end(); ++_iter172)
+      std::vector<GossipStreamOrigin> ::const_iterator _iter190;
+      for (_iter190 = this->stream_origins.begin(); _iter190 != this->stream_origins.end(); ++_iter190)
       {
-        xfer += (*_iter172).write(oprot);
+        xfer += (*_iter190).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3245,10 +3768,10 @@
     xfer += oprot->writeFieldBegin("wanted_origins", ::apache::thrift::protocol::T_LIST, 20);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted_origins.size()));
-      std::vector<std::string> ::const_iterator _iter173;
-      for (_iter173 = this->wanted_origins.begin(); _iter173 != this->wanted_origins.end(); ++_iter173)
+      std::vector<std::string> ::const_iterator _iter191;
+      for (_iter191 = this->wanted_origins.begin(); _iter191 != this->wanted_origins.end(); ++_iter191)
       {
-        xfer += oprot->writeString((*_iter173));
+        xfer += oprot->writeString((*_iter191));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3258,10 +3781,10 @@
     xfer += oprot->writeFieldBegin("poison_parts", ::apache::thrift::protocol::T_LIST, 21);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->poison_parts.size()));
-      std::vector<GossipPoisonPart> ::const_iterator _iter174;
-      for (_iter174 = this->poison_parts.begin(); _iter174 != this->poison_parts.end(); ++_iter174)
+      std::vector<GossipPoisonPart> ::const_iterator _iter192;
+      for (_iter192 = this->poison_parts.begin(); _iter192 != this->poison_parts.end(); ++_iter192)
       {
-        xfer += (*_iter174).write(oprot);
+        xfer += (*_iter192).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3276,10 +3799,10 @@
     xfer += oprot->writeFieldBegin("wanted_contents", ::apache::thrift::protocol::T_LIST, 25);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->wanted_contents.size()));
-      std::vector<std::string> ::const_iterator _iter175;
-      for (_iter175 = this->wanted_contents.begin(); _iter175 != this->wanted_contents.end(); ++_iter175)
+      std::vector<std::string> ::const_iterator _iter193;
+      for (_iter193 = this->wanted_contents.begin(); _iter193 != this->wanted_contents.end(); ++_iter193)
       {
-        xfer += oprot->writeString((*_iter175));
+        xfer += oprot->writeString((*_iter193));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3290,6 +3813,32 @@
     xfer += this->registry_proof.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.speed_observations) {
+    xfer += oprot->writeFieldBegin("speed_observations", ::apache::thrift::protocol::T_LIST, 27);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->speed_observations.size()));
+      std::vector<GossipSpeedObservation> ::const_iterator _iter194;
+      for (_iter194 = this->speed_observations.begin(); _iter194 != this->speed_observations.end(); ++_iter194)
+      {
+        xfer += (*_iter194).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.service_speeds) {
+    xfer += oprot->writeFieldBegin("service_speeds", ::apache::thrift::protocol::T_LIST, 28);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->service_speeds.size()));
+      std::vector<GossipServiceSpeeds> ::const_iterator _iter195;
+      for (_iter195 = this->service_speeds.begin(); _iter195 != this->service_speeds.end(); ++_iter195)
+      {
+        xfer += (*_iter195).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3321,117 +3870,127 @@
   swap(a.account_rates, b.account_rates);
   swap(a.wanted_contents, b.wanted_contents);
   swap(a.registry_proof, b.registry_proof);
+  swap(a.speed_observations, b.speed_observations);
+  swap(a.service_speeds, b.service_speeds);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other176) {
-  host = other176.host;
-  boot = other176.boot;
-  stamp = other176.stamp;
-  echo = other176.echo;
-  unix_ms = other176.unix_ms;
-  plan_version = other176.plan_version;
-  proof_age_ms = other176.proof_age_ms;
-  loads = other176.loads;
-  prefixes = other176.prefixes;
-  windows = other176.windows;
-  deaths = other176.deaths;
-  leaving = other176.leaving;
-  registry_revision = other176.registry_revision;
-  absences = other176.absences;
-  departures = other176.departures;
-  served_parts = other176.served_parts;
-  reports_usage = other176.reports_usage;
-  rate_limits = other176.rate_limits;
-  stream_origins = other176.stream_origins;
-  wanted_origins = other176.wanted_origins;
-  poison_parts = other176.poison_parts;
-  account_rates = other176.account_rates;
-  wanted_contents = other176.wanted_contents;
-  registry_proof = other176.registry_proof;
-  __isset = other176.__isset;
-}
-Gossip::Gossip(Gossip&& other177) noexcept {
-  host = std::move(other177.host);
-  boot = std::move(other177.boot);
-  stamp = other177.stamp;
-  echo = other177.echo;
-  unix_ms = other177.unix_ms;
-  plan_version = other177.plan_version;
-  proof_age_ms = other177.proof_age_ms;
-  loads = std::move(other177.loads);
-  prefixes = std::move(other177.prefixes);
-  windows = std::move(other177.windows);
-  deaths = std::move(other177.deaths);
-  leaving = other177.leaving;
-  registry_revision = other177.registry_revision;
-  absences = std::move(other177.absences);
-  departures = std::move(other177.departures);
-  served_parts = std::move(other177.served_parts);
-  reports_usage = other177.reports_usage;
-  rate_limits = std::move(other177.rate_limits);
-  stream_origins = std::move(other177.stream_origins);
-  wanted_origins = std::move(other177.wanted_origins);
-  poison_parts = std::move(other177.poison_parts);
-  account_rates = std::move(other177.account_rates);
-  wanted_contents = std::move(other177.wanted_contents);
-  registry_proof = std::move(other177.registry_proof);
-  __isset = other177.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other178) {
-  host = other178.host;
-  boot = other178.boot;
-  stamp = other178.stamp;
-  echo = other178.echo;
-  unix_ms = other178.unix_ms;
-  plan_version = other178.plan_version;
-  proof_age_ms = other178.proof_age_ms;
-  loads = other178.loads;
-  prefixes = other178.prefixes;
-  windows = other178.windows;
-  deaths = other178.deaths;
-  leaving = other178.leaving;
-  registry_revision = other178.registry_revision;
-  absences = other178.absences;
-  departures = other178.departures;
-  served_parts = other178.served_parts;
-  reports_usage = other178.reports_usage;
-  rate_limits = other178.rate_limits;
-  stream_origins = other178.stream_origins;
-  wanted_origins = other178.wanted_origins;
-  poison_parts = other178.poison_parts;
-  account_rates = other178.account_rates;
-  wanted_contents = other178.wanted_contents;
-  registry_proof = other178.registry_proof;
-  __isset = other178.__isset;
+Gossip::Gossip(const Gossip& other196) {
+  host = other196.host;
+  boot = other196.boot;
+  stamp = other196.stamp;
+  echo = other196.echo;
+  unix_ms = other196.unix_ms;
+  plan_version = other196.plan_version;
+  proof_age_ms = other196.proof_age_ms;
+  loads = other196.loads;
+  prefixes = other196.prefixes;
+  windows = other196.windows;
+  deaths = other196.deaths;
+  leaving = other196.leaving;
+  registry_revision = other196.registry_revision;
+  absences = other196.absences;
+  departures = other196.departures;
+  served_parts = other196.served_parts;
+  reports_usage = other196.reports_usage;
+  rate_limits = other196.rate_limits;
+  stream_origins = other196.stream_origins;
+  wanted_origins = other196.wanted_origins;
+  poison_parts = other196.poison_parts;
+  account_rates = other196.account_rates;
+  wanted_contents = other196.wanted_contents;
+  registry_proof = other196.registry_proof;
+  speed_observations = other196.speed_observations;
+  service_speeds = other196.service_speeds;
+  __isset = other196.__isset;
+}
+Gossip::Gossip(Gossip&& other197) noexcept {
+  host = std::move(other197.host);
+  boot = std::move(other197.boot);
+  stamp = other197.stamp;
+  echo = other197.echo;
+  unix_ms = other197.unix_ms;
+  plan_version = other197.plan_version;
+  proof_age_ms = other197.proof_age_ms;
+  loads = std::move(other197.loads);
+  prefixes = std::move(other197.prefixes);
+  windows = std::move(other197.windows);
+  deaths = std::move(other197.deaths);
+  leaving = other197.leaving;
+  registry_revision = other197.registry_revision;
+  absences = std::move(other197.absences);
+  departures = std::move(other197.departures);
+  served_parts = std::move(other197.served_parts);
+  reports_usage = other197.reports_usage;
+  rate_limits = std::move(other197.rate_limits);
+  stream_origins = std::move(other197.stream_origins);
+  wanted_origins = std::move(other197.wanted_origins);
+  poison_parts = std::move(other197.poison_parts);
+  account_rates = std::move(other197.account_rates);
+  wanted_contents = std::move(other197.wanted_contents);
+  registry_proof = std::move(other197.registry_proof);
+  speed_observations = std::move(other197.speed_observations);
+  service_speeds = std::move(other197.service_speeds);
+  __isset = other197.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other198) {
+  host = other198.host;
+  boot = other198.boot;
+  stamp = other198.stamp;
+  echo = other198.echo;
+  unix_ms = other198.unix_ms;
+  plan_version = other198.plan_version;
+  proof_age_ms = other198.proof_age_ms;
+  loads = other198.loads;
+  prefixes = other198.prefixes;
+  windows = other198.windows;
+  deaths = other198.deaths;
+  leaving = other198.leaving;
+  registry_revision = other198.registry_revision;
+  absences = other198.absences;
+  departures = other198.departures;
+  served_parts = other198.served_parts;
+  reports_usage = other198.reports_usage;
+  rate_limits = other198.rate_limits;
+  stream_origins = other198.stream_origins;
+  wanted_origins = other198.wanted_origins;
+  poison_parts = other198.poison_parts;
+  account_rates = other198.account_rates;
+  wanted_contents = other198.wanted_contents;
+  registry_proof = other198.registry_proof;
+  speed_observations = other198.speed_observations;
+  service_speeds = other198.service_speeds;
+  __isset = other198.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other179) noexcept {
-  host = std::move(other179.host);
-  boot = std::move(other179.boot);
-  stamp = other179.stamp;
-  echo = other179.echo;
-  unix_ms = other179.unix_ms;
-  plan_version = other179.plan_version;
-  proof_age_ms = other179.proof_age_ms;
-  loads = std::move(other179.loads);
-  prefixes = std::move(other179.prefixes);
-  windows = std::move(other179.windows);
-  deaths = std::move(other179.deaths);
-  leaving = other179.leaving;
-  registry_revision = other179.registry_revision;
-  absences = std::move(other179.absences);
-  departures = std::move(other179.departures);
-  served_parts = std::move(other179.served_parts);
-  reports_usage = other179.reports_usage;
-  rate_limits = std::move(other179.rate_limits);
-  stream_origins = std::move(other179.stream_origins);
-  wanted_origins = std::move(other179.wanted_origins);
-  poison_parts = std::move(other179.poison_parts);
-  account_rates = std::move(other179.account_rates);
-  wanted_contents = std::move(other179.wanted_contents);
-  registry_proof = std::move(other179.registry_proof);
-  __isset = other179.__isset;
+Gossip& Gossip::operator=(Gossip&& other199) noexcept {
+  host = std::move(other199.host);
+  boot = std::move(other199.boot);
+  stamp = other199.stamp;
+  echo = other199.echo;
+  unix_ms = other199.unix_ms;
+  plan_version = other199.plan_version;
+  proof_age_ms = other199.proof_age_ms;
+  loads = std::move(other199.loads);
+  prefixes = std::move(other199.prefixes);
+  windows = std::move(other199.windows);
+  deaths = std::move(other199.deaths);
+  leaving = other199.leaving;
+  registry_revision = other199.registry_revision;
+  absences = std::move(other199.absences);
+  departures = std::move(other199.departures);
+  served_parts = std::move(other199.served_parts);
+  reports_usage = other199.reports_usage;
+  rate_limits = std::move(other199.rate_limits);
+  stream_origins = std::move(other199.stream_origins);
+  wanted_origins = std::move(other199.wanted_origins);
+  poison_parts = std::move(other199.poison_parts);
+  account_rates = std::move(other199.account_rates);
+  wanted_contents = std::move(other199.wanted_contents);
+  registry_proof = std::move(other199.registry_proof);
+  speed_observations = std::move(other199.speed_observations);
+  service_speeds = std::move(other199.service_speeds);
+  __isset = other199.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -3461,6 +4020,8 @@
   out << ", " << "account_rates="; (__isset.account_rates ? (out << to_string(account_rates)) : (out << "<null>"));
   out << ", " << "wanted_contents="; (__isset.wanted_contents ? (out << to_string(wanted_contents)) : (out << "<null>"));
   out << ", " << "registry_proof="; (__isset.registry_proof ? (out << to_string(registry_proof)) : (out << "<null>"));
+  out << ", " << "speed_observations="; (__isset.speed_observations ? (out << to_string(speed_observations)) : (out << "<null>"));
+  out << ", " << "service_speeds="; (__isset.service_speeds ? (out << to_string(service_speeds)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -51,6 +51,10 @@
 
 class GossipAccountRates;
 
+class GossipSpeedObservation;
+
+class GossipServiceSpeeds;
+
 class Gossip;
 
 
@@ -905,8 +909,152 @@
 
 std::ostream& operator<<(std::ostream& out, const GossipAccountRates& obj);
 
+
+class GossipSpeedObservation : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipSpeedObservation(const GossipSpeedObservation&);
+  GossipSpeedObservation(GossipSpeedObservation&&) noexcept;
+  GossipSpeedObservation& operator=(const GossipSpeedObservation&);
+  GossipSpeedObservation& operator=(GossipSpeedObservation&&) noexcept;
+  GossipSpeedObservation() noexcept
+                         : backend_server(),
+                           started_ms(0),
+                           kind(0),
+                           load(0),
+                           time_us(0) {
+  }
+
+  virtual ~GossipSpeedObservation() noexcept;
+  std::string backend_server;
+  int64_t started_ms;
+  int32_t kind;
+  int64_t load;
+  int64_t time_us;
+
+  void __set_backend_server(const std::string& val);
+
+  void __set_started_ms(const int64_t val);
+
+  void __set_kind(const int32_t val);
+
+  void __set_load(const int64_t val);
+
+  void __set_time_us(const int64_t val);
+
+  bool operator == (const GossipSpeedObservation & rhs) const
+  {
+    if (!(backend_server == rhs.backend_server))
+      return false;
+    if (!(started_ms == rhs.started_ms))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(load == rhs.load))
+      return false;
+    if (!(time_us == rhs.time_us))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipSpeedObservation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipSpeedObservation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipSpeedObservation &a, GossipSpeedObservation &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipSpeedObservation& obj);
+
+
+class GossipServiceSpeeds : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipServiceSpeeds(const GossipServiceSpeeds&);
+  GossipServiceSpeeds(GossipServiceSpeeds&&) noexcept;
+  GossipServiceSpeeds& operator=(const GossipServiceSpeeds&);
+  GossipServiceSpeeds& operator=(GossipServiceSpeeds&&) noexcept;
+  GossipServiceSpeeds() noexcept
+                      : service_name(),
+                        prefill_tokens_per_ms(0),
+                        prefill_base_us(0),
+                        first_event_us(0),
+                        step_per_request_us(0),
+                        plain_request_us(0),
+                        slot_time_us(0),
+                        observations(0) {
+  }
+
+  virtual ~GossipServiceSpeeds() noexcept;
+  std::string service_name;
+  double prefill_tokens_per_ms;
+  int64_t prefill_base_us;
+  int64_t first_event_us;
+  int64_t step_per_request_us;
+  int64_t plain_request_us;
+  int64_t slot_time_us;
+  int64_t observations;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_prefill_tokens_per_ms(const double val);
+
+  void __set_prefill_base_us(const int64_t val);
+
+  void __set_first_event_us(const int64_t val);
+
+  void __set_step_per_request_us(const int64_t val);
+
+  void __set_plain_request_us(const int64_t val);
+
+  void __set_slot_time_us(const int64_t val);
+
+  void __set_observations(const int64_t val);
+
+  bool operator == (const GossipServiceSpeeds & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(prefill_tokens_per_ms == rhs.prefill_tokens_per_ms))
+      return false;
+    if (!(prefill_base_us == rhs.prefill_base_us))
+      return false;
+    if (!(first_event_us == rhs.first_event_us))
+      return false;
+    if (!(step_per_request_us == rhs.step_per_request_us))
+      return false;
+    if (!(plain_request_us == rhs.plain_request_us))
+      return false;
+    if (!(slot_time_us == rhs.slot_time_us))
+      return false;
+    if (!(observations == rhs.observations))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipServiceSpeeds &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipServiceSpeeds & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipServiceSpeeds &a, GossipServiceSpeeds &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipServiceSpeeds& obj);
+
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), account_rates(false), wanted_contents(false), registry_proof(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), account_rates(false), wanted_contents(false), registry_proof(false), speed_observations(false), service_speeds(false) {}
   bool absences :1;
   bool departures :1;
   bool served_parts :1;
@@ -918,6 +1066,8 @@
   bool account_rates :1;
   bool wanted_contents :1;
   bool registry_proof :1;
+  bool speed_observations :1;
+  bool service_speeds :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -965,6 +1115,8 @@
   GossipAccountRates account_rates;
   std::vector<std::string>  wanted_contents;
   GossipRegistryProof registry_proof;
+  std::vector<GossipSpeedObservation>  speed_observations;
+  std::vector<GossipServiceSpeeds>  service_speeds;
 
   _Gossip__isset __isset;
 
@@ -1016,6 +1168,10 @@
 
   void __set_registry_proof(const GossipRegistryProof& val);
 
+  void __set_speed_observations(const std::vector<GossipSpeedObservation> & val);
+
+  void __set_service_speeds(const std::vector<GossipServiceSpeeds> & val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -1088,6 +1244,14 @@
       return false;
     else if (__isset.registry_proof && !(registry_proof == rhs.registry_proof))
       return false;
+    if (__isset.speed_observations != rhs.__isset.speed_observations)
+      return false;
+    else if (__isset.speed_observations && !(speed_observations == rhs.speed_observations))
+      return false;
+    if (__isset.service_speeds != rhs.__isset.service_speeds)
+      return false;
+    else if (__isset.service_speeds && !(service_speeds == rhs.service_speeds))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -140,6 +140,32 @@
   5: optional bool counts_receiver,
 }
 
+// The time that a backend server took for a request of the sender.
+struct GossipSpeedObservation {
+  1: required string backend_server,
+  // The start of that run in Unix milliseconds.
+  2: required i64 started_ms,
+  // What was observed of the service: 1 a prefill, 2 a first event, 3 an answer
+  // of a plain service, 4 the time of a slot.
+  3: required i32 kind,
+  // The tokens of a prefill, or the requests that ran.
+  4: required i64 load,
+  5: required i64 time_us,
+}
+
+// The speeds of a service's backend servers, as the sender estimates them.
+struct GossipServiceSpeeds {
+  1: required string service_name,
+  2: required double prefill_tokens_per_ms,
+  3: required i64 prefill_base_us,
+  4: required i64 first_event_us,
+  5: required i64 step_per_request_us,
+  6: required i64 plain_request_us,
+  7: required i64 slot_time_us,
+  // The number of observations that show them.
+  8: required i64 observations,
+}
+
 struct Gossip {
   1: required string host,
   2: required string boot,
@@ -179,4 +205,7 @@
   // name the first request.
   25: optional list<string> wanted_contents,
   26: optional GossipRegistryProof registry_proof,
+  27: optional list<GossipSpeedObservation> speed_observations,
+  // Only for a gateway that has just started.
+  28: optional list<GossipServiceSpeeds> service_speeds,
 }
