--- a/core/include/carawayvalve/core/candidate_choice.h
+++ b/core/include/carawayvalve/core/candidate_choice.h
@@ -2,7 +2,6 @@
 #define CARAWAYVALVE_CORE_CANDIDATE_CHOICE_H_
 
 #include <cstddef>
-#include <string>
 #include <vector>
 
 #include "carawayvalve/base/time.h"
@@ -41,11 +40,6 @@
                        base::Duration age,
                        double draw);
 
-// Returns the draw of a request, from 0 to 1: the same in each process and for
-// each repeated choice. Choices of one request for different purposes differ by
-// `salt`.
-double DrawOf(const std::string& request, const std::string& salt);
-
 }  // namespace carawayvalve::core
 
 #endif  // CARAWAYVALVE_CORE_CANDIDATE_CHOICE_H_
--- a/core/include/carawayvalve/core/placement.h
+++ b/core/include/carawayvalve/core/placement.h
@@ -89,9 +89,9 @@
   // The software version that began the stream, which only backend servers of
   // that version continue. Any version may prefill the prompt.
   std::optional<std::string> software_version;
-  // The request's id, by which one of several equally good backend servers is
-  // chosen.
-  std::string request;
+  // Which of several backend servers that are about equally good is chosen; see
+  // EvenDraws.
+  double draw = 0;
 };
 
 // The backend server that a request goes to first.
@@ -239,16 +239,13 @@
   // what was observed and by what it says itself.
   double SlownessOf(const BackendEntry& entry, base::Instant now) const;
   // Returns the estimate of the candidate that is chosen, one with the lowest
-  // cost as far as is known; none if there are none. `purpose` tells the
-  // choices of one request apart.
+  // cost as far as is known; none if there are none.
   Estimate ChooseEstimate(const std::vector<Estimate>& estimates,
                           const PlacementQuery& query,
-                          const char* purpose,
                           base::Instant now) const;
   // Returns the estimate of the candidate that is chosen for the prompt.
   Estimate BestEngine(const Candidates& candidates,
                       const PlacementQuery& query,
-                      const char* purpose,
                       base::Instant now) const;
   // Returns the prefill engines among the candidates that may prefill the
   // prompt.
--- a/core/src/candidate_choice.cc
+++ b/core/src/candidate_choice.cc
@@ -1,9 +1,6 @@
 #include "carawayvalve/core/candidate_choice.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cstdint>
 #include <iterator>
 #include <numbers>
 #include <utility>
@@ -24,8 +21,6 @@
 // Usual costs that are higher by this factor count as equal.
 constexpr double kMaxUsualCostRatio = 1.1;
 constexpr Seconds kMinRoom(1e-9);
-constexpr double kDrawSteps = 9007199254740992.0;
-constexpr int kUnusedHashBits = 11;
 
 base::Duration OwnWork(const CandidateCost& candidate) {
   return std::max<base::Duration>(candidate.cost - candidate.work_ahead,
@@ -116,10 +111,4 @@
              : equals[static_cast<size_t>(chosen - shares.begin())];
 }
 
-double DrawOf(const std::string& request, const std::string& salt) {
-  const std::string text = salt + "/" + request;
-  const uint64_t hash = XXH3_64bits(text.data(), text.size());
-  return static_cast<double>(hash >> kUnusedHashBits) / kDrawSteps;
-}
-
 }  // namespace carawayvalve::core
--- a/core/src/placement.cc
+++ b/core/src/placement.cc
@@ -14,11 +14,6 @@
 
 // Hash by which the engines reserved for short prompts are ranked.
 constexpr uint64_t kShortPromptsHash = 1;
-// The purposes of a request's choices.
-constexpr char kPlainChoice[] = "plain";
-constexpr char kDirectChoice[] = "direct";
-constexpr char kPrefillChoice[] = "prefill";
-constexpr char kDecodeChoice[] = "decode";
 
 }  // namespace
 
@@ -172,7 +167,6 @@
 
 Placer::Estimate Placer::ChooseEstimate(const std::vector<Estimate>& estimates,
                                         const PlacementQuery& query,
-                                        const char* purpose,
                                         base::Instant now) const {
   if (estimates.empty()) {
     return {};
@@ -189,8 +183,8 @@
     costs.push_back({estimate.cost, estimate.work_ahead, estimate.turnover,
                      estimate.usual_cost});
   }
-  Estimate chosen = estimates[ChooseCandidate(costs, this->load.ReportAge(now),
-                                              DrawOf(query.request, purpose))];
+  Estimate chosen =
+      estimates[ChooseCandidate(costs, this->load.ReportAge(now), query.draw)];
   // Being late for the sake of even load helps nobody.
   if (chosen.wait > query.objective && lowest->wait <= query.objective) {
     return *lowest;
@@ -201,7 +195,6 @@
 
 Placer::Estimate Placer::BestEngine(const Candidates& candidates,
                                     const PlacementQuery& query,
-                                    const char* purpose,
                                     base::Instant now) const {
   const PrefixAffinity affinity =
       this->FindAffinity(candidates, *query.prompt, now);
@@ -211,7 +204,7 @@
     estimates.push_back(
         this->EstimateEngine(*entry, *query.prompt, affinity, now));
   }
-  return this->ChooseEstimate(estimates, query, purpose, now);
+  return this->ChooseEstimate(estimates, query, now);
 }
 
 Placement Placer::ToPlacement(const Estimate& estimate) {
@@ -239,7 +232,7 @@
   for (const BackendEntry* entry : candidates) {
     estimates.push_back(this->EstimatePlain(*entry, now));
   }
-  return ToPlacement(this->ChooseEstimate(estimates, query, kPlainChoice, now));
+  return ToPlacement(this->ChooseEstimate(estimates, query, now));
 }
 
 bool Placer::PrefersDirect(const Estimate& direct,
@@ -263,14 +256,12 @@
   std::copy_if(
       candidates.begin(), candidates.end(), std::back_inserter(decode_engines),
       [](const BackendEntry* entry) { return !IsPrefillEngine(*entry); });
-  const Estimate direct =
-      this->BestEngine(decode_engines, query, kDirectChoice, now);
+  const Estimate direct = this->BestEngine(decode_engines, query, now);
   if (direct.entry == nullptr) {
     return NoBackend{"no engine generates"};
   }
-  const Estimate prefill_engine =
-      this->BestEngine(this->PrefillEngines(candidates, *query.prompt), query,
-                       kPrefillChoice, now);
+  const Estimate prefill_engine = this->BestEngine(
+      this->PrefillEngines(candidates, *query.prompt), query, now);
   if (!query.may_hand_over || prefill_engine.entry == nullptr ||
       this->PrefersDirect(direct, prefill_engine)) {
     return ToPlacement(direct);
@@ -294,8 +285,7 @@
   if (estimates.empty()) {
     return NoBackend{"no engine generates"};
   }
-  return ToPlacement(
-      this->ChooseEstimate(estimates, query, kDecodeChoice, now));
+  return ToPlacement(this->ChooseEstimate(estimates, query, now));
 }
 
 PlacementResult Placer::Choose(const PlacementQuery& query,
--- a/gateway/src/explanation.cc
+++ b/gateway/src/explanation.cc
@@ -140,9 +140,10 @@
     if (!state.stop.MayTake(this->now + this->time_left, this->now)) {
       return Refused(kUnavailable, "this gateway stops before the deadline");
     }
-    this->query.request = this->request.caller.id.value;
     this->query.service =
         core::ChooseService(*this->route, this->request.caller.id.value);
+    this->query.draw =
+        state.draws.Next(this->query.service, state.wall_clock.At(this->now));
     this->query.objective = this->route->objective;
     if (this->request.caller.prompt.has_value()) {
       this->query.prompt = &*this->request.caller.prompt;
--- a/gateway/src/gateway_state.cc
+++ b/gateway/src/gateway_state.cc
@@ -91,6 +91,7 @@
     this->NoteGatewayLost(now);
   }
   this->live_hosts = hosts;
+  this->draws.SetProcesses(this->settings.host, hosts);
   this->poison_requests.SetProcessCount(static_cast<int64_t>(hosts.size()));
   this->rate_limits.SetSharers(
       {this->settings.host, hosts,
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -13,6 +13,7 @@
 #include "carawayvalve/core/backend_health.h"
 #include "carawayvalve/core/backend_rate_limits.h"
 #include "carawayvalve/core/crash_correlator.h"
+#include "carawayvalve/core/even_draws.h"
 #include "carawayvalve/core/fleet_load.h"
 #include "carawayvalve/core/key_freshness.h"
 #include "carawayvalve/core/placement.h"
@@ -88,6 +89,7 @@
   core::ReportedLoad reported_load;
   core::PrefixCacheTracker prefix_caches;
   core::Placer placer;
+  core::EvenDraws draws;
   core::SpeedEstimator speeds;
   // When the estimate of each service was last logged.
   std::map<base::ServiceId, base::Instant> speeds_logged;
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -98,6 +98,9 @@
 }
 
 void RequestHandler::Begin() {
+  GatewayState& state = this->context.state;
+  this->draw =
+      state.draws.Take(this->service, state.wall_clock.At(base::Now()));
   if (this->IsStream() && this->caller.after_event.has_value()) {
     this->TakeUpStream();
     return;
@@ -169,7 +172,7 @@
   query.objective = this->route->objective;
   query.may_hand_over = this->may_hand_over;
   query.software_version = this->stream_version;
-  query.request = this->caller.id.value;
+  query.draw = this->draw;
   return query;
 }
 
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -162,6 +162,9 @@
   // Whether an attempt before the current one may have run.
   bool earlier_may_have_run = false;
   std::set<base::BackendServerId> excluded;
+  // Kept for all attempts, so that a request that is placed again goes where it
+  // would have gone.
+  double draw = 0;
   bool may_hand_over = true;
   int64_t failed_prefills = 0;
   // Taken off the account's limit; empty for none.
