--- a/wire/carawayvalve.thrift
+++ b/wire/carawayvalve.thrift
@@ -274,6 +274,54 @@
   9: optional list<ServedPart> served_parts,
 }
 
+// Credit of a client account's rate limit, in thousandths.
+struct CreditPortion {
+  // Time since it was earned.
+  1: required i64 age_ms,
+  2: required i64 amount,
+}
+
+// Credit that the giver has taken off before it sends this.
+struct CreditGrant {
+  1: required string account,
+  // Increases from one grant of the giver's run to the next.
+  2: required i64 id,
+  // The question that it answers; 0 for none.
+  3: required i64 question,
+  // Empty for a refusal.
+  4: required list<CreditPortion> credit,
+  // What the giver has left.
+  5: required i64 balance,
+}
+
+struct CreditQuestion {
+  1: required string account,
+  2: required i64 id,
+  3: required i64 amount,
+  // A part of the amount helps too.
+  4: required bool takes_part,
+}
+
+struct CreditMessage {
+  1: required string host,
+  2: required string boot,
+  3: required list<CreditQuestion> questions,
+  4: required list<CreditGrant> grants,
+  // The run of the receiver that the grants are for; any other ignores them.
+  // Empty before the first answer.
+  5: required string receiver_boot,
+  // A reading of the receiver's clock, not later than when this was sent. The
+  // ages of the grants count from it.
+  6: required i64 receiver_clock_us,
+}
+
+struct CreditAnswer {
+  1: required string boot,
+  2: required i64 clock_us,
+  // The answers to the questions. Their ages count from before the call.
+  3: required list<CreditGrant> grants,
+}
+
 service EntryPeer {
   // Waits until the generation is above `known_generation`.
   ConfigurationCopy configuration(1: i64 known_generation, 2: i64 wait_ms),
@@ -284,4 +332,7 @@
   list<UsageCounters> usage(1: i64 since_window, 2: i64 open_window),
   // Tells this process of crashes at once. When it answers, it heeds them.
   void report_deaths(1: list<DeathMark> deaths),
+  // Moves credit of rate limits. When it answers, it counts the caller among
+  // the processes that divide them.
+  CreditAnswer exchange_credit(1: CreditMessage message),
 }
--- a/wire/gen/EntryPeer.cpp
+++ b/wire/gen/EntryPeer.cpp
@@ -796,6 +796,193 @@
   return xfer;
 }
 
+EntryPeer_exchange_credit_args::~EntryPeer_exchange_credit_args() noexcept {
+}
+
+
+uint32_t EntryPeer_exchange_credit_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->message.read(iprot);
+          this->__isset.message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EntryPeer_exchange_credit_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EntryPeer_exchange_credit_args");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->message.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+EntryPeer_exchange_credit_pargs::~EntryPeer_exchange_credit_pargs() noexcept {
+}
+
+
+uint32_t EntryPeer_exchange_credit_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EntryPeer_exchange_credit_pargs");
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->message)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+EntryPeer_exchange_credit_result::~EntryPeer_exchange_credit_result() noexcept {
+}
+
+
+uint32_t EntryPeer_exchange_credit_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EntryPeer_exchange_credit_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("EntryPeer_exchange_credit_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+EntryPeer_exchange_credit_presult::~EntryPeer_exchange_credit_presult() noexcept {
+}
+
+
+uint32_t EntryPeer_exchange_credit_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
 void EntryPeerClient::configuration(ConfigurationCopy& _return, const int64_t known_generation, const int64_t wait_ms)
 {
   send_configuration(known_generation, wait_ms);
@@ -1024,6 +1211,64 @@
   return;
 }
 
+void EntryPeerClient::exchange_credit(CreditAnswer& _return, const CreditMessage& message)
+{
+  send_exchange_credit(message);
+  recv_exchange_credit(_return);
+}
+
+void EntryPeerClient::send_exchange_credit(const CreditMessage& message)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("exchange_credit", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  EntryPeer_exchange_credit_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void EntryPeerClient::recv_exchange_credit(CreditAnswer& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("exchange_credit") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  EntryPeer_exchange_credit_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "exchange_credit failed: unknown result");
+}
+
 bool EntryPeerProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
   ProcessMap::iterator pfn;
   pfn = processMap_.find(fname);
@@ -1258,6 +1503,60 @@
   }
 }
 
+void EntryPeerProcessor::process_exchange_credit(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("EntryPeer.exchange_credit", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "EntryPeer.exchange_credit");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "EntryPeer.exchange_credit");
+  }
+
+  EntryPeer_exchange_credit_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "EntryPeer.exchange_credit", bytes);
+  }
+
+  EntryPeer_exchange_credit_result result;
+  try {
+    iface_->exchange_credit(result.success, args.message);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "EntryPeer.exchange_credit");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("exchange_credit", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "EntryPeer.exchange_credit");
+  }
+
+  oprot->writeMessageBegin("exchange_credit", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "EntryPeer.exchange_credit", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > EntryPeerProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< EntryPeerIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< EntryPeerIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -1596,5 +1895,89 @@
   } // end while(true)
 }
 
+void EntryPeerConcurrentClient::exchange_credit(CreditAnswer& _return, const CreditMessage& message)
+{
+  int32_t seqid = send_exchange_credit(message);
+  recv_exchange_credit(_return, seqid);
+}
+
+int32_t EntryPeerConcurrentClient::send_exchange_credit(const CreditMessage& message)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("exchange_credit", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  EntryPeer_exchange_credit_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void EntryPeerConcurrentClient::recv_exchange_credit(CreditAnswer& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("exchange_credit") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      EntryPeer_exchange_credit_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "exchange_credit failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }}} // namespace
 
--- a/wire/gen/EntryPeer.h
+++ b/wire/gen/EntryPeer.h
@@ -26,6 +26,7 @@
   virtual void status(PeerStatus& _return) = 0;
   virtual void usage(std::vector<UsageCounters> & _return, const int64_t since_window, const int64_t open_window) = 0;
   virtual void report_deaths(const std::vector<DeathMark> & deaths) = 0;
+  virtual void exchange_credit(CreditAnswer& _return, const CreditMessage& message) = 0;
 };
 
 class EntryPeerIfFactory {
@@ -67,6 +68,9 @@
   void report_deaths(const std::vector<DeathMark> & /* deaths */) override {
     return;
   }
+  void exchange_credit(CreditAnswer& /* _return */, const CreditMessage& /* message */) override {
+    return;
+  }
 };
 
 typedef struct _EntryPeer_configuration_args__isset {
@@ -489,6 +493,114 @@
 
 };
 
+typedef struct _EntryPeer_exchange_credit_args__isset {
+  _EntryPeer_exchange_credit_args__isset() : message(false) {}
+  bool message :1;
+} _EntryPeer_exchange_credit_args__isset;
+
+class EntryPeer_exchange_credit_args {
+ public:
+
+  EntryPeer_exchange_credit_args(const EntryPeer_exchange_credit_args&);
+  EntryPeer_exchange_credit_args(EntryPeer_exchange_credit_args&&) noexcept;
+  EntryPeer_exchange_credit_args& operator=(const EntryPeer_exchange_credit_args&);
+  EntryPeer_exchange_credit_args& operator=(EntryPeer_exchange_credit_args&&) noexcept;
+  EntryPeer_exchange_credit_args() noexcept {
+  }
+
+  virtual ~EntryPeer_exchange_credit_args() noexcept;
+  CreditMessage message;
+
+  _EntryPeer_exchange_credit_args__isset __isset;
+
+  void __set_message(const CreditMessage& val);
+
+  bool operator == (const EntryPeer_exchange_credit_args & rhs) const
+  {
+    if (!(message == rhs.message))
+      return false;
+    return true;
+  }
+  bool operator != (const EntryPeer_exchange_credit_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EntryPeer_exchange_credit_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class EntryPeer_exchange_credit_pargs {
+ public:
+
+
+  virtual ~EntryPeer_exchange_credit_pargs() noexcept;
+  const CreditMessage* message;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _EntryPeer_exchange_credit_result__isset {
+  _EntryPeer_exchange_credit_result__isset() : success(false) {}
+  bool success :1;
+} _EntryPeer_exchange_credit_result__isset;
+
+class EntryPeer_exchange_credit_result {
+ public:
+
+  EntryPeer_exchange_credit_result(const EntryPeer_exchange_credit_result&);
+  EntryPeer_exchange_credit_result(EntryPeer_exchange_credit_result&&) noexcept;
+  EntryPeer_exchange_credit_result& operator=(const EntryPeer_exchange_credit_result&);
+  EntryPeer_exchange_credit_result& operator=(EntryPeer_exchange_credit_result&&) noexcept;
+  EntryPeer_exchange_credit_result() noexcept {
+  }
+
+  virtual ~EntryPeer_exchange_credit_result() noexcept;
+  CreditAnswer success;
+
+  _EntryPeer_exchange_credit_result__isset __isset;
+
+  void __set_success(const CreditAnswer& val);
+
+  bool operator == (const EntryPeer_exchange_credit_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const EntryPeer_exchange_credit_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EntryPeer_exchange_credit_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _EntryPeer_exchange_credit_presult__isset {
+  _EntryPeer_exchange_credit_presult__isset() : success(false) {}
+  bool success :1;
+} _EntryPeer_exchange_credit_presult__isset;
+
+class EntryPeer_exchange_credit_presult {
+ public:
+
+
+  virtual ~EntryPeer_exchange_credit_presult() noexcept;
+  CreditAnswer* success;
+
+  _EntryPeer_exchange_credit_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class EntryPeerClient : virtual public EntryPeerIf {
  public:
   EntryPeerClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -526,6 +638,9 @@
   void report_deaths(const std::vector<DeathMark> & deaths) override;
   void send_report_deaths(const std::vector<DeathMark> & deaths);
   void recv_report_deaths();
+  void exchange_credit(CreditAnswer& _return, const CreditMessage& message) override;
+  void send_exchange_credit(const CreditMessage& message);
+  void recv_exchange_credit(CreditAnswer& _return);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -545,6 +660,7 @@
   void process_status(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_usage(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_report_deaths(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_exchange_credit(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   EntryPeerProcessor(::std::shared_ptr<EntryPeerIf> iface) :
     iface_(iface) {
@@ -552,6 +668,7 @@
     processMap_["status"] = &EntryPeerProcessor::process_status;
     processMap_["usage"] = &EntryPeerProcessor::process_usage;
     processMap_["report_deaths"] = &EntryPeerProcessor::process_report_deaths;
+    processMap_["exchange_credit"] = &EntryPeerProcessor::process_exchange_credit;
   }
 
   virtual ~EntryPeerProcessor() {}
@@ -619,6 +736,16 @@
     ifaces_[i]->report_deaths(deaths);
   }
 
+  void exchange_credit(CreditAnswer& _return, const CreditMessage& message) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->exchange_credit(_return, message);
+    }
+    ifaces_[i]->exchange_credit(_return, message);
+    return;
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -663,6 +790,9 @@
   void report_deaths(const std::vector<DeathMark> & deaths) override;
   int32_t send_report_deaths(const std::vector<DeathMark> & deaths);
   void recv_report_deaths(const int32_t seqid);
+  void exchange_credit(CreditAnswer& _return, const CreditMessage& message) override;
+  int32_t send_exchange_credit(const CreditMessage& message);
+  void recv_exchange_credit(CreditAnswer& _return, const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
--- a/wire/gen/carawayvalve_types.cpp
+++ b/wire/gen/carawayvalve_types.cpp
@@ -4548,4 +4548,954 @@
   out << ")";
 }
 
+CreditPortion::~CreditPortion() noexcept {
+}
+
+
+void CreditPortion::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void CreditPortion::__set_amount(const int64_t val) {
+  this->amount = val;
+}
+std::ostream& operator<<(std::ostream& out, const CreditPortion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CreditPortion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_age_ms = false;
+  bool isset_amount = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          isset_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->amount);
+          isset_amount = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_age_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_amount)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t CreditPortion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CreditPortion");
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("amount", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->amount);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CreditPortion &a, CreditPortion &b) {
+  using ::std::swap;
+  swap(a.age_ms, b.age_ms);
+  swap(a.amount, b.amount);
+}
+
+CreditPortion::CreditPortion(const CreditPortion& other147) noexcept {
+  age_ms = other147.age_ms;
+  amount = other147.amount;
+}
+CreditPortion::CreditPortion(CreditPortion&& other148) noexcept {
+  age_ms = other148.age_ms;
+  amount = other148.amount;
+}
+CreditPortion& CreditPortion::operator=(const CreditPortion& other149) noexcept {
+  age_ms = other149.age_ms;
+  amount = other149.amount;
+  return *this;
+}
+CreditPortion& CreditPortion::operator=(CreditPortion&& other150) noexcept {
+  age_ms = other150.age_ms;
+  amount = other150.amount;
+  return *this;
+}
+void CreditPortion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CreditPortion(";
+  out << "age_ms=" << to_string(age_ms);
+  out << ", " << "amount=" << to_string(amount);
+  out << ")";
+}
+
+
+CreditGrant::~CreditGrant() noexcept {
+}
+
+
+void CreditGrant::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void CreditGrant::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void CreditGrant::__set_question(const int64_t val) {
+  this->question = val;
+}
+
+void CreditGrant::__set_credit(const std::vector<CreditPortion> & val) {
+  this->credit = val;
+}
+
+void CreditGrant::__set_balance(const int64_t val) {
+  this->balance = val;
+}
+std::ostream& operator<<(std::ostream& out, const CreditGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CreditGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_account = false;
+  bool isset_id = false;
+  bool isset_question = false;
+  bool isset_credit = false;
+  bool isset_balance = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          isset_account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          isset_question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->credit.clear();
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->credit.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
+            {
+              xfer += this->credit[_i155].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_credit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->balance);
+          isset_balance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_account)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_question)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_credit)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_balance)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t CreditGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CreditGrant");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->question);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("credit", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->credit.size()));
+    std::vector<CreditPortion> ::const_iterator _iter156;
+    for (_iter156 = this->credit.begin(); _iter156 != this->credit.end(); ++_iter156)
+    {
+      xfer += (*_iter156).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("balance", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->balance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CreditGrant &a, CreditGrant &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.id, b.id);
+  swap(a.question, b.question);
+  swap(a.credit, b.credit);
+  swap(a.balance, b.balance);
+}
+
+CreditGrant::CreditGrant(const CreditGrant& other157) {
+  account = other157.account;
+  id = other157.id;
+  question = other157.question;
+  credit = other157.credit;
+  balance = other157.balance;
+}
+CreditGrant::CreditGrant(CreditGrant&& other158) noexcept {
+  account = std::move(other158.account);
+  id = other158.id;
+  question = other158.question;
+  credit = std::move(other158.credit);
+  balance = other158.balance;
+}
+CreditGrant& CreditGrant::operator=(const CreditGrant& other159) {
+  account = other159.account;
+  id = other159.id;
+  question = other159.question;
+  credit = other159.credit;
+  balance = other159.balance;
+  return *this;
+}
+CreditGrant& CreditGrant::operator=(CreditGrant&& other160) noexcept {
+  account = std::move(other160.account);
+  id = other160.id;
+  question = other160.question;
+  credit = std::move(other160.credit);
+  balance = other160.balance;
+  return *this;
+}
+void CreditGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CreditGrant(";
+  out << "account=" << to_string(account);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "question=" << to_string(question);
+  out << ", " << "credit=" << to_string(credit);
+  out << ", " << "balance=" << to_string(balance);
+  out << ")";
+}
+
+
+CreditQuestion::~CreditQuestion() noexcept {
+}
+
+
+void CreditQuestion::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void CreditQuestion::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void CreditQuestion::__set_amount(const int64_t val) {
+  this->amount = val;
+}
+
+void CreditQuestion::__set_takes_part(const bool val) {
+  this->takes_part = val;
+}
+std::ostream& operator<<(std::ostream& out, const CreditQuestion& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CreditQuestion::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_account = false;
+  bool isset_id = false;
+  bool isset_amount = false;
+  bool isset_takes_part = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          isset_account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->amount);
+          isset_amount = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->takes_part);
+          isset_takes_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_account)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_amount)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_takes_part)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t CreditQuestion::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CreditQuestion");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("amount", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->amount);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("takes_part", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->takes_part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CreditQuestion &a, CreditQuestion &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.id, b.id);
+  swap(a.amount, b.amount);
+  swap(a.takes_part, b.takes_part);
+}
+
+CreditQuestion::CreditQuestion(const CreditQuestion& other161) {
+  account = other161.account;
+  id = other161.id;
+  amount = other161.amount;
+  takes_part = other161.takes_part;
+}
+CreditQuestion::CreditQuestion(CreditQuestion&& other162) noexcept {
+  account = std::move(other162.account);
+  id = other162.id;
+  amount = other162.amount;
+  takes_part = other162.takes_part;
+}
+CreditQuestion& CreditQuestion::operator=(const CreditQuestion& other163) {
+  account = other163.account;
+  id = other163.id;
+  amount = other163.amount;
+  takes_part = other163.takes_part;
+  return *this;
+}
+CreditQuestion& CreditQuestion::operator=(CreditQuestion&& other164) noexcept {
+  account = std::move(other164.account);
+  id = other164.id;
+  amount = other164.amount;
+  takes_part = other164.takes_part;
+  return *this;
+}
+void CreditQuestion::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CreditQuestion(";
+  out << "account=" << to_string(account);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "amount=" << to_string(amount);
+  out << ", " << "takes_part=" << to_string(takes_part);
+  out << ")";
+}
+
+
+CreditMessage::~CreditMessage() noexcept {
+}
+
+
+void CreditMessage::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void CreditMessage::__set_boot(const std::string& val) {
+  this->boot = val;
+}
+
+void CreditMessage::__set_questions(const std::vector<CreditQuestion> & val) {
+  this->questions = val;
+}
+
+void CreditMessage::__set_grants(const std::vector<CreditGrant> & val) {
+  this->grants = val;
+}
+
+void CreditMessage::__set_receiver_boot(const std::string& val) {
+  this->receiver_boot = val;
+}
+
+void CreditMessage::__set_receiver_clock_us(const int64_t val) {
+  this->receiver_clock_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const CreditMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CreditMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_host = false;
+  bool isset_boot = false;
+  bool isset_questions = false;
+  bool isset_grants = false;
+  bool isset_receiver_boot = false;
+  bool isset_receiver_clock_us = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          isset_host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->boot);
+          isset_boot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->questions.clear();
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->questions.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
+            {
+              xfer += this->questions[_i169].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_questions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->grants.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
+            {
+              xfer += this->grants[_i174].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->receiver_boot);
+          isset_receiver_boot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->receiver_clock_us);
+          isset_receiver_clock_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_host)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_boot)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_questions)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_grants)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_receiver_boot)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_receiver_clock_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t CreditMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CreditMessage");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("boot", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->boot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("questions", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->questions.size()));
+    std::vector<CreditQuestion> ::const_iterator _iter175;
+    for (_iter175 = this->questions.begin(); _iter175 != this->questions.end(); ++_iter175)
+    {
+      xfer += (*_iter175).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<CreditGrant> ::const_iterator _iter176;
+    for (_iter176 = this->grants.begin(); _iter176 != this->grants.end(); ++_iter176)
+    {
+      xfer += (*_iter176).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("receiver_boot", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->receiver_boot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("receiver_clock_us", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->receiver_clock_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CreditMessage &a, CreditMessage &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.boot, b.boot);
+  swap(a.questions, b.questions);
+  swap(a.grants, b.grants);
+  swap(a.receiver_boot, b.receiver_boot);
+  swap(a.receiver_clock_us, b.receiver_clock_us);
+}
+
+CreditMessage::CreditMessage(const CreditMessage& other177) {
+  host = other177.host;
+  boot = other177.boot;
+  questions = other177.questions;
+  grants = other177.grants;
+  receiver_boot = other177.receiver_boot;
+  receiver_clock_us = other177.receiver_clock_us;
+}
+CreditMessage::CreditMessage(CreditMessage&& other178) noexcept {
+  host = std::move(other178.host);
+  boot = std::move(other178.boot);
+  questions = std::move(other178.questions);
+  grants = std::move(other178.grants);
+  receiver_boot = std::move(other178.receiver_boot);
+  receiver_clock_us = other178.receiver_clock_us;
+}
+CreditMessage& CreditMessage::operator=(const CreditMessage& other179) {
+  host = other179.host;
+  boot = other179.boot;
+  questions = other179.questions;
+  grants = other179.grants;
+  receiver_boot = other179.receiver_boot;
+  receiver_clock_us = other179.receiver_clock_us;
+  return *this;
+}
+CreditMessage& CreditMessage::operator=(CreditMessage&& other180) noexcept {
+  host = std::move(other180.host);
+  boot = std::move(other180.boot);
+  questions = std::move(other180.questions);
+  grants = std::move(other180.grants);
+  receiver_boot = std::move(other180.receiver_boot);
+  receiver_clock_us = other180.receiver_clock_us;
+  return *this;
+}
+void CreditMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CreditMessage(";
+  out << "host=" << to_string(host);
+  out << ", " << "boot=" << to_string(boot);
+  out << ", " << "questions=" << to_string(questions);
+  out << ", " << "grants=" << to_string(grants);
+  out << ", " << "receiver_boot=" << to_string(receiver_boot);
+  out << ", " << "receiver_clock_us=" << to_string(receiver_clock_us);
+  out << ")";
+}
+
+
+CreditAnswer::~CreditAnswer() noexcept {
+}
+
+
+void CreditAnswer::__set_boot(const std::string& val) {
+  this->boot = val;
+}
+
+void CreditAnswer::__set_clock_us(const int64_t val) {
+  this->clock_us = val;
+}
+
+void CreditAnswer::__set_grants(const std::vector<CreditGrant> & val) {
+  this->grants = val;
+}
+std::ostream& operator<<(std::ostream& out, const CreditAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CreditAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_boot = false;
+  bool isset_clock_us = false;
+  bool isset_grants = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->boot);
+          isset_boot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock_us);
+          isset_clock_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _etype184;
+            xfer += iprot->readListBegin(_etype184, _size181);
+            this->grants.resize(_size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
+            {
+              xfer += this->grants[_i185].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_boot)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_clock_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_grants)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t CreditAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CreditAnswer");
+
+  xfer += oprot->writeFieldBegin("boot", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->boot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("clock_us", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->clock_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<CreditGrant> ::const_iterator _iter186;
+    for (_iter186 = this->grants.begin(); _iter186 != this->grants.end(); ++_iter186)
+    {
+      xfer += (*_iter186).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CreditAnswer &a, CreditAnswer &b) {
+  using ::std::swap;
+  swap(a.boot, b.boot);
+  swap(a.clock_us, b.clock_us);
+  swap(a.grants, b.grants);
+}
+
+CreditAnswer::CreditAnswer(const CreditAnswer& other187) {
+  boot = other187.boot;
+  clock_us = other187.clock_us;
+  grants = other187.grants;
+}
+CreditAnswer::CreditAnswer(CreditAnswer&& other188) noexcept {
+  boot = std::move(other188.boot);
+  clock_us = other188.clock_us;
+  grants = std::move(other188.grants);
+}
+CreditAnswer& CreditAnswer::operator=(const CreditAnswer& other189) {
+  boot = other189.boot;
+  clock_us = other189.clock_us;
+  grants = other189.grants;
+  return *this;
+}
+CreditAnswer& CreditAnswer::operator=(CreditAnswer&& other190) noexcept {
+  boot = std::move(other190.boot);
+  clock_us = other190.clock_us;
+  grants = std::move(other190.grants);
+  return *this;
+}
+void CreditAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CreditAnswer(";
+  out << "boot=" << to_string(boot);
+  out << ", " << "clock_us=" << to_string(clock_us);
+  out << ", " << "grants=" << to_string(grants);
+  out << ")";
+}
+
+
 }}} // namespace
--- a/wire/gen/carawayvalve_types.h
+++ b/wire/gen/carawayvalve_types.h
@@ -107,6 +107,16 @@
 
 class PeerStatus;
 
+class CreditPortion;
+
+class CreditGrant;
+
+class CreditQuestion;
+
+class CreditMessage;
+
+class CreditAnswer;
+
 
 class Header : public virtual ::apache::thrift::TBase {
  public:
@@ -1441,6 +1451,287 @@
 
 std::ostream& operator<<(std::ostream& out, const PeerStatus& obj);
 
+
+class CreditPortion : public virtual ::apache::thrift::TBase {
+ public:
+
+  CreditPortion(const CreditPortion&) noexcept;
+  CreditPortion(CreditPortion&&) noexcept;
+  CreditPortion& operator=(const CreditPortion&) noexcept;
+  CreditPortion& operator=(CreditPortion&&) noexcept;
+  CreditPortion() noexcept
+                : age_ms(0),
+                  amount(0) {
+  }
+
+  virtual ~CreditPortion() noexcept;
+  int64_t age_ms;
+  int64_t amount;
+
+  void __set_age_ms(const int64_t val);
+
+  void __set_amount(const int64_t val);
+
+  bool operator == (const CreditPortion & rhs) const
+  {
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(amount == rhs.amount))
+      return false;
+    return true;
+  }
+  bool operator != (const CreditPortion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CreditPortion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CreditPortion &a, CreditPortion &b);
+
+std::ostream& operator<<(std::ostream& out, const CreditPortion& obj);
+
+
+class CreditGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  CreditGrant(const CreditGrant&);
+  CreditGrant(CreditGrant&&) noexcept;
+  CreditGrant& operator=(const CreditGrant&);
+  CreditGrant& operator=(CreditGrant&&) noexcept;
+  CreditGrant() noexcept
+              : account(),
+                id(0),
+                question(0),
+                balance(0) {
+  }
+
+  virtual ~CreditGrant() noexcept;
+  std::string account;
+  int64_t id;
+  int64_t question;
+  std::vector<CreditPortion>  credit;
+  int64_t balance;
+
+  void __set_account(const std::string& val);
+
+  void __set_id(const int64_t val);
+
+  void __set_question(const int64_t val);
+
+  void __set_credit(const std::vector<CreditPortion> & val);
+
+  void __set_balance(const int64_t val);
+
+  bool operator == (const CreditGrant & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(id == rhs.id))
+      return false;
+    if (!(question == rhs.question))
+      return false;
+    if (!(credit == rhs.credit))
+      return false;
+    if (!(balance == rhs.balance))
+      return false;
+    return true;
+  }
+  bool operator != (const CreditGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CreditGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CreditGrant &a, CreditGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const CreditGrant& obj);
+
+
+class CreditQuestion : public virtual ::apache::thrift::TBase {
+ public:
+
+  CreditQuestion(const CreditQuestion&);
+  CreditQuestion(CreditQuestion&&) noexcept;
+  CreditQuestion& operator=(const CreditQuestion&);
+  CreditQuestion& operator=(CreditQuestion&&) noexcept;
+  CreditQuestion() noexcept
+                 : account(),
+                   id(0),
+                   amount(0),
+                   takes_part(0) {
+  }
+
+  virtual ~CreditQuestion() noexcept;
+  std::string account;
+  int64_t id;
+  int64_t amount;
+  bool takes_part;
+
+  void __set_account(const std::string& val);
+
+  void __set_id(const int64_t val);
+
+  void __set_amount(const int64_t val);
+
+  void __set_takes_part(const bool val);
+
+  bool operator == (const CreditQuestion & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(id == rhs.id))
+      return false;
+    if (!(amount == rhs.amount))
+      return false;
+    if (!(takes_part == rhs.takes_part))
+      return false;
+    return true;
+  }
+  bool operator != (const CreditQuestion &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CreditQuestion & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CreditQuestion &a, CreditQuestion &b);
+
+std::ostream& operator<<(std::ostream& out, const CreditQuestion& obj);
+
+
+class CreditMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  CreditMessage(const CreditMessage&);
+  CreditMessage(CreditMessage&&) noexcept;
+  CreditMessage& operator=(const CreditMessage&);
+  CreditMessage& operator=(CreditMessage&&) noexcept;
+  CreditMessage() noexcept
+                : host(),
+                  boot(),
+                  receiver_boot(),
+                  receiver_clock_us(0) {
+  }
+
+  virtual ~CreditMessage() noexcept;
+  std::string host;
+  std::string boot;
+  std::vector<CreditQuestion>  questions;
+  std::vector<CreditGrant>  grants;
+  std::string receiver_boot;
+  int64_t receiver_clock_us;
+
+  void __set_host(const std::string& val);
+
+  void __set_boot(const std::string& val);
+
+  void __set_questions(const std::vector<CreditQuestion> & val);
+
+  void __set_grants(const std::vector<CreditGrant> & val);
+
+  void __set_receiver_boot(const std::string& val);
+
+  void __set_receiver_clock_us(const int64_t val);
+
+  bool operator == (const CreditMessage & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(boot == rhs.boot))
+      return false;
+    if (!(questions == rhs.questions))
+      return false;
+    if (!(grants == rhs.grants))
+      return false;
+    if (!(receiver_boot == rhs.receiver_boot))
+      return false;
+    if (!(receiver_clock_us == rhs.receiver_clock_us))
+      return false;
+    return true;
+  }
+  bool operator != (const CreditMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CreditMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CreditMessage &a, CreditMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const CreditMessage& obj);
+
+
+class CreditAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  CreditAnswer(const CreditAnswer&);
+  CreditAnswer(CreditAnswer&&) noexcept;
+  CreditAnswer& operator=(const CreditAnswer&);
+  CreditAnswer& operator=(CreditAnswer&&) noexcept;
+  CreditAnswer() noexcept
+               : boot(),
+                 clock_us(0) {
+  }
+
+  virtual ~CreditAnswer() noexcept;
+  std::string boot;
+  int64_t clock_us;
+  std::vector<CreditGrant>  grants;
+
+  void __set_boot(const std::string& val);
+
+  void __set_clock_us(const int64_t val);
+
+  void __set_grants(const std::vector<CreditGrant> & val);
+
+  bool operator == (const CreditAnswer & rhs) const
+  {
+    if (!(boot == rhs.boot))
+      return false;
+    if (!(clock_us == rhs.clock_us))
+      return false;
+    if (!(grants == rhs.grants))
+      return false;
+    return true;
+  }
+  bool operator != (const CreditAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CreditAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CreditAnswer &a, CreditAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const CreditAnswer& obj);
+
 }}} // namespace
 
 #endif
