Enforce client accounts' rate limits at entry processes

Cause: carawayvalve serve ignored the rate limit of an account. Change: a request is charged after key and route, refused with 429 at once or after a short wait for credit, without Retry-After if it can never run; its credit goes back if it ends as not run, is refused later, or its answer is replayed. Credit moves between entry processes by calls. /dump has limited_accounts and limits_divided_by, the metrics carawayvalve_account_refusals_total, the log a line an account every 5 s and one a refusal, with the request's id.

--- a/entry/src/dispatcher.cc
+++ b/entry/src/dispatcher.cc
@@ -345,6 +345,10 @@
   if (action.whole) {
     this->control.NoteServed(run.request.content.parts);
   }
+  if (run.request.charge != nullptr) {
+    run.request.charge->Settle(action.whole ||
+                               action.failure != core::FailureKind::kNotRun);
+  }
   run.request.writer->Finish(action);
   if (run.request.on_finish) {
     run.request.on_finish(action);
--- a/entry/src/dispatcher.h
+++ b/entry/src/dispatcher.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "account_rates.h"
 #include "answer_writer.h"
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/base/log.h"
@@ -37,6 +38,8 @@
   // Keeps running after the caller closes its connection.
   bool outlives_caller = false;
   std::shared_ptr<AnswerWriter> writer;
+  // Null if the account has no rate limit.
+  std::shared_ptr<AccountCharge> charge;
   // Called once with the request's result; may be empty.
   std::function<void(const core::FinishRequest&)> on_finish;
 };
--- a/entry/src/entry_metrics.cc
+++ b/entry/src/entry_metrics.cc
@@ -48,6 +48,11 @@
           .Name("carawayvalve_refusals_total")
           .Help("Requests refused before they were admitted, by status")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& account_refusals =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_account_refusals_total")
+          .Help("Requests beyond their accounts' rate limits")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& duration =
       prometheus::BuildHistogram()
           .Name("carawayvalve_request_duration_seconds")
@@ -73,6 +78,10 @@
   this->metrics->refused.Add({{"status", std::to_string(status)}}).Increment();
 }
 
+void EntryMetrics::CountAccountRefusal(const char* reason) {
+  this->metrics->account_refusals.Add({{"reason", reason}}).Increment();
+}
+
 std::function<void(const core::FinishRequest&)> EntryMetrics::TrackRequest(
     const base::ServiceId& service) {
   const base::Instant started_at = base::Now();
--- a/entry/src/entry_metrics.h
+++ b/entry/src/entry_metrics.h
@@ -19,6 +19,9 @@
 
   // Counts a request that was refused before it was admitted.
   void CountRefusal(int status);
+  // Counts a request beyond its account's rate limit; `reason` is "exceeded" or
+  // "too_large".
+  void CountAccountRefusal(const char* reason);
   // Starts timing a request; the returned function must be called with its
   // result and records its outcome and duration.
   std::function<void(const core::FinishRequest&)> TrackRequest(
--- a/entry/src/http_mapping.cc
+++ b/entry/src/http_mapping.cc
@@ -160,6 +160,9 @@
 base::Milliseconds RetryAfterOf(const Problem& problem) {
   constexpr int kConflict = 409;
   static const std::set<int> kTransient = {kConflict, 429, 503, 504};
+  if (problem.final) {
+    return base::Milliseconds(0);
+  }
   if (problem.outcome == Outcome::kNotRun) {
     return kTransient.contains(problem.status)
                ? std::max(problem.retry_after, kMinRetryAfter)
--- a/entry/src/http_mapping.h
+++ b/entry/src/http_mapping.h
@@ -33,6 +33,8 @@
   base::Milliseconds retry_after{0};
   // The allowed methods, for status 405.
   std::string allow = {};
+  // The same request would meet the same answer again.
+  bool final = false;
 
   bool operator==(const Problem&) const = default;
 };
--- a/entry/src/peer_handler.cc
+++ b/entry/src/peer_handler.cc
@@ -62,4 +62,9 @@
   this->sources.control.MergeCrashRecords(FromWire(deaths));
 }
 
+void PeerHandler::exchange_credit(wire::gen::CreditAnswer& answer,
+                                  const wire::gen::CreditMessage& message) {
+  this->sources.rates.Answer(answer, message);
+}
+
 }  // namespace carawayvalve::entry
--- a/entry/src/peer_handler.h
+++ b/entry/src/peer_handler.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "EntryPeer.h"
+#include "account_rates.h"
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/entry/settings.h"
 #include "configuration_feed.h"
@@ -26,6 +27,7 @@
     const std::atomic<bool>& leaving;
     std::function<std::vector<std::string>()> duties_held;
     UsageCollector& usage;
+    AccountRates& rates;
   };
 
   explicit PeerHandler(const Sources& sources) : sources(sources) {}
@@ -38,6 +40,8 @@
              int64_t since_window,
              int64_t open_window) override;
   void report_deaths(const std::vector<wire::gen::DeathMark>& deaths) override;
+  void exchange_credit(wire::gen::CreditAnswer& answer,
+                       const wire::gen::CreditMessage& message) override;
 
  private:
   Sources sources;
--- a/entry/src/request_admitter.cc
+++ b/entry/src/request_admitter.cc
@@ -65,6 +65,34 @@
   return agent_configuration;
 }
 
+// Returns the tokens that count against a rate limit; nothing if the request's
+// body tells none.
+std::optional<int64_t> TokensOf(const AdmittedRequest& request) {
+  return std::holds_alternative<wire::gen::ModelCall>(request.call)
+             ? std::optional(request.cost_tokens)
+             : std::nullopt;
+}
+
+// Returns why the request may not run, nothing if it was charged.
+std::optional<Problem> RateProblemOf(const AccountRates::Decision& decision) {
+  if (const auto* exceeded = std::get_if<core::AccountExceeded>(&decision)) {
+    return Problem{.status = 429,
+                   .title = "Too many requests",
+                   .detail = "beyond the account's rate limit",
+                   .retry_after = std::chrono::ceil<base::Milliseconds>(
+                       exceeded->retry_after)};
+  }
+  if (std::holds_alternative<core::AccountRequestTooLarge>(decision)) {
+    return Problem{.status = 429,
+                   .title = "Too many requests",
+                   .detail =
+                       "the request counts more than the account's rate limit "
+                       "ever allows at once",
+                   .final = true};
+  }
+  return std::nullopt;
+}
+
 // Turns the result of RouteTable::Match into a route or a problem.
 struct RouteOrProblem {
   using Result = std::variant<config::Route, Problem>;
@@ -86,11 +114,13 @@
 
 RequestAdmitter::RequestAdmitter(Dispatcher& dispatcher,
                                  TrafficControl& control,
+                                 AccountRates& rates,
                                  ClaimService& claims,
                                  EntryMetrics& metrics,
                                  IsFresh is_fresh)
     : dispatcher(dispatcher),
       control(control),
+      rates(rates),
       claims(claims),
       metrics(metrics),
       is_fresh(std::move(is_fresh)) {}
@@ -103,6 +133,7 @@
     this->active_configuration = next;
   }
   this->control.SetAccounts(next->configuration->declaration.client_accounts);
+  this->rates.SetAccounts(next->configuration->declaration.client_accounts);
   this->dispatcher.SetAgentConfiguration(
       AgentConfigurationOf(*next->configuration));
   this->dispatcher.RefuseWithdrawn([&](const AdmittedRequest& request) {
@@ -135,22 +166,34 @@
   if (active != nullptr) {
     result = this->Admit(*active, id, request, exchange);
   }
-  if (auto* admitted = std::get_if<AdmittedRequest>(&result)) {
-    const std::optional<Problem> problem = this->Begin(request, *admitted);
-    if (!problem) {
-      return;
-    }
-    result = *problem;
+  if (const auto* problem = std::get_if<Problem>(&result)) {
+    this->Refuse(*problem, id, *exchange);
+    return;
+  }
+  auto& admitted = std::get<AdmittedRequest>(result);
+  const auto claim = ClaimOf(request, admitted);
+  if (const auto* problem = std::get_if<Problem>(&claim)) {
+    this->Refuse(*problem, id, *exchange);
+  } else {
+    this->Charge(std::move(admitted), std::get<Claim>(claim));
   }
-  const auto& problem = std::get<Problem>(result);
+}
+
+void RequestAdmitter::Refuse(const Problem& problem,
+                             const base::RequestId& id,
+                             Exchange& exchange) {
   this->metrics.CountRefusal(problem.status);
-  exchange->Answer(ProblemHead(problem, id), ProblemBody(problem, id));
+  exchange.Answer(ProblemHead(problem, id), ProblemBody(problem, id));
 }
 
-std::optional<Problem> RequestAdmitter::Begin(const CallerRequest& request,
-                                              AdmittedRequest& admitted) {
+std::variant<RequestAdmitter::Claim, Problem> RequestAdmitter::ClaimOf(
+    const CallerRequest& request,
+    const AdmittedRequest& admitted) {
   const std::string key = FindHeader(request.headers, kIdempotencyHeader);
-  if (!key.empty() && admitted.key_sha256.empty()) {
+  if (key.empty()) {
+    return Claim{};
+  }
+  if (admitted.key_sha256.empty()) {
     return BadRequest("an open route takes no Idempotency-Key");
   }
   if (key.size() > kMaxIdempotencyKeyBytes) {
@@ -158,6 +201,34 @@
                       std::to_string(kMaxIdempotencyKeyBytes) +
                       " bytes at most");
   }
+  return Claim{key, base::Sha256(request.method + " " + request.target + "\n" +
+                                 request.body)};
+}
+
+void RequestAdmitter::Charge(AdmittedRequest admitted, const Claim& claim) {
+  const auto request = std::make_shared<AdmittedRequest>(std::move(admitted));
+  const ChargedRequest charged{request->id, request->client_account,
+                               TokensOf(*request),
+                               request->options.deadline - base::Now()};
+  this->rates.Charge(
+      charged, [this, request, claim](const AccountRates::Decision& decision) {
+        std::optional<Problem> problem = RateProblemOf(decision);
+        if (problem) {
+          this->metrics.CountAccountRefusal(problem->final ? "too_large"
+                                                           : "exceeded");
+        } else {
+          request->charge = std::get<std::shared_ptr<AccountCharge>>(decision);
+          problem = this->Begin(*request, claim);
+        }
+        if (problem) {
+          request->charge.reset();
+          this->Refuse(*problem, request->id, *request->writer->exchange());
+        }
+      });
+}
+
+std::optional<Problem> RequestAdmitter::Begin(AdmittedRequest& admitted,
+                                              const Claim& claim) {
   if (auto problem = this->CheckStop(admitted)) {
     return problem;
   }
@@ -172,12 +243,10 @@
     count(finish);
     control.Release(account, base::Now() - started_at);
   };
-  if (key.empty()) {
+  if (claim.key.empty()) {
     this->dispatcher.Start(admitted);
   } else {
-    const std::string content =
-        request.method + " " + request.target + "\n" + request.body;
-    this->claims.Begin(admitted, key, base::Sha256(content));
+    this->claims.Begin(admitted, claim.key, claim.digest);
   }
   return std::nullopt;
 }
--- a/entry/src/request_admitter.h
+++ b/entry/src/request_admitter.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "account_rates.h"
 #include "carawayvalve/config/configuration.h"
 #include "carawayvalve/core/client_key_index.h"
 #include "carawayvalve/core/route_table.h"
@@ -42,6 +43,7 @@
   // All references must outlive the admitter.
   RequestAdmitter(Dispatcher& dispatcher,
                   TrafficControl& control,
+                  AccountRates& rates,
                   ClaimService& claims,
                   EntryMetrics& metrics,
                   IsFresh is_fresh);
@@ -91,12 +93,26 @@
   std::optional<Problem> CheckLimits(const AdmittedRequest& request) const;
   // Returns a problem if this process may end before the request does.
   std::optional<Problem> CheckStop(const AdmittedRequest& request) const;
+  // The Idempotency-Key of a request, if any, with a digest of what it covers.
+  struct Claim {
+    std::string key;
+    std::string digest;
+  };
+
+  // Reads the request's claim, or returns a problem.
+  static std::variant<Claim, Problem> ClaimOf(const CallerRequest& request,
+                                              const AdmittedRequest& admitted);
+  // Charges the request's account, then starts the request or refuses it.
+  void Charge(AdmittedRequest admitted, const Claim& claim);
   // Starts the admitted request, or returns a problem.
-  std::optional<Problem> Begin(const CallerRequest& request,
-                               AdmittedRequest& admitted);
+  std::optional<Problem> Begin(AdmittedRequest& admitted, const Claim& claim);
+  void Refuse(const Problem& problem,
+              const base::RequestId& id,
+              Exchange& exchange);
 
   Dispatcher& dispatcher;
   TrafficControl& control;
+  AccountRates& rates;
   ClaimService& claims;
   EntryMetrics& metrics;
   IsFresh is_fresh;
--- a/entry/src/serve.cc
+++ b/entry/src/serve.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <thread>
 
+#include "account_rates.h"
 #include "caller_http_server.h"
 #include "carawayvalve/base/log.h"
 #include "carawayvalve/base/stop_signal.h"
@@ -84,6 +85,7 @@
   EntryMetrics metrics;
   TrafficControl control;
   CrashReporter crash_reporter;
+  AccountRates rates;
   Dispatcher dispatcher;
   ConfigurationFeed feed;
   PeerPoller peers;
@@ -107,6 +109,7 @@
             base::Milliseconds(settings.store_timeout_ms)),
       control(boot),
       crash_reporter(settings.host),
+      rates(settings.host, boot),
       dispatcher(boot, MakeRoutingSettings(settings), control, crash_reporter),
       feed(settings),
       peers(settings, feed, control, crash_reporter),
@@ -118,6 +121,7 @@
              }),
       admitter(dispatcher,
                control,
+               rates,
                claims,
                metrics,
                [this] {
@@ -158,6 +162,7 @@
 
 EntryProcess::~EntryProcess() {
   this->feed.Stop();
+  this->rates.Stop();
   this->dispatcher.CancelAll();
   this->dispatcher.Close();
 }
@@ -183,6 +188,7 @@
   this->peers.SetHosts(entry_hosts);
   this->duty_tasks.SetHosts(hosts);
   this->duty_manager.SetHosts(entry_hosts);
+  this->rates.SetHosts(hosts);
 }
 
 std::vector<systems::Host> EntryProcess::AgentHosts(
@@ -220,17 +226,21 @@
           this->admitter,
           this->dispatcher,
           this->metrics,
+          this->rates,
           this->leaving,
           [this] { return this->duty_manager.HeldDuties(); },
           [this] { return this->usage_task.Progress(); }};
 }
 
 PeerHandler::Sources EntryProcess::PeerHandlerSources() {
-  return {
-      this->settings,       this->boot,
-      this->feed,           this->control,
-      this->leaving,        [this] { return this->duty_manager.HeldDuties(); },
-      this->usage_collector};
+  return {this->settings,
+          this->boot,
+          this->feed,
+          this->control,
+          this->leaving,
+          [this] { return this->duty_manager.HeldDuties(); },
+          this->usage_collector,
+          this->rates};
 }
 
 void EntryProcess::Drain() {
@@ -249,6 +259,7 @@
   if (this->callers.open_requests() > 0) {
     this->log.Warn("The drain timeout expired with requests in flight.");
   }
+  this->rates.Leave();
 }
 
 }  // namespace
--- a/entry/src/state_dump.cc
+++ b/entry/src/state_dump.cc
@@ -137,6 +137,22 @@
           {"refused_reports", progress->refused_reports}};
 }
 
+json DumpLimitedAccounts(const OperatorPageSources& sources) {
+  json list = json::array();
+  for (const AccountRateRow& row : sources.rates.Rows()) {
+    list.push_back(
+        {{"account", row.account.value},
+         {"spent", row.status.spent},
+         {"refused", row.status.refused},
+         {"share_per_second", row.status.share_per_second},
+         {"balance", row.status.balance},
+         {"grant_age_ms", row.status.grant_age.has_value()
+                              ? base::ToMilliseconds(*row.status.grant_age)
+                              : -1}});
+  }
+  return list;
+}
+
 json DumpState(const OperatorPageSources& sources) {
   const auto active = sources.admitter.Active();
   json state = DumpStatus(sources);
@@ -145,6 +161,8 @@
   state["peers"] = DumpPeers(sources.peers, GenerationOf(active.get()));
   state["attempts"] = DumpAttempts(sources.dispatcher);
   state["usage"] = DumpUsage(sources);
+  state["limited_accounts"] = DumpLimitedAccounts(sources);
+  state["limits_divided_by"] = sources.rates.Divisor().value_or(0);
   return state;
 }
 
--- a/entry/src/state_dump.h
+++ b/entry/src/state_dump.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "account_rates.h"
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/core/usage_objects.h"
 #include "carawayvalve/entry/settings.h"
@@ -29,6 +30,7 @@
   const RequestAdmitter& admitter;
   Dispatcher& dispatcher;
   EntryMetrics& metrics;
+  AccountRates& rates;
   const std::atomic<bool>& leaving;
   std::function<std::vector<std::string>()> duties_held;
   std::function<std::optional<core::UsageProgress>()> usage_progress;
