--- a/review/standin/stop_case.cpp
+++ b/review/standin/stop_case.cpp
@@ -28,7 +28,7 @@
       settings.id = "i-engine" + std::to_string(i);
       settings.slots = 6;
       settings.duration = milliseconds(200);
-      settings.event_interval = milliseconds(65);
+      settings.event_interval = milliseconds(80);
       settings.events = 90;
       this->servers.push_back(std::make_unique<Backend>(
           this->lab.loop, settings, this->lab.runs));
@@ -48,7 +48,7 @@
     }
     this->lab.CheckReadiness();
     this->lab.After(seconds(3), [this] {
-      this->lab.Every(milliseconds(900), [this] { this->SendRequests(); });
+      this->lab.Every(milliseconds(600), [this] { this->SendRequests(); });
     });
     if (this->trouble) {
       this->lab.After(kStopAt, [this] { this->StopGateway(); });
