--- a/review/standin/lab.hpp
+++ b/review/standin/lab.hpp
@@ -390,6 +390,14 @@
     for (auto& gateway : lab.gateways) {
       lab.Kill(*gateway);
     }
+    for (const BackendRun& one : lab.runs) {
+      lab.Note("ran: request " + one.request + " at " + one.backend + " at " +
+               std::to_string(base::ToMilliseconds(one.at - lab.start)) +
+               " ms" +
+               (one.resumed_after.empty()
+                    ? ""
+                    : ", on from event " + one.resumed_after));
+    }
     lab.Note("all processes have ended");
   } catch (const std::exception& error) {
     std::cerr << error.what() << '\n';
