A process that ends by a signal leaves a last line, and loses none before it

FAULT in the users' record: a gateway ended with signal 11, and its log held nothing of that; up to 200 ms of lines that weren't written yet were lost too.

`gateway`, `serve` and the agents now write one line, event `crashed`, with the signal, the fault address, whether it lies near the stack pointer, and return addresses as offsets into the program for addr2line. It is written by a signal handler on a stack of its own that allocates nothing, reads no file and doesn't wait for a reader; then the signal takes its default action, so the platform sees the same end as before. Signals that have a handler keep it, and SIGSYS and the real-time signals aren't touched.

No change of logic.

--- a/agent/src/agent.cc
+++ b/agent/src/agent.cc
@@ -1,5 +1,7 @@
 #include "carawayvalve/agent/agent.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <memory>
 #include <string>
@@ -8,6 +10,7 @@
 
 #include "agent_handler.h"
 #include "attempt_service.h"
+#include "carawayvalve/base/crash_report.h"
 #include "carawayvalve/base/log.h"
 #include "carawayvalve/base/stop_signal.h"
 #include "carawayvalve/systems/operator_server.h"
@@ -73,6 +76,7 @@
 int RunAgent(const AgentSettings& settings) {
   base::BlockStopSignals();
   base::SetUpLog(settings.log_level);
+  base::ReportCrashes(STDERR_FILENO);
   const base::Log log("agent");
   const base::BootId boot{base::RandomName()};
 
--- a/base/src/journal.cc
+++ b/base/src/journal.cc
@@ -14,6 +14,8 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "carawayvalve/base/crash_report.h"
+
 namespace carawayvalve::base {
 
 namespace {
@@ -39,38 +41,42 @@
                              logging::sinks::concurrent_feeding> {
  public:
   Backend(size_t max_bytes, int descriptor)
-      : max_bytes(max_bytes), descriptor(descriptor) {}
+      : waiting(max_bytes), descriptor(descriptor) {
+    SetTextBeforeCrash(&this->waiting);
+  }
+  ~Backend() {
+    if (TextBeforeCrash() == &this->waiting) {
+      SetTextBeforeCrash(nullptr);
+    }
+  }
+  Backend(const Backend&) = delete;
+  Backend& operator=(const Backend&) = delete;
 
   void consume(const logging::record_view& /*record*/,
                const std::string& line) {
-    if (this->lines.size() + line.size() + 1 > this->max_bytes) {
+    if (!this->waiting.Append(line + '\n')) {
       ++this->dropped;
-      return;
     }
-    this->lines += line;
-    this->lines += '\n';
   }
 
   void Flush() {
-    size_t written = 0;
-    while (written < this->lines.size() && this->IsWritable()) {
-      const size_t size =
-          std::min(this->lines.size() - written, kMaxWriteBytes);
-      const ssize_t taken =
-          write(this->descriptor, this->lines.data() + written, size);
+    while (!this->waiting.view().empty() && this->IsWritable()) {
+      const std::string_view next =
+          this->waiting.view().substr(0, kMaxWriteBytes);
+      const ssize_t taken = write(this->descriptor, next.data(), next.size());
       if (taken <= 0) {
         break;
       }
-      written += static_cast<size_t>(taken);
+      this->waiting.DropFront(static_cast<size_t>(taken));
     }
-    this->lines.erase(0, written);
-    if (this->dropped > this->reported && this->lines.empty()) {
-      this->lines = nlohmann::json{{"ts", UnixMs()},
-                                   {"level", "warning"},
-                                   {"event", "log_lines_dropped"},
-                                   {"lines", this->dropped - this->reported}}
-                        .dump() +
-                    '\n';
+    if (this->dropped > this->reported && this->waiting.view().empty()) {
+      this->waiting.Append(
+          nlohmann::json{{"ts", UnixMs()},
+                         {"level", "warning"},
+                         {"event", "log_lines_dropped"},
+                         {"lines", this->dropped - this->reported}}
+              .dump() +
+          '\n');
       this->reported = this->dropped;
     }
   }
@@ -83,9 +89,8 @@
     return poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
   }
 
-  size_t max_bytes;
+  WaitingText waiting;
   int descriptor;
-  std::string lines;
   // Dropped lines that have been reported in a log line.
   int64_t reported = 0;
 };
--- a/entry/src/commands/process_commands.cc
+++ b/entry/src/commands/process_commands.cc
@@ -1,5 +1,8 @@
 #include "process_commands.h"
 
+#include <unistd.h>
+
+#include "carawayvalve/base/crash_report.h"
 #include "carawayvalve/entry/serve.h"
 #include "carawayvalve/entry/settings.h"
 #include "carawayvalve/gateway/gateway.h"
@@ -14,6 +17,7 @@
 }
 
 int Run(const GatewayCommand& command, std::ostream& /*output*/) {
+  base::ReportCrashes(STDOUT_FILENO);
   return gateway::Serve(command.settings_path);
 }
 
--- a/entry/src/serve.cc
+++ b/entry/src/serve.cc
@@ -1,10 +1,13 @@
 #include "carawayvalve/entry/serve.h"
 
+#include <unistd.h>
+
 #include <atomic>
 #include <set>
 #include <thread>
 
 #include "caller_http_server.h"
+#include "carawayvalve/base/crash_report.h"
 #include "carawayvalve/base/log.h"
 #include "carawayvalve/base/stop_signal.h"
 #include "carawayvalve/core/agent_selection.h"
@@ -256,6 +259,7 @@
 int Serve(const EntrySettings& settings) {
   base::BlockStopSignals();
   base::SetUpLog(settings.log_level);
+  base::ReportCrashes(STDERR_FILENO);
   {
     EntryProcess process(settings);
     base::WaitForStopSignal();
