Log and count the store's era and revisions that go back

The object client passes the era on; a gateway logs store_era_known and store_came_back_older, and shows the era as the metric store_era. A list or watch answered at a lower revision than the known one is logged and counted as revision_went_back. No change of logic.

--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -35,6 +35,18 @@
   this->metrics.CountBackendRequest(kind);
 }
 
+void Context::NoteStoreEra(int64_t era, const std::string& source) {
+  const int64_t before = this->state.store_era;
+  if (era <= before) {
+    return;
+  }
+  this->state.store_era = era;
+  this->journal.Write(
+      before == 0 ? base::LogLevel::kInfo : base::LogLevel::kWarning,
+      before == 0 ? "store_era_known" : "store_came_back_older",
+      {{"era", era}, {"before", before}, {"source", source}});
+}
+
 void Context::NoteBackendRate(const core::BackendRateStatement& statement,
                               const std::string& source) {
   core::BackendRateLimits& limits = this->state.rate_limits;
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -60,6 +60,8 @@
   void NoteStream(const core::StreamOrigin& origin,
                   const base::ServiceId& service,
                   base::Duration horizon);
+  // Records the store's era, as `source`, the store or a peer, says it.
+  void NoteStoreEra(int64_t era, const std::string& source);
   // Records that a backend server crashed or restarted; `sign` says how that
   // was noticed.
   void NoteBackendCrash(const base::BackendServerId& id, const char* sign);
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -85,6 +85,8 @@
       [this](const auto& exchange) { this->OnMetrics(exchange); });
   this->loop.OnSignals({SIGTERM, SIGINT, SIGHUP},
                        [this](int number) { this->OnSignal(number); });
+  this->objects.SetEraHandler(
+      [this](int64_t era) { this->context.NoteStoreEra(era, "store"); });
   this->feed.Start();
   this->peers.Start();
   this->origin_lookup.SetReadStored([this](const std::function<void()>& done) {
@@ -193,6 +195,8 @@
   this->metrics.SetGauge("late_requests_waiting",
                          static_cast<double>(this->waiting.size()));
   this->metrics.SetGauge("holds_duties", this->duties.holds(now) ? 1 : 0);
+  this->metrics.SetGauge("store_era",
+                         static_cast<double>(this->state.store_era));
   this->metrics.SetGauge("store_calls",
                          static_cast<double>(this->objects.calls()));
   for (const auto& [reason, count] : this->objects.counts().by_reason()) {
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -131,6 +131,8 @@
   base::Instant gateway_lost;
   // When the last complete reading of what gateways store was begun.
   std::optional<base::Instant> stored_read;
+  // The store's highest era that this gateway or a peer has seen.
+  int64_t store_era = 0;
   // This gateway reports the usage of all gateways.
   bool reports_usage = false;
   core::StopSchedule stop;
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -82,6 +82,7 @@
     this->List(*page->after);
     return;
   }
+  this->LogLowerRevision(this->list_revision, this->revision);
   this->revision = this->list_revision;
   this->hidden_revision = this->revision;
   this->listed_revisions.clear();
@@ -148,19 +149,21 @@
   this->watch_sent_at = sent_at;
   this->activity =
       watch_wait.count() > 0 ? Activity::kWatching : Activity::kBusy;
-  this->call =
-      this->objects.Watch(this->kind, this->revision, watch_wait,
-                          [this, sent_at](const platform::WatchResult& result) {
-                            this->OnWatched(result, sent_at);
-                          });
+  this->call = this->objects.Watch(this->kind, this->revision, watch_wait,
+                                   [this, sent_at, since = this->revision](
+                                       const platform::WatchResult& result) {
+                                     this->OnWatched(result, sent_at, since);
+                                   });
 }
 
 void ObjectWatcher::OnWatched(const platform::WatchResult& result,
-                              base::Instant sent_at) {
+                              base::Instant sent_at,
+                              int64_t since) {
   this->watch_sent_at.reset();
   this->activity = Activity::kBusy;
   if (const auto* answer = std::get_if<platform::ObjectChanges>(&result)) {
     this->NoteSuccess();
+    this->LogLowerRevision(answer->revision, since);
     // A peer may have passed on later changes meanwhile.
     if (answer->revision == 0 || answer->revision >= this->revision) {
       this->ApplyChanges(*answer, sent_at);
@@ -260,6 +263,16 @@
   this->timer.Start(wait, std::move(retry));
 }
 
+void ObjectWatcher::LogLowerRevision(int64_t answered, int64_t known) {
+  if (answered == 0 || answered >= known) {
+    return;
+  }
+  this->context.metrics.CountStoreCall("revision_went_back");
+  this->context.journal.Write(
+      base::LogLevel::kWarning, "revision_went_back",
+      {{"kind", this->kind}, {"revision", answered}, {"known", known}});
+}
+
 void ObjectWatcher::NoteSuccess() {
   this->context.metrics.CountStoreCall("answered");
   if (this->failures > 0) {
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -106,12 +106,17 @@
   void Watch(base::Milliseconds watch_wait);
   void ApplyChanges(const platform::ObjectChanges& received,
                     base::Instant sent_at);
-  void OnWatched(const platform::WatchResult& result, base::Instant sent_at);
+  // `since` is the revision that was watched from.
+  void OnWatched(const platform::WatchResult& result,
+                 base::Instant sent_at,
+                 int64_t since);
   // Calls `retry` after a backoff that grows with consecutive failures.
   void RetryLater(const std::string& reason, std::function<void()> retry);
   // Removes the changes that the list already included.
   void DropListedChanges(std::vector<platform::ObjectChange>& changes);
   void NoteSuccess();
+  // Logs and counts it if an answer's revision is less than `known`.
+  void LogLowerRevision(int64_t answered, int64_t known);
 
   Context& context;
   platform::ObjectClient& objects;
