--- a/core/include/carawayvalve/core/origin_search.h
+++ b/core/include/carawayvalve/core/origin_search.h
@@ -38,9 +38,18 @@
 using OriginRequest =
     std::variant<AskOriginKeepers, AskAllPeers, ReadStoredOrigins>;
 
+// What shows the version that began a stream: what was noted under its first
+// request, that its service has had no other one, or what was noted for streams
+// with the same content.
+enum class OriginProof { kFirstRequest, kOnlyVersion, kContent };
+
+// Returns the proof's name in logs.
+const char* NameOf(OriginProof proof);
+
 // The stream began at this version and goes on there only.
 struct ContinueAtVersion {
   std::string version;
+  OriginProof proof = OriginProof::kFirstRequest;
 
   bool operator==(const ContinueAtVersion&) const = default;
 };
--- a/core/src/origin_search.cc
+++ b/core/src/origin_search.cc
@@ -4,6 +4,18 @@
 
 namespace carawayvalve::core {
 
+const char* NameOf(OriginProof proof) {
+  switch (proof) {
+    case OriginProof::kFirstRequest:
+      return "first_request";
+    case OriginProof::kOnlyVersion:
+      return "only_version";
+    case OriginProof::kContent:
+      return "content";
+  }
+  return "";
+}
+
 OriginSearch::OriginSearch(const Settings& settings,
                            bool is_named,
                            bool has_peers,
@@ -64,7 +76,7 @@
 std::optional<OriginVerdict> OriginSearch::Conclude(
     const OriginEvidence& evidence) const {
   if (evidence.by_first.has_value()) {
-    return ContinueAtVersion{*evidence.by_first};
+    return ContinueAtVersion{*evidence.by_first, OriginProof::kFirstRequest};
   }
   // A version that is noted for the content contradicts another only one.
   std::set<std::string> possible =
@@ -76,7 +88,7 @@
     return OriginUnknown{"streams of several software versions fit"};
   }
   if (evidence.only_version.has_value()) {
-    return ContinueAtVersion{*evidence.only_version};
+    return ContinueAtVersion{*evidence.only_version, OriginProof::kOnlyVersion};
   }
   if (this->stage != Stage::kAsked || this->awaits_stored) {
     return std::nullopt;
@@ -85,7 +97,7 @@
     return OriginUnknown{
         "it isn't known which software version began the stream"};
   }
-  return ContinueAtVersion{*possible.begin()};
+  return ContinueAtVersion{*possible.begin(), OriginProof::kContent};
 }
 
 base::Instant OriginSearch::wake_at() const {
--- a/core/tests/origin_search_test.cc
+++ b/core/tests/origin_search_test.cc
@@ -93,7 +93,8 @@
 
   SUBCASE("goes on when all had time to answer") {
     search.Step({{}, {"v1"}, {}}, kStart + Milliseconds(80));
-    CHECK(search.verdict() == OriginVerdict(ContinueAtVersion{"v1"}));
+    CHECK(search.verdict() ==
+          OriginVerdict(ContinueAtVersion{"v1", OriginProof::kContent}));
   }
   SUBCASE("is refused if two versions began its content") {
     search.Step({{}, {"v1", "v2"}, {}}, kStart + Milliseconds(5));
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -87,6 +87,8 @@
                        [this](int number) { this->OnSignal(number); });
   this->feed.Start();
   this->peers.Start();
+  this->origin_lookup.SetRegistryKnownTo(
+      [this] { return this->feed.registry().confirmed(); });
   this->origin_lookup.SetReadStored([this](const std::function<void()>& done) {
     this->recent.Read([done](bool /*is_complete*/) { done(); });
   });
--- a/gateway/src/request_resumption.cc
+++ b/gateway/src/request_resumption.cc
@@ -42,6 +42,8 @@
   this->context.metrics.CountStreamTakenUp(known == nullptr ? "refused"
                                            : is_from_store  ? "goes_on_stored"
                                                             : "goes_on");
+  const base::Instant now = base::Now();
+  const auto registry_age = this->context.origin_lookup.RegistryAge(now);
   this->context.journal.Write(
       base::LogLevel::kInfo, "stream_taken_up",
       {{"request", this->caller.id.value},
@@ -49,8 +51,11 @@
        {"content", this->StreamContent()},
        {"after", *this->caller.after_event},
        {"version", known == nullptr ? "" : known->version},
+       {"proof", known == nullptr ? "" : core::NameOf(known->proof)},
+       {"registry_age_ms",
+        registry_age.has_value() ? base::ToMilliseconds(*registry_age) : -1},
        {"from_store", is_from_store},
-       {"age_ms", this->AgeMs(base::Now())}});
+       {"age_ms", this->AgeMs(now)}});
   std::visit([&](const auto& kind) { this->Perform(kind); }, verdict);
 }
 
--- a/gateway/src/stream_origin_lookup.cc
+++ b/gateway/src/stream_origin_lookup.cc
@@ -22,6 +22,12 @@
   return evidence;
 }
 
+std::optional<base::Duration> StreamOriginLookup::RegistryAge(
+    base::Instant now) const {
+  const auto known_to = this->registry_known_to();
+  return known_to.has_value() ? std::optional(now - *known_to) : std::nullopt;
+}
+
 void StreamOriginLookup::Find(const TakenUpStream& stream, Handler handler) {
   const std::string key = stream.Key();
   const auto found = this->searches.find(key);
--- a/gateway/src/stream_origin_lookup.h
+++ b/gateway/src/stream_origin_lookup.h
@@ -42,6 +42,7 @@
 class StreamOriginLookup {
  public:
   using Handler = std::function<void(const core::OriginVerdict&)>;
+  using RegistryKnownTo = std::function<std::optional<base::Instant>()>;
   using Ask = std::function<void(const OriginQuestion&)>;
   // Calls the argument once everything stored has been read or can't be read.
   using ReadStored = std::function<void(std::function<void()>)>;
@@ -49,9 +50,18 @@
   StreamOriginLookup(net::EventLoop& loop, const GatewayState& state)
       : loop(loop), state(state) {}
 
+  // Sets who tells up to when all registrations of backend servers are known
+  // here; nothing before the first list.
+  void SetRegistryKnownTo(RegistryKnownTo known_to) {
+    this->registry_known_to = std::move(known_to);
+  }
   void SetAsk(Ask ask_peers) { this->ask = std::move(ask_peers); }
   void SetReadStored(ReadStored read) { this->read_stored = std::move(read); }
 
+  // Returns for how long registrations of backend servers may have been missing
+  // here, nothing before the first list.
+  std::optional<base::Duration> RegistryAge(base::Instant now) const;
+
   // Calls the handler once, at once if the origin is known.
   void Find(const TakenUpStream& stream, Handler handler);
   // Must be called when origins have been learnt.
@@ -75,6 +85,7 @@
 
   net::EventLoop& loop;
   const GatewayState& state;
+  RegistryKnownTo registry_known_to = [] { return std::nullopt; };
   Ask ask = [](const OriginQuestion&) {};
   ReadStored read_stored = [](const std::function<void()>& done) { done(); };
   std::map<std::string, Search> searches;
