--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -89,6 +89,8 @@
       [this](int64_t era) { this->context.NoteStoreEra(era, "store"); });
   this->feed.Start();
   this->peers.Start();
+  this->origin_lookup.SetRegistryKnownTo(
+      [this] { return this->feed.registry().confirmed(); });
   this->origin_lookup.SetReadStored([this](const std::function<void()>& done) {
     this->recent.Read([done](bool /*is_complete*/) { done(); });
   });
