Log what a planned stop closes, by where the requests are

The gateway now keeps its admitted requests in LiveRequests and writes stop_closes with phase and number. No change of logic.

--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -13,6 +13,7 @@
 #include "gateway_metrics.h"
 #include "gateway_state.h"
 #include "late_request_scheduler.h"
+#include "live_requests.h"
 #include "stream_origin_lookup.h"
 
 namespace carawayvalve::gateway {
@@ -42,6 +43,7 @@
   std::function<void()>& on_urgent_news;
   StreamOriginLookup& origin_lookup;
   AccountLimits& account_limits;
+  LiveRequests& live_requests;
 
   // Records that a request of this kind, such as "attempt", is sent to a
   // backend server.
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -61,7 +61,8 @@
       context{this->loop,           this->state,         this->journal,
               this->metrics,        this->backends,      this->waiting,
               this->generator,      this->sent_prefixes, this->on_load_changed,
-              this->on_urgent_news, this->origin_lookup, this->account_limits},
+              this->on_urgent_news, this->origin_lookup, this->account_limits,
+              this->live_requests},
       feed(this->context, this->objects),
       peers(this->context, this->objects, this->feed),
       recent(this->context, this->objects, this->feed),
@@ -319,6 +320,10 @@
 }
 
 void Gateway::FinishStop() {
+  for (const auto& [phase, count] : this->live_requests.CountByPhase()) {
+    this->journal.Write(base::LogLevel::kWarning, "stop_closes",
+                        {{"phase", phase}, {"requests", count}});
+  }
   this->peers.Leave();
   this->loop.Stop();
 }
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -53,6 +53,7 @@
   LateRequestScheduler waiting;
   StreamOriginLookup origin_lookup;
   AccountLimits account_limits;
+  LiveRequests live_requests;
   platform::ObjectClient objects;
   Context context;
   StoreFeed feed;
--- a/gateway/src/request_answer.cc
+++ b/gateway/src/request_answer.cc
@@ -124,6 +124,7 @@
        {"incomplete_bytes", this->splitter.incomplete().size()},
        {"plan", this->table == nullptr ? 0 : this->table->version()},
        {"age_ms", this->AgeMs(now)}});
+  this->context.live_requests.Remove(this);
   this->deadline_timer.Cancel();
   this->overdue_timer.Cancel();
   if (this->queue_ticket.has_value()) {
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -94,9 +94,23 @@
   this->exchange->OnDisconnect([self] { self->OnCallerDisconnected(); });
   this->deadline_timer.Start(this->TimeLeft(base::Now()) + kDeadlineGrace,
                              [self] { self->OnDeadline(); });
+  this->context.live_requests.Add(self);
   this->ChargeAccount();
 }
 
+const char* RequestHandler::PhaseName() const {
+  if (this->progress.answer_begun) {
+    return "answering";
+  }
+  if (this->call != nullptr) {
+    return std::holds_alternative<platform::PrefillOnly>(
+               this->call->plan().order.stage)
+               ? "prefill"
+               : "at_backend";
+  }
+  return this->queue_ticket.has_value() ? "waiting_for_capacity" : "admission";
+}
+
 void RequestHandler::Begin() {
   if (this->IsStream() && this->caller.after_event.has_value()) {
     this->TakeUpStream();
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -24,6 +24,9 @@
   RequestHandler(Context& context, std::shared_ptr<net::Exchange> exchange);
 
   void Start();
+  // Returns where the request is, in logs: "admission" until it is placed,
+  // "waiting_for_capacity", "prefill", "at_backend" or "answering".
+  const char* PhaseName() const;
 
  private:
   // Return whether the request may proceed. If not, it has been answered.
--- a/gateway/tests/recent_store_test.cc
+++ b/gateway/tests/recent_store_test.cc
@@ -54,7 +54,8 @@
                 shared.on_load_changed,
                 shared.on_urgent_news,
                 lookup,
-                shared.account_limits},
+                shared.account_limits,
+                shared.live_requests},
         objects(shared.loop, base::ParseAddress(store), Milliseconds(1000)),
         feed(context, objects),
         recent(context, objects, feed) {
--- a/gateway/tests/test_gateway.h
+++ b/gateway/tests/test_gateway.h
@@ -33,10 +33,12 @@
   std::function<void()> on_urgent_news = [] {};
   StreamOriginLookup origin_lookup{loop, state};
   AccountLimits account_limits{loop, state.account_rates};
+  LiveRequests live_requests;
   Context context{loop,           state,         journal,
                   metrics,        backends,      late_requests,
                   generator,      sent_prefixes, on_load_changed,
-                  on_urgent_news, origin_lookup, account_limits};
+                  on_urgent_news, origin_lookup, account_limits,
+                  live_requests};
 };
 
 }  // namespace carawayvalve::gateway
