A request's odd counts of prompt tokens no longer end the gateway

Callers saw (by our test): a gateway ends with signal 11 at the second request whose X-Prompt-Prefix states a count that no prompt has, such as -1000 or counts whose sum passes 2^63; all that it had in hand was lost.

Cause: the counts were used as they came. An engine that had been sent such a prefix counted as caching -1000 tokens; 0 tokens elsewhere were then at least 500 more, and the placer reckoned a copy from an engine that is null. The class is a figure from outside whose range nothing checks.

Evidence, before the change: core_tests "Placer: counts of prompt tokens that nobody can mean" and gateway_tests "callers state counts of prompt tokens that no prompt has": test case CRASHED: SIGSEGV (the gateway's after one answered request).

Why it works: counts are bounded to 0 to 100 million where they are read and where they are summed up, so what is cached is never negative and no sum wraps; nothing is copied unless there is an engine to copy from.

--- a/core/include/carawayvalve/core/caller_request.h
+++ b/core/include/carawayvalve/core/caller_request.h
@@ -11,6 +11,12 @@
 
 namespace carawayvalve::core {
 
+// No prompt has more tokens; larger counts of callers count as this.
+inline constexpr int64_t kMaxPromptTokens = 100'000'000;
+
+// Returns a count that a caller states as one that a prompt can have.
+int64_t BoundTokens(int64_t stated);
+
 // A part of a prompt. Requests that begin with the same parts can share KV
 // cache entries.
 struct PromptPart {
--- a/core/src/placement_estimates.cc
+++ b/core/src/placement_estimates.cc
@@ -132,13 +132,15 @@
   Estimate estimate;
   estimate.entry = &entry;
   base::Duration copying{};
-  if (affinity.source_tokens >= cached + this->settings.min_copied_tokens) {
+  if (affinity.source != nullptr &&
+      affinity.source_tokens - cached >= this->settings.min_copied_tokens) {
     estimate.copy_from = affinity.source;
     copying = this->CopyTime(*affinity.source, entry,
                              affinity.source_tokens - cached);
     cached = affinity.source_tokens;
   }
-  estimate.missing_tokens = std::max<int64_t>(prompt.prompt_tokens - cached, 0);
+  estimate.missing_tokens =
+      std::max<int64_t>(BoundTokens(prompt.prompt_tokens) - cached, 0);
   estimate.prefill_work = this->PrefillWork(estimate.missing_tokens, cached);
   estimate.requests_ahead = present.requests;
   estimate.tokens_ahead = present.unread_tokens;
--- a/core/src/prefix_cache_tracker.cc
+++ b/core/src/prefix_cache_tracker.cc
@@ -25,7 +25,7 @@
   for (auto part = prompt.parts.begin(); part + 1 != prompt.parts.end();
        ++part) {
     key.hash = Mix(key.hash, base::StableHash(part->id));
-    key.tokens += part->tokens;
+    key.tokens = BoundTokens(key.tokens + BoundTokens(part->tokens));
     keys.push_back(key);
   }
   return keys;
@@ -38,8 +38,9 @@
   // The longest prefix is added last, so that eviction never keeps it without
   // the shorter ones.
   for (const PrefixKey& key : keys) {
-    const int64_t tokens = key.tokens - previous_tokens;
-    previous_tokens = key.tokens;
+    // Peers may state any counts.
+    const int64_t tokens = std::max<int64_t>(key.tokens - previous_tokens, 0);
+    previous_tokens = std::max(key.tokens, previous_tokens);
     const auto found = engine.by_hash.find(key.hash);
     if (found != engine.by_hash.end()) {
       engine.entries.splice(engine.entries.begin(), engine.entries,
--- a/core/tests/placement_test.cc
+++ b/core/tests/placement_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
 #include <map>
 #include <memory>
 
@@ -197,6 +198,31 @@
   }
 }
 
+TEST_CASE("Placer: counts of prompt tokens that nobody can mean") {
+  Fleet fleet(2, 2, 0);
+  constexpr int64_t kMost = std::numeric_limits<int64_t>::max();
+  const std::vector<std::vector<PromptPart>> odd_parts = {
+      {{"s", -1000}, {"own", 10}},
+      {{"s", std::numeric_limits<int64_t>::min()}, {"own", 10}},
+      {{"s", kMost}, {"own", kMost}},
+      {{"s", kMost}, {"t", kMost}, {"own", 1}},
+      {{"s", 800}, {"t", -5000}, {"own", 1}},
+      {{"", 0}, {"", 0}}};
+  for (const std::vector<PromptPart>& parts : odd_parts) {
+    for (const int64_t tokens : {int64_t{-1}, int64_t{0}, kMost}) {
+      const Prompt prompt{{"m"}, parts, tokens, tokens};
+      // All engines know the parts: one request with them came before.
+      for (const char* id : {"reader0", "reader1", "generator0"}) {
+        fleet.prefix_cache.NoteSent({id}, PrefixKeysOf(prompt));
+      }
+      const Placement placement = fleet.Choose(&prompt);
+      CHECK(placement.missing_tokens >= 0);
+      CHECK(placement.prefill_work >= 0);
+      CHECK(placement.expected >= Milliseconds(0));
+    }
+  }
+}
+
 TEST_CASE("Placer: an engine that is slower than the settings assume") {
   Fleet fleet(1, 1, 0);
   const Prompt prompt = MakeLongPrompt("s");
--- a/gateway/tests/request_handler_test.cc
+++ b/gateway/tests/request_handler_test.cc
@@ -86,6 +86,35 @@
   }
 }
 
+TEST_CASE("callers state counts of prompt tokens that no prompt has") {
+  RequestFixture fixture(2, kSlackOfManyRetries);
+  Backend decode_engine(fixture.gateway.loop, {.id = "generator"},
+                        fixture.runs);
+  fixture.Add("generator", decode_engine.port(), EngineRole::kDecode);
+  std::string many_parts;
+  for (int i = 0; i < 3000; ++i) {
+    many_parts += "p" + std::to_string(i) + ":9223372036854775807,";
+  }
+  for (const std::string& parts :
+       {std::string("s:-1000,own:10"),
+        std::string("s:9223372036854775807,t:9223372036854775807,own:1"),
+        std::string("s:-9223372036854775808,t:-1,own:1"),
+        std::string(":,,:0,:-5,:"), std::string("s:800,t:-5000,own:1"),
+        many_parts}) {
+    // The second one finds what is known of the first one's parts.
+    for (const char* id : {"r1", "r2", "r3"}) {
+      fixture.SendRequest(
+          [](const std::string&) {},
+          tests::PromptRequest("shop.example", "/notes/1", id, parts));
+      CHECK(fixture.complete);
+    }
+  }
+  // Others are served as before.
+  fixture.SendRequest([](const std::string&) {});
+  CHECK(fixture.complete);
+  CHECK(fixture.status == 200);
+}
+
 TEST_CASE("a decode engine crashes after its first events") {
   RequestFixture fixture(3);
   auto crashing_engine = std::make_unique<Backend>(
