Answer what a stopping gateway has in hand before it ends

Cause: StopSchedule bounded only requests that arrive; those in hand kept their own deadlines, and the loop ended before them. This holds for requests that wait for room, for credit, for a stream's origin, and for backend servers that don't answer.

Why this works: the time by which a request must have its final answer is decided in core (StopSchedule::AnswerBy) and every request in hand heeds it from the SIGTERM on: 504 if it may have run, else 503. A request that waits for room is held to MayTake like one that arrives, once the load balancer has noticed.

--- a/core/tests/stop_schedule_test.cc
+++ b/core/tests/stop_schedule_test.cc
@@ -1,6 +1,7 @@
 #include "carawayvalve/core/stop_schedule.h"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 namespace carawayvalve::core {
 
@@ -40,4 +41,26 @@
   }
 }
 
+// Guards against requests in hand that get no final answer before the process
+// ends, and against answers that are given up sooner than the stop requires.
+TEST_CASE("the final answer while stopping") {
+  const auto holds = rc::check("comes by the deadline and before the end", [] {
+    const Instant start = Instant() + seconds(100);
+    const auto any_ms = rc::gen::inRange(0, 20000);
+    const Milliseconds deadline(*any_ms);
+    const Milliseconds noticed(*any_ms);
+    const Milliseconds end(*rc::gen::inRange(500, 20000));
+    StopSchedule stop;
+    RC_ASSERT(stop.AnswerBy(start + deadline) == start + deadline);
+
+    stop.Begin(noticed, end, start);
+    const Instant answer_by = stop.AnswerBy(start + deadline);
+    RC_ASSERT(answer_by <= start + deadline);
+    RC_ASSERT(!stop.MustEnd(answer_by + Milliseconds(250)));
+    RC_ASSERT(answer_by == start + deadline ||
+              stop.MustEnd(answer_by + Milliseconds(500)));
+  });
+  CHECK(holds);
+}
+
 }  // namespace carawayvalve::core
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -306,7 +306,11 @@
       base::LogLevel::kInfo, "stopping",
       {{"connections", static_cast<int64_t>(this->callers->connections())}});
   this->callers->CloseAfterAnswers();
-  this->stop_timer.Start(kBalancerDrainTime, [this] { this->Stop(); });
+  this->live_requests.NoteStop();
+  this->stop_timer.Start(kBalancerDrainTime, [this] {
+    this->live_requests.NoteStop();
+    this->Stop();
+  });
 }
 
 void Gateway::Stop() {
--- a/gateway/src/live_requests.cc
+++ b/gateway/src/live_requests.cc
@@ -12,6 +12,16 @@
   this->requests.erase(request);
 }
 
+void LiveRequests::NoteStop() const {
+  // Copied because requests end.
+  const auto noted = this->requests;
+  for (const auto& [key, weak] : noted) {
+    if (const auto request = weak.lock()) {
+      request->OnStop();
+    }
+  }
+}
+
 std::map<std::string, int64_t> LiveRequests::CountByPhase() const {
   std::map<std::string, int64_t> counts;
   for (const auto& [key, weak] : this->requests) {
--- a/gateway/src/live_requests.h
+++ b/gateway/src/live_requests.h
@@ -15,6 +15,9 @@
  public:
   void Add(const std::shared_ptr<RequestHandler>& request);
   void Remove(const RequestHandler* request);
+  // Tells all of them that the process stops, or that the load balancer has
+  // noticed it.
+  void NoteStop() const;
   // Returns the number of requests by where they are, such as "at_backend".
   std::map<std::string, int64_t> CountByPhase() const;
 
--- a/gateway/src/request_admission.cc
+++ b/gateway/src/request_admission.cc
@@ -49,6 +49,10 @@
 }
 
 void RequestHandler::WaitForCapacity(const core::Placement& placement) {
+  if (!this->MayBeTaken(base::Now())) {
+    this->RefuseAtStop();
+    return;
+  }
   const auto self = this->shared_from_this();
   this->context.journal.Write(
       base::LogLevel::kInfo, "request_waits",
--- a/gateway/src/request_answer.cc
+++ b/gateway/src/request_answer.cc
@@ -10,7 +10,6 @@
 
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-constexpr int kTimeout = 504;
 // Status in metrics and logs of an answer that was broken off or whose caller
 // disconnected.
 constexpr int kNoStatus = 0;
@@ -52,22 +51,6 @@
   this->End(kNoStatus, "broken_off");
 }
 
-void RequestHandler::OnDeadline() {
-  if (this->ended) {
-    return;
-  }
-  if (this->progress.answer_begun) {
-    this->exchange->Abort();
-    this->End(kNoStatus, "broken_off_at_deadline");
-    return;
-  }
-  if (this->progress.may_have_run) {
-    this->Refuse(kTimeout, "no answer within the time allowed", false);
-  } else {
-    this->Refuse(kUnavailable, "not run within the time allowed", false);
-  }
-}
-
 void RequestHandler::OnCallerDisconnected() {
   if (this->ended) {
     return;
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -15,9 +15,6 @@
 constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 
-// Backend servers stop work at the deadline and report how it ended; the
-// gateway waits this much longer for their answer.
-constexpr base::Milliseconds kDeadlineGrace(80);
 // Urgency sent for the most urgent priority of a route; lower values are left
 // for more urgent work.
 constexpr int64_t kFirstUrgency = 2;
@@ -80,9 +77,8 @@
     timeout = std::min<base::Duration>(timeout, *this->caller.timeout);
   }
   this->deadline = this->arrived + timeout;
-  if (!this->context.state.stop.MayTake(this->deadline + kDeadlineGrace,
-                                        base::Now())) {
-    this->Refuse(kUnavailable, "this gateway stops before the deadline", false);
+  if (!this->MayBeTaken(base::Now())) {
+    this->RefuseAtStop();
     return;
   }
   this->service = core::ChooseService(*this->route, this->caller.id.value);
@@ -92,8 +88,7 @@
   }
   const auto self = this->shared_from_this();
   this->exchange->OnDisconnect([self] { self->OnCallerDisconnected(); });
-  this->deadline_timer.Start(this->TimeLeft(base::Now()) + kDeadlineGrace,
-                             [self] { self->OnDeadline(); });
+  this->StartDeadlineTimer(this->context.state.stop.AnswerBy(this->deadline));
   this->context.live_requests.Add(self);
   this->ChargeAccount();
 }
@@ -167,7 +162,7 @@
 }
 
 base::Duration RequestHandler::TimeLeft(base::Instant now) const {
-  return this->deadline - now;
+  return this->context.state.stop.AnswerBy(this->deadline) - now;
 }
 
 int64_t RequestHandler::AgeMs(base::Instant now) const {
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -27,6 +27,8 @@
   // Returns where the request is, in logs: "admission" until it is placed,
   // "waiting_for_capacity", "prefill", "at_backend" or "answering".
   const char* PhaseName() const;
+  // Applies what the stop of this process leaves of the time for an answer.
+  void OnStop();
 
  private:
   // Return whether the request may proceed. If not, it has been answered.
@@ -107,6 +109,8 @@
   void Perform(const core::ForwardFailure& step);
   void Perform(const core::BreakAnswerOff& step);
 
+  // Makes the request end at this time, or a little later.
+  void StartDeadlineTimer(base::Instant at);
   void OnDeadline();
   void OnCallerDisconnected();
   void Refuse(int status, const std::string& reason, bool send_retry_after);
@@ -137,6 +141,11 @@
   core::RequestRules Rules() const;
   core::PlacementQuery Query() const;
   int64_t Priority() const;
+  // Returns whether a stop of this process leaves the request time to be
+  // answered whatever it takes.
+  bool MayBeTaken(base::Instant now) const;
+  // Refuses a request that this process can't answer before it stops.
+  void RefuseAtStop();
   base::Duration TimeLeft(base::Instant now) const;
   int64_t AgeMs(base::Instant now) const;
 
