Lose only the object that can't be read, not the page or the gateway

Callers saw every gateway end with signal 11 once an entry among the backend servers was nested deeply, and requests sent to servers that had drained once an entry held 1e999, a byte that isn't UTF-8 or a lone surrogate.

Cause: the store's answer was parsed as a whole, so that one bad value lost the page, and values were copied and printed by recursion in proportion to their nesting. hasMore of another type threw out of the event loop. An entry that became unreadable left the earlier one in use.

An answer is now split by strings and brackets, without recursion, and each value is parsed alone and to a bounded depth. One that can't be read is null with a reason, names no backend server, and is told to peers as null. A log line and a metric tell it from a failed call.

--- /dev/null
+++ b/base/include/carawayvalve/base/foreign_json.h
@@ -0,0 +1,40 @@
+#ifndef CARAWAYVALVE_BASE_FOREIGN_JSON_H_
+#define CARAWAYVALVE_BASE_FOREIGN_JSON_H_
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace carawayvalve::base {
+
+// The greatest nesting of arrays and objects in JSON from another process.
+// Copying and printing a value recurse once a level.
+constexpr int kMaxForeignNesting = 128;
+
+// A value from JSON text that another process wrote.
+struct ForeignJson {
+  // Null when the text can't be read. Copying and printing it is safe.
+  nlohmann::json value;
+  // Why the text can't be read: it isn't JSON or not UTF-8, a number is out of
+  // range, or it is nested too deeply. Empty when it was read.
+  std::string fault;
+};
+
+// Never throws for what the text holds.
+ForeignJson ParseForeignJson(std::string_view text);
+
+// Return the texts of the members of the object, or of the elements of the
+// array, that `text` holds, each of which may be unreadable by itself; nothing
+// when `text` isn't an object or array whose ends can be found. Names that
+// can't be read are left out. Of two members with one name the last counts.
+std::optional<std::map<std::string, std::string_view>> SplitJsonObject(
+    std::string_view text);
+std::optional<std::vector<std::string_view>> SplitJsonArray(
+    std::string_view text);
+
+}  // namespace carawayvalve::base
+
+#endif  // CARAWAYVALVE_BASE_FOREIGN_JSON_H_
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -29,6 +29,16 @@
 
 }  // namespace
 
+void Context::NoteUnreadable(const std::string& kind,
+                             const platform::StoredObject& object) {
+  this->metrics.CountUnreadable(kind, "value");
+  this->journal.Write(base::LogLevel::kWarning, "stored_value_unreadable",
+                      {{"kind", kind},
+                       {"name", object.name},
+                       {"revision", object.revision},
+                       {"reason", object.fault}});
+}
+
 void Context::NoteBackendRequest(const base::BackendServerId& id,
                                  const char* kind) {
   this->state.rate_limits.NoteSent(id, base::Now());
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -9,6 +9,7 @@
 #include "carawayvalve/base/journal.h"
 #include "carawayvalve/net/event_loop.h"
 #include "carawayvalve/net/http_client.h"
+#include "carawayvalve/platform/objects.h"
 #include "carawayvalve/platform/requests.h"
 #include "gateway_metrics.h"
 #include "gateway_state.h"
@@ -43,6 +44,9 @@
   StreamOriginLookup& origin_lookup;
   AccountLimits& account_limits;
 
+  // Records that the store's object of a kind has a value that can't be read.
+  void NoteUnreadable(const std::string& kind,
+                      const platform::StoredObject& object);
   // Records that a request of this kind, such as "attempt", is sent to a
   // backend server.
   void NoteBackendRequest(const base::BackendServerId& id, const char* kind);
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -67,7 +67,11 @@
       recent(this->context, this->objects, this->feed),
       duties(this->context, this->objects, this->recent),
       tick_timer(this->loop),
-      stop_timer(this->loop) {}
+      stop_timer(this->loop) {
+  this->objects.SetOnFault([this](const auto& kind, const auto& object) {
+    this->context.NoteUnreadable(kind, object);
+  });
+}
 
 void Gateway::Run() {
   this->journal.Write(base::LogLevel::kInfo, "started",
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -65,6 +65,11 @@
           .Name("carawayvalve_store_calls_total")
           .Help("Calls to the store by how they ended")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& unreadable =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_unreadable_objects_total")
+          .Help("Objects of the store that can't be read, by kind")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& registry_fetches =
       prometheus::BuildCounter()
           .Name("carawayvalve_registry_fetches_total")
@@ -160,6 +165,11 @@
   this->families->store_calls.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::CountUnreadable(const std::string& kind,
+                                     const std::string& what) {
+  this->families->unreadable.Add({{"kind", kind}, {"what", what}}).Increment();
+}
+
 void GatewayMetrics::CountRegistryFetch(const std::string& outcome) {
   this->families->registry_fetches.Add({{"outcome", outcome}}).Increment();
 }
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -38,6 +38,9 @@
   // "too_large" for ever.
   void CountAccountRefusal(const std::string& reason);
   void CountStoreCall(const std::string& outcome);
+  // Counts an object of a kind of the store that can't be read: its "value", as
+  // received from the store, or an "entry" of a backend server from anywhere.
+  void CountUnreadable(const std::string& kind, const std::string& what);
   // Counts a request for changes of backend servers that was sent to a peer,
   // which "answered" or "failed" to.
   void CountRegistryFetch(const std::string& outcome);
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "carawayvalve/base/foreign_json.h"
 #include "carawayvalve/core/duty.h"
 #include "duty_holder.h"
 #include "gossip_format.h"
@@ -527,7 +528,7 @@
   } else if (std::holds_alternative<net::CallDone>(event)) {
     this->plan_call.reset();
     auto value = std::make_shared<const nlohmann::json>(
-        nlohmann::json::parse(this->plan_body, nullptr, false));
+        base::ParseForeignJson(this->plan_body).value);
     if (this->plan_status == kOk && value->is_object()) {
       this->feed.ApplyPlan(value, "peer");
     }
--- a/gateway/src/registry_relay.cc
+++ b/gateway/src/registry_relay.cc
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "carawayvalve/base/foreign_json.h"
+
 namespace carawayvalve::gateway {
 
 using nlohmann::json;
@@ -34,15 +36,17 @@
 
 // Throws nlohmann::json::exception when the body isn't such an answer.
 platform::ObjectChanges Decode(const std::string& body) {
-  const json document = json::parse(body);
+  const json document = base::ParseForeignJson(body).value;
   platform::ObjectChanges changes;
   changes.revision = document.at("revision").get<int64_t>();
   for (const json& change : document.at("changes")) {
     platform::StoredObject object;
     object.name = change.at("name").get<std::string>();
     object.revision = change.at("revision").get<int64_t>();
-    object.value = std::make_shared<const json>(
-        json::parse(change.at("value").get<std::string>()));
+    base::ForeignJson value =
+        base::ParseForeignJson(change.at("value").get<std::string>());
+    object.value = std::make_shared<const json>(std::move(value.value));
+    object.fault = std::move(value.fault);
     changes.changes.push_back(
         {std::move(object), change.at("removed").get<bool>()});
   }
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -345,7 +345,7 @@
 }
 
 void StoreFeed::ApplyConfiguration(const platform::StoredObject& object) {
-  if (object.name == platform::kConfigurationName) {
+  if (object.name == platform::kConfigurationName && object.fault.empty()) {
     this->ApplyPlan(object.value, "store");
   }
 }
@@ -386,6 +386,11 @@
   if (!entry.has_value()) {
     this->context.journal.Write(base::LogLevel::kWarning, "backend_unreadable",
                                 {{"backend", object.name}, {"reason", reason}});
+    this->context.metrics.CountUnreadable(platform::kBackendServerKind,
+                                          "entry");
+    if (state.directory.Find({object.name}) != nullptr) {
+      this->RemoveBackend({object.name}, "unreadable");
+    }
     return;
   }
   if (from_list) {
--- a/tests/platform/store.cc
+++ b/tests/platform/store.cc
@@ -25,11 +25,6 @@
   return "";
 }
 
-void Respond(net::Exchange& exchange, int status, const json& body) {
-  exchange.Respond(
-      {{status, {{"Content-Type", "application/json"}}}, body.dump()});
-}
-
 }  // namespace
 
 Store::Store(net::EventLoop& loop)
@@ -43,6 +38,27 @@
   this->Write({kind, name}, spec);
 }
 
+void Store::PutText(const std::string& kind,
+                    const std::string& name,
+                    const std::string& spec_text) {
+  const std::string stand_in =
+      "text " + std::to_string(this->texts.size()) + " of " + name;
+  this->texts[json(stand_in).dump()] = spec_text;
+  this->Put(kind, name, stand_in);
+}
+
+void Store::Respond(net::Exchange& exchange, int status, const json& body) {
+  std::string text = body.dump();
+  for (const auto& [stand_in, spec_text] : this->texts) {
+    for (size_t at = text.find(stand_in); at != std::string::npos;
+         at = text.find(stand_in, at + spec_text.size())) {
+      text.replace(at, stand_in.size(), spec_text);
+    }
+  }
+  this->on_answer(text);
+  exchange.Respond({{status, {{"Content-Type", "application/json"}}}, text});
+}
+
 void Store::Remove(const std::string& kind, const std::string& name) {
   const auto found = this->objects.find({kind, name});
   if (found == this->objects.end()) {
@@ -90,8 +106,8 @@
   }
   for (Watcher& watcher : to_notify) {
     watcher.timer.reset();
-    Respond(*watcher.exchange, 200,
-            this->ChangesSince(watcher.kind, watcher.since));
+    this->Respond(*watcher.exchange, 200,
+                  this->ChangesSince(watcher.kind, watcher.since));
   }
 }
 
@@ -112,7 +128,7 @@
     return;
   }
   if (this->refuses || !request.target.starts_with(kPrefix)) {
-    Respond(*exchange, this->refuses ? 503 : 404, json::object());
+    this->Respond(*exchange, this->refuses ? 503 : 404, json::object());
     return;
   }
   std::string path = request.target.substr(sizeof(kPrefix) - 1);
@@ -128,7 +144,7 @@
       exchange->Abort();
       return;
     }
-    Respond(*exchange, answer.first, answer.second);
+    this->Respond(*exchange, answer.first, answer.second);
     return;
   }
   const std::string watch = QueryValue(request.target, "watch");
@@ -140,7 +156,7 @@
   const Answer answer =
       name.empty() ? this->OnList(kind, QueryValue(request.target, "after"))
                    : this->OnRead(kind, name);
-  Respond(*exchange, answer.first, answer.second);
+  this->Respond(*exchange, answer.first, answer.second);
 }
 
 Store::Answer Store::OnList(const std::string& kind, const std::string& after) {
@@ -203,12 +219,12 @@
                   const std::shared_ptr<net::Exchange>& exchange) {
   ++this->watches[kind];
   if (since < this->compacted) {
-    Respond(*exchange, 410, json::object());
+    this->Respond(*exchange, 410, json::object());
     return;
   }
   json changes = this->ChangesSince(kind, since);
   if (!changes["events"].empty()) {
-    Respond(*exchange, 200, changes);
+    this->Respond(*exchange, 200, changes);
     return;
   }
   this->watchers.push_back(
@@ -226,7 +242,7 @@
     // Keeps the watcher alive: it owns the timer that runs this callback.
     const Watcher ended = std::move(*waiting);
     this->watchers.erase(waiting);
-    Respond(*ended.exchange, 200, none);
+    this->Respond(*ended.exchange, 200, none);
   });
 }
 
--- a/tests/platform/store.h
+++ b/tests/platform/store.h
@@ -28,6 +28,10 @@
   void Put(const std::string& kind,
            const std::string& name,
            const nlohmann::json& spec);
+  // The same with a value that may be malformed.
+  void PutText(const std::string& kind,
+               const std::string& name,
+               const std::string& spec_text);
   void Remove(const std::string& kind, const std::string& name);
   // Drops the history. Watches from an earlier revision get 410.
   void Compact();
@@ -43,6 +47,8 @@
   // Called before each page of a list, with the name that it begins after.
   std::function<void(const std::string& after)> on_page =
       [](const std::string&) {};
+  // May alter each answer.
+  std::function<void(std::string& text)> on_answer = [](std::string&) {};
   // The names after which the pages of lists began, by kind.
   std::map<std::string, std::vector<std::string>> pages;
   // Number of watch requests received, by kind.
@@ -63,6 +69,7 @@
   };
   using Answer = std::pair<int, nlohmann::json>;
 
+  void Respond(net::Exchange& exchange, int status, const nlohmann::json& body);
   void OnCall(const std::shared_ptr<net::Exchange>& exchange);
   Answer OnRead(const std::string& kind, const std::string& name) const;
   Answer OnList(const std::string& kind, const std::string& after);
@@ -85,6 +92,8 @@
   int64_t revision = 1;
   int64_t compacted = 0;
   std::list<Watcher> watchers;
+  // Values that may be malformed, by the strings that stand for them.
+  std::map<std::string, std::string> texts;
 };
 
 }  // namespace carawayvalve::tests
