Skip an answer without the id that its call expects

What callers saw: a backend server's earlier refusal, written again without X-Request-Id on a kept connection, was taken as the answer to the request in flight: 'not run' for a request that the server runs (REFUSED, TWICE).

Cause: ClientConnection::ParseMessage accepted an answer without the field. It is now skipped like one with another id; the call ends with its own answer or with an unknown outcome. A request without an id still accepts an answer without one.

Evidence, before the change: http_client_test, 'skips a response without the id before its own': CHECK( outcome.body == "right" ) with an earlier refusal == right; 'fails when only a response without the id arrives': status 200 == 0. Open: the same id twice on one connection (prefill, then run; a retry at the same server), releases, reports, orders, store and peer calls, which have no id; the metric; systems/, agent/ and entry/.

--- a/net/include/carawayvalve/net/http_client.h
+++ b/net/include/carawayvalve/net/http_client.h
@@ -23,8 +23,9 @@
   base::Duration connect_timeout = std::chrono::seconds(1);
   // Opens a new connection even if an idle one could be reused.
   bool fresh_connection = false;
-  // Responses that carry this field with another value belong to other calls
-  // and are skipped. With an empty name, any response is accepted.
+  // Responses without this field and value belong to other calls and are
+  // skipped; a missing field counts as empty. With an empty name, any response
+  // is accepted.
   HeaderField echo;
 
   bool operator==(const CallOptions&) const = default;
--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -318,9 +318,10 @@
         this->echo.name.empty()
             ? nullptr
             : FindField(this->parser->fields, this->echo.name);
-    // A response without the field is accepted: it may be the refusal of this
-    // request.
-    this->skipping_response = echoed != nullptr && *echoed != this->echo.value;
+    // A response without the field may be an earlier one that is repeated.
+    this->skipping_response =
+        !this->echo.name.empty() &&
+        (echoed == nullptr ? "" : *echoed) != this->echo.value;
     if (!this->skipping_response) {
       this->head_emitted = true;
       this->Emit(CallHead{{this->parser->status, this->parser->fields},
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -160,6 +160,19 @@
     const Outcome outcome = client.Call(server.Address(), ExpectingId("2"));
     CHECK(outcome.body == "right");
   }
+  SUBCASE("skips a response without the id before its own") {
+    const Reply repeated = Answer("", "an earlier refusal");
+    const Reply expected = Answer("X-Id: 2\r\n", "right");
+    AnswerServer server({{repeated.bytes + expected.bytes, true}});
+    const Outcome outcome = client.Call(server.Address(), ExpectingId("2"));
+    CHECK(outcome.body == "right");
+  }
+  SUBCASE("fails when only a response without the id arrives") {
+    AnswerServer server({{Answer("", "an earlier refusal").bytes, false}});
+    const Outcome outcome = client.Call(server.Address(), ExpectingId("2"));
+    CHECK(outcome.failed);
+    CHECK(outcome.status == 0);
+  }
   SUBCASE("fails when only the response to another request arrives") {
     AnswerServer server({{Answer("X-Id: 1\r\n", "late").bytes, false}});
     CHECK(client.Call(server.Address(), ExpectingId("2")).failed);
