DRAIN: compare the store's revisions within one era only

A core::StoreRevision is an era and a revision; the watcher, the change log, the relay between gateways and the gossip (store_era, era of the proof) use it. When the era rises, by the store or a peer, or a watch is answered at a lower revision, the objects are listed again; answers and proofs of an earlier era are dropped. Vanished entries are held as after an outage, and a run that drained stays draining whatever the copy shows.

Changed tests: registry_relay_test names the era in its paths and checks a wrong era, change_log_test names it and checks others, store_feed_test by type only.

--- a/core/include/carawayvalve/core/change_log.h
+++ b/core/include/carawayvalve/core/change_log.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "carawayvalve/core/store_revision.h"
+
 namespace carawayvalve::core {
 
 // A change of an object in the platform's store.
@@ -26,7 +28,7 @@
 // All changes after some revision of the store, in order.
 struct ObjectChangeRange {
   // The revision up to which these are all changes.
-  int64_t revision = 0;
+  StoreRevision revision;
   std::vector<ObjectChangeRecord> changes;
 
   bool operator==(const ObjectChangeRange&) const = default;
@@ -40,20 +42,20 @@
 
   // Forgets all changes, as a complete list of the objects was received, which
   // includes all changes up to `revision`.
-  void Restart(int64_t revision);
+  void Restart(const StoreRevision& revision);
   // Adds all changes from the end of the log to `range.revision`.
   void Append(const ObjectChangeRange& range);
 
   // Returns all changes after `revision`, or nothing if the log begins later or
-  // hasn't got that far. Changes before `revision` may come first: they are
-  // kept in the ranges in which they were received.
-  std::optional<ObjectChangeRange> Since(int64_t revision) const;
+  // hasn't got that far, or is of another era. Changes before `revision` may
+  // come first: they are kept in the ranges in which they were received.
+  std::optional<ObjectChangeRange> Since(const StoreRevision& revision) const;
 
  private:
   size_t max_changes;
   // The log holds all changes after the one and up to the other revision.
-  std::optional<int64_t> begin;
-  int64_t end = 0;
+  std::optional<StoreRevision> begin;
+  StoreRevision end;
   std::deque<ObjectChangeRange> ranges;
   size_t change_count = 0;
 };
--- a/core/src/change_log.cc
+++ b/core/src/change_log.cc
@@ -4,7 +4,7 @@
 
 namespace carawayvalve::core {
 
-void ChangeLog::Restart(int64_t revision) {
+void ChangeLog::Restart(const StoreRevision& revision) {
   this->ranges.clear();
   this->change_count = 0;
   this->begin = revision;
@@ -27,9 +27,10 @@
   }
 }
 
-std::optional<ObjectChangeRange> ChangeLog::Since(int64_t revision) const {
-  if (!this->begin.has_value() || revision < *this->begin ||
-      revision > this->end) {
+std::optional<ObjectChangeRange> ChangeLog::Since(
+    const StoreRevision& revision) const {
+  if (!this->begin.has_value() || !revision.Includes(*this->begin) ||
+      !this->end.Includes(revision)) {
     return std::nullopt;
   }
   ObjectChangeRange found{this->end, {}};
--- a/core/tests/change_log_test.cc
+++ b/core/tests/change_log_test.cc
@@ -9,38 +9,42 @@
 
 TEST_CASE("ChangeLog") {
   ChangeLog log(2);
-  CHECK(!log.Since(0).has_value());
-  log.Append({4, {{"early", 4, false, "{}"}}});
-  CHECK(!log.Since(0).has_value());
+  CHECK(!log.Since({1, 0}).has_value());
+  log.Append({{1, 4}, {{"early", 4, false, "{}"}}});
+  CHECK(!log.Since({1, 0}).has_value());
 
   SUBCASE("begins at a list of all objects") {
-    log.Restart(10);
-    CHECK(log.Since(10) == ObjectChangeRange{10, {}});
-    CHECK(!log.Since(9).has_value());
+    log.Restart({1, 10});
+    CHECK(log.Since({1, 10}) == ObjectChangeRange{{1, 10}, {}});
+    CHECK(!log.Since({1, 9}).has_value());
 
     SUBCASE("and returns the changes that followed, in order") {
       const ObjectChangeRecord first{"one", 12, false, "{}"};
       const ObjectChangeRecord second{"two", 13, true, "{}"};
-      log.Append({15, {first, second}});
-      CHECK(log.Since(10) == ObjectChangeRange{15, {first, second}});
-      CHECK(log.Since(15) == ObjectChangeRange{15, {}});
+      log.Append({{1, 15}, {first, second}});
+      CHECK(log.Since({1, 10}) == ObjectChangeRange{{1, 15}, {first, second}});
+      CHECK(log.Since({1, 15}) == ObjectChangeRange{{1, 15}, {}});
 
       SUBCASE("but nothing to one that is further on") {
-        CHECK(!log.Since(16).has_value());
+        CHECK(!log.Since({1, 16}).has_value());
+      }
+      SUBCASE("nor to one of another era of the store") {
+        CHECK(!log.Since({0, 12}).has_value());
+        CHECK(!log.Since({2, 12}).has_value());
       }
       SUBCASE("nor to one that lacks changes which it dropped") {
-        log.Append({16, {{"three", 16, false, "{}"}}});
-        CHECK(!log.Since(14).has_value());
-        CHECK(log.Since(15)->changes.size() == 1);
+        log.Append({{1, 16}, {{"three", 16, false, "{}"}}});
+        CHECK(!log.Since({1, 14}).has_value());
+        CHECK(log.Since({1, 15})->changes.size() == 1);
       }
       SUBCASE("a removal whose revision is an earlier one isn't left out") {
-        log.Append({18, {{"one", 12, true, "{}"}}});
-        CHECK(log.Since(15)->changes.size() == 1);
+        log.Append({{1, 18}, {{"one", 12, true, "{}"}}});
+        CHECK(log.Since({1, 15})->changes.size() == 1);
       }
       SUBCASE("and begins anew at the next list") {
-        log.Restart(20);
-        CHECK(!log.Since(15).has_value());
-        CHECK(log.Since(20) == ObjectChangeRange{20, {}});
+        log.Restart({1, 20});
+        CHECK(!log.Since({1, 15}).has_value());
+        CHECK(log.Since({1, 20}) == ObjectChangeRange{{1, 20}, {}});
       }
     }
   }
@@ -51,7 +55,7 @@
 TEST_CASE("ChangeLog gives followers every change") {
   CHECK(rc::check([] {
     ChangeLog log(*rc::gen::inRange<size_t>(1, 8));
-    log.Restart(1);
+    log.Restart({1, 1});
     std::map<std::string, int64_t> source;
     std::map<std::string, int64_t> follower;
     int64_t revision = 1;
@@ -64,11 +68,11 @@
         const int64_t changed = ++revision;
         // A change of another kind of objects follows.
         revision += step % 2;
-        log.Append({revision, {{name, changed, step == 4, "{}"}}});
+        log.Append({{1, revision}, {{name, changed, step == 4, "{}"}}});
         source[name] = step == 4 ? 0 : changed;
         continue;
       }
-      const auto range = log.Since(followed);
+      const auto range = log.Since({1, followed});
       if (!range.has_value()) {
         follower = source;
         followed = revision;
@@ -77,7 +81,7 @@
       for (const ObjectChangeRecord& change : range->changes) {
         follower[change.name] = change.removed ? 0 : change.revision;
       }
-      followed = range->revision;
+      followed = range->revision.revision;
       RC_ASSERT(follower == source);
     }
   }));
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -85,8 +85,6 @@
       [this](const auto& exchange) { this->OnMetrics(exchange); });
   this->loop.OnSignals({SIGTERM, SIGINT, SIGHUP},
                        [this](int number) { this->OnSignal(number); });
-  this->objects.SetEraHandler(
-      [this](int64_t era) { this->context.NoteStoreEra(era, "store"); });
   this->feed.Start();
   this->peers.Start();
   this->origin_lookup.SetReadStored([this](const std::function<void()>& done) {
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -197,7 +197,7 @@
                                   base::ToMilliseconds(*age) + 1, INT32_MAX))
                             : -1;
   gossip.leaving = this->leaving;
-  gossip.registry_revision = this->feed.registry_revision();
+  gossip.registry_revision = this->feed.registry_revision().revision;
   this->registry_relay.AddTo(gossip);
   if (state.reports_usage) {
     gossip.__set_reports_usage(true);
--- a/gateway/src/recent_store.cc
+++ b/gateway/src/recent_store.cc
@@ -57,7 +57,7 @@
   const auto action = state.recent_state.Step(
       {state.usage, window - kWindowsStored + 1,
        state.directory.RecentVersions(kVersionsTime, now),
-       this->feed.registry_read_to(), wall_time},
+       this->feed.registry_read_to().revision, wall_time},
       now);
   if (action.has_value()) {
     this->Write(*action);
@@ -172,7 +172,7 @@
   }
   state.stored_read = this->list_sent_at;
   this->context.origin_lookup.NoteLearned();
-  if (newest.has_value() && this->feed.registry_read_to() > 0) {
+  if (newest.has_value() && this->feed.registry_read_to().revision > 0) {
     this->ReadRegistrySince(*newest);
   } else {
     this->FinishRead(true);
@@ -209,7 +209,8 @@
                                  const platform::WatchResult& result) {
   GatewayState& state = this->context.state;
   const auto* changes = std::get_if<platform::ObjectChanges>(&result);
-  if (changes == nullptr || changes->revision < this->feed.registry_read_to()) {
+  if (changes == nullptr ||
+      changes->revision < this->feed.registry_read_to().revision) {
     return;
   }
   const base::Instant now = base::Now();
--- a/gateway/src/registry_relay.cc
+++ b/gateway/src/registry_relay.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
 namespace carawayvalve::gateway {
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr char kPath[] = "/registry?after=";
+constexpr char kEra[] = "&era=";
 constexpr int kOk = 200;
 constexpr std::chrono::seconds kKeepAlive(10);
 // After a failed fetch there is no other one for this time: the peer may not
@@ -29,7 +31,9 @@
                        {"removed", change.removed},
                        {"value", change.value}});
   }
-  return {{"revision", range.revision}, {"changes", changes}};
+  return {{"revision", range.revision.revision},
+          {"era", range.revision.era},
+          {"changes", changes}};
 }
 
 // Throws nlohmann::json::exception when the body isn't such an answer.
@@ -37,6 +41,7 @@
   const json document = json::parse(body);
   platform::ObjectChanges changes;
   changes.revision = document.at("revision").get<int64_t>();
+  changes.era = document.value("era", int64_t{0});
   for (const json& change : document.at("changes")) {
     platform::StoredObject object;
     object.name = change.at("name").get<std::string>();
@@ -49,6 +54,23 @@
   return changes;
 }
 
+// Returns the revision after which a peer asks for changes. One that doesn't
+// say the era knows none.
+std::optional<core::StoreRevision> ParseTarget(const std::string& target) {
+  if (!target.starts_with(kPath)) {
+    return std::nullopt;
+  }
+  core::StoreRevision revision;
+  const char* end = target.data() + target.size();
+  auto read = std::from_chars(target.data() + sizeof(kPath) - 1, end,
+                              revision.revision);
+  if (read.ec == std::errc() && std::string_view(read.ptr).starts_with(kEra)) {
+    read = std::from_chars(read.ptr + sizeof(kEra) - 1, end, revision.era);
+  }
+  return read.ec == std::errc() && read.ptr == end ? std::optional(revision)
+                                                   : std::nullopt;
+}
+
 }  // namespace
 
 RegistryRelay::RegistryRelay(Context& context, StoreFeed& feed)
@@ -58,6 +80,7 @@
       timeout(context.loop) {}
 
 void RegistryRelay::AddTo(wire::gen::Gossip& gossip) const {
+  gossip.__set_store_era(this->context.state.store_era);
   const auto confirmed = this->feed.registry().confirmed();
   if (!confirmed.has_value()) {
     return;
@@ -65,20 +88,26 @@
   wire::gen::GossipRegistryProof proof;
   proof.age_ms = static_cast<int32_t>(std::min<int64_t>(
       base::ToMilliseconds(base::Now() - *confirmed) + 1, INT32_MAX));
-  proof.revision = this->feed.registry().proof_revision();
+  const core::StoreRevision revision = this->feed.registry().proof_revision();
+  proof.revision = revision.revision;
+  proof.__set_era(revision.era);
   gossip.__set_registry_proof(proof);
 }
 
 void RegistryRelay::Apply(const wire::gen::Gossip& gossip,
                           const base::Address& address) {
-  this->feed.NoteRegistryRevision(gossip.registry_revision);
+  this->context.NoteStoreEra(gossip.store_era, gossip.host);
+  // Without a proof the peer hasn't listed the backend servers yet.
+  core::StoreRevision known_there{gossip.registry_proof.era,
+                                  gossip.registry_revision};
+  this->feed.NoteRegistryRevision(known_there);
   const ObjectWatcher& registry = this->feed.registry();
-  int64_t known_there = gossip.registry_revision;
   if (gossip.__isset.registry_proof) {
     const wire::gen::GossipRegistryProof& proof = gossip.registry_proof;
-    known_there = std::max(known_there, proof.revision);
+    const core::StoreRevision proven{proof.era, proof.revision};
+    known_there = std::max(known_there, proven);
     if (gossip.echo > 0 && proof.age_ms >= 0 &&
-        registry.received_revision() >= proof.revision) {
+        registry.received_revision().Includes(proven)) {
       // Only this process's clock counts, so that a delay in transit makes no
       // confirmation look newer.
       this->feed.NoteRegistryConfirmed(
@@ -88,6 +117,7 @@
   }
   if (this->call == nullptr && registry.IsIdle() &&
       known_there > registry.received_revision() &&
+      known_there.era == registry.received_revision().era &&
       base::Now() >= this->next_fetch) {
     this->Fetch(address);
   }
@@ -95,17 +125,11 @@
 
 std::optional<std::string> RegistryRelay::Answer(
     const std::string& target) const {
-  if (!target.starts_with(kPath)) {
-    return std::nullopt;
-  }
-  const std::string number = target.substr(sizeof(kPath) - 1);
-  int64_t revision = 0;
-  const auto [end, error] =
-      std::from_chars(number.data(), number.data() + number.size(), revision);
-  if (error != std::errc() || end != number.data() + number.size()) {
+  const auto revision = ParseTarget(target);
+  if (!revision.has_value()) {
     return std::nullopt;
   }
-  const auto range = this->feed.registry().log().Since(revision);
+  const auto range = this->feed.registry().log().Since(*revision);
   return range.has_value() ? std::optional(Encode(*range).dump())
                            : std::nullopt;
 }
@@ -113,8 +137,9 @@
 void RegistryRelay::Fetch(const base::Address& address) {
   this->status = 0;
   this->body.clear();
+  const core::StoreRevision& known = this->feed.registry().received_revision();
   const std::string target =
-      kPath + std::to_string(this->feed.registry().received_revision());
+      kPath + std::to_string(known.revision) + kEra + std::to_string(known.era);
   this->next_fetch = base::Now() + kFailedFetchDelay;
   this->timeout.Start(kFetchTimeout, [this] { this->call.reset(); });
   this->call = this->client.Start(
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -72,8 +72,24 @@
     return;
   }
   this->NoteSuccess();
-  if (this->listed.empty()) {
-    this->list_revision = page->revision;
+  const core::StoreRevision at = this->At(page->revision, page->era);
+  if (at.era < this->context.state.store_era) {
+    this->RetryLater("an answer of an earlier era", [this] { this->List(""); });
+    return;
+  }
+  const bool is_first = this->listed.empty();
+  const bool returned = is_first ? this->revision != core::StoreRevision() &&
+                                       at.era > this->revision.era
+                                 : at.era > this->list_revision.era;
+  if (returned) {
+    this->hooks.on_older_store();
+    if (!is_first) {
+      this->List("");
+      return;
+    }
+  }
+  if (is_first) {
+    this->list_revision = at;
   }
   this->listed.insert(this->listed.end(), page->objects.begin(),
                       page->objects.end());
@@ -83,11 +99,16 @@
     return;
   }
   this->LogLowerRevision(this->list_revision, this->revision);
+  if (this->list_revision < this->revision) {
+    this->newest_revision = {};
+    this->peers_revision = {};
+  }
   this->revision = this->list_revision;
   this->hidden_revision = this->revision;
   this->listed_revisions.clear();
   for (const platform::StoredObject& object : this->listed) {
-    this->newest_revision = std::max(this->newest_revision, object.revision);
+    this->newest_revision =
+        std::max(this->newest_revision, {this->revision.era, object.revision});
     this->listed_revisions[object.name] = object.revision;
   }
   this->change_log.Restart(this->revision);
@@ -105,6 +126,10 @@
 }
 
 void ObjectWatcher::Renew(base::Instant now) {
+  if (this->activity != Activity::kBusy && this->IsOfOlderEra()) {
+    this->ListOlderStore();
+    return;
+  }
   if (this->activity == Activity::kIdle && this->schedule.wait.has_value()) {
     this->Follow();
     return;
@@ -122,7 +147,7 @@
   }
 }
 
-void ObjectWatcher::NoteRevision(int64_t peer_revision) {
+void ObjectWatcher::NoteRevision(const core::StoreRevision& peer_revision) {
   this->peers_revision = std::max(this->peers_revision, peer_revision);
   if (this->peers_revision <= this->revision) {
     this->lacking_since.reset();
@@ -144,29 +169,47 @@
   }
 }
 
+void ObjectWatcher::ListOlderStore() {
+  this->timer.Cancel();
+  this->watch_sent_at.reset();
+  this->hooks.on_older_store();
+  this->List("");
+}
+
 void ObjectWatcher::Watch(base::Milliseconds watch_wait) {
+  if (this->IsOfOlderEra()) {
+    this->ListOlderStore();
+    return;
+  }
   const base::Instant sent_at = base::Now();
   this->watch_sent_at = sent_at;
   this->activity =
       watch_wait.count() > 0 ? Activity::kWatching : Activity::kBusy;
-  this->call = this->objects.Watch(this->kind, this->revision, watch_wait,
-                                   [this, sent_at, since = this->revision](
-                                       const platform::WatchResult& result) {
-                                     this->OnWatched(result, sent_at, since);
-                                   });
+  this->call =
+      this->objects.Watch(this->kind, this->revision.revision, watch_wait,
+                          [this, sent_at, since = this->revision](
+                              const platform::WatchResult& result) {
+                            this->OnWatched(result, sent_at, since);
+                          });
 }
 
 void ObjectWatcher::OnWatched(const platform::WatchResult& result,
                               base::Instant sent_at,
-                              int64_t since) {
+                              const core::StoreRevision& since) {
   this->watch_sent_at.reset();
   this->activity = Activity::kBusy;
   if (const auto* answer = std::get_if<platform::ObjectChanges>(&result)) {
     this->NoteSuccess();
-    this->LogLowerRevision(answer->revision, since);
+    const core::StoreRevision at = this->At(answer->revision, answer->era);
+    this->LogLowerRevision(at, since);
+    const bool went_back = answer->revision != 0 && !at.Includes(since);
+    if (went_back || this->IsOfOlderEra()) {
+      this->ListOlderStore();
+      return;
+    }
     // A peer may have passed on later changes meanwhile.
-    if (answer->revision == 0 || answer->revision >= this->revision) {
-      this->ApplyChanges(*answer, sent_at);
+    if (answer->revision == 0 || at >= this->revision) {
+      this->ApplyChanges(*answer, at, sent_at);
     }
     this->NoteConfirmed(sent_at);
     // Peers without a watch of their own rely on it.
@@ -184,8 +227,12 @@
   if (std::holds_alternative<platform::HistoryLost>(result)) {
     this->context.journal.Write(
         base::LogLevel::kWarning, "history_lost",
-        {{"kind", this->kind}, {"revision", this->revision}});
-    this->List("");
+        {{"kind", this->kind}, {"revision", this->revision.revision}});
+    if (this->IsOfOlderEra()) {
+      this->ListOlderStore();
+    } else {
+      this->List("");
+    }
     return;
   }
   const auto* refused = std::get_if<platform::StoreRefused>(&result);
@@ -196,14 +243,18 @@
 }
 
 void ObjectWatcher::ApplyPeerChanges(const platform::ObjectChanges& received) {
-  if (received.revision > this->revision) {
-    this->ApplyChanges(received, base::Now());
+  // Changes of another era than this one's follow on other objects.
+  const core::StoreRevision at{received.era.value_or(0), received.revision};
+  if (!this->IsOfOlderEra() && at.Includes(this->revision) &&
+      at != this->revision) {
+    this->ApplyChanges(received, at, base::Now());
   }
 }
 
 void ObjectWatcher::ApplyChanges(const platform::ObjectChanges& received,
+                                 const core::StoreRevision& at,
                                  base::Instant sent_at) {
-  this->revision = std::max(this->revision, received.revision);
+  this->revision = std::max(this->revision, at);
   if (this->peers_revision <= this->revision) {
     this->lacking_since.reset();
   }
@@ -223,8 +274,8 @@
   }
   this->DropListedChanges(changes);
   for (const platform::ObjectChange& change : changes) {
-    this->newest_revision =
-        std::max(this->newest_revision, change.object.revision);
+    this->newest_revision = std::max(
+        this->newest_revision, {this->revision.era, change.object.revision});
   }
   this->hooks.on_changes(changes, sent_at);
 }
@@ -263,14 +314,17 @@
   this->timer.Start(wait, std::move(retry));
 }
 
-void ObjectWatcher::LogLowerRevision(int64_t answered, int64_t known) {
-  if (answered == 0 || answered >= known) {
+void ObjectWatcher::LogLowerRevision(const core::StoreRevision& answered,
+                                     const core::StoreRevision& known) {
+  if (answered.revision == 0 || answered.revision >= known.revision) {
     return;
   }
   this->context.metrics.CountStoreCall("revision_went_back");
-  this->context.journal.Write(
-      base::LogLevel::kWarning, "revision_went_back",
-      {{"kind", this->kind}, {"revision", answered}, {"known", known}});
+  this->context.journal.Write(base::LogLevel::kWarning, "revision_went_back",
+                              {{"kind", this->kind},
+                               {"era", answered.era},
+                               {"revision", answered.revision},
+                               {"known", known.revision}});
 }
 
 void ObjectWatcher::NoteSuccess() {
@@ -305,7 +359,7 @@
              }
              this->context.state.key_freshness.NoteStoreAnswer(sent_at);
            },
-           [](const std::string&) {}}),
+           [](const std::string&) {}, [] {}}),
       backends(context,
                objects,
                platform::kBackendServerKind,
@@ -330,7 +384,11 @@
                 [this](const std::string&) {
                   this->context.state.directory.NoteStoreFailure(base::Now());
                   this->context.state.directory.SetCurrent(false);
-                }}) {}
+                },
+                [this] { this->OnOlderStore(); }}) {
+  objects.SetEraHandler(
+      [this](int64_t era) { this->context.NoteStoreEra(era, "store"); });
+}
 
 void StoreFeed::Start() {
   this->backends.SetBatchDelay(kBatchDelay);
@@ -382,13 +440,21 @@
   }
 }
 
+void StoreFeed::OnOlderStore() {
+  core::BackendDirectory& directory = this->context.state.directory;
+  this->listed_backends.clear();
+  directory.NoteStoreFailure(base::Now());
+  directory.SetCurrent(false);
+}
+
 void StoreFeed::OnAllBackendsListed() {
   const auto listed = std::exchange(this->listed_backends, {});
   this->context.state.directory.KeepOnly(listed, base::Now());
   this->UpdateCurrent();
-  this->context.journal.Write(base::LogLevel::kInfo, "backends_listed",
-                              {{"count", static_cast<int64_t>(listed.size())},
-                               {"revision", this->registry_revision()}});
+  this->context.journal.Write(
+      base::LogLevel::kInfo, "backends_listed",
+      {{"count", static_cast<int64_t>(listed.size())},
+       {"revision", this->registry_revision().revision}});
 }
 
 void StoreFeed::ApplyBackend(const platform::StoredObject& object,
@@ -414,6 +480,10 @@
     state.health.Forget(entry->id);
     state.reported_load.Forget(entry->id);
   }
+  // An older copy of the store may show this run as it was before.
+  if (entry->draining) {
+    state.directory.NoteLeaving(entry->id, entry->started_ms, base::Now());
+  }
   if (previous != nullptr && previous->role != entry->role) {
     state.health.NoteRoleChangeDone(entry->id);
     state.changing_roles.erase(entry->id);
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "carawayvalve/core/change_log.h"
+#include "carawayvalve/core/store_revision.h"
 #include "carawayvalve/core/watch_plan.h"
 #include "carawayvalve/platform/objects.h"
 #include "context.h"
@@ -34,6 +35,9 @@
         on_changes;
     // Called when a call was refused or failed.
     std::function<void(const std::string& reason)> on_failure;
+    // Called when the store has come back from an older copy, before the
+    // objects are listed again. What was listed so far doesn't count.
+    std::function<void()> on_older_store;
   };
 
   ObjectWatcher(Context& context,
@@ -66,28 +70,34 @@
   // Returns since when changes may be missing, nothing before the first list.
   std::optional<base::Instant> confirmed() const { return this->confirmed_at; }
   // Returns the revision up to which changes were received.
-  int64_t received_revision() const { return this->revision; }
+  const core::StoreRevision& received_revision() const {
+    return this->revision;
+  }
   // Returns a revision: who has received all changes up to it has all that were
   // received here. A list or a removal may show no newer object.
-  int64_t proof_revision() const {
+  core::StoreRevision proof_revision() const {
     return std::max(this->newest_revision, this->hidden_revision);
   }
   bool IsIdle() const { return this->activity == Activity::kIdle; }
   // Returns whether peers know changes that are missing here.
-  bool IsBehind() const { return this->peers_revision > this->revision; }
+  bool IsBehind() const {
+    return this->IsOfOlderEra() || this->peers_revision > this->revision;
+  }
   // Sets the delay after changes before the next watch: many backend servers
   // change at about the same time, and each watch is a call.
   void SetBatchDelay(base::Milliseconds time) { this->batch_delay = time; }
   // Records that a peer has received changes up to a revision of the store.
   // Sends a new watch when the pending one should have received them too, since
   // its connection may be broken.
-  void NoteRevision(int64_t peer_revision);
+  void NoteRevision(const core::StoreRevision& peer_revision);
   // Returns the revision of the newest change to this kind that was received.
   // The store's own revision also rises with changes to other kinds.
-  int64_t newest_change() const { return this->newest_revision; }
+  const core::StoreRevision& newest_change() const {
+    return this->newest_revision;
+  }
   // Returns the store's revision up to which changes were received; 0 before
   // the first list.
-  int64_t read_to() const { return this->revision; }
+  const core::StoreRevision& read_to() const { return this->revision; }
   // Returns whether all changes that this process or a peer knows of have been
   // received, and the store has answered this process or a peer since the last
   // failure.
@@ -95,28 +105,43 @@
     const bool answered =
         this->failures == 0 ||
         this->confirmed_at.value_or(this->failed_at) > this->failed_at;
-    return answered && this->peers_revision <= this->revision;
+    return answered && !this->IsBehind();
   }
 
  private:
+  // Returns whether the store is known to have come back from an older copy
+  // since the objects were listed.
+  bool IsOfOlderEra() const {
+    return this->revision.era < this->context.state.store_era;
+  }
+  // Returns the state of the store at an answer. One that doesn't say its era
+  // is of the latest.
+  core::StoreRevision At(int64_t answered, std::optional<int64_t> era) const {
+    return {era.value_or(this->context.state.store_era), answered};
+  }
+  // Lists the objects again, as the store came back from an older copy.
+  void ListOlderStore();
   void List(const std::string& after);
   void OnListed(const platform::ListResult& result, base::Instant sent_at);
   // Goes on after an answer: with a watch, or idle.
   void Follow();
   void Watch(base::Milliseconds watch_wait);
+  // Applies all changes up to `at`.
   void ApplyChanges(const platform::ObjectChanges& received,
+                    const core::StoreRevision& at,
                     base::Instant sent_at);
   // `since` is the revision that was watched from.
   void OnWatched(const platform::WatchResult& result,
                  base::Instant sent_at,
-                 int64_t since);
+                 const core::StoreRevision& since);
   // Calls `retry` after a backoff that grows with consecutive failures.
   void RetryLater(const std::string& reason, std::function<void()> retry);
   // Removes the changes that the list already included.
   void DropListedChanges(std::vector<platform::ObjectChange>& changes);
   void NoteSuccess();
   // Logs and counts it if an answer's revision is less than `known`.
-  void LogLowerRevision(int64_t answered, int64_t known);
+  void LogLowerRevision(const core::StoreRevision& answered,
+                        const core::StoreRevision& known);
 
   Context& context;
   platform::ObjectClient& objects;
@@ -129,7 +154,7 @@
   base::Instant list_sent_at;
   // The revision of the store at the first page. Objects of that page may have
   // changed by the time of the last one.
-  int64_t list_revision = 0;
+  core::StoreRevision list_revision;
   // The revisions of the listed objects, until the first watch after the list
   // was answered: it returns changes that later pages include.
   std::map<std::string, int64_t> listed_revisions;
@@ -142,12 +167,12 @@
   bool keeps_log = false;
   core::ChangeLog change_log;
   // The revision of the store up to which changes were received.
-  int64_t revision = 0;
-  int64_t newest_revision = 0;
+  core::StoreRevision revision;
+  core::StoreRevision newest_revision;
   // The store's revision at the last list or removal.
-  int64_t hidden_revision = 0;
+  core::StoreRevision hidden_revision;
   // The newest change that peers have received.
-  int64_t peers_revision = 0;
+  core::StoreRevision peers_revision;
   // Since when changes that peers know have been missing; empty if none are.
   std::optional<base::Instant> lacking_since;
   std::optional<base::Instant> confirmed_at;
@@ -194,11 +219,15 @@
   // effect while changes that peers know are missing here.
   void NoteRegistryConfirmed(base::Instant at);
   // Returns the revision of the newest received change of backend servers.
-  int64_t registry_revision() const { return this->backends.newest_change(); }
+  const core::StoreRevision& registry_revision() const {
+    return this->backends.newest_change();
+  }
   // Returns the store's revision up to which backend servers are known.
-  int64_t registry_read_to() const { return this->backends.read_to(); }
+  const core::StoreRevision& registry_read_to() const {
+    return this->backends.read_to();
+  }
   // Records the corresponding revision of a peer.
-  void NoteRegistryRevision(int64_t peer_revision) {
+  void NoteRegistryRevision(const core::StoreRevision& peer_revision) {
     this->backends.NoteRevision(peer_revision);
     this->UpdateCurrent();
   }
@@ -215,6 +244,8 @@
   // A server that a list shows for the first time isn't logged: there may be
   // thousands.
   void ApplyBackend(const platform::StoredObject& object, bool from_list);
+  // Entries that are missing from an older copy are written again soon.
+  void OnOlderStore();
   // Drops the backend servers that weren't on the pages of a list.
   void OnAllBackendsListed();
   void RemoveBackend(const base::BackendServerId& id, const char* cause);
--- a/gateway/tests/registry_relay_test.cc
+++ b/gateway/tests/registry_relay_test.cc
@@ -47,7 +47,7 @@
     wire::gen::Gossip message;
     message.host = "watching";
     message.echo = base::ToMilliseconds(base::Now().time_since_epoch());
-    message.registry_revision = this->watching.registry_revision();
+    message.registry_revision = this->watching.registry_revision().revision;
     this->watching_relay.AddTo(message);
     return message;
   }
@@ -135,14 +135,19 @@
 
 TEST_CASE("a gateway tells its peers only what it knows without a gap") {
   const RelayTest test;
-  const int64_t revision = test.watching.registry().received_revision();
+  const int64_t revision =
+      test.watching.registry().received_revision().revision;
   const auto path = [](int64_t after) {
-    return "/registry?after=" + std::to_string(after);
+    return "/registry?after=" + std::to_string(after) + "&era=1";
   };
   CHECK(test.watching_relay.Answer(path(revision)).has_value());
   CHECK(!test.watching_relay.Answer(path(revision - 1)).has_value());
   CHECK(!test.watching_relay.Answer(path(revision + 1)).has_value());
+  CHECK(!test.watching_relay
+             .Answer("/registry?after=" + std::to_string(revision) + "&era=2")
+             .has_value());
   CHECK(!test.watching_relay.Answer("/registry?after=x").has_value());
+  CHECK(!test.watching_relay.Answer("/registry?after=1&era=").has_value());
   CHECK(!test.watching_relay.Answer("/plan").has_value());
 }
 
--- a/gateway/tests/store_feed_test.cc
+++ b/gateway/tests/store_feed_test.cc
@@ -78,7 +78,7 @@
     CHECK(second_feed.registry_revision() == feed.registry_revision());
 
     SUBCASE("but a change of a backend server does") {
-      const int64_t before = second_feed.registry_revision();
+      const auto before = second_feed.registry_revision();
       store.Put("servers", "i-2", DeskServer());
       StoreFeed third_feed(gateway.context, objects);
       third_feed.Start();
--- a/tests/platform/store.cc
+++ b/tests/platform/store.cc
@@ -25,11 +25,6 @@
   return "";
 }
 
-void Respond(net::Exchange& exchange, int status, const json& body) {
-  exchange.Respond(
-      {{status, {{"Content-Type", "application/json"}}}, body.dump()});
-}
-
 }  // namespace
 
 Store::Store(net::EventLoop& loop)
@@ -37,6 +32,33 @@
         this->OnCall(exchange);
       }) {}
 
+void Store::Respond(net::Exchange& exchange,
+                    int status,
+                    const json& body) const {
+  exchange.Respond({{status,
+                     {{"Content-Type", "application/json"},
+                      {"Store-Era", std::to_string(this->era)}}},
+                    body.dump()});
+}
+
+std::shared_ptr<const Store::Copy> Store::Backup() const {
+  return std::make_shared<const Copy>(
+      Copy{this->objects, this->history, this->revision, this->compacted});
+}
+
+void Store::ReturnTo(const Copy& copy) {
+  for (Watcher& watcher : this->watchers) {
+    watcher.timer.reset();
+    watcher.exchange->Abort();
+  }
+  this->watchers.clear();
+  this->objects = copy.objects;
+  this->history = copy.history;
+  this->revision = copy.revision;
+  this->compacted = copy.compacted;
+  ++this->era;
+}
+
 void Store::Put(const std::string& kind,
                 const std::string& name,
                 const json& spec) {
@@ -202,7 +224,7 @@
                   int64_t wait_ms,
                   const std::shared_ptr<net::Exchange>& exchange) {
   ++this->watches[kind];
-  if (since < this->compacted) {
+  if (since < this->compacted || since > this->revision) {
     Respond(*exchange, 410, json::object());
     return;
   }
--- a/tests/platform/store.h
+++ b/tests/platform/store.h
@@ -32,6 +32,13 @@
   // Drops the history. Watches from an earlier revision get 410.
   void Compact();
 
+  // Returns what a backup holds now.
+  struct Copy;
+  std::shared_ptr<const Copy> Backup() const;
+  // Comes back from that copy: what was written since is gone, revisions are
+  // given out again, and the era rises. Pending watches break off.
+  void ReturnTo(const Copy& copy);
+
   // Answers every call with 503.
   bool refuses = false;
   // Closes connections without an answer.
@@ -63,6 +70,9 @@
   };
   using Answer = std::pair<int, nlohmann::json>;
 
+  void Respond(net::Exchange& exchange,
+               int status,
+               const nlohmann::json& body) const;
   void OnCall(const std::shared_ptr<net::Exchange>& exchange);
   Answer OnRead(const std::string& kind, const std::string& name) const;
   Answer OnList(const std::string& kind, const std::string& after);
@@ -84,9 +94,17 @@
   std::vector<Change> history;
   int64_t revision = 1;
   int64_t compacted = 0;
+  int64_t era = 1;
   std::list<Watcher> watchers;
 };
 
+struct Store::Copy {
+  std::map<Key, nlohmann::json> objects;
+  std::vector<Change> history;
+  int64_t revision = 1;
+  int64_t compacted = 0;
+};
+
 }  // namespace carawayvalve::tests
 
 #endif  // CARAWAYVALVE_TESTS_PLATFORM_STORE_H_
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -1685,6 +1685,11 @@
 void GossipRegistryProof::__set_revision(const int64_t val) {
   this->revision = val;
 }
+
+void GossipRegistryProof::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const GossipRegistryProof& obj)
 {
   obj.printTo(out);
@@ -1731,6 +1736,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1760,6 +1773,11 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1769,24 +1787,34 @@
   using ::std::swap;
   swap(a.age_ms, b.age_ms);
   swap(a.revision, b.revision);
+  swap(a.era, b.era);
+  swap(a.__isset, b.__isset);
 }
 
 GossipRegistryProof::GossipRegistryProof(const GossipRegistryProof& other66) noexcept {
   age_ms = other66.age_ms;
   revision = other66.revision;
+  era = other66.era;
+  __isset = other66.__isset;
 }
 GossipRegistryProof::GossipRegistryProof(GossipRegistryProof&& other67) noexcept {
   age_ms = other67.age_ms;
   revision = other67.revision;
+  era = other67.era;
+  __isset = other67.__isset;
 }
 GossipRegistryProof& GossipRegistryProof::operator=(const GossipRegistryProof& other68) noexcept {
   age_ms = other68.age_ms;
   revision = other68.revision;
+  era = other68.era;
+  __isset = other68.__isset;
   return *this;
 }
 GossipRegistryProof& GossipRegistryProof::operator=(GossipRegistryProof&& other69) noexcept {
   age_ms = other69.age_ms;
   revision = other69.revision;
+  era = other69.era;
+  __isset = other69.__isset;
   return *this;
 }
 void GossipRegistryProof::printTo(std::ostream& out) const {
@@ -1794,6 +1822,7 @@
   out << "GossipRegistryProof(";
   out << "age_ms=" << to_string(age_ms);
   out << ", " << "revision=" << to_string(revision);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3150,6 +3179,11 @@
   this->service_speeds = val;
 __isset.service_speeds = true;
 }
+
+void Gossip::__set_store_era(const int64_t val) {
+  this->store_era = val;
+__isset.store_era = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -3567,6 +3601,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 29:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_era);
+          this->__isset.store_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3839,6 +3881,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.store_era) {
+    xfer += oprot->writeFieldBegin("store_era", ::apache::thrift::protocol::T_I64, 29);
+    xfer += oprot->writeI64(this->store_era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3872,6 +3919,7 @@
   swap(a.registry_proof, b.registry_proof);
   swap(a.speed_observations, b.speed_observations);
   swap(a.service_speeds, b.service_speeds);
+  swap(a.store_era, b.store_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -3902,6 +3950,7 @@
   registry_proof = other196.registry_proof;
   speed_observations = other196.speed_observations;
   service_speeds = other196.service_speeds;
+  store_era = other196.store_era;
   __isset = other196.__isset;
 }
 Gossip::Gossip(Gossip&& other197) noexcept {
@@ -3931,6 +3980,7 @@
   registry_proof = std::move(other197.registry_proof);
   speed_observations = std::move(other197.speed_observations);
   service_speeds = std::move(other197.service_speeds);
+  store_era = other197.store_era;
   __isset = other197.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other198) {
@@ -3960,6 +4010,7 @@
   registry_proof = other198.registry_proof;
   speed_observations = other198.speed_observations;
   service_speeds = other198.service_speeds;
+  store_era = other198.store_era;
   __isset = other198.__isset;
   return *this;
 }
@@ -3990,6 +4041,7 @@
   registry_proof = std::move(other199.registry_proof);
   speed_observations = std::move(other199.speed_observations);
   service_speeds = std::move(other199.service_speeds);
+  store_era = other199.store_era;
   __isset = other199.__isset;
   return *this;
 }
@@ -4022,6 +4074,7 @@
   out << ", " << "registry_proof="; (__isset.registry_proof ? (out << to_string(registry_proof)) : (out << "<null>"));
   out << ", " << "speed_observations="; (__isset.speed_observations ? (out << to_string(speed_observations)) : (out << "<null>"));
   out << ", " << "service_speeds="; (__isset.service_speeds ? (out << to_string(service_speeds)) : (out << "<null>"));
+  out << ", " << "store_era="; (__isset.store_era ? (out << to_string(store_era)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -608,6 +608,10 @@
 
 std::ostream& operator<<(std::ostream& out, const GossipStreamOrigin& obj);
 
+typedef struct _GossipRegistryProof__isset {
+  _GossipRegistryProof__isset() : era(true) {}
+  bool era :1;
+} _GossipRegistryProof__isset;
 
 class GossipRegistryProof : public virtual ::apache::thrift::TBase {
  public:
@@ -618,23 +622,33 @@
   GossipRegistryProof& operator=(GossipRegistryProof&&) noexcept;
   GossipRegistryProof() noexcept
                       : age_ms(0),
-                        revision(0) {
+                        revision(0),
+                        era(0LL) {
   }
 
   virtual ~GossipRegistryProof() noexcept;
   int32_t age_ms;
   int64_t revision;
+  int64_t era;
+
+  _GossipRegistryProof__isset __isset;
 
   void __set_age_ms(const int32_t val);
 
   void __set_revision(const int64_t val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const GossipRegistryProof & rhs) const
   {
     if (!(age_ms == rhs.age_ms))
       return false;
     if (!(revision == rhs.revision))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const GossipRegistryProof &rhs) const {
@@ -1054,7 +1068,7 @@
 std::ostream& operator<<(std::ostream& out, const GossipServiceSpeeds& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), account_rates(false), wanted_contents(false), registry_proof(false), speed_observations(false), service_speeds(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), account_rates(false), wanted_contents(false), registry_proof(false), speed_observations(false), service_speeds(false), store_era(false) {}
   bool absences :1;
   bool departures :1;
   bool served_parts :1;
@@ -1068,6 +1082,7 @@
   bool registry_proof :1;
   bool speed_observations :1;
   bool service_speeds :1;
+  bool store_era :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -1087,7 +1102,8 @@
            proof_age_ms(0),
            leaving(0),
            registry_revision(0),
-           reports_usage(0) {
+           reports_usage(0),
+           store_era(0) {
   }
 
   virtual ~Gossip() noexcept;
@@ -1117,6 +1133,7 @@
   GossipRegistryProof registry_proof;
   std::vector<GossipSpeedObservation>  speed_observations;
   std::vector<GossipServiceSpeeds>  service_speeds;
+  int64_t store_era;
 
   _Gossip__isset __isset;
 
@@ -1172,6 +1189,8 @@
 
   void __set_service_speeds(const std::vector<GossipServiceSpeeds> & val);
 
+  void __set_store_era(const int64_t val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -1252,6 +1271,10 @@
       return false;
     else if (__isset.service_speeds && !(service_speeds == rhs.service_speeds))
       return false;
+    if (__isset.store_era != rhs.__isset.store_era)
+      return false;
+    else if (__isset.store_era && !(store_era == rhs.store_era))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -97,6 +97,8 @@
   // Who has received all changes up to this revision of the store has all that
   // the sender has.
   2: required i64 revision,
+  // The store's era of this revision and of the message's `registry_revision`.
+  3: optional i64 era = 0,
 }
 
 // The sender asks the receiver for credit of a client account.
@@ -208,4 +210,6 @@
   27: optional list<GossipSpeedObservation> speed_observations,
   // Only for a gateway that has just started.
   28: optional list<GossipServiceSpeeds> service_speeds,
+  // The highest era of the store that the sender knows of.
+  29: optional i64 store_era,
 }
