--- a/tests/platform/store.h
+++ b/tests/platform/store.h
@@ -36,6 +36,13 @@
   // Drops the history. Watches from an earlier revision get 410.
   void Compact();
 
+  // Returns what a backup holds now.
+  struct Copy;
+  std::shared_ptr<const Copy> Backup() const;
+  // Comes back from that copy: what was written since is gone, revisions are
+  // given out again, and the era rises. Pending watches break off.
+  void ReturnTo(const Copy& copy);
+
   // Answers every call with 503.
   bool refuses = false;
   // Closes connections without an answer.
@@ -91,11 +98,19 @@
   std::vector<Change> history;
   int64_t revision = 1;
   int64_t compacted = 0;
+  int64_t era = 1;
   std::list<Watcher> watchers;
   // Values that may be malformed, by the strings that stand for them.
   std::map<std::string, std::string> texts;
 };
 
+struct Store::Copy {
+  std::map<Key, nlohmann::json> objects;
+  std::vector<Change> history;
+  int64_t revision = 1;
+  int64_t compacted = 0;
+};
+
 }  // namespace carawayvalve::tests
 
 #endif  // CARAWAYVALVE_TESTS_PLATFORM_STORE_H_
