Take a stream's only version for proven once the registry is confirmed since

The gateway accepted the only version that it knew at once, as no call had failed yet. Now a search asks the store, on a call of its own, and accepts the version once the registry was known at or after its start; it refuses after 0.3 s.

Tests: the fixtures of stream_version_test and recent_store_test now provide the registry's confirmation, as the gateway does. The property of origin_search_test accepts the only version only when it is confirmed. rc::check only returns its result, so that the properties of origin_search_test and version_history_test couldn't fail; they are checked now.

--- a/core/include/carawayvalve/core/backend_directory.h
+++ b/core/include/carawayvalve/core/backend_directory.h
@@ -120,9 +120,12 @@
   // Records the versions that are registered or were since the last call.
   void NoteVersions(base::Instant now);
 
+  // Notes the version of an entry, unless that has no id, with the next ones.
+  void NoteVersionOf(const BackendEntry& entry);
   bool IsLeaving(const base::BackendServerId& id, int64_t started_ms) const;
   // Returns the only version that is registered or was since the last call of
-  // Expire.
+  // Expire, as far as this process knows: an entry that is replaced or removed
+  // may have been there until then.
   std::optional<std::string> OnlyVersionPresent(
       const base::ServiceId& service) const;
 
--- a/core/include/carawayvalve/core/origin_search.h
+++ b/core/include/carawayvalve/core/origin_search.h
@@ -18,8 +18,12 @@
   std::optional<std::string> by_first;
   // The versions noted for streams with the same content.
   std::set<std::string> by_content;
-  // The only version that the stream can have begun at.
+  // The only version that the stream can have begun at, if this process knows
+  // all registrations of backend servers.
   std::optional<std::string> only_version;
+  // The store or a peer has shown that this process knew all registrations at
+  // this instant; nothing before the first list.
+  std::optional<base::Instant> registry_known_to;
 
   bool operator==(const OriginEvidence&) const = default;
 };
@@ -35,8 +39,12 @@
 struct ReadStoredOrigins {
   bool operator==(const ReadStoredOrigins&) const = default;
 };
-using OriginRequest =
-    std::variant<AskOriginKeepers, AskAllPeers, ReadStoredOrigins>;
+// Has the store show that all registrations of backend servers are known here.
+struct ConfirmRegistry {
+  bool operator==(const ConfirmRegistry&) const = default;
+};
+using OriginRequest = std::
+    variant<AskOriginKeepers, AskAllPeers, ReadStoredOrigins, ConfirmRegistry>;
 
 // What shows the version that began a stream: what was noted under its first
 // request, that its service has had no other one, or what was noted for streams
@@ -65,7 +73,10 @@
 // Finds out which software version began a stream that a caller takes up: from
 // what this process knows, then from the peers that keep the origin, then from
 // all peers, and from what processes that are gone have stored. A stream that
-// its caller names has one origin, and the first word of it decides. Otherwise
+// its caller names has one origin, and the first word of it decides. That its
+// service has had one version only shows the origin once it is known that this
+// holds at the start of the search, before which the stream began: a process
+// that stood still or is cut off doesn't notice that by itself. Otherwise
 // only its content identifies the stream: all answers are awaited, and several
 // versions leave the origin open.
 class OriginSearch {
@@ -78,6 +89,8 @@
     base::Duration peers_time = std::chrono::milliseconds(80);
     // Time for what is stored, counted from the start.
     base::Duration stored_time = std::chrono::milliseconds(300);
+    // The same for the store to show that all registrations are known.
+    base::Duration registry_time = std::chrono::milliseconds(300);
 
     bool operator==(const Settings&) const = default;
   };
@@ -98,6 +111,12 @@
   // Records that everything stored has been read, or can't be read.
   void NoteStoredRead() { this->awaits_stored = false; }
 
+  // Returns the time until `now` within which the stream can have begun, if
+  // callers take streams up within `horizon`.
+  base::Duration TimeToCover(base::Duration horizon, base::Instant now) const {
+    return horizon + (now - this->started);
+  }
+
   // Nothing until the search is over.
   const std::optional<OriginVerdict>& verdict() const {
     return this->verdict_reached;
@@ -108,7 +127,10 @@
  private:
   enum class Stage { kNew, kKeepers, kAllPeers, kAsked };
 
-  std::optional<OriginVerdict> Conclude(const OriginEvidence& evidence) const;
+  // Returns whether the only version is a proof.
+  bool IsRegistryKnown(const OriginEvidence& evidence) const;
+  std::optional<OriginVerdict> Conclude(const OriginEvidence& evidence,
+                                        base::Instant now) const;
   void AskPeers(std::vector<OriginRequest>& requests, base::Instant now);
 
   Settings settings;
@@ -117,6 +139,7 @@
   bool awaits_stored;
   base::Instant started;
   Stage stage = Stage::kNew;
+  bool asked_store = false;
   // The end of the stage.
   base::Instant stage_end;
   std::optional<OriginVerdict> verdict_reached;
--- a/core/src/backend_directory.cc
+++ b/core/src/backend_directory.cc
@@ -52,10 +52,17 @@
 
 void BackendDirectory::NoteEntry(const BackendEntry& entry) {
   BackendEntry& kept = this->known[entry.id];
+  this->NoteVersionOf(kept);
   kept = entry;
   kept.draining = entry.draining || this->IsLeaving(entry.id, entry.started_ms);
   this->lapsed.erase(entry.id);
-  this->new_versions.insert({entry.service, entry.software_version});
+  this->NoteVersionOf(entry);
+}
+
+void BackendDirectory::NoteVersionOf(const BackendEntry& entry) {
+  if (!entry.id.empty()) {
+    this->new_versions.insert({entry.service, entry.software_version});
+  }
 }
 
 bool BackendDirectory::IsLeaving(const base::BackendServerId& id,
@@ -113,6 +120,8 @@
     this->lapsed.emplace(id, now);
     return;
   }
+  // It may have been there until now.
+  this->NoteVersionOf(found->second);
   this->known.erase(found);
   this->lapsed.erase(id);
 }
--- a/core/src/origin_search.cc
+++ b/core/src/origin_search.cc
@@ -1,5 +1,6 @@
 #include "carawayvalve/core/origin_search.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace carawayvalve::core {
@@ -35,7 +36,7 @@
     this->awaits_stored = false;
   }
   const bool is_new = this->stage == Stage::kNew;
-  if (auto known = this->Conclude(evidence)) {
+  if (auto known = this->Conclude(evidence, now)) {
     this->verdict_reached = std::move(known);
     return {};
   }
@@ -45,8 +46,13 @@
   if (now >= this->stage_end) {
     this->AskPeers(requests, now);
   }
+  if (this->stage != Stage::kKeepers && evidence.only_version.has_value() &&
+      !this->IsRegistryKnown(evidence) &&
+      !std::exchange(this->asked_store, true)) {
+    requests.emplace_back(ConfirmRegistry{});
+  }
   // Without peers the search may be over at once.
-  if (auto known = this->Conclude(evidence)) {
+  if (auto known = this->Conclude(evidence, now)) {
     this->verdict_reached = std::move(known);
     return {};
   }
@@ -73,36 +79,50 @@
   }
 }
 
+bool OriginSearch::IsRegistryKnown(const OriginEvidence& evidence) const {
+  return evidence.registry_known_to.has_value() &&
+         *evidence.registry_known_to >= this->started;
+}
+
 std::optional<OriginVerdict> OriginSearch::Conclude(
-    const OriginEvidence& evidence) const {
+    const OriginEvidence& evidence,
+    base::Instant now) const {
   if (evidence.by_first.has_value()) {
     return ContinueAtVersion{*evidence.by_first, OriginProof::kFirstRequest};
   }
+  const bool is_only =
+      evidence.only_version.has_value() && this->IsRegistryKnown(evidence);
   // A version that is noted for the content contradicts another only one.
   std::set<std::string> possible =
       this->is_named ? std::set<std::string>() : evidence.by_content;
-  if (evidence.only_version.has_value()) {
+  if (is_only) {
     possible.insert(*evidence.only_version);
   }
   if (possible.size() > 1) {
     return OriginUnknown{"streams of several software versions fit"};
   }
-  if (evidence.only_version.has_value()) {
+  if (is_only) {
     return ContinueAtVersion{*evidence.only_version, OriginProof::kOnlyVersion};
   }
-  if (this->stage != Stage::kAsked || this->awaits_stored) {
+  const bool awaits_registry =
+      evidence.only_version.has_value() &&
+      now - this->started < this->settings.registry_time;
+  if (this->stage != Stage::kAsked || this->awaits_stored || awaits_registry) {
     return std::nullopt;
   }
   if (possible.empty()) {
     return OriginUnknown{
-        "it isn't known which software version began the stream"};
+        evidence.only_version.has_value()
+            ? "another software version may have begun the stream"
+            : "it isn't known which software version began the stream"};
   }
   return ContinueAtVersion{*possible.begin(), OriginProof::kContent};
 }
 
 base::Instant OriginSearch::wake_at() const {
   return this->stage == Stage::kAsked
-             ? this->started + this->settings.stored_time
+             ? this->started + std::max(this->settings.stored_time,
+                                        this->settings.registry_time)
              : this->stage_end;
 }
 
--- a/core/tests/origin_search_test.cc
+++ b/core/tests/origin_search_test.cc
@@ -31,6 +31,10 @@
   if (!evidence.only_version.has_value() && *rc::gen::inRange(0, 8) == 0) {
     evidence.only_version = DrawVersion();
   }
+  if (*rc::gen::inRange(0, 8) == 0) {
+    evidence.registry_known_to =
+        kStart + Milliseconds(*rc::gen::inRange(-20, 20));
+  }
 }
 
 bool Shows(const OriginEvidence& evidence,
@@ -41,9 +45,10 @@
   }
   const bool fits_content = is_named || evidence.by_content.empty() ||
                             evidence.by_content == std::set{version};
-  return fits_content && (evidence.only_version == version ||
-                          (!is_named && !evidence.only_version.has_value() &&
-                           !evidence.by_content.empty()));
+  const bool is_only =
+      evidence.only_version.has_value() && evidence.registry_known_to >= kStart;
+  return fits_content && (is_only ? evidence.only_version == version
+                                  : !is_named && !evidence.by_content.empty());
 }
 
 }  // namespace
@@ -78,6 +83,31 @@
   }
 }
 
+TEST_CASE("a stream of the only version that this process knows") {
+  OriginSearch search(kSettings, true, false, false, kStart);
+  OriginEvidence evidence;
+  evidence.only_version = "v1";
+  evidence.registry_known_to = kStart - Milliseconds(1);
+  // Another version may have joined since.
+  CHECK(search.Step(evidence, kStart) ==
+        std::vector<OriginRequest>{ConfirmRegistry{}});
+  CHECK_FALSE(search.verdict().has_value());
+
+  SUBCASE("goes on once the store has shown that there is no other") {
+    evidence.registry_known_to = kStart;
+    CHECK(search.Step(evidence, kStart + Milliseconds(5)).empty());
+    CHECK(search.verdict() ==
+          OriginVerdict(ContinueAtVersion{"v1", OriginProof::kOnlyVersion}));
+  }
+  SUBCASE("is refused if nothing shows it in time") {
+    CHECK(search.Step(evidence, kStart + Milliseconds(299)).empty());
+    CHECK_FALSE(search.verdict().has_value());
+    search.Step(evidence, search.wake_at());
+    REQUIRE(search.verdict().has_value());
+    CHECK(std::holds_alternative<OriginUnknown>(*search.verdict()));
+  }
+}
+
 TEST_CASE("a stream that nobody can know is refused at once") {
   OriginSearch search(kSettings, true, false, false, kStart);
   CHECK(search.Step({}, kStart).empty());
@@ -104,7 +134,7 @@
 }
 
 TEST_CASE("a search") {
-  rc::check("ends in time, at a version that its evidence shows", [] {
+  CHECK(rc::check("ends in time, at a version that its evidence shows", [] {
     const bool is_named = *rc::gen::arbitrary<bool>();
     const bool has_peers = *rc::gen::arbitrary<bool>();
     const bool may_be_stored = *rc::gen::arbitrary<bool>();
@@ -126,7 +156,7 @@
     if (const auto* end = std::get_if<ContinueAtVersion>(&*search.verdict())) {
       RC_ASSERT(Shows(evidence, is_named, end->version));
     }
-  });
+  }));
 }
 
 }  // namespace carawayvalve::core
--- a/core/tests/version_history_test.cc
+++ b/core/tests/version_history_test.cc
@@ -58,7 +58,7 @@
 }
 
 TEST_CASE("successive processes know the only version of a service together") {
-  rc::check("as if one had seen all of it", [] {
+  CHECK(rc::check("as if one had seen all of it", [] {
     const Instant start = Instant() + seconds(1000);
     const auto registered = DrawRegistrations();
     const int restart = *rc::gen::inRange(10, 60);
@@ -88,7 +88,7 @@
                   after.MayHaveOther(kService, version, time, now));
       }
     }
-  });
+  }));
 }
 
 }  // namespace carawayvalve::core
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -89,6 +89,9 @@
   this->peers.Start();
   this->origin_lookup.SetRegistryKnownTo(
       [this] { return this->feed.registry().confirmed(); });
+  this->origin_lookup.SetConfirmRegistry([this] {
+    this->feed.ConfirmRegistry([this] { this->origin_lookup.NoteLearned(); });
+  });
   this->origin_lookup.SetReadStored([this](const std::function<void()>& done) {
     this->recent.Read([done](bool /*is_complete*/) { done(); });
   });
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -26,6 +26,8 @@
 constexpr double kRenewAgeFraction = 0.6;
 // A watch older than this is sent again when a peer knows a newer revision.
 constexpr base::Milliseconds kMinWatchAge(700);
+// The minimum interval between two calls that confirm the changes known here.
+constexpr base::Milliseconds kMinConfirmInterval(100);
 // Changes that peers know and haven't passed on for this long are fetched from
 // the store.
 constexpr base::Milliseconds kMaxLack(300);
@@ -41,7 +43,8 @@
       kind(std::move(kind)),
       hooks(std::move(hooks)),
       timer(context.loop),
-      schedule{context.state.settings.store.watch_wait, std::nullopt} {}
+      schedule{context.state.settings.store.watch_wait, std::nullopt},
+      confirm_timer(context.loop) {}
 
 void ObjectWatcher::List(const std::string& after) {
   const base::Instant sent_at = base::Now();
@@ -192,6 +195,56 @@
                    [this] { this->Follow(); });
 }
 
+void ObjectWatcher::Confirm(std::function<void()> done) {
+  this->on_confirmed = std::move(done);
+  if (this->confirm_call != nullptr) {
+    this->confirm_again = true;
+    return;
+  }
+  const base::Duration waits =
+      this->confirm_sent_at + kMinConfirmInterval - base::Now();
+  if (waits > base::Duration(0)) {
+    this->confirm_timer.Start(waits, [this] { this->SendConfirm(); });
+  } else {
+    this->SendConfirm();
+  }
+}
+
+void ObjectWatcher::SendConfirm() {
+  // There is nothing to confirm before the first list.
+  if (!this->confirmed_at.has_value()) {
+    return;
+  }
+  const base::Instant sent_at = base::Now();
+  this->confirm_sent_at = sent_at;
+  this->confirm_again = false;
+  this->confirm_call = this->objects.Watch(
+      this->kind, this->revision, base::Milliseconds(0),
+      [this, sent_at,
+       from = this->revision](const platform::WatchResult& result) {
+        const auto* answer = std::get_if<platform::ObjectChanges>(&result);
+        const bool is_answered = answer != nullptr && answer->revision >= from;
+        if (is_answered && answer->revision >= this->revision) {
+          this->ApplyChanges(*answer, sent_at);
+        }
+        this->OnConfirmed(is_answered, sent_at);
+      });
+}
+
+void ObjectWatcher::OnConfirmed(bool is_answered, base::Instant sent_at) {
+  this->confirm_call.reset();
+  this->context.metrics.CountStoreCall(is_answered ? "answered" : "failed");
+  if (this->confirm_again) {
+    this->Confirm(this->on_confirmed);
+  }
+  if (is_answered) {
+    this->NoteConfirmed(sent_at);
+    // May set another one.
+    const auto done = this->on_confirmed;
+    done();
+  }
+}
+
 void ObjectWatcher::ApplyPeerChanges(const platform::ObjectChanges& received) {
   if (received.revision > this->revision) {
     this->ApplyChanges(received, base::Now());
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -53,6 +53,11 @@
   // Asks the store for changes with an answer at once. Replaces the pending
   // watch unless it was sent less than a second ago.
   void PollNow();
+  // Has the store show, as of now or later, that all changes are known here.
+  // Leaves the pending watch alone, whose connection may be broken. Calls of
+  // this method that come close together share one call of the store. Calls
+  // `done` whenever one was answered; nothing if it fails.
+  void Confirm(std::function<void()> done);
   // Keeps the changes for peers.
   void KeepLog() { this->keeps_log = true; }
   const core::ChangeLog& log() const { return this->change_log; }
@@ -107,6 +112,8 @@
   void ApplyChanges(const platform::ObjectChanges& received,
                     base::Instant sent_at);
   void OnWatched(const platform::WatchResult& result, base::Instant sent_at);
+  void SendConfirm();
+  void OnConfirmed(bool is_answered, base::Instant sent_at);
   // Calls `retry` after a backoff that grows with consecutive failures.
   void RetryLater(const std::string& reason, std::function<void()> retry);
   // Removes the changes that the list already included.
@@ -146,6 +153,12 @@
   // Since when changes that peers know have been missing; empty if none are.
   std::optional<base::Instant> lacking_since;
   std::optional<base::Instant> confirmed_at;
+  // The call that has the store confirm the changes known here, if any.
+  platform::ObjectClient::Handle confirm_call;
+  net::Timer confirm_timer;
+  base::Instant confirm_sent_at;
+  bool confirm_again = false;
+  std::function<void()> on_confirmed = [] {};
   int64_t failures = 0;
   base::Instant failed_at;
   // When the pending watch was sent; empty while none is pending.
@@ -180,6 +193,14 @@
   void NoteConfigurationConfirmed(base::Instant at) {
     this->configuration.NoteConfirmed(at);
   }
+  // Has the store show that all backend servers are known here. Calls `done`
+  // whenever it has answered.
+  void ConfirmRegistry(const std::function<void()>& done) {
+    this->backends.Confirm([this, done] {
+      this->UpdateCurrent();
+      done();
+    });
+  }
   const ObjectWatcher& registry() const { return this->backends; }
   // Applies changes of backend servers that a peer returned.
   void ApplyPeerChanges(const platform::ObjectChanges& received) {
--- a/gateway/src/stream_origin_lookup.cc
+++ b/gateway/src/stream_origin_lookup.cc
@@ -10,7 +10,9 @@
 }
 
 core::OriginEvidence StreamOriginLookup::EvidenceOf(
-    const TakenUpStream& stream) const {
+    const Search& search) const {
+  const TakenUpStream& stream = search.stream;
+  const base::Instant now = base::Now();
   core::OriginEvidence evidence;
   if (stream.first.has_value()) {
     evidence.by_first = this->state.stream_origins.Find(*stream.first);
@@ -18,7 +20,8 @@
     evidence.by_content = this->state.stream_origins.VersionsOf(stream.content);
   }
   evidence.only_version = this->state.directory.OnlyVersion(
-      stream.service, stream.horizon, base::Now());
+      stream.service, search.search.TimeToCover(stream.horizon, now), now);
+  evidence.registry_known_to = this->registry_known_to();
   return evidence;
 }
 
@@ -53,8 +56,7 @@
   }
   Search& search = found->second;
   const base::Instant now = base::Now();
-  const auto requests =
-      search.search.Step(this->EvidenceOf(search.stream), now);
+  const auto requests = search.search.Step(this->EvidenceOf(search), now);
   if (search.search.verdict().has_value()) {
     const auto ended = this->searches.extract(found);
     for (const Handler& handler : ended.mapped().handlers) {
@@ -92,6 +94,11 @@
   });
 }
 
+void StreamOriginLookup::Perform(const TakenUpStream& /*stream*/,
+                                 const core::ConfirmRegistry& /*request*/) {
+  this->confirm_registry();
+}
+
 void StreamOriginLookup::NoteLearned() {
   std::vector<std::string> keys;
   keys.reserve(this->searches.size());
--- a/gateway/src/stream_origin_lookup.h
+++ b/gateway/src/stream_origin_lookup.h
@@ -58,6 +58,12 @@
   void SetAsk(Ask ask_peers) { this->ask = std::move(ask_peers); }
   void SetReadStored(ReadStored read) { this->read_stored = std::move(read); }
 
+  // Sets who has the store show that the registrations are all known, and calls
+  // NoteLearned when it has.
+  void SetConfirmRegistry(std::function<void()> confirm) {
+    this->confirm_registry = std::move(confirm);
+  }
+
   // Returns for how long registrations of backend servers may have been missing
   // here, nothing before the first list.
   std::optional<base::Duration> RegistryAge(base::Instant now) const;
@@ -75,7 +81,7 @@
     std::vector<Handler> handlers;
   };
 
-  core::OriginEvidence EvidenceOf(const TakenUpStream& stream) const;
+  core::OriginEvidence EvidenceOf(const Search& search) const;
   void Step(const std::string& key);
   void Perform(const TakenUpStream& stream,
                const core::AskOriginKeepers& request);
@@ -83,9 +89,13 @@
   void Perform(const TakenUpStream& stream,
                const core::ReadStoredOrigins& request);
 
+  void Perform(const TakenUpStream& stream,
+               const core::ConfirmRegistry& request);
+
   net::EventLoop& loop;
   const GatewayState& state;
   RegistryKnownTo registry_known_to = [] { return std::nullopt; };
+  std::function<void()> confirm_registry = [] {};
   Ask ask = [](const OriginQuestion&) {};
   ReadStored read_stored = [](const std::function<void()>& done) { done(); };
   std::map<std::string, Search> searches;
--- a/gateway/tests/recent_store_test.cc
+++ b/gateway/tests/recent_store_test.cc
@@ -64,6 +64,11 @@
         std::chrono::system_clock::now().time_since_epoch(), base::Now());
     this->state.recent_state = core::RecentStateSchedule(
         {}, kDutyName, this->state.settings.host, this->state.started);
+    this->lookup.SetRegistryKnownTo(
+        [this] { return this->feed.registry().confirmed(); });
+    this->lookup.SetConfirmRegistry([this] {
+      this->feed.ConfirmRegistry([this] { this->lookup.NoteLearned(); });
+    });
     this->lookup.SetReadStored([this](const std::function<void()>& done) {
       this->recent.Read([done](bool /*is_complete*/) { done(); });
     });
--- a/gateway/tests/stream_version_test.cc
+++ b/gateway/tests/stream_version_test.cc
@@ -46,6 +46,8 @@
     this->gateway.state.directory.NoteRemoved({"reader"}, base::Now());
     this->Add("new", this->new_engine.port(), EngineRole::kDecode, "v2");
     this->Tick();
+    // As if the store answered at once.
+    this->gateway.origin_lookup.SetRegistryKnownTo([] { return base::Now(); });
   }
 
   void Tick() { this->gateway.state.directory.Expire(base::Now()); }
--- a/tests/platform/store.cc
+++ b/tests/platform/store.cc
@@ -79,6 +79,9 @@
   this->history.push_back({this->revision,
                            key.first,
                            {{"object", object}, {"tombstone", removed}}});
+  if (this->silent) {
+    return;
+  }
   // Answering may add new watchers, so those to notify are moved out first.
   std::list<Watcher> to_notify;
   for (auto it = this->watchers.begin(); it != this->watchers.end();) {
@@ -107,6 +110,10 @@
 
 void Store::OnCall(const std::shared_ptr<net::Exchange>& exchange) {
   const net::Request& request = exchange->request();
+  if (this->silent) {
+    this->held.push_back(exchange);
+    return;
+  }
   if (this->down) {
     exchange->Abort();
     return;
@@ -218,7 +225,7 @@
     const auto waiting = std::find_if(
         this->watchers.begin(), this->watchers.end(),
         [&](const Watcher& one) { return one.exchange == exchange; });
-    if (waiting == this->watchers.end()) {
+    if (this->silent || waiting == this->watchers.end()) {
       return;
     }
     const json none = {{"events", json::array()},
--- a/tests/platform/store.h
+++ b/tests/platform/store.h
@@ -36,6 +36,8 @@
   bool refuses = false;
   // Closes connections without an answer.
   bool down = false;
+  // Holds all answers back for good, as if the caller were cut off.
+  bool silent = false;
   // Number of upcoming writes to apply without answering.
   int lost_writes = 0;
   // Answers requests for further pages of a list with 429.
@@ -85,6 +87,8 @@
   int64_t revision = 1;
   int64_t compacted = 0;
   std::list<Watcher> watchers;
+  // Calls that are never answered.
+  std::vector<std::shared_ptr<net::Exchange>> held;
 };
 
 }  // namespace carawayvalve::tests
