Let a peer's proof count only for the process whose stamp it returns

Messages now say whose stamp they return (gossip field 30), and core rejects one of another process, from the future or from before the start. The proof of the registry is dated by the same function.

"a peer returns the stamp of an earlier process" fails in three cases when core::SentAt doesn't check, and passes with it. registry_relay_test names the process in its messages, as gateways do now.

--- a/gateway/src/gossip_format.cc
+++ b/gateway/src/gossip_format.cc
@@ -3,6 +3,8 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include "carawayvalve/core/returned_stamp.h"
+
 namespace carawayvalve::gateway {
 
 namespace {
@@ -34,4 +36,19 @@
   return gossip;
 }
 
+void SetEcho(wire::gen::Gossip& gossip,
+             const std::string& boot,
+             int64_t stamp) {
+  gossip.echo = stamp;
+  gossip.__set_echo_boot(boot);
+}
+
+std::optional<base::Instant> EchoSentAt(const wire::gen::Gossip& gossip,
+                                        const GatewayState& state,
+                                        base::Instant now) {
+  return core::SentAt(
+      {{gossip.echo_boot}, base::Instant(base::Milliseconds(gossip.echo))},
+      {state.boot, state.started}, now);
+}
+
 }  // namespace carawayvalve::gateway
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -302,7 +302,7 @@
   auto origins = this->origin_gossip.TakeUntold();
   Gossip addressed = gossip;
   for (const auto& [host, peer] : this->peers) {
-    addressed.echo = peer.stamp;
+    SetEcho(addressed, peer.boot, peer.stamp);
     addressed.stream_origins = std::move(origins[host]);
     addressed.__isset.stream_origins = !addressed.stream_origins.empty();
     this->datagrams->Send(PrintGossip(addressed), peer.address);
@@ -318,7 +318,7 @@
   }
   for (const auto& [host, peer] : this->peers) {
     if (question.all || this->origin_gossip.IsKeeper(*question.first, host)) {
-      message.echo = peer.stamp;
+      SetEcho(message, peer.boot, peer.stamp);
       this->datagrams->Send(PrintGossip(message), peer.address);
     }
   }
@@ -350,7 +350,7 @@
       continue;
     }
     for (Gossip message : messages) {
-      message.echo = peer.stamp;
+      SetEcho(message, peer.boot, peer.stamp);
       this->datagrams->Send(PrintGossip(message), peer.address);
     }
   }
@@ -359,7 +359,7 @@
 void PeerGossip::Send(const Gossip& gossip) {
   Gossip addressed = gossip;
   for (const auto& [host, peer] : this->peers) {
-    addressed.echo = peer.stamp;
+    SetEcho(addressed, peer.boot, peer.stamp);
     this->datagrams->Send(PrintGossip(addressed), peer.address);
   }
 }
@@ -371,7 +371,7 @@
     return;
   }
   Gossip message = this->BaseMessage();
-  message.echo = found->second.stamp;
+  SetEcho(message, found->second.boot, found->second.stamp);
   message.__set_account_rates(rates);
   message.account_rates.__set_receiver_boot(found->second.boot);
   this->datagrams->Send(PrintGossip(message), found->second.address);
@@ -498,11 +498,13 @@
     return;
   }
   if (gossip.plan_version == own_version && own_version > 0 &&
-      gossip.echo > 0 && gossip.proof_age_ms >= 0) {
-    const base::Instant sent_at(base::Milliseconds(gossip.echo));
+      gossip.proof_age_ms >= 0) {
+    const auto sent_at = EchoSentAt(gossip, state, base::Now());
     const base::Milliseconds age(gossip.proof_age_ms);
-    state.key_freshness.NotePeerAnswer(sent_at, age);
-    this->feed.NoteConfigurationConfirmed(sent_at - age);
+    if (sent_at.has_value()) {
+      state.key_freshness.NotePeerAnswer(*sent_at, age);
+      this->feed.NoteConfigurationConfirmed(*sent_at - age);
+    }
   }
 }
 
--- a/gateway/src/registry_relay.cc
+++ b/gateway/src/registry_relay.cc
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "gossip_format.h"
+
 namespace carawayvalve::gateway {
 
 using nlohmann::json;
@@ -77,13 +79,13 @@
   if (gossip.__isset.registry_proof) {
     const wire::gen::GossipRegistryProof& proof = gossip.registry_proof;
     known_there = std::max(known_there, proof.revision);
-    if (gossip.echo > 0 && proof.age_ms >= 0 &&
+    const auto sent_at = EchoSentAt(gossip, this->context.state, base::Now());
+    if (sent_at.has_value() && proof.age_ms >= 0 &&
         registry.received_revision() >= proof.revision) {
       // Only this process's clock counts, so that a delay in transit makes no
       // confirmation look newer.
-      this->feed.NoteRegistryConfirmed(
-          base::Instant(base::Milliseconds(gossip.echo)) -
-          base::Milliseconds(proof.age_ms));
+      this->feed.NoteRegistryConfirmed(*sent_at -
+                                       base::Milliseconds(proof.age_ms));
     }
   }
   if (this->call == nullptr && registry.IsIdle() &&
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -424,4 +424,63 @@
   }
 }
 
+// Guards against a gateway that takes a stamp of its predecessor, from before
+// the machine rebooted, for its own: it accepted withdrawn keys while cut off.
+TEST_CASE("a peer returns the stamp of an earlier process") {
+  GossipTest test(kWithoutStore);
+  GatewayState& state = test.gateway.state;
+  config::ServingPlan plan;
+  plan.version = 3;
+  state.ApplyPlan(plan);
+  test.Start();
+  net::DatagramSocket peer(test.gateway.loop, {"127.0.0.1", 0},
+                           [](const auto&, const auto&) {});
+  test.gateway.RunFor(kFewRounds);
+  wire::gen::Gossip message = FirstMessage("peer", "first");
+  message.plan_version = 3;
+  message.proof_age_ms = 0;
+  message.echo = base::ToMilliseconds(base::Now().time_since_epoch());
+  const auto accepts_keys = [&] {
+    test.SendToGateway(peer, message);
+    test.gateway.RunFor(kFewRounds);
+    return state.key_freshness.MayAcceptKeys(base::Now());
+  };
+
+  SUBCASE("which proves nothing, even if the clock started anew") {
+    message.__set_echo_boot("earlier");
+    CHECK_FALSE(accepts_keys());
+  }
+  SUBCASE("without saying whose it is") {
+    CHECK_FALSE(accepts_keys());
+  }
+  SUBCASE("that is ahead of the clock") {
+    message.echo += 60000;
+    message.__set_echo_boot(state.boot.value);
+    CHECK_FALSE(accepts_keys());
+  }
+  SUBCASE("and then of this one") {
+    message.__set_echo_boot(state.boot.value);
+    CHECK(accepts_keys());
+  }
+}
+
+TEST_CASE("a gateway says whose stamp it returns") {
+  GossipTest test(kWithoutStore);
+  test.Start();
+  wire::gen::Gossip received;
+  net::DatagramSocket peer(test.gateway.loop, {"127.0.0.1", 0},
+                           [&](const std::string& data, const base::Address&) {
+                             const auto message = ParseGossip(data);
+                             if (message->echo > 0) {
+                               received = *message;
+                             }
+                           });
+  wire::gen::Gossip message = FirstMessage("peer", "first");
+  message.stamp = 7;
+  test.SendToGateway(peer, message);
+  test.gateway.RunFor(kFewRounds);
+  CHECK(received.echo == 7);
+  CHECK(received.echo_boot == "first");
+}
+
 }  // namespace carawayvalve::gateway
--- a/gateway/tests/registry_relay_test.cc
+++ b/gateway/tests/registry_relay_test.cc
@@ -47,6 +47,7 @@
     wire::gen::Gossip message;
     message.host = "watching";
     message.echo = base::ToMilliseconds(base::Now().time_since_epoch());
+    message.__set_echo_boot(this->gateway.state.boot.value);
     message.registry_revision = this->watching.registry_revision();
     this->watching_relay.AddTo(message);
     return message;
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -3150,6 +3150,11 @@
   this->service_speeds = val;
 __isset.service_speeds = true;
 }
+
+void Gossip::__set_echo_boot(const std::string& val) {
+  this->echo_boot = val;
+__isset.echo_boot = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -3567,6 +3572,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->echo_boot);
+          this->__isset.echo_boot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3839,6 +3852,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.echo_boot) {
+    xfer += oprot->writeFieldBegin("echo_boot", ::apache::thrift::protocol::T_STRING, 30);
+    xfer += oprot->writeString(this->echo_boot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3872,6 +3890,7 @@
   swap(a.registry_proof, b.registry_proof);
   swap(a.speed_observations, b.speed_observations);
   swap(a.service_speeds, b.service_speeds);
+  swap(a.echo_boot, b.echo_boot);
   swap(a.__isset, b.__isset);
 }
 
@@ -3902,6 +3921,7 @@
   registry_proof = other196.registry_proof;
   speed_observations = other196.speed_observations;
   service_speeds = other196.service_speeds;
+  echo_boot = other196.echo_boot;
   __isset = other196.__isset;
 }
 Gossip::Gossip(Gossip&& other197) noexcept {
@@ -3931,6 +3951,7 @@
   registry_proof = std::move(other197.registry_proof);
   speed_observations = std::move(other197.speed_observations);
   service_speeds = std::move(other197.service_speeds);
+  echo_boot = std::move(other197.echo_boot);
   __isset = other197.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other198) {
@@ -3960,6 +3981,7 @@
   registry_proof = other198.registry_proof;
   speed_observations = other198.speed_observations;
   service_speeds = other198.service_speeds;
+  echo_boot = other198.echo_boot;
   __isset = other198.__isset;
   return *this;
 }
@@ -3990,6 +4012,7 @@
   registry_proof = std::move(other199.registry_proof);
   speed_observations = std::move(other199.speed_observations);
   service_speeds = std::move(other199.service_speeds);
+  echo_boot = std::move(other199.echo_boot);
   __isset = other199.__isset;
   return *this;
 }
@@ -4022,6 +4045,7 @@
   out << ", " << "registry_proof="; (__isset.registry_proof ? (out << to_string(registry_proof)) : (out << "<null>"));
   out << ", " << "speed_observations="; (__isset.speed_observations ? (out << to_string(speed_observations)) : (out << "<null>"));
   out << ", " << "service_speeds="; (__isset.service_speeds ? (out << to_string(service_speeds)) : (out << "<null>"));
+  out << ", " << "echo_boot="; (__isset.echo_boot ? (out << to_string(echo_boot)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -1054,7 +1054,7 @@
 std::ostream& operator<<(std::ostream& out, const GossipServiceSpeeds& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), account_rates(false), wanted_contents(false), registry_proof(false), speed_observations(false), service_speeds(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), account_rates(false), wanted_contents(false), registry_proof(false), speed_observations(false), service_speeds(false), echo_boot(false) {}
   bool absences :1;
   bool departures :1;
   bool served_parts :1;
@@ -1068,6 +1068,7 @@
   bool registry_proof :1;
   bool speed_observations :1;
   bool service_speeds :1;
+  bool echo_boot :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -1087,7 +1088,8 @@
            proof_age_ms(0),
            leaving(0),
            registry_revision(0),
-           reports_usage(0) {
+           reports_usage(0),
+           echo_boot() {
   }
 
   virtual ~Gossip() noexcept;
@@ -1117,6 +1119,7 @@
   GossipRegistryProof registry_proof;
   std::vector<GossipSpeedObservation>  speed_observations;
   std::vector<GossipServiceSpeeds>  service_speeds;
+  std::string echo_boot;
 
   _Gossip__isset __isset;
 
@@ -1172,6 +1175,8 @@
 
   void __set_service_speeds(const std::vector<GossipServiceSpeeds> & val);
 
+  void __set_echo_boot(const std::string& val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -1252,6 +1257,10 @@
       return false;
     else if (__isset.service_speeds && !(service_speeds == rhs.service_speeds))
       return false;
+    if (__isset.echo_boot != rhs.__isset.echo_boot)
+      return false;
+    else if (__isset.echo_boot && !(echo_boot == rhs.echo_boot))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -208,4 +208,6 @@
   27: optional list<GossipSpeedObservation> speed_observations,
   // Only for a gateway that has just started.
   28: optional list<GossipServiceSpeeds> service_speeds,
+  // The run of the receiver that made `echo`; without it `echo` proves nothing.
+  30: optional string echo_boot,
 }
