Give up fetching a configuration from a peer after a second

A connection that goes silent for good left the call pending, and the gateway never fetched a configuration from a peer again. Found by reading; the other calls of gateway/ and of the store's client have a limit of time.

"a peer that doesn't send its configuration is asked again" passes; it wasn't run without the change.

--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -54,6 +54,9 @@
 // The minimum interval between two updates about urgent news, with any number
 // of peers.
 constexpr base::Milliseconds kUrgentNewsInterval(100);
+// A peer that hasn't sent its configuration within this time is taken for lost:
+// a connection may go silent for good.
+constexpr std::chrono::seconds kPlanTimeout(1);
 constexpr int kOk = 200;
 constexpr std::chrono::seconds kKeepAlive(10);
 
@@ -91,6 +94,7 @@
                }),
       feed(feed),
       client(context.loop, kKeepAlive),
+      plan_timeout(context.loop),
       crash_gossip(context),
       rate_limit_gossip(context),
       origin_gossip(context),
@@ -514,6 +518,7 @@
   }
   this->plan_body.clear();
   this->plan_status = 0;
+  this->plan_timeout.Start(kPlanTimeout, [this] { this->plan_call.reset(); });
   this->plan_call = this->client.Start(
       address, {"GET", "/plan", {}, {}}, {},
       [this](const net::CallEvent& event) { this->OnPlanCall(event); });
@@ -525,8 +530,10 @@
   } else if (const auto* body = std::get_if<net::CallBody>(&event)) {
     this->plan_body += body->data;
   } else if (std::holds_alternative<net::CallFailed>(event)) {
+    this->plan_timeout.Cancel();
     this->plan_call.reset();
   } else if (std::holds_alternative<net::CallDone>(event)) {
+    this->plan_timeout.Cancel();
     this->plan_call.reset();
     auto value = std::make_shared<const nlohmann::json>(
         nlohmann::json::parse(this->plan_body, nullptr, false));
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -98,6 +98,7 @@
   std::unique_ptr<net::DatagramSocket> datagrams;
   std::unique_ptr<net::HttpServer> server;
   net::HttpClient client;
+  net::Timer plan_timeout;
   std::map<base::HostId, Peer> peers;
   // The value that was logged last.
   std::optional<int64_t> logged_slack_divisor;
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -483,4 +483,26 @@
   CHECK(received.echo_boot == "first");
 }
 
+// Guards against a gateway that never fetches a configuration from a peer again
+// after a connection has gone silent.
+TEST_CASE("a peer that doesn't send its configuration is asked again") {
+  GossipTest test(kWithoutStore);
+  test.Start();
+  std::vector<std::shared_ptr<net::Exchange>> calls;
+  const net::HttpServer server(
+      test.gateway.loop, {"127.0.0.1", 0},
+      [&](const auto& exchange) { calls.push_back(exchange); });
+  net::DatagramSocket peer(test.gateway.loop, {"127.0.0.1", server.port()},
+                           [](const auto&, const auto&) {});
+  wire::gen::Gossip message = FirstMessage("peer", "first");
+  message.plan_version = 3;
+  test.SendToGateway(peer, message);
+  test.gateway.RunFor(kFewRounds);
+  REQUIRE(calls.size() == 1);
+  test.gateway.RunFor(std::chrono::milliseconds(1200));
+  test.SendToGateway(peer, message);
+  test.gateway.RunFor(kFewRounds);
+  CHECK(calls.size() == 2);
+}
+
 }  // namespace carawayvalve::gateway
