--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -55,6 +55,9 @@
 // The minimum interval between two updates about urgent news, with any number
 // of peers.
 constexpr base::Milliseconds kUrgentNewsInterval(100);
+// A peer that hasn't sent its configuration within this time is taken for lost:
+// a connection may go silent for good.
+constexpr std::chrono::seconds kPlanTimeout(1);
 constexpr int kOk = 200;
 constexpr std::chrono::seconds kKeepAlive(10);
 
@@ -92,6 +95,7 @@
                }),
       feed(feed),
       client(context.loop, kKeepAlive),
+      plan_timeout(context.loop),
       crash_gossip(context),
       rate_limit_gossip(context),
       origin_gossip(context),
@@ -303,7 +307,7 @@
   auto origins = this->origin_gossip.TakeUntold();
   Gossip addressed = gossip;
   for (const auto& [host, peer] : this->peers) {
-    addressed.echo = peer.stamp;
+    SetEcho(addressed, peer.boot, peer.stamp);
     addressed.stream_origins = std::move(origins[host]);
     addressed.__isset.stream_origins = !addressed.stream_origins.empty();
     this->datagrams->Send(PrintGossip(addressed), peer.address);
@@ -319,7 +323,7 @@
   }
   for (const auto& [host, peer] : this->peers) {
     if (question.all || this->origin_gossip.IsKeeper(*question.first, host)) {
-      message.echo = peer.stamp;
+      SetEcho(message, peer.boot, peer.stamp);
       this->datagrams->Send(PrintGossip(message), peer.address);
     }
   }
@@ -351,7 +355,7 @@
       continue;
     }
     for (Gossip message : messages) {
-      message.echo = peer.stamp;
+      SetEcho(message, peer.boot, peer.stamp);
       this->datagrams->Send(PrintGossip(message), peer.address);
     }
   }
@@ -360,7 +364,7 @@
 void PeerGossip::Send(const Gossip& gossip) {
   Gossip addressed = gossip;
   for (const auto& [host, peer] : this->peers) {
-    addressed.echo = peer.stamp;
+    SetEcho(addressed, peer.boot, peer.stamp);
     this->datagrams->Send(PrintGossip(addressed), peer.address);
   }
 }
@@ -372,7 +376,7 @@
     return;
   }
   Gossip message = this->BaseMessage();
-  message.echo = found->second.stamp;
+  SetEcho(message, found->second.boot, found->second.stamp);
   message.__set_account_rates(rates);
   message.account_rates.__set_receiver_boot(found->second.boot);
   this->datagrams->Send(PrintGossip(message), found->second.address);
@@ -499,11 +503,13 @@
     return;
   }
   if (gossip.plan_version == own_version && own_version > 0 &&
-      gossip.echo > 0 && gossip.proof_age_ms >= 0) {
-    const base::Instant sent_at(base::Milliseconds(gossip.echo));
+      gossip.proof_age_ms >= 0) {
+    const auto sent_at = EchoSentAt(gossip, state, base::Now());
     const base::Milliseconds age(gossip.proof_age_ms);
-    state.key_freshness.NotePeerAnswer(sent_at, age);
-    this->feed.NoteConfigurationConfirmed(sent_at - age);
+    if (sent_at.has_value()) {
+      state.key_freshness.NotePeerAnswer(*sent_at, age);
+      this->feed.NoteConfigurationConfirmed(*sent_at - age);
+    }
   }
 }
 
@@ -513,6 +519,7 @@
   }
   this->plan_body.clear();
   this->plan_status = 0;
+  this->plan_timeout.Start(kPlanTimeout, [this] { this->plan_call.reset(); });
   this->plan_call = this->client.Start(
       address, {"GET", "/plan", {}, {}}, {},
       [this](const net::CallEvent& event) { this->OnPlanCall(event); });
@@ -524,8 +531,10 @@
   } else if (const auto* body = std::get_if<net::CallBody>(&event)) {
     this->plan_body += body->data;
   } else if (std::holds_alternative<net::CallFailed>(event)) {
+    this->plan_timeout.Cancel();
     this->plan_call.reset();
   } else if (std::holds_alternative<net::CallDone>(event)) {
+    this->plan_timeout.Cancel();
     this->plan_call.reset();
     auto value = std::make_shared<const nlohmann::json>(
         base::ParseForeignJson(this->plan_body).value);
--- a/gateway/src/registry_relay.cc
+++ b/gateway/src/registry_relay.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "carawayvalve/base/foreign_json.h"
+#include "gossip_format.h"
 
 namespace carawayvalve::gateway {
 
@@ -110,13 +111,13 @@
     const wire::gen::GossipRegistryProof& proof = gossip.registry_proof;
     const core::StoreRevision proven{proof.era, proof.revision};
     known_there = std::max(known_there, proven);
-    if (gossip.echo > 0 && proof.age_ms >= 0 &&
+    const auto sent_at = EchoSentAt(gossip, this->context.state, base::Now());
+    if (sent_at.has_value() && proof.age_ms >= 0 &&
         registry.received_revision().Includes(proven)) {
       // Only this process's clock counts, so that a delay in transit makes no
       // confirmation look newer.
-      this->feed.NoteRegistryConfirmed(
-          base::Instant(base::Milliseconds(gossip.echo)) -
-          base::Milliseconds(proof.age_ms));
+      this->feed.NoteRegistryConfirmed(*sent_at -
+                                       base::Milliseconds(proof.age_ms));
     }
   }
   if (this->call == nullptr && registry.IsIdle() &&
--- a/gateway/tests/odd_objects_test.cc
+++ b/gateway/tests/odd_objects_test.cc
@@ -220,13 +220,14 @@
     test.gateway.RunFor(Milliseconds(300));
     REQUIRE(told.Knows("i-2"));
     const RegistryRelay relay(test.gateway.context, test.feed);
-    const std::string known =
-        std::to_string(test.feed.registry().received_revision());
+    const core::StoreRevision known = test.feed.registry().received_revision();
     test.store.PutText("servers", "i-2", With(field));
     test.store.Put("servers", "i-3", DeskServer("draining"));
     test.gateway.RunFor(Milliseconds(2000));
 
-    const auto answer = relay.Answer("/registry?after=" + known);
+    const auto answer =
+        relay.Answer("/registry?after=" + std::to_string(known.revision) +
+                     "&era=" + std::to_string(known.era));
     REQUIRE(answer.has_value());
     // The told gateway asks a server that answers as the peer does.
     net::HttpServer peer(told.gateway.loop, {"127.0.0.1", 0},
@@ -235,7 +236,8 @@
                          });
     RegistryRelay told_relay(told.gateway.context, told.feed);
     wire::gen::Gossip message;
-    message.registry_revision = test.feed.registry_revision();
+    message.registry_revision = test.feed.registry_revision().revision;
+    relay.AddTo(message);
     told_relay.Apply(message, {"127.0.0.1", peer.port()});
     told.gateway.RunFor(Milliseconds(300));
     CHECK(told.IsDraining("i-3"));
--- a/tests/platform/store.h
+++ b/tests/platform/store.h
@@ -47,6 +47,8 @@
   bool refuses = false;
   // Closes connections without an answer.
   bool down = false;
+  // Holds all answers back for good, as if the caller were cut off.
+  bool silent = false;
   // Number of upcoming writes to apply without answering.
   int lost_writes = 0;
   // Answers requests for further pages of a list with 429.
@@ -102,6 +104,8 @@
   std::list<Watcher> watchers;
   // Values that may be malformed, by the strings that stand for them.
   std::map<std::string, std::string> texts;
+  // Calls that are never answered.
+  std::vector<std::shared_ptr<net::Exchange>> held;
 };
 
 struct Store::Copy {
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -3184,6 +3184,11 @@
   this->store_era = val;
 __isset.store_era = true;
 }
+
+void Gossip::__set_echo_boot(const std::string& val) {
+  this->echo_boot = val;
+__isset.echo_boot = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -3609,6 +3614,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->echo_boot);
+          this->__isset.echo_boot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3886,6 +3899,11 @@
     xfer += oprot->writeI64(this->store_era);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.echo_boot) {
+    xfer += oprot->writeFieldBegin("echo_boot", ::apache::thrift::protocol::T_STRING, 30);
+    xfer += oprot->writeString(this->echo_boot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3920,6 +3938,7 @@
   swap(a.speed_observations, b.speed_observations);
   swap(a.service_speeds, b.service_speeds);
   swap(a.store_era, b.store_era);
+  swap(a.echo_boot, b.echo_boot);
   swap(a.__isset, b.__isset);
 }
 
@@ -3951,6 +3970,7 @@
   speed_observations = other196.speed_observations;
   service_speeds = other196.service_speeds;
   store_era = other196.store_era;
+  echo_boot = other196.echo_boot;
   __isset = other196.__isset;
 }
 Gossip::Gossip(Gossip&& other197) noexcept {
@@ -3981,6 +4001,7 @@
   speed_observations = std::move(other197.speed_observations);
   service_speeds = std::move(other197.service_speeds);
   store_era = other197.store_era;
+  echo_boot = std::move(other197.echo_boot);
   __isset = other197.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other198) {
@@ -4011,6 +4032,7 @@
   speed_observations = other198.speed_observations;
   service_speeds = other198.service_speeds;
   store_era = other198.store_era;
+  echo_boot = other198.echo_boot;
   __isset = other198.__isset;
   return *this;
 }
@@ -4042,6 +4064,7 @@
   speed_observations = std::move(other199.speed_observations);
   service_speeds = std::move(other199.service_speeds);
   store_era = other199.store_era;
+  echo_boot = std::move(other199.echo_boot);
   __isset = other199.__isset;
   return *this;
 }
@@ -4075,6 +4098,7 @@
   out << ", " << "speed_observations="; (__isset.speed_observations ? (out << to_string(speed_observations)) : (out << "<null>"));
   out << ", " << "service_speeds="; (__isset.service_speeds ? (out << to_string(service_speeds)) : (out << "<null>"));
   out << ", " << "store_era="; (__isset.store_era ? (out << to_string(store_era)) : (out << "<null>"));
+  out << ", " << "echo_boot="; (__isset.echo_boot ? (out << to_string(echo_boot)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -1068,7 +1068,7 @@
 std::ostream& operator<<(std::ostream& out, const GossipServiceSpeeds& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), account_rates(false), wanted_contents(false), registry_proof(false), speed_observations(false), service_speeds(false), store_era(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), account_rates(false), wanted_contents(false), registry_proof(false), speed_observations(false), service_speeds(false), store_era(false), echo_boot(false) {}
   bool absences :1;
   bool departures :1;
   bool served_parts :1;
@@ -1083,6 +1083,7 @@
   bool speed_observations :1;
   bool service_speeds :1;
   bool store_era :1;
+  bool echo_boot :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -1103,7 +1104,8 @@
            leaving(0),
            registry_revision(0),
            reports_usage(0),
-           store_era(0) {
+           store_era(0),
+           echo_boot() {
   }
 
   virtual ~Gossip() noexcept;
@@ -1134,6 +1136,7 @@
   std::vector<GossipSpeedObservation>  speed_observations;
   std::vector<GossipServiceSpeeds>  service_speeds;
   int64_t store_era;
+  std::string echo_boot;
 
   _Gossip__isset __isset;
 
@@ -1191,6 +1194,8 @@
 
   void __set_store_era(const int64_t val);
 
+  void __set_echo_boot(const std::string& val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -1275,6 +1280,10 @@
       return false;
     else if (__isset.store_era && !(store_era == rhs.store_era))
       return false;
+    if (__isset.echo_boot != rhs.__isset.echo_boot)
+      return false;
+    else if (__isset.echo_boot && !(echo_boot == rhs.echo_boot))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -212,4 +212,6 @@
   28: optional list<GossipServiceSpeeds> service_speeds,
   // The highest era of the store that the sender knows of.
   29: optional i64 store_era,
+  // The run of the receiver that made `echo`; without it `echo` proves nothing.
+  30: optional string echo_boot,
 }
