Print JSON that goes out without throwing for texts that aren't UTF-8

A caller whose X-Request-Id had the byte 0xFF on a resumable stream ended the gateway that stored the stream's origin: json::dump() threw type_error.316 out of the event loop.

base::PrintJson replaces such sequences. The gateway's calls and answers and the state dumps of entry and agent print with it. Replaced ids of two streams may be alike, so that one could go on at the version of the other after a loss of all gateways: an origin that doesn't survive printing isn't stored, and its stream is then unknown and refused.

--- a/agent/src/state_dump.cc
+++ b/agent/src/state_dump.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "agent_metrics.h"
+#include "carawayvalve/base/foreign_json.h"
 
 namespace carawayvalve::agent {
 
@@ -71,7 +72,8 @@
        [&] {
          return systems::OperatorAnswer{
              200, "application/json",
-             DumpState(settings, handler, attempts, usage).dump(2) + "\n"};
+             base::PrintJson(DumpState(settings, handler, attempts, usage), 2) +
+                 "\n"};
        }},
   };
 }
--- a/base/include/carawayvalve/base/foreign_json.h
+++ b/base/include/carawayvalve/base/foreign_json.h
@@ -26,6 +26,14 @@
 // Never throws for what the text holds.
 ForeignJson ParseForeignJson(std::string_view text);
 
+// Prints JSON whose texts may come from another process; on one line unless
+// `indent` is the spaces a level. Each sequence that isn't UTF-8 becomes
+// U+FFFD, so that different texts may print alike, see SurvivesJson.
+std::string PrintJson(const nlohmann::json& value, int indent = -1);
+
+// Returns whether a reader gets back the same text from PrintJson.
+bool SurvivesJson(const std::string& text);
+
 // Return the texts of the members of the object, or of the elements of the
 // array, that `text` holds, each of which may be unreadable by itself; nothing
 // when `text` isn't an object or array whose ends can be found. Names that
--- a/base/src/foreign_json.cc
+++ b/base/src/foreign_json.cc
@@ -123,6 +123,14 @@
   }
 }
 
+std::string PrintJson(const json& value, int indent) {
+  return value.dump(indent, ' ', false, json::error_handler_t::replace);
+}
+
+bool SurvivesJson(const std::string& text) {
+  return ParseForeignJson(PrintJson(text)).value == json(text);
+}
+
 std::optional<std::map<std::string, std::string_view>> SplitJsonObject(
     std::string_view text) {
   Scanner scanner(text);
--- a/base/tests/foreign_json_test.cc
+++ b/base/tests/foreign_json_test.cc
@@ -95,6 +95,19 @@
   }
 }
 
+TEST_CASE("JSON for another process is printed whatever its texts hold") {
+  CHECK(PrintJson({{"a\xff", "\xc3"}}) ==
+        "{\"a\xef\xbf\xbd\":\"\xef\xbf\xbd\"}");
+  CHECK(PrintJson({1}, 2) == "[\n  1\n]");
+  CHECK(SurvivesJson("\xc3\xa9\"\\\n"));
+  CHECK_FALSE(SurvivesJson("a\xff"));
+  CHECK(rc::check("any text", [](const std::string& text) {
+    const json printed = ParseForeignJson(PrintJson(text)).value;
+    RC_ASSERT(printed.is_string());
+    RC_ASSERT(SurvivesJson(text) == (printed.get<std::string>() == text));
+  }));
+}
+
 TEST_CASE("splitting JSON loses nothing") {
   CHECK(rc::check("well-formed elements are all there, in order", [] {
     const auto texts =
--- a/entry/src/state_dump.cc
+++ b/entry/src/state_dump.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "carawayvalve/base/foreign_json.h"
 #include "carawayvalve/core/duty.h"
 
 namespace carawayvalve::entry {
@@ -149,7 +150,7 @@
 }
 
 systems::OperatorAnswer Json(const json& value) {
-  return {200, "application/json", value.dump(2) + "\n"};
+  return {200, "application/json", base::PrintJson(value, 2) + "\n"};
 }
 
 systems::OperatorAnswer Ready(const OperatorPageSources& sources) {
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "carawayvalve/base/error.h"
+#include "carawayvalve/base/foreign_json.h"
 #include "carawayvalve/gateway/gateway.h"
 #include "explanation.h"
 #include "request_handler.h"
@@ -217,8 +218,8 @@
     const auto explanation = gateway::Explain(
         this->context, ReadExplainedRequest(exchange.request().body),
         base::Now());
-    exchange.Respond(
-        {{kOk, {{"Content-Type", "application/json"}}}, explanation.dump()});
+    exchange.Respond({{kOk, {{"Content-Type", "application/json"}}},
+                      base::PrintJson(explanation)});
   } catch (const base::Error& error) {
     exchange.Respond({{kBadRequest, {}}, error.reason()});
   }
@@ -256,21 +257,21 @@
                               : -1}});
   }
   const auto age = this->state.key_freshness.Age(now);
-  return nlohmann::json{
-      {"host", this->state.settings.host.value},
-      {"boot", this->state.boot.value},
-      {"plan_version", this->plan_version},
-      {"keys_age_ms", age.has_value() ? base::ToMilliseconds(*age) : -1},
-      {"ready", this->Ready()},
-      {"stopping", this->state.stop.begun()},
-      {"gateways", this->state.retry_members.Count()},
-      {"peers_heard", this->peers.live_peers(now)},
-      {"holds_duties", this->duties.holds(now)},
-      {"epoch", this->duties.epoch()},
-      {"windows_reported", this->duties.reported()},
-      {"limited_accounts", accounts},
-      {"backend_servers", backends}}
-      .dump(2);
+  return base::PrintJson(
+      {{"host", this->state.settings.host.value},
+       {"boot", this->state.boot.value},
+       {"plan_version", this->plan_version},
+       {"keys_age_ms", age.has_value() ? base::ToMilliseconds(*age) : -1},
+       {"ready", this->Ready()},
+       {"stopping", this->state.stop.begun()},
+       {"gateways", this->state.retry_members.Count()},
+       {"peers_heard", this->peers.live_peers(now)},
+       {"holds_duties", this->duties.holds(now)},
+       {"epoch", this->duties.epoch()},
+       {"windows_reported", this->duties.reported()},
+       {"limited_accounts", accounts},
+       {"backend_servers", backends}},
+      2);
 }
 
 void Gateway::OnSignal(int number) {
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -548,7 +548,7 @@
     return;
   }
   exchange->Respond(
-      {{kOk, {{"Content-Type", "application/json"}}}, plan->dump()});
+      {{kOk, {{"Content-Type", "application/json"}}}, base::PrintJson(*plan)});
 }
 
 void PeerGossip::Leave() {
--- a/gateway/src/recent_state_format.cc
+++ b/gateway/src/recent_state_format.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "carawayvalve/base/foreign_json.h"
+
 namespace carawayvalve::gateway {
 
 using nlohmann::json;
@@ -43,12 +45,22 @@
   return versions;
 }
 
+// Another stream's id may print like one that isn't UTF-8, so that a successor
+// could join two streams.
+bool IsPrintable(const core::StreamOrigin& origin) {
+  return base::SurvivesJson(origin.first.value) &&
+         base::SurvivesJson(origin.software_version) &&
+         base::SurvivesJson(origin.content);
+}
+
 // Streams are written as [first, version, age_ms, content].
 json PrintOrigins(const std::vector<core::StreamOrigin>& origins) {
   json printed = json::array();
   for (const core::StreamOrigin& origin : origins) {
-    printed.push_back({origin.first.value, origin.software_version,
-                       base::ToMilliseconds(origin.age), origin.content});
+    if (IsPrintable(origin)) {
+      printed.push_back({origin.first.value, origin.software_version,
+                         base::ToMilliseconds(origin.age), origin.content});
+    }
   }
   return printed;
 }
--- a/gateway/src/registry_relay.cc
+++ b/gateway/src/registry_relay.cc
@@ -110,7 +110,7 @@
     return std::nullopt;
   }
   const auto range = this->feed.registry().log().Since(revision);
-  return range.has_value() ? std::optional(Encode(*range).dump())
+  return range.has_value() ? std::optional(base::PrintJson(Encode(*range)))
                            : std::nullopt;
 }
 
--- a/gateway/tests/recent_store_test.cc
+++ b/gateway/tests/recent_store_test.cc
@@ -174,6 +174,27 @@
   CHECK(fleet.TakeUp("r2") == std::nullopt);
 }
 
+TEST_CASE("a stream whose id isn't text ends no gateway") {
+  Fleet fleet;
+  fleet.run->context.NoteStream({{"\xff"}, "v1", {}, kContent}, kService,
+                                kTakeUpTime);
+  fleet.run->context.NoteStream({{"r1"}, "v2", {}, "c-2"}, kService,
+                                kTakeUpTime);
+  fleet.Wait(Milliseconds(500));
+  fleet.Restart();
+
+  SUBCASE("nor keeps another from going on") {
+    CHECK(fleet.TakeUp("r1") == "v2");
+  }
+  SUBCASE("and is unknown after all were lost") {
+    CHECK(fleet.TakeUp("\xff") == std::nullopt);
+  }
+  SUBCASE("as are the ids that print like it") {
+    CHECK(fleet.TakeUp("\xfe") == std::nullopt);
+    CHECK(fleet.TakeUp("\xef\xbf\xbd") == std::nullopt);
+  }
+}
+
 TEST_CASE("the only version of a service is known after all were lost") {
   Fleet fleet;
   fleet.store.Remove("servers", "old");
