Refuse gossip that states more elements than its datagram can hold

A datagram with a great container size ended the gateway: resizing a vector threw std::bad_alloc, which isn't a TException, out of the event loop. Strings and containers are now bounded by the datagram's length, and any exception refuses the datagram.

--- a/gateway/src/gossip_format.cc
+++ b/gateway/src/gossip_format.cc
@@ -3,6 +3,9 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <cstdint>
+#include <exception>
+
 namespace carawayvalve::gateway {
 
 namespace {
@@ -24,11 +27,13 @@
   const auto buffer =
       std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t*>(copy.data()),
                                       static_cast<uint32_t>(copy.size()));
-  TCompactProtocol protocol(buffer);
+  // Each byte of a string and each element of a container takes a byte or more.
+  const auto limit = static_cast<int32_t>(copy.size());
+  TCompactProtocol protocol(buffer, limit, limit);
   wire::gen::Gossip gossip;
   try {
     gossip.read(&protocol);
-  } catch (const apache::thrift::TException&) {
+  } catch (const std::exception&) {
     return std::nullopt;
   }
   return gossip;
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -1,6 +1,7 @@
 #include "peer_gossip.h"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 #include <unistd.h>
 
 #include <set>
@@ -424,4 +425,41 @@
   }
 }
 
+TEST_CASE("no datagram ends a gateway") {
+  constexpr size_t kMaxDatagram = 65507;
+
+  SUBCASE("with the number of elements of a list") {
+    // Field 1 is a list of any type; then the number of elements as a varint.
+    for (const std::string& count :
+         {std::string("\xff\xff\xff\xff\x07"), std::string("\xff\xff\x7f"),
+          std::string("\xff\xff\xff\xff\x0f"),
+          std::string("\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01")}) {
+      for (int field = 1; field <= 40; ++field) {
+        for (int type = 1; type <= 12; ++type) {
+          const std::string list{'\x09', static_cast<char>(2 * field),
+                                 static_cast<char>(0xf0 | type)};
+          const std::string text = list + count;
+          CHECK_FALSE(ParseGossip(text).has_value());
+          CHECK_FALSE(ParseGossip(text + std::string(kMaxDatagram - text.size(),
+                                                     '\x7f'))
+                          .has_value());
+        }
+      }
+    }
+  }
+  SUBCASE("with any bytes") {
+    CHECK(rc::check("any bytes are read or refused",
+                    [](const std::string& text) { ParseGossip(text); }));
+    CHECK(rc::check("a changed message is read or refused", [] {
+      std::string text = PrintGossip(FirstMessage("peer", "first"));
+      const int changes = *rc::gen::inRange(1, 6);
+      for (int i = 0; i < changes; ++i) {
+        text[*rc::gen::inRange<size_t>(0, text.size())] =
+            *rc::gen::arbitrary<char>();
+      }
+      ParseGossip(text);
+    }));
+  }
+}
+
 }  // namespace carawayvalve::gateway
