A malformed answer of the store hides no backend server and no change

What a gateway did: a list whose items can't be told counted as an empty one, so that all backend servers were dropped; a change without a readable name, or a removal whose flag isn't a boolean, was skipped, and the watch went on beyond it: requests went on at a server that had left (LOST, DRAIN).

Cause: decoding gave an empty result for a frame that it couldn't read.

--- a/gateway/tests/odd_objects_test.cc
+++ b/gateway/tests/odd_objects_test.cc
@@ -176,6 +176,45 @@
   test.CheckThatTheOthersHold();
 }
 
+// Guards against a malformed answer that is taken for one without objects.
+TEST_CASE("an answer whose frame can't be read hides no entry and no change") {
+  OddObjectsTest test;
+  int spoilt = 0;
+  const auto spoil_once = [&](const std::string& from, const std::string& to) {
+    test.store.on_answer = [&spoilt, from, to](std::string& text) {
+      const size_t at = text.find(from);
+      if (spoilt == 0 && at != std::string::npos) {
+        text.replace(at, from.size(), to);
+        ++spoilt;
+      }
+    };
+  };
+  test.store.Put("servers", "i-2", DeskServer());
+  SUBCASE("a list without an array") {
+    spoil_once("\"items\":[{", "\"items\":1,\"others\":[{");
+  }
+  test.feed.Start();
+  test.gateway.RunFor(Milliseconds(500));
+  REQUIRE(test.Knows("i-2"));
+  SUBCASE("a change without a name") {
+    spoil_once("\"name\":\"i-2\"", "\"name\":1");
+  }
+  SUBCASE("a removal that isn't a boolean") {
+    spoil_once("\"tombstone\":true", "\"tombstone\":1");
+  }
+  SUBCASE("changes without an array") {
+    spoil_once("\"events\":[{", "\"events\":2,\"others\":[{");
+  }
+  test.store.Remove("servers", "i-2");
+  // Beyond the grace period that a failed call begins.
+  test.gateway.RunFor(Milliseconds(4000));
+  test.feed.ExpireBackends();
+  CHECK(spoilt == 1);
+  CHECK(!test.Knows("i-2"));
+  CHECK(test.Knows("i-1"));
+  CHECK(test.Knows("i-3"));
+}
+
 TEST_CASE("a configuration that can't be read leaves the one before in force") {
   OddObjectsTest test;
   test.store.Put("config", "main",
