The stand-in's verbatim answers name their request, as the protocol has it

Five checks of request_handler_test.cc failed once answers without an id were no longer taken for the request's own: the stand-in wrote them without X-Request-Id, which backend servers echo in all answers (PROTOCOL.md, Workers). The checks are unchanged; with the id all 42 assertions of the five cases pass.

--- a/tests/platform/backend.cc
+++ b/tests/platform/backend.cc
@@ -5,7 +5,8 @@
 namespace carawayvalve::tests {
 
 std::string AnswerHead(const std::string& fields) {
-  return "HTTP/1.1 200 OK\r\nX-Response-Sig: s\r\n" + fields + "\r\n";
+  return "HTTP/1.1 200 OK\r\nX-Response-Sig: s\r\nX-Request-Id: r1\r\n" +
+         fields + "\r\n";
 }
 
 std::string PlainAnswer(const std::string& request,
--- a/tests/platform/backend.h
+++ b/tests/platform/backend.h
@@ -133,7 +133,8 @@
   uint16_t listening_port;
 };
 
-// Returns the head of a genuine 200 answer with `fields`, as it is sent.
+// Returns the head of a genuine 200 answer to the request r1 with `fields`, as
+// it is sent.
 std::string AnswerHead(const std::string& fields);
 // Returns the body of a backend server's answer to a plain request.
 std::string PlainAnswer(const std::string& request, const std::string& backend);
