A gateway's entry with a host name names no peer

Such an entry is unreadable now, as that of a backend server is.

Evidence: without the check, 'a gateway's entry with a host name names no peer' failed: CHECK( odd == other ); with it it passes.

--- a/gateway/src/host_registry.cc
+++ b/gateway/src/host_registry.cc
@@ -113,9 +113,11 @@
     return;
   }
   try {
-    this->on_host(
-        {object.name},
-        base::ParseAddress((*object.value)["address"].get<std::string>()));
+    const base::Address address =
+        base::ParseAddress((*object.value)["address"].get<std::string>());
+    // Throws for a host name; datagrams go to IP addresses only.
+    base::ToSocketAddress(address);
+    this->on_host({object.name}, address);
   } catch (const std::exception& error) {
     this->context.journal.Write(
         base::LogLevel::kWarning, "peer_unreadable",
--- a/gateway/tests/odd_objects_test.cc
+++ b/gateway/tests/odd_objects_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "carawayvalve/platform/object_decoding.h"
+#include "host_registry.h"
 #include "platform/store.h"
 #include "registry_relay.h"
 #include "store_feed.h"
@@ -239,6 +240,24 @@
   CHECK(test.gateway.state.table->version() == 3);
 }
 
+// Guards against a gateway that ends as it sends to a host that is no address.
+TEST_CASE("a gateway's entry with a host name names no peer") {
+  OddObjectsTest test;
+  test.store.Put("carawayvalve-hosts", "odd", {{"address", "a.example:80"}});
+  test.store.Put("carawayvalve-hosts", "other", {{"address", "127.0.0.1:9"}});
+  std::vector<std::string> peers;
+  HostRegistry registry(test.gateway.context, test.objects,
+                        [&](const base::HostId& host, const base::Address&) {
+                          peers.push_back(host.value);
+                        });
+  registry.Start();
+  test.gateway.RunFor(Milliseconds(200));
+  REQUIRE(!peers.empty());
+  for (const std::string& peer : peers) {
+    CHECK(peer == "other");
+  }
+}
+
 TEST_CASE("a peer passes on an entry that can't be read as one that can't") {
   for (const std::string& field : OddFields()) {
     CAPTURE(field.substr(0, 10));
