Bridge no version history across eras of the store

Cause: what gateways store of the versions they knew was joined with the registry's changes since as if there were no gap; both came from the copy, in which the newer version never existed. Now the stored state names the era of its revision, and it is joined only with the registry of that era.

Evidence: on the code before, recent_store_test.cc 'the only version of a service is known after all were lost', 'also if the store has lost that', failed: CHECK( fleet.TakeUp("r9") == std::nullopt ). Now all 6 cases of the file pass, and the 3 of recent_state_schedule_test.cc.

--- a/core/include/carawayvalve/core/recent_state_schedule.h
+++ b/core/include/carawayvalve/core/recent_state_schedule.h
@@ -12,6 +12,7 @@
 
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/base/time.h"
+#include "carawayvalve/core/store_revision.h"
 #include "carawayvalve/core/stream_origins.h"
 #include "carawayvalve/core/version_history.h"
 #include "carawayvalve/core/window_counts.h"
@@ -26,7 +27,7 @@
   base::Duration written{};
   // The versions of all services up to this revision of the store; 0 if the
   // writer couldn't tell them.
-  int64_t registry_revision = 0;
+  StoreRevision registry_revision;
   std::map<base::ServiceId, ServiceVersions> versions;
   std::vector<StreamOrigin> origins;
   std::vector<WindowCountsPart> counts;
@@ -82,7 +83,7 @@
     // The first window that may not have been sealed.
     int64_t first_window = 0;
     std::map<base::ServiceId, ServiceVersions> versions;
-    int64_t registry_revision = 0;
+    StoreRevision registry_revision;
     // True time since 1970.
     base::Duration wall_time{};
   };
--- a/core/tests/recent_state_schedule_test.cc
+++ b/core/tests/recent_state_schedule_test.cc
@@ -59,7 +59,7 @@
         {this->counts[at],
          0,
          {},
-         1,
+         {0, 1},
          this->now - kStart + seconds(1'700'000'000)},
         this->now);
   }
@@ -182,7 +182,7 @@
         {fleet.counts[0],
          0,
          {},
-         1,
+         {0, 1},
          kSettings.settle_time + seconds(1'700'000'000)},
         fleet.now);
     CHECK_FALSE(second.has_value());
@@ -286,7 +286,7 @@
     const auto write = [&] {
       now += settings.counts_interval;
       const auto action = schedule.Step(
-          {counted, 6, {}, 1, now - kStart + seconds(1'700'000'000)}, now);
+          {counted, 6, {}, {0, 1}, now - kStart + seconds(1'700'000'000)}, now);
       if (!action.has_value()) {
         return false;
       }
--- a/gateway/src/recent_state_format.cc
+++ b/gateway/src/recent_state_format.cc
@@ -108,7 +108,8 @@
 json PrintRecentState(const core::RecentState& state) {
   return {{"format", kFormat},
           {"written_ms", base::ToMilliseconds(state.written)},
-          {"registry_revision", state.registry_revision},
+          {"registry_era", state.registry_revision.era},
+          {"registry_revision", state.registry_revision.revision},
           {"versions", PrintVersions(state.versions)},
           {"streams", PrintOrigins(state.origins)},
           {"counts", PrintParts(state.counts)}};
@@ -121,7 +122,8 @@
     }
     core::RecentState state;
     state.written = ParseMs(value.at("written_ms"));
-    state.registry_revision = value.at("registry_revision").get<int64_t>();
+    state.registry_revision = {value.value("registry_era", int64_t{0}),
+                               value.at("registry_revision").get<int64_t>()};
     state.versions = ParseVersions(value.at("versions"));
     state.origins = ParseOrigins(value.at("streams"));
     state.counts = ParseParts(value.at("counts"));
--- a/gateway/src/recent_store.cc
+++ b/gateway/src/recent_store.cc
@@ -57,7 +57,7 @@
   const auto action = state.recent_state.Step(
       {state.usage, window - kWindowsStored + 1,
        state.directory.RecentVersions(kVersionsTime, now),
-       this->feed.registry_read_to().revision, wall_time},
+       this->feed.registry_read_to(), wall_time},
       now);
   if (action.has_value()) {
     this->Write(*action);
@@ -165,7 +165,10 @@
     }
     this->Apply(*stored,
                 std::max(wall_time - stored->written, base::Duration(0)));
-    if (stored->registry_revision > 0 &&
+    // In between the store may have lost registrations without a trace.
+    const bool is_of_this_era =
+        stored->registry_revision.era == this->feed.registry_read_to().era;
+    if (stored->registry_revision.revision > 0 && is_of_this_era &&
         (!newest.has_value() || newest->written < stored->written)) {
       newest = std::move(stored);
     }
@@ -196,21 +199,26 @@
 }
 
 void RecentStore::ReadRegistrySince(const core::RecentState& stored) {
-  this->read_call =
-      this->objects.Watch(platform::kBackendServerKind,
-                          stored.registry_revision, base::Milliseconds(0),
-                          [this, stored](const platform::WatchResult& result) {
-                            this->OnRegistryRead(stored, result);
-                            this->FinishRead(true);
-                          });
+  this->read_call = this->objects.Watch(
+      platform::kBackendServerKind, stored.registry_revision.revision,
+      base::Milliseconds(0),
+      [this, stored](const platform::WatchResult& result) {
+        this->OnRegistryRead(stored, result);
+        this->FinishRead(true);
+      });
 }
 
 void RecentStore::OnRegistryRead(const core::RecentState& stored,
                                  const platform::WatchResult& result) {
   GatewayState& state = this->context.state;
   const auto* changes = std::get_if<platform::ObjectChanges>(&result);
-  if (changes == nullptr ||
-      changes->revision < this->feed.registry_read_to().revision) {
+  if (changes == nullptr) {
+    return;
+  }
+  const core::StoreRevision& read_to = this->feed.registry_read_to();
+  const core::StoreRevision at{changes->era.value_or(read_to.era),
+                               changes->revision};
+  if (!at.Includes(read_to) || at.era != stored.registry_revision.era) {
     return;
   }
   const base::Instant now = base::Now();
--- a/gateway/tests/recent_store_test.cc
+++ b/gateway/tests/recent_store_test.cc
@@ -221,6 +221,15 @@
     fleet.Restart();
     CHECK(fleet.TakeUp("r9") == std::nullopt);
   }
+  SUBCASE("also if the store has lost that") {
+    const auto copy = fleet.store.Backup();
+    fleet.store.Put("servers", "third", Server("v3"));
+    fleet.Wait(Milliseconds(200));
+    fleet.run.reset();
+    fleet.store.ReturnTo(*copy);
+    fleet.Restart();
+    CHECK(fleet.TakeUp("r9") == std::nullopt);
+  }
   SUBCASE("or may have") {
     fleet.store.Put("servers", "other", Server("v2"));
     fleet.store.Compact();
