--- a/core/src/recent_state_schedule.cc
+++ b/core/src/recent_state_schedule.cc
@@ -134,7 +134,8 @@
   action.state.written = sources.wall_time;
   const size_t version_bytes = BytesOf(sources.versions);
   // Without the versions the origins and counts hold all the same.
-  if (sources.registry_revision.revision > 0 && version_bytes < bytes_left / 2) {
+  if (sources.registry_revision.revision > 0 &&
+      version_bytes < bytes_left / 2) {
     action.state.registry_revision = sources.registry_revision;
     action.state.versions = sources.versions;
     bytes_left -= version_bytes;
