LOST: bound headers and bodies of answers that the shell reads as a whole

The same fault in `serve` and the agents: libcurl bounds one header, chunk extensions and trailers, but not the number of headers, which Transfer kept; and HttpCall and an engine's refusal kept bodies of any size. Headers (64 KB together with trailers) and such bodies (64 MB, refusals 64 KB) now end the call with an unknown outcome.

Evidence: `given an answer without end, the outcome is unknown` fails without the limit of headers (it runs into its timeout of 5 s), passes with it.

--- a/systems/src/engine.cc
+++ b/systems/src/engine.cc
@@ -19,6 +19,7 @@
 constexpr Milliseconds kCallTimeout = Milliseconds(2000);
 // Longer than other calls, as a KV cache can hold gigabytes.
 constexpr Milliseconds kKvTimeout = Milliseconds(30000);
+constexpr size_t kMaxRefusalBytes = size_t{64} * 1024;
 
 json ToJson(const Generation& generation) {
   return {{"id", generation.id},
@@ -65,6 +66,9 @@
       return output.Append(bytes, count);
     }
     refusal.append(bytes, count);
+    if (refusal.size() > kMaxRefusalBytes) {
+      detail::ThrowUnreadable(site, "a refusal is too long");
+    }
     return true;
   };
   sink.cancelled = cancelled;
--- a/systems/src/http_client.cc
+++ b/systems/src/http_client.cc
@@ -13,6 +13,10 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;  // lower ones are interim responses
+// All heads of a response, interim ones included, and its trailers.
+constexpr size_t kMaxHeaderBytes = size_t{64} * 1024;
+// The body of a response that is read as a whole.
+constexpr size_t kMaxBodyBytes = size_t{64} * 1024 * 1024;
 
 // The state of one call, passed to libcurl's callbacks.
 struct Transfer {
@@ -22,6 +26,7 @@
   // A connection is established; the peer may have received the request.
   bool is_connected = false;
   bool is_head_complete = false;
+  size_t header_bytes = 0;
   bool ended_by_sink = false;
   // A callback's exception, as exceptions must not pass through libcurl.
   std::exception_ptr failure = nullptr;
@@ -62,6 +67,10 @@
 size_t OnHeader(char* bytes, size_t size, size_t count, void* user) {
   Transfer& transfer = *static_cast<Transfer*>(user);
   const size_t length = size * count;
+  transfer.header_bytes += length;
+  if (transfer.header_bytes > kMaxHeaderBytes) {
+    return 0;
+  }
   // libcurl passes trailers to this callback too, after the body.
   if (transfer.is_head_complete) {
     return length;
@@ -209,8 +218,10 @@
   if (code == CURLE_OK && transfer.is_head_complete) {
     return true;
   }
-  const std::string reason =
-      details[0] == '\0' ? curl_easy_strerror(code) : details.data();
+  const std::string reason = transfer.header_bytes > kMaxHeaderBytes
+                                 ? "its headers are too long"
+                             : details[0] == '\0' ? curl_easy_strerror(code)
+                                                  : details.data();
   if (!transfer.is_connected) {
     throw base::NotReachedError(step, HostAndPort(request.url), reason);
   }
@@ -225,7 +236,11 @@
     response.headers = headers;
     return true;
   };
-  sink.body = [&response](const char* bytes, size_t count) {
+  sink.body = [&](const char* bytes, size_t count) {
+    if (count > kMaxBodyBytes - response.body.size()) {
+      throw base::UnknownOutcomeError(step, HostAndPort(request.url),
+                                      "its body is too long");
+    }
     response.body.append(bytes, count);
     return true;
   };
--- a/systems/tests/http_client_test.cc
+++ b/systems/tests/http_client_test.cc
@@ -76,6 +76,27 @@
     }
   }
 
+  SUBCASE("given an answer without end, the outcome is unknown") {
+    const std::string run(size_t{512} * 1024, '0');
+    std::string lines;
+    while (lines.size() < run.size()) {
+      lines += "X-Line: value\r\n";
+    }
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& bytes :
+         {"HTTP/1.1 200 " + run, "HTTP/1.1 200 OK\r\nX-Line: " + run,
+          "HTTP/1.1 200 OK\r\n" + lines, chunked + "0\r\n" + lines}) {
+      CAPTURE(bytes.substr(0, 64));
+      AnswerServer server({{.bytes = bytes, .keep_open = true}});
+      HttpRequest request = MakeTicketRequest(server.Address());
+      request.timeout = Milliseconds(5000);
+      const base::Instant begun = base::Now();
+      CHECK_THROWS_AS(HttpCall("book slot", request), UnknownOutcomeError);
+      CHECK(base::Now() - begun < request.timeout);
+    }
+  }
+
   SUBCASE("given an invalid request, it is not sent") {
     AnswerServer server({});
     std::vector<HttpRequest> requests(3, MakeTicketRequest(server.Address()));
