--- a/core/include/carawayvalve/core/lease.h
+++ b/core/include/carawayvalve/core/lease.h
@@ -36,17 +36,19 @@
   bool operator==(const LeaseOptions&) const = default;
 };
 
-// The stored record of a lease. The object must never be deleted, because its
-// epoch would restart.
+// The stored record of a lease.
 struct LeaseRecord {
   // Identifies one run of a process, so that a restarted process is a new
   // holder. Empty when the last holder released the lease.
   base::BootId holder;
-  // The fencing token, incremented with each change of holder.
+  // The fencing token. It rises with each change of holder, also over a store
+  // that comes back from an older copy.
   int64_t epoch = 0;
   // Distinguishes the writes of one holder.
   int64_t nonce = 0;
   int64_t term_ms = 0;
+  // The store's era as known to the writer, 0 if the store doesn't say it.
+  int64_t era = 0;
 
   bool operator==(const LeaseRecord&) const = default;
 };
@@ -75,21 +77,31 @@
   std::optional<base::Duration> takeover_delay;
 };
 
-// The answer to a read. `record` is empty when the object is absent.
+// The era of the store has been learnt other than from an answer for the lease.
+// It rises each time that the store comes back from an older copy.
+struct StoreEraKnown {
+  int64_t era = 0;
+};
+
+// The answer to a read. `record` is empty when the object is absent. Here and
+// below, `era` is the store's at its answer, 0 if the store doesn't say it.
 struct LeaseReadAnswer {
   int64_t call = 0;
   std::optional<LeaseRecord> record;
   int64_t version = 0;
+  int64_t era = 0;
 };
 
 struct LeaseWriteDone {
   int64_t call = 0;
   int64_t version = 0;
+  int64_t era = 0;
 };
 
 // The object didn't have the version that the write required.
 struct LeaseWriteConflict {
   int64_t call = 0;
+  int64_t era = 0;
 };
 
 // The effect of the write is unknown; it may also take effect later.
@@ -107,6 +119,7 @@
 struct ReleaseLease {};
 
 using LeaseEvent = std::variant<LeaseTick,
+                                StoreEraKnown,
                                 LeaseReadAnswer,
                                 LeaseWriteDone,
                                 LeaseWriteConflict,
@@ -136,6 +149,11 @@
 // most kMaxClockDriftPerMille: a grant counts from before the write that gave
 // it was sent, and a successor's write is conditional on a version that it has
 // seen unchanged for a full term. Reads may be stale.
+//
+// Of a store that has come back from an older copy nothing is believed that was
+// written in an earlier era: a grant ends when its holder learns of the new
+// era, and nobody acquires the lease before a full term of the new era, after
+// which a holder that doesn't know of it has stopped by its own clock.
 class Lease {
  public:
   // `self` must be unique among all processes that use this lease object,
@@ -174,6 +192,7 @@
   };
 
   void On(const LeaseTick& event, base::Instant now);
+  void On(const StoreEraKnown& event, base::Instant now);
   void On(const LeaseReadAnswer& event, base::Instant now);
   void On(const LeaseWriteDone& event, base::Instant now);
   void On(const LeaseWriteConflict& event, base::Instant now);
@@ -183,13 +202,28 @@
 
   // Clears the call in flight and returns true if its number is `call`.
   bool EndCall(int64_t call);
+  // Returns whether an answer of this era tells the state of the store; 0 is
+  // any era.
+  bool IsCurrent(int64_t answered_era) const {
+    return answered_era == 0 || answered_era == this->era;
+  }
+  // Forgets all that rests on the store if its era has risen.
+  void NoteEra(int64_t known_era, base::Instant now);
+  // Returns whether the record was written in this era.
+  bool RecordIsOfEra() const {
+    return this->era == 0 || this->record.era == this->era;
+  }
   void ApplyRecord(const LeaseRecord& seen, int64_t version, base::Instant now);
   void Confirm(const PendingWrite& write);
   void ScheduleRetry(base::Instant now);
   Actions NextCall(base::Instant now);
   Actions Read(base::Instant now);
   Actions Write(const base::BootId& holder, int64_t epoch, base::Instant now);
-  bool RecordIsOwn() const { return this->record.holder == this->self; }
+  bool RecordIsOwn() const {
+    return this->record.holder == this->self && this->RecordIsOfEra();
+  }
+  // Returns the epoch of the next holder.
+  int64_t NextEpoch() const;
   bool MayAcquire(base::Instant now) const;
 
   LeaseOptions options;
@@ -197,6 +231,10 @@
   std::optional<base::Duration> takeover_delay;
   bool releasing = false;
   bool release_done = false;
+  // The store's highest known era, 0 if it doesn't say it.
+  int64_t era = 0;
+  // The highest epoch seen in any era.
+  int64_t highest_epoch = 0;
 
   // The last seen state of the object; `record` is empty when it was absent.
   // After a failed or refused call it is no longer `record_current`, and is
--- a/core/include/carawayvalve/core/store_revision.h
+++ b/core/include/carawayvalve/core/store_revision.h
@@ -6,6 +6,9 @@
 
 namespace carawayvalve::core {
 
+// A later era can't be meant: no store comes back so often.
+inline constexpr int64_t kMaxStoreEra = 1'000'000'000;
+
 // A state of the platform's store. Each time that the store comes back from an
 // older copy its era rises, while its revisions go back and are given out
 // again: revisions count within one era only, and any revision of a later era
--- a/core/include/carawayvalve/core/window_reporter.h
+++ b/core/include/carawayvalve/core/window_reporter.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -71,12 +72,22 @@
     // From a window's end until it is no longer reported.
     base::Duration max_report_delay = std::chrono::seconds(10);
     base::Duration retry_delay = std::chrono::milliseconds(500);
+    // By how much the clocks of two processes may differ.
+    base::Duration clock_error = std::chrono::seconds(1);
 
     bool operator==(const Settings&) const = default;
   };
 
   explicit WindowReporter(const Settings& settings) : settings(settings) {}
 
+  // Sets since when, in wall-clock time since 1970, no seal has been lost: the
+  // store came back from an older copy before. A window that may have been
+  // sealed earlier is sealed no more, as other counts of it may have been
+  // reported.
+  void SetSealsKeptSince(base::Duration wall_time) {
+    this->seals_kept_since = wall_time;
+  }
+
   // Returns the window that contains a wall-clock time since 1970.
   int64_t WindowOf(base::Duration wall_time) const;
 
@@ -105,6 +116,8 @@
   void On(const ReportAccepted& event, base::Instant now);
   void On(const ReportFailed& event, base::Instant now);
   void ScheduleRetry(int64_t window, base::Instant now);
+  // Returns whether a seal of the window may have been lost.
+  bool MayHaveLostSeal(int64_t window) const;
   // Returns whether counts of the window that ended at this time may arrive
   // yet.
   bool AwaitsCounts(base::Instant window_end,
@@ -113,6 +126,7 @@
 
   Settings settings;
   std::map<int64_t, Window> windows;
+  std::optional<base::Duration> seals_kept_since;
   int64_t reported_count = 0;
 };
 
--- a/core/src/lease.cc
+++ b/core/src/lease.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "carawayvalve/base/error.h"
+#include "carawayvalve/core/store_revision.h"
 
 namespace carawayvalve::core {
 
@@ -17,6 +18,9 @@
 // A pending write is kept for this many lease terms; after that its grant would
 // have expired.
 constexpr int32_t kPendingWriteTerms = 2;
+// The epochs of an era are above those of earlier eras if fewer revisions than
+// this are lost when the store comes back from a copy.
+constexpr int64_t kEpochsPerEra = 1'000'000'000;
 
 // Scales `wait` to between half and all of it, by the hash of `key`.
 base::Duration Jitter(base::Duration wait, const std::string& key) {
@@ -34,7 +38,8 @@
   const json value = {{"holder", record.holder.value},
                       {"epoch", record.epoch},
                       {"nonce", record.nonce},
-                      {"term_ms", record.term_ms}};
+                      {"term_ms", record.term_ms},
+                      {"era", record.era}};
   return value.dump();
 }
 
@@ -46,6 +51,7 @@
     record.epoch = value.at("epoch").get<int64_t>();
     record.nonce = value.at("nonce").get<int64_t>();
     record.term_ms = value.at("term_ms").get<int64_t>();
+    record.era = value.value("era", int64_t{0});
     return record;
   } catch (const json::exception& error) {
     throw base::Error("read lease", "Object API", error.what());
@@ -80,23 +86,40 @@
   }
 }
 
+void Lease::On(const StoreEraKnown& event, base::Instant now) {
+  this->NoteEra(event.era, now);
+}
+
 void Lease::On(const LeaseReadAnswer& event, base::Instant now) {
   if (!this->EndCall(event.call)) {
     return;
   }
+  this->NoteEra(event.era, now);
+  if (!this->IsCurrent(event.era)) {
+    this->ScheduleRetry(now);
+    return;
+  }
   this->read_at = now;
   this->ApplyRecord(event.record.value_or(LeaseRecord()), event.version, now);
 }
 
 void Lease::On(const LeaseWriteDone& event, base::Instant now) {
   const std::optional<InFlightCall> call = this->call_in_flight;
-  if (this->EndCall(event.call) && call->written) {
+  if (!this->EndCall(event.call) || !call->written) {
+    return;
+  }
+  // A record that was written in a later era than it names gives no grant.
+  this->NoteEra(event.era, now);
+  if (this->IsCurrent(event.era)) {
     this->ApplyRecord(*call->written, event.version, now);
+  } else {
+    this->ScheduleRetry(now);
   }
 }
 
-void Lease::On(const LeaseWriteConflict& event, base::Instant) {
+void Lease::On(const LeaseWriteConflict& event, base::Instant now) {
   if (this->EndCall(event.call)) {
+    this->NoteEra(event.era, now);
     this->record_current = false;
   }
 }
@@ -127,6 +150,30 @@
   return true;
 }
 
+void Lease::NoteEra(int64_t known_era, base::Instant now) {
+  if (known_era <= this->era || known_era > kMaxStoreEra) {
+    return;
+  }
+  this->era = known_era;
+  this->grant.valid_until = std::min(this->grant.valid_until, now);
+  this->record = {};
+  this->version = 0;
+  this->record_ever_read = false;
+  this->record_current = false;
+  this->pending.clear();
+  this->call_in_flight.reset();
+}
+
+// Within an era the version differs for each successful write, so that an epoch
+// is unique even if a write of an earlier era arrives late and hides the
+// record of a later holder.
+int64_t Lease::NextEpoch() const {
+  const int64_t first_of_version =
+      this->era == 0 ? 0 : this->era * kEpochsPerEra + this->version;
+  return std::max({this->record.epoch, this->highest_epoch, first_of_version}) +
+         1;
+}
+
 void Lease::ApplyRecord(const LeaseRecord& seen,
                         int64_t seen_version,
                         base::Instant now) {
@@ -137,6 +184,7 @@
   this->record_ever_read = true;
   this->record_current = true;
   this->record = seen;
+  this->highest_epoch = std::max(this->highest_epoch, seen.epoch);
   if (!this->RecordIsOwn()) {
     this->grant.valid_until = std::min(this->grant.valid_until, now);
   }
@@ -198,7 +246,7 @@
     return {};
   }
   if (this->MayAcquire(now)) {
-    return this->Write(this->self, this->record.epoch + 1, now);
+    return this->Write(this->self, this->NextEpoch(), now);
   }
   const bool poll = this->takeover_delay &&
                     now - this->read_at >= this->options.poll_interval;
@@ -220,7 +268,8 @@
   this->last_call += 1;
   this->last_nonce += 1;
   const LeaseRecord written{holder, epoch, this->last_nonce,
-                            base::ToMilliseconds(this->options.term)};
+                            base::ToMilliseconds(this->options.term),
+                            this->era};
   this->pending.push_back({written, now});
   this->call_in_flight = InFlightCall{this->last_call, now, written};
   return {WriteLease{this->last_call, written, this->version}};
@@ -231,7 +280,9 @@
     return false;
   }
   base::Duration wait = *this->takeover_delay;
-  if (!this->record.holder.empty()) {
+  // In an earlier era another process may have held the lease, whatever the
+  // copy shows.
+  if (!this->record.holder.empty() || !this->RecordIsOfEra()) {
     wait += std::max<base::Duration>(this->options.term,
                                      base::Milliseconds(this->record.term_ms));
   }
--- a/core/src/window_reporter.cc
+++ b/core/src/window_reporter.cc
@@ -30,7 +30,8 @@
     const base::Duration since_end =
         wall_time - (number + 1) * this->settings.window_length;
     if (window.stage == Stage::kUnsealed &&
-        this->AwaitsCounts(now - since_end, now, heard)) {
+        (this->MayHaveLostSeal(number) ||
+         this->AwaitsCounts(now - since_end, now, heard))) {
       continue;
     }
     window.in_flight = true;
@@ -43,6 +44,13 @@
   return actions;
 }
 
+bool WindowReporter::MayHaveLostSeal(int64_t window) const {
+  const base::Duration sealed_at =
+      (window + 1) * this->settings.window_length + this->settings.seal_delay;
+  return this->seals_kept_since.has_value() &&
+         sealed_at <= *this->seals_kept_since + this->settings.clock_error;
+}
+
 bool WindowReporter::AwaitsCounts(
     base::Instant window_end,
     base::Instant now,
--- a/core/tests/lease_exhaustive_test.cc
+++ b/core/tests/lease_exhaustive_test.cc
@@ -82,7 +82,8 @@
     this->calls.erase(i);
     if (const auto* read = std::get_if<ReadLease>(&action)) {
       if (answer == Answer::kGiven) {
-        this->Step(i, LeaseReadAnswer{read->call, this->object, this->version});
+        this->Step(i, LeaseReadAnswer{read->call, this->object, this->version,
+                                      this->era});
       } else {
         this->Step(i, LeaseStoreError{read->call});
       }
@@ -98,12 +99,20 @@
     if (answer == Answer::kLost) {
       this->Step(i, LeaseWriteUncertain{write.call});
     } else if (done) {
-      this->Step(i, LeaseWriteDone{write.call, this->version});
+      this->Step(i, LeaseWriteDone{write.call, this->version, this->era});
     } else {
-      this->Step(i, LeaseWriteConflict{write.call});
+      this->Step(i, LeaseWriteConflict{write.call, this->era});
     }
   }
 
+  // Comes back from the copy. Versions are given out again.
+  void Drill() {
+    this->object = this->copied_object;
+    this->version = this->copied_version;
+    ++this->era;
+    --this->drills_left;
+  }
+
   // Returns whether at most one process holds the lease, under the newest
   // epoch, and no epoch was granted to two processes.
   bool InvariantHolds() {
@@ -131,6 +140,11 @@
   std::vector<WriteLease> late_writes;
   std::optional<LeaseRecord> object;
   int64_t version = 0;
+  // The store's era, 0 while it doesn't say it.
+  int64_t era = 0;
+  std::optional<LeaseRecord> copied_object;
+  int64_t copied_version = 0;
+  int drills_left = 0;
   std::map<int64_t, std::string> epochs;
   int restarts = 0;
 };
@@ -172,11 +186,63 @@
   for (size_t i = 0; i < kProcesses; ++i) {
     explore_after([i](SystemState& state) { state.Restart(i); });
   }
+  if (from.drills_left > 0) {
+    explore_after([](SystemState& state) { state.Drill(); });
+  }
   return violations;
 }
 
 }  // namespace
 
+// Guards against two holders with one fencing token after the store came back
+// from an older copy.
+TEST_CASE("no drill of the store gives the lease two holders") {
+  SystemState state;
+  state.era = 1;
+  state.drills_left = 1;
+  int64_t state_count = 0;
+  const auto acquire = [&](size_t i) {
+    for (int step = 0; step < kMaxSteps && !state.leases.at(i).Holds(state.now);
+         ++step) {
+      state.PassTime();
+      while (state.calls.contains(i)) {
+        state.EndCall(i, SystemState::Answer::kGiven);
+      }
+    }
+    REQUIRE(state.leases.at(i).Holds(state.now));
+  };
+
+  SUBCASE("that loses the first holder") {
+    acquire(0);
+    CHECK(Explore(state, kMaxSteps - 1, state_count) == 0);
+  }
+  SUBCASE("that brings back the holder before the present one") {
+    acquire(0);
+    state.copied_object = state.object;
+    state.copied_version = state.version;
+    // The first one stands still meanwhile.
+    while (state.calls.contains(0) || state.leases.at(0).Holds(state.now)) {
+      state.PassTime();
+      if (state.calls.contains(0)) {
+        state.EndCall(0, SystemState::Answer::kLost);
+      }
+    }
+    acquire(1);
+    CHECK(Explore(state, kMaxSteps - 1, state_count) == 0);
+  }
+  SUBCASE("that a late renewal of the holder outlives") {
+    acquire(0);
+    state.copied_object = state.object;
+    state.copied_version = state.version;
+    state.PassTime();
+    REQUIRE(state.calls.contains(0));
+    state.EndCall(0, SystemState::Answer::kLate);
+    state.Drill();
+    CHECK(Explore(state, kMaxSteps, state_count) == 0);
+  }
+  MESSAGE(state_count, " states");
+}
+
 TEST_CASE("no sequence of a few steps gives the lease two holders") {
   SystemState state;
   int64_t state_count = 0;
--- a/core/tests/lease_simulation.h
+++ b/core/tests/lease_simulation.h
@@ -99,10 +99,27 @@
     return this->revision;
   }
 
+  // The store's era at each of its answers.
+  int64_t era = 1;
+
+  // Makes the copy to which Return goes back. Revisions are given out again.
+  void Copy() {
+    this->copied_entries = this->entries;
+    this->copied_revision = this->revision;
+  }
+  void Return() {
+    this->entries = this->copied_entries;
+    this->previous_entries.clear();
+    this->revision = this->copied_revision;
+    ++this->era;
+  }
+
  private:
   std::map<std::string, Entry> entries;
   std::map<std::string, Entry> previous_entries;
   int64_t revision = 0;
+  std::map<std::string, Entry> copied_entries;
+  int64_t copied_revision = 0;
 };
 
 // The simulated true time, and the callbacks scheduled at instants of it.
@@ -153,6 +170,8 @@
   std::function<bool(int)> may_release = [](int) { return true; };
   std::function<void(int)> before_release = [](int) {};
 
+  // The store comes back from older copies.
+  bool drills = false;
   Timeline time;
   Store<LeaseRecord> leases;
   Duration store_down_until{};
@@ -271,7 +290,11 @@
     const int64_t fault = this->choices.Below(24);
     const int i = static_cast<int>(this->choices.Below(this->size()));
     const Duration length = Milliseconds(this->choices.Below(30000));
-    if (fault == 19) {
+    if (fault == 17 && this->drills) {
+      this->leases.Copy();
+    } else if (fault == 18 && this->drills) {
+      this->leases.Return();
+    } else if (fault == 19) {
       this->Restart(i);
     } else if (fault == 20) {
       this->at(i).paused_until = this->time.now() + length;
@@ -294,7 +317,7 @@
           const auto entry = this->choices.OneIn(32)
                                  ? this->leases.GetStale("duty")
                                  : this->leases.Get("duty");
-          LeaseReadAnswer answer{read.call, std::nullopt, 0};
+          LeaseReadAnswer answer{read.call, std::nullopt, 0, this->leases.era};
           if (entry) {
             answer.record = entry->record;
             answer.version = entry->version;
@@ -310,11 +333,14 @@
         [=, this]() -> std::function<void()> {
           const auto version =
               this->leases.Put("duty", write.record, write.if_version);
+          const int64_t era = this->leases.era;
           if (!version) {
-            return [=, this] { this->Step(i, LeaseWriteConflict{write.call}); };
+            return [=, this] {
+              this->Step(i, LeaseWriteConflict{write.call, era});
+            };
           }
           return [=, this] {
-            this->Step(i, LeaseWriteDone{write.call, *version});
+            this->Step(i, LeaseWriteDone{write.call, *version, era});
           };
         },
         [=, this] { this->Step(i, LeaseWriteUncertain{write.call}); });
--- a/core/tests/lease_test.cc
+++ b/core/tests/lease_test.cc
@@ -137,9 +137,75 @@
     }
   }
 
+  SUBCASE("of a store that comes back from an older copy") {
+    const auto first = lease.Step(candidate, start);
+    const int64_t read = std::get<ReadLease>(first[0]).call;
+    // Another holder may have been lost with an earlier copy.
+    CHECK(lease.Step(LeaseReadAnswer{read, std::nullopt, 0, 1}, start).empty());
+    Instant now = start + options.term;
+    const auto taken = lease.Step(candidate, now);
+    REQUIRE(taken.size() == 1);
+    const WriteLease write = std::get<WriteLease>(taken[0]);
+    CHECK(write.record.era == 1);
+    lease.Step(LeaseWriteDone{write.call, 7, 1}, now);
+    REQUIRE(lease.Holds(now));
+
+    SUBCASE("a holder stops as soon as it knows") {
+      lease.Step(StoreEraKnown{2}, now + seconds(1));
+      CHECK_FALSE(lease.Holds(now + seconds(1)));
+    }
+    SUBCASE("a holder stops when its renewal is of the new era") {
+      now += seconds(2);
+      const auto renewal = lease.Step(candidate, now);
+      const int64_t call = std::get<WriteLease>(renewal[0]).call;
+
+      SUBCASE("though it succeeds") {
+        lease.Step(LeaseWriteDone{call, 8, 2}, now);
+        CHECK_FALSE(lease.Holds(now));
+      }
+      SUBCASE("and fails") {
+        lease.Step(LeaseWriteConflict{call, 2}, now);
+        CHECK_FALSE(lease.Holds(now));
+      }
+    }
+    SUBCASE("an answer of an earlier era is ignored") {
+      const auto reads = lease.Step(StoreEraKnown{2}, now);
+      REQUIRE(reads.size() == 1);
+      const int64_t call = std::get<ReadLease>(reads[0]).call;
+      lease.Step(LeaseReadAnswer{call, write.record, 7, 1}, now);
+      CHECK_FALSE(lease.Holds(now));
+    }
+    SUBCASE(
+        "the next holder waits for a full term, though the copy shows none") {
+      const auto reads = lease.Step(StoreEraKnown{2}, now);
+      const int64_t call = std::get<ReadLease>(reads[0]).call;
+      const LeaseRecord released{{}, 1, 9, 10000, 1};
+      CHECK(lease.Step(LeaseReadAnswer{call, released, 3, 2}, now).empty());
+      now += options.term;
+      const auto retaken = lease.Step(candidate, now);
+      REQUIRE(retaken.size() == 1);
+
+      SUBCASE("and has a higher epoch than any earlier one") {
+        CHECK(std::get<WriteLease>(retaken[0]).record.epoch >
+              write.record.epoch);
+        CHECK(std::get<WriteLease>(retaken[0]).record.era == 2);
+      }
+    }
+    SUBCASE("its own record in the copy gives no lease") {
+      const auto reads = lease.Step(StoreEraKnown{2}, now);
+      const int64_t call = std::get<ReadLease>(reads[0]).call;
+      CHECK(lease.Step(LeaseReadAnswer{call, write.record, 7, 2}, now).empty());
+      CHECK_FALSE(lease.Holds(now));
+    }
+  }
+
   SUBCASE("round-trips a record through JSON and rejects other text") {
-    const LeaseRecord record{BootId{"a"}, 1, 2, 3};
+    const LeaseRecord record{BootId{"a"}, 1, 2, 3, 4};
     CHECK(ParseLeaseRecord(PrintLeaseRecord(record)) == record);
+    // A record of a process that knew no era.
+    CHECK(
+        ParseLeaseRecord(R"({"holder":"a","epoch":1,"nonce":2,"term_ms":3})") ==
+        LeaseRecord{BootId{"a"}, 1, 2, 3, 0});
     CHECK_THROWS(ParseLeaseRecord("{}"));
   }
 }
@@ -148,6 +214,7 @@
   CHECK(rc::check("has at most one holder at a time and one per epoch", [] {
     model::RandomChoices choices = model::RandomChoices::Draw();
     model::LeaseSimulation simulation(3, choices);
+    simulation.drills = choices.OneIn(2);
     std::map<int64_t, BootId> holders;
     simulation.after_step = [&](int i) {
       RC_ASSERT(simulation.CountHolders() <= 1);
@@ -165,6 +232,7 @@
   CHECK(rc::check("has a holder again soon after the faults end", [] {
     model::RandomChoices choices = model::RandomChoices::Draw();
     model::LeaseSimulation simulation(3, choices);
+    simulation.drills = choices.OneIn(2);
     simulation.Run(100);
     choices = model::RandomChoices(0, 0);
     simulation.Run(100);
--- a/core/tests/window_reporter_test.cc
+++ b/core/tests/window_reporter_test.cc
@@ -74,6 +74,31 @@
       CHECK(sealed(seconds(107), now - seconds(8)));
     }
   }
+  // Guards against two reports of a window with different counts, the seal of
+  // the first of which was lost with an older copy of the store.
+  SUBCASE("a window whose seal may have been lost isn't sealed again") {
+    // Sealed at 107 s at the earliest.
+    reports.SetSealsKeptSince(Milliseconds(106500));
+    for (const ReportAction& action : reports.Tick(counts, seconds(112), now)) {
+      CHECK(std::get<StoreSeal>(action).window > 20);
+    }
+
+    SUBCASE("but reported if this process has sealed it") {
+      WindowReporter own({});
+      own.Tick(counts, seconds(107), now);
+      own.Step(SealKnown{20, {{{"guild"}, 4}}}, now);
+      own.SetSealsKeptSince(seconds(110));
+      const auto next = own.Tick(counts, seconds(107), now);
+      REQUIRE(next.size() == 1);
+      CHECK(next.front() == ReportAction(SendReport{20, {{{"guild"}, 4}}}));
+    }
+    SUBCASE("later ones are") {
+      const auto next =
+          reports.Tick(counts, Milliseconds(112500), now + seconds(1));
+      CHECK(next.empty());
+      CHECK_FALSE(reports.Tick(counts, seconds(117), now + seconds(5)).empty());
+    }
+  }
   SUBCASE("a window is sealed after the seal delay") {
     const auto actions = reports.Tick(counts, seconds(107), now);
     REQUIRE(!actions.empty());
--- a/entry/src/duty_runner.cc
+++ b/entry/src/duty_runner.cc
@@ -61,6 +61,7 @@
       const std::lock_guard lock(this->mutex);
       tick.takeover_delay = this->takeover_delay;
     }
+    this->HandleEvent(core::StoreEraKnown{this->store.newest_era()});
     this->HandleEvent(tick);
     const bool holds = this->Grant().has_value();
     if (holds != was_held) {
@@ -97,9 +98,11 @@
     const auto object = this->store.Get(kLeaseKind, this->options.duty);
     core::LeaseReadAnswer answer;
     answer.call = action.call;
+    answer.era = this->store.newest_era();
     if (object) {
       answer.record = core::ParseLeaseRecord(object->value);
       answer.version = object->version;
+      answer.era = object->era;
     }
     return answer;
   } catch (const base::Error&) {
@@ -113,9 +116,9 @@
         kLeaseKind, this->options.duty, core::PrintLeaseRecord(action.record),
         action.if_version);
     if (result.done) {
-      return core::LeaseWriteDone{action.call, result.version};
+      return core::LeaseWriteDone{action.call, result.version, result.era};
     }
-    return core::LeaseWriteConflict{action.call};
+    return core::LeaseWriteConflict{action.call, result.era};
   } catch (const base::NotReachedError&) {
     return core::LeaseStoreError{action.call};
   } catch (const base::Error&) {
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -47,7 +47,7 @@
 
 void Context::NoteStoreEra(int64_t era, const std::string& source) {
   const int64_t before = this->state.store_era;
-  if (era <= before) {
+  if (era <= before || era > core::kMaxStoreEra) {
     return;
   }
   this->state.store_era = era;
@@ -55,6 +55,7 @@
       before == 0 ? base::LogLevel::kInfo : base::LogLevel::kWarning,
       before == 0 ? "store_era_known" : "store_came_back_older",
       {{"era", era}, {"before", before}, {"source", source}});
+  this->on_store_era(era);
 }
 
 void Context::NoteBackendRate(const core::BackendRateStatement& statement,
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -49,6 +49,8 @@
   LiveRequests& live_requests;
   // What requests and answers may hold together.
   const std::shared_ptr<base::ByteBudget>& buffers;
+  // Called when the store is known to be of a later era.
+  std::function<void(int64_t era)>& on_store_era;
 
   // Records that the store's object of a kind has a value that can't be read.
   void NoteUnreadable(const std::string& kind,
--- a/gateway/src/duty_holder.cc
+++ b/gateway/src/duty_holder.cc
@@ -103,7 +103,8 @@
     return;
   }
   this->roles.Tick(*grant);
-  if (!this->HasStoredCounts(now) || now - this->started < kStartupDelay) {
+  if (!this->HasStoredCounts(now) || now - this->started < kStartupDelay ||
+      !this->KnowsSeals()) {
     return;
   }
   const base::Duration wall_clock = state.wall_clock.At(now);
@@ -118,6 +119,55 @@
   }
 }
 
+void DutyHolder::NoteStoreEra(int64_t era) {
+  this->era_known_at = base::Now();
+  this->StepLease(core::StoreEraKnown{era});
+  this->UpdateHolding(base::Now());
+}
+
+bool DutyHolder::KnowsSeals() {
+  const GatewayState& state = this->context.state;
+  const int64_t era = state.store_era;
+  if (this->sealing_era == era) {
+    return true;
+  }
+  // The first holder of an era tells its successors, which may have started
+  // later, when it began.
+  if (this->mark_call == nullptr) {
+    const base::Duration known_since = state.wall_clock.At(this->era_known_at);
+    this->mark_call = this->objects.Create(
+        kSealKind, "era-" + std::to_string(era),
+        {{"known_since_ms", base::ToMilliseconds(known_since)}},
+        [this, era, known_since](const platform::WriteResult& result) {
+          this->OnEraMarked(era, known_since, result);
+        });
+  }
+  return false;
+}
+
+void DutyHolder::OnEraMarked(int64_t era,
+                             base::Duration known_since,
+                             const platform::WriteResult& result) {
+  this->mark_call.reset();
+  if (this->context.state.store_era != era) {
+    return;
+  }
+  const auto* conflict = std::get_if<platform::WriteConflict>(&result);
+  if (conflict != nullptr && conflict->present.has_value()) {
+    try {
+      known_since = base::Milliseconds(
+          conflict->present->value->at("known_since_ms").get<int64_t>());
+    } catch (const nlohmann::json::exception& error) {
+      this->context.journal.Write(base::LogLevel::kError, "era_unreadable",
+                                  {{"era", era}, {"reason", error.what()}});
+    }
+  } else if (!std::holds_alternative<platform::StoredObject>(result)) {
+    return;
+  }
+  this->sealing_era = era;
+  this->reports.SetSealsKeptSince(known_since);
+}
+
 bool DutyHolder::HasStoredCounts(base::Instant now) {
   const base::Duration age = now - this->started;
   const auto& duties = this->context.state.settings.duties;
@@ -169,8 +219,9 @@
 }
 
 void DutyHolder::OnLeaseRead(int64_t call, const platform::ReadResult& result) {
-  if (std::holds_alternative<platform::ObjectNotFound>(result)) {
-    this->StepLease(core::LeaseReadAnswer{call, std::nullopt, 0});
+  if (const auto* none = std::get_if<platform::ObjectNotFound>(&result)) {
+    this->StepLease(
+        core::LeaseReadAnswer{call, std::nullopt, 0, none->era.value_or(0)});
     return;
   }
   const auto* object = std::get_if<platform::StoredObject>(&result);
@@ -180,7 +231,8 @@
   }
   try {
     this->StepLease(core::LeaseReadAnswer{
-        call, core::ParseLeaseRecord(object->value->dump()), object->revision});
+        call, core::ParseLeaseRecord(object->value->dump()), object->revision,
+        object->era.value_or(0)});
   } catch (const base::Error& error) {
     this->context.journal.Write(base::LogLevel::kError, "lease_unreadable",
                                 {{"reason", error.reason()}});
@@ -205,10 +257,14 @@
 void DutyHolder::OnLeaseWritten(int64_t call,
                                 const platform::WriteResult& result) {
   if (const auto* object = std::get_if<platform::StoredObject>(&result)) {
-    this->StepLease(core::LeaseWriteDone{call, object->revision});
-  } else if (std::holds_alternative<platform::WriteConflict>(result) ||
-             std::holds_alternative<platform::ObjectNotFound>(result)) {
-    this->StepLease(core::LeaseWriteConflict{call});
+    this->StepLease(
+        core::LeaseWriteDone{call, object->revision, object->era.value_or(0)});
+  } else if (const auto* conflict =
+                 std::get_if<platform::WriteConflict>(&result)) {
+    this->StepLease(core::LeaseWriteConflict{call, conflict->era.value_or(0)});
+  } else if (const auto* none =
+                 std::get_if<platform::ObjectNotFound>(&result)) {
+    this->StepLease(core::LeaseWriteConflict{call, none->era.value_or(0)});
   } else if (std::holds_alternative<platform::StoreRefused>(result)) {
     this->StepLease(core::LeaseStoreError{call});
   } else {
--- a/gateway/src/duty_holder.h
+++ b/gateway/src/duty_holder.h
@@ -28,6 +28,9 @@
   // Advances the lease and the work under it; must be called several times a
   // second. `live` are the gateways that may take the lease.
   void Tick(const std::vector<base::HostId>& live);
+  // Must be called as soon as the store is known to be of a later era: what
+  // this gateway does under a lease of an earlier one ends.
+  void NoteStoreEra(int64_t era);
   // Returns whether this gateway holds the lease.
   bool holds(base::Instant now) const { return this->lease.Holds(now); }
   // Returns the epoch of the lease, which is its fencing token.
@@ -45,6 +48,12 @@
   // Returns whether the counts of gateways that are gone are known, as far as
   // they can be; reads them if not.
   bool HasStoredCounts(base::Instant now);
+  // Returns whether it is known since when the seals in the store are complete;
+  // finds it out if not.
+  bool KnowsSeals();
+  void OnEraMarked(int64_t era,
+                   base::Duration known_since,
+                   const platform::WriteResult& result);
   void Perform(const core::StoreSeal& action);
   void Perform(const core::SendReport& action);
   void OnSealed(const core::StoreSeal& action,
@@ -62,6 +71,12 @@
   platform::ObjectClient::Handle lease_call;
   bool was_holder = false;
 
+  // When the store's present era was learnt.
+  base::Instant era_known_at;
+  // The era since whose beginning the reporter knows the seals.
+  int64_t sealing_era = 0;
+  platform::ObjectClient::Handle mark_call;
+
   core::WindowReporter reports;
   net::HttpClient platform_client;
   std::map<int64_t, platform::ObjectClient::Handle> seal_calls;
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -69,7 +69,7 @@
               this->metrics,        this->backends,      this->waiting,
               this->generator,      this->sent_prefixes, this->on_load_changed,
               this->on_urgent_news, this->origin_lookup, this->account_limits,
-              this->live_requests,  this->buffers},
+              this->live_requests,  this->buffers,       this->on_store_era},
       feed(this->context, this->objects),
       peers(this->context, this->objects, this->feed),
       recent(this->context, this->objects, this->feed),
@@ -101,6 +101,7 @@
   }
   this->loop.OnSignals({SIGTERM, SIGINT, SIGHUP},
                        [this](int number) { this->OnSignal(number); });
+  this->on_store_era = [this](int64_t era) { this->duties.NoteStoreEra(era); };
   this->feed.Start();
   this->peers.Start();
   this->origin_lookup.SetRegistryKnownTo(
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -50,6 +50,7 @@
   std::vector<SentPrefix> sent_prefixes;
   std::function<void()> on_load_changed = [] {};
   std::function<void()> on_urgent_news = [] {};
+  std::function<void(int64_t)> on_store_era = [](int64_t) {};
   net::HttpClient backends;
   LateRequestScheduler waiting;
   StreamOriginLookup origin_lookup;
--- a/gateway/tests/recent_store_test.cc
+++ b/gateway/tests/recent_store_test.cc
@@ -56,7 +56,8 @@
                 lookup,
                 shared.account_limits,
                 shared.live_requests,
-                shared.buffers},
+                shared.buffers,
+                shared.on_store_era},
         objects(shared.loop, base::ParseAddress(store), Milliseconds(1000)),
         feed(context, objects),
         recent(context, objects, feed) {
--- a/gateway/tests/test_gateway.h
+++ b/gateway/tests/test_gateway.h
@@ -38,11 +38,12 @@
   LiveRequests live_requests;
   std::shared_ptr<base::ByteBudget> buffers =
       std::make_shared<base::ByteBudget>(kTestBufferBytes);
+  std::function<void(int64_t)> on_store_era = [](int64_t) {};
   Context context{loop,           state,         journal,
                   metrics,        backends,      late_requests,
                   generator,      sent_prefixes, on_load_changed,
                   on_urgent_news, origin_lookup, account_limits,
-                  live_requests,  buffers};
+                  live_requests,  buffers,       on_store_era};
 };
 
 }  // namespace carawayvalve::gateway
--- a/systems/include/carawayvalve/systems/object_api.h
+++ b/systems/include/carawayvalve/systems/object_api.h
@@ -1,12 +1,15 @@
 #ifndef CARAWAYVALVE_SYSTEMS_OBJECT_API_H_
 #define CARAWAYVALVE_SYSTEMS_OBJECT_API_H_
 
+#include <atomic>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "carawayvalve/base/time.h"
+#include "carawayvalve/systems/http_client.h"
 
 namespace carawayvalve::systems {
 
@@ -16,6 +19,8 @@
   int64_t version = 0;
   std::string value;
   bool deleted = false;
+  // The store's era at the answer, see ObjectApi::newest_era; 0 in lists.
+  int64_t era = 0;
 
   bool operator==(const Object&) const = default;
 };
@@ -34,6 +39,8 @@
   // The object's version after the call; 0 when the object is absent or when
   // the API omits the version for a refused Delete.
   int64_t version = 0;
+  // The store's era at the answer to Put, see ObjectApi::newest_era.
+  int64_t era = 0;
 
   bool operator==(const UpdateResult&) const = default;
 };
@@ -80,11 +87,21 @@
                              const std::string& value,
                              int64_t if_version) const;
 
+  // Returns the highest era that an answer to Get or Put has named, 0 before
+  // that. It rises each time that the store comes back from an older copy; an
+  // answer of an earlier era counts as unreadable.
+  int64_t newest_era() const { return *this->era; }
+
  private:
-  std::string Url(const std::string& path) const;
+  // Returns the era that the answer names, 0 for none. Throws if it is an
+  // earlier one.
+  int64_t NoteEra(const std::string& step, const HttpResponse& response) const;
 
   std::string address;
   base::Milliseconds timeout;
+  // Shared by copies.
+  std::shared_ptr<std::atomic<int64_t>> era =
+      std::make_shared<std::atomic<int64_t>>(0);
 };
 
 }  // namespace carawayvalve::systems
--- a/systems/src/object_api.cc
+++ b/systems/src/object_api.cc
@@ -1,5 +1,7 @@
 #include "carawayvalve/systems/object_api.h"
 
+#include <algorithm>
+#include <charconv>
 #include <limits>
 #include <utility>
 
@@ -15,6 +17,7 @@
 namespace {
 
 constexpr int64_t kMaxVersion = std::numeric_limits<int64_t>::max();
+constexpr char kEraHeader[] = "Store-Era";
 
 std::string ObjectPath(const std::string& kind, const std::string& name) {
   return "/objects/" + detail::EscapeSegment(kind) + "/" +
@@ -53,12 +56,33 @@
 ObjectApi::ObjectApi(std::string address, base::Milliseconds timeout)
     : address(std::move(address)), timeout(timeout) {}
 
+int64_t ObjectApi::NoteEra(const std::string& step,
+                           const HttpResponse& response) const {
+  const std::string text = FindHeader(response.headers, kEraHeader);
+  int64_t answered = 0;
+  const char* end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, answered);
+  if (read.ec != std::errc() || read.ptr != end) {
+    return 0;
+  }
+  int64_t newest = *this->era;
+  while (newest < answered &&
+         !this->era->compare_exchange_weak(newest, answered)) {
+  }
+  if (answered < newest) {
+    throw UnknownOutcomeError(step, this->address,
+                              "the answer is of an earlier era of the store");
+  }
+  return answered;
+}
+
 std::optional<Object> ObjectApi::Get(const std::string& kind,
                                      const std::string& name) const {
   const CallSite site{"get object", this->address};
   const HttpResponse response = HttpCall(
       site.step,
       detail::MakeRequest(site, "GET", ObjectPath(kind, name), this->timeout));
+  const int64_t answered_era = this->NoteEra(site.step, response);
   if (response.status == detail::kNotFound) {
     return std::nullopt;
   }
@@ -66,11 +90,12 @@
     detail::ThrowUnexpectedStatus(site, response.status);
   }
   const json document = detail::ParseBody(site, response.body);
-  return ReadObject(site, document, [&name](FieldReader& fields) {
+  return ReadObject(site, document, [&](FieldReader& fields) {
     Object object;
     object.name = name;
     object.version = fields.Integer("version", 1, kMaxVersion);
     object.value = fields.String("value");
+    object.era = answered_era;
     return object;
   });
 }
@@ -94,6 +119,7 @@
       site, "PUT", ObjectPath(kind, name),
       {{"if_version", if_version}, {"value", value}}, this->timeout);
   const HttpResponse response = HttpCall(site.step, request);
+  const int64_t answered_era = this->NoteEra(site.step, response);
   if (response.status == detail::kTooLarge) {
     throw base::Error(site.step, site.peer, "the value is too large");
   }
@@ -102,7 +128,7 @@
     detail::ThrowUnexpectedStatus(site, response.status);
   }
   const json document = detail::ParseBody(site, response.body);
-  return {done, ReadVersion(site, document)};
+  return {done, ReadVersion(site, document), answered_era};
 }
 
 UpdateResult ObjectApi::Delete(const std::string& kind,
--- a/systems/tests/object_api_test.cc
+++ b/systems/tests/object_api_test.cc
@@ -11,6 +11,29 @@
 using base::NotReachedError;
 using base::UnknownOutcomeError;
 
+// Guards against a lease of a store that came back older: see core::Lease.
+TEST_CASE("answers name the store's era") {
+  const auto answer = [](int status, const std::string& era) {
+    const std::string body =
+        status == 404 ? "" : R"({"version":8,"value":"a"})";
+    return Reply{"HTTP/1.1 " + std::to_string(status) +
+                     " Answer\r\nStore-Era: " + era + "\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body,
+                 true};
+  };
+  AnswerServer server({answer(200, "2"), answer(404, "3"), answer(200, "2"),
+                       answer(409, "4"), answer(200, "later")});
+  const ObjectApi api(server.Address());
+  const ObjectApi copy = api;
+  CHECK(api.Get("lease", "fleet")->era == 2);
+  CHECK(!api.Get("lease", "fleet").has_value());
+  CHECK(copy.newest_era() == 3);
+  CHECK_THROWS_AS(api.Get("lease", "fleet"), UnknownOutcomeError);
+  CHECK(api.Put("lease", "fleet", "a", 7) == UpdateResult{false, 8, 4});
+  CHECK(api.Get("lease", "fleet")->era == 0);
+  CHECK(api.newest_era() == 4);
+}
+
 TEST_CASE("PutAndConfirm resolves the outcome of an update") {
   const auto put = [](const AnswerServer& server, int64_t if_version = 7) {
     return ObjectApi(server.Address())
