--- a/tests/platform/store.cc
+++ b/tests/platform/store.cc
@@ -53,9 +53,21 @@
 void Store::Put(const std::string& kind,
                 const std::string& name,
                 const json& spec) {
+  this->written_by_others[{kind, name}] = spec;
   this->Write({kind, name}, spec);
 }
 
+void Store::WriteAgain() {
+  const auto written = this->written_by_others;
+  for (const auto& [key, spec] : written) {
+    if (spec.has_value()) {
+      this->Put(key.first, key.second, *spec);
+    } else {
+      this->Remove(key.first, key.second);
+    }
+  }
+}
+
 void Store::PutText(const std::string& kind,
                     const std::string& name,
                     const std::string& spec_text) {
@@ -81,6 +93,7 @@
 }
 
 void Store::Remove(const std::string& kind, const std::string& name) {
+  this->written_by_others[{kind, name}] = std::nullopt;
   const auto found = this->objects.find({kind, name});
   if (found == this->objects.end()) {
     return;
--- a/tests/platform/store.h
+++ b/tests/platform/store.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -42,6 +43,8 @@
   // Comes back from that copy: what was written since is gone, revisions are
   // given out again, and the era rises. Pending watches break off.
   void ReturnTo(const Copy& copy);
+  // Writes again what the operator and the backend servers have written since.
+  void WriteAgain();
 
   // Answers every call with 503.
   bool refuses = false;
@@ -102,6 +105,9 @@
   int64_t compacted = 0;
   int64_t era = 1;
   std::list<Watcher> watchers;
+  // What the operator and the backend servers wrote last; nothing for what they
+  // removed.
+  std::map<Key, std::optional<nlohmann::json>> written_by_others;
   // Values that may be malformed, by the strings that stand for them.
   std::map<std::string, std::string> texts;
   // Calls that are never answered.
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -16,7 +16,7 @@
   carawayvalve-soak --program=FILE --folder=DIR [--seed=N] [--seconds=S]
                     [--gateways=N] [--callers=N]
                     [--kills-in-turn | --poison-part | --rate-limits |
-                    --versions]
+                    --versions | --drills]
 
 Prints a line per seed and a line per violated guarantee; exits with 1 if there
 was a violation. Logs of the gateways and of the faults are kept in the folder.
@@ -38,6 +38,7 @@
                   streams break off and callers take them up, gateways are
                   killed, stopped and paused, and backend servers are replaced,
                   instead of random faults.
+  --drills        The store comes back from older copies, beside the random faults.
   --callers=N     Callers, each with one request at a time [default: 12].
 )";
 
@@ -57,10 +58,11 @@
   settings.poison_part = arguments["--poison-part"].asBool();
   settings.rate_limits = arguments["--rate-limits"].asBool();
   settings.versions = arguments["--versions"].asBool();
+  settings.drills = arguments["--drills"].asBool();
   // Every third seed of the random faults has only planned operations.
   settings.planned_only = settings.seed % 3 == 0 && !settings.kills_in_turn &&
                           !settings.poison_part && !settings.rate_limits &&
-                          !settings.versions;
+                          !settings.versions && !settings.drills;
   std::filesystem::create_directories(settings.folder);
   const auto complaints = carawayvalve::tests::Soak(settings).Run();
   for (const std::string& complaint : complaints) {
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -79,6 +79,7 @@
       generator(settings.seed),
       service_generator(settings.seed + 1),
       stream_generator(settings.seed + 2),
+      drill_generator(settings.seed + 3),
       store(this->loop),
       usage(this->loop,
             {"127.0.0.1", 0},
@@ -147,6 +148,9 @@
       return;
     }
     this->ScheduleFault();
+    if (this->settings.drills) {
+      this->ScheduleDrills();
+    }
     if (!this->settings.planned_only) {
       this->ScheduleServiceFault();
       this->ScheduleCutStreams();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -54,6 +54,9 @@
   // side, streams break off and callers take them up, while gateways are
   // killed, stopped and paused and backend servers are replaced.
   bool versions = false;
+  // Adds to the random faults: the store comes back from an older copy, again
+  // and again.
+  bool drills = false;
   RetryBounds retries;
 };
 
@@ -138,6 +141,8 @@
   void LimitRate(Server& server, bool whole_service, base::Milliseconds time);
   // Replaces servers by such of the same or the next version, again and again.
   void ScheduleReleases();
+  // Returns the store to a copy some seconds old, again and again.
+  void ScheduleDrills();
   // Kills, stops or pauses a gateway, again and again.
   void ScheduleGatewayFaults();
   // Makes the engine unreachable and starts another one later.
@@ -184,6 +189,7 @@
   // change which other faults a seed draws.
   std::mt19937 service_generator;
   std::mt19937 stream_generator;
+  std::mt19937 drill_generator;
   net::EventLoop loop;
   Store store;
   net::HttpServer usage;
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -246,6 +246,28 @@
                  [this] { this->ScheduleCutStreams(); });
 }
 
+void Soak::ScheduleDrills() {
+  if (this->faults_over) {
+    return;
+  }
+  const auto copy = this->store.Backup();
+  const base::Milliseconds age(500 + this->drill_generator() % 4000);
+  const base::Milliseconds away(this->drill_generator() % 800);
+  this->RunAfter(age, [this, copy, age, away] {
+    this->LogEvent("return the store to its state of " +
+                   std::to_string(age.count()) + " ms ago, after " +
+                   std::to_string(away.count()) + " ms");
+    this->store.down = true;
+    this->RunAfter(away, [this, copy] {
+      this->store.down = false;
+      this->store.ReturnTo(*copy);
+      this->store.WriteAgain();
+      this->RunAfter(base::Milliseconds(this->drill_generator() % 3000),
+                     [this] { this->ScheduleDrills(); });
+    });
+  });
+}
+
 void Soak::ScheduleResets() {
   if (this->faults_over) {
     return;
