DRAIN: hold runs that were removed before the store came back older

Left open by the postmortem of the drill: a server that leaves without a word is removed from the registry; a copy of the store shows it as it was, and it got requests again until its entry was removed once more.

Change: the directory keeps removed runs for a minute. One that the first list of a new era shows gets no requests until it is registered again, or its entry has stayed for 5 s, longer than that of a run that is gone.

Evidence: `one that was removed before gets no requests, though the copy has it` and the cases of BackendDirectory fail without the change (2 and 4 checks).

--- a/core/include/carawayvalve/core/backend_directory.h
+++ b/core/include/carawayvalve/core/backend_directory.h
@@ -83,6 +83,10 @@
 
   // Records that the store didn't answer or refused a call.
   void NoteStoreFailure(base::Instant now) { this->store_failed_at = now; }
+  // Records that the store came back from an older copy. A run that was removed
+  // before and that the copy shows gets no requests until it is registered
+  // again, or its entry has stayed for longer than that of a run that is gone.
+  void NoteOlderStore(base::Instant now);
 
   // Drops the lapsed entries once the grace period is over and returns their
   // ids. Must be called regularly: it also takes note of the versions present.
@@ -123,6 +127,13 @@
   // Notes the version of an entry, unless that has no id, with the next ones.
   void NoteVersionOf(const BackendEntry& entry);
   bool IsLeaving(const base::BackendServerId& id, int64_t started_ms) const;
+  // Returns whether the run was removed before the store came back from a copy.
+  bool WasRemoved(const BackendEntry& entry) const;
+  // Removes an entry and keeps its run as removed.
+  void Remove(std::map<base::BackendServerId, BackendEntry>::iterator entry,
+              base::Instant now);
+  // Gives back the requests to runs whose entries have stayed.
+  void ReleaseHeld(base::Instant now);
   // Returns the only version that is registered or was since the last call of
   // Expire, as far as this process knows: an entry that is replaced or removed
   // may have been there until then.
@@ -134,6 +145,11 @@
   // Kept when the entry is removed: an older copy of the store may bring it
   // back.
   std::map<base::BackendServerId, LeavingBackend> leaving;
+  // The runs that were removed of late.
+  std::map<base::BackendServerId, LeavingBackend> removed;
+  std::optional<base::Instant> older_store_at;
+  // Those of them that an older copy of the store shows.
+  std::set<base::BackendServerId> held;
   // Time at which each missing entry was first noticed to be missing.
   std::map<base::BackendServerId, base::Instant> lapsed;
   std::optional<base::Instant> store_failed_at;
--- a/core/src/backend_directory.cc
+++ b/core/src/backend_directory.cc
@@ -7,8 +7,23 @@
 
 namespace {
 
-// Beyond this number the oldest records of leaving backend servers are evicted.
+// Beyond this number the oldest records of leaving or removed backend servers
+// are evicted.
 constexpr size_t kMaxLeaving = 8192;
+// An older copy of the store holds no entry that was removed longer ago.
+constexpr std::chrono::seconds kRemovedTime(60);
+// The entry of a run that is gone is removed again within this time after the
+// store came back: after three missing heartbeats.
+constexpr std::chrono::seconds kReturnTime(5);
+
+void Evict(std::map<base::BackendServerId, LeavingBackend>& records) {
+  if (records.size() > kMaxLeaving) {
+    records.erase(std::min_element(
+        records.begin(), records.end(), [](const auto& one, const auto& other) {
+          return one.second.noted < other.second.noted;
+        }));
+  }
+}
 
 }  // namespace
 
@@ -30,6 +45,46 @@
 void BackendDirectory::NoteListedEntry(const BackendEntry& entry) {
   this->listing_first = !this->has_list;
   this->NoteEntry(entry);
+  if (this->WasRemoved(entry)) {
+    this->held.insert(entry.id);
+    this->known[entry.id].draining = true;
+  }
+}
+
+void BackendDirectory::NoteOlderStore(base::Instant now) {
+  this->older_store_at = now;
+  std::erase_if(this->removed, [&](const auto& item) {
+    return now - item.second.noted > kRemovedTime;
+  });
+}
+
+bool BackendDirectory::WasRemoved(const BackendEntry& entry) const {
+  const auto found = this->removed.find(entry.id);
+  return this->older_store_at.has_value() && found != this->removed.end() &&
+         entry.started_ms <= found->second.started_ms;
+}
+
+void BackendDirectory::Remove(
+    std::map<base::BackendServerId, BackendEntry>::iterator entry,
+    base::Instant now) {
+  this->removed[entry->first] = {entry->first, entry->second.started_ms, now};
+  Evict(this->removed);
+  this->held.erase(entry->first);
+  this->known.erase(entry);
+}
+
+void BackendDirectory::ReleaseHeld(base::Instant now) {
+  if (!this->older_store_at.has_value() ||
+      now - *this->older_store_at < kReturnTime) {
+    return;
+  }
+  this->older_store_at.reset();
+  for (const base::BackendServerId& id : std::exchange(this->held, {})) {
+    const auto found = this->known.find(id);
+    if (found != this->known.end()) {
+      found->second.draining = this->IsLeaving(id, found->second.started_ms);
+    }
+  }
 }
 
 void BackendDirectory::KeepOnly(const std::set<base::BackendServerId>& listed,
@@ -55,6 +110,7 @@
   this->NoteVersionOf(kept);
   kept = entry;
   kept.draining = entry.draining || this->IsLeaving(entry.id, entry.started_ms);
+  this->held.erase(entry.id);
   this->lapsed.erase(entry.id);
   this->NoteVersionOf(entry);
 }
@@ -78,13 +134,7 @@
     return false;
   }
   this->leaving[id] = {id, started_ms, now};
-  if (this->leaving.size() > kMaxLeaving) {
-    this->leaving.erase(
-        std::min_element(this->leaving.begin(), this->leaving.end(),
-                         [](const auto& one, const auto& other) {
-                           return one.second.noted < other.second.noted;
-                         }));
-  }
+  Evict(this->leaving);
   const auto entry = this->known.find(id);
   if (entry != this->known.end() &&
       this->IsLeaving(id, entry->second.started_ms)) {
@@ -122,8 +172,8 @@
   }
   // It may have been there until now.
   this->NoteVersionOf(found->second);
-  this->known.erase(found);
   this->lapsed.erase(id);
+  this->Remove(found, now);
 }
 
 void BackendDirectory::NoteVersions(base::Instant now) {
@@ -145,11 +195,15 @@
 std::vector<base::BackendServerId> BackendDirectory::Expire(base::Instant now) {
   std::vector<base::BackendServerId> expired;
   this->NoteVersions(now);
+  this->ReleaseHeld(now);
   if (this->InGracePeriod(now)) {
     return expired;
   }
   for (const auto& [id, since] : this->lapsed) {
-    this->known.erase(id);
+    const auto found = this->known.find(id);
+    if (found != this->known.end()) {
+      this->Remove(found, now);
+    }
     expired.push_back(id);
   }
   this->lapsed.clear();
--- a/core/tests/backend_directory_test.cc
+++ b/core/tests/backend_directory_test.cc
@@ -41,6 +41,45 @@
     CHECK(directory.Find({"a"}) == nullptr);
     CHECK(directory.Find({"b"}) != nullptr);
   }
+  // Guards against requests to a server that left without a word, as an older
+  // copy of the store shows it as it was.
+  SUBCASE("a removed run that an older copy shows") {
+    directory.NoteRemoved({"a"}, start);
+    directory.NoteOlderStore(start + seconds(3));
+    directory.NoteListedEntry(Entry("a"));
+    directory.NoteListedEntry(Entry("b"));
+    CHECK(directory.Find({"a"})->draining);
+    CHECK_FALSE(directory.Find({"b"})->draining);
+
+    SUBCASE("gets requests once it is registered again") {
+      directory.NoteEntry(Entry("a"));
+      CHECK_FALSE(directory.Find({"a"})->draining);
+    }
+    SUBCASE("gets requests once its entry has stayed") {
+      directory.Expire(start + seconds(7));
+      CHECK(directory.Find({"a"})->draining);
+      directory.Expire(start + seconds(8));
+      CHECK_FALSE(directory.Find({"a"})->draining);
+    }
+    SUBCASE("gets none if it has said that it leaves") {
+      directory.NoteLeaving({"a"}, 0, start + seconds(4));
+      directory.Expire(start + seconds(8));
+      CHECK(directory.Find({"a"})->draining);
+    }
+  }
+  SUBCASE("a later run of a removed server gets requests at once") {
+    directory.NoteRemoved({"a"}, start);
+    directory.NoteOlderStore(start + seconds(3));
+    BackendEntry later = Entry("a");
+    later.started_ms = 5;
+    directory.NoteListedEntry(later);
+    CHECK_FALSE(directory.Find({"a"})->draining);
+  }
+  SUBCASE("a removed run that is listed again without a drill") {
+    directory.NoteRemoved({"a"}, start);
+    directory.NoteListedEntry(Entry("a"));
+    CHECK_FALSE(directory.Find({"a"})->draining);
+  }
   SUBCASE("after a store failure, a missing entry is kept") {
     directory.NoteStoreFailure(start);
     directory.NoteList({Entry("b")}, start + seconds(1));
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -502,6 +502,7 @@
   core::BackendDirectory& directory = this->context.state.directory;
   this->listed_backends.clear();
   directory.NoteStoreFailure(base::Now());
+  directory.NoteOlderStore(base::Now());
   directory.SetCurrent(false);
 }
 
--- a/gateway/tests/store_drill_test.cc
+++ b/gateway/tests/store_drill_test.cc
@@ -147,6 +147,24 @@
       CHECK(each->Find("i-1")->draining);
     }
   }
+  SUBCASE(
+      "one that was removed before gets no requests, though the copy has it") {
+    drill.store.Remove("servers", "i-1");
+    drill.Run(Milliseconds(1200));
+    drill.store.ReturnTo(*drill.copy);
+    drill.Run(Milliseconds(1000));
+    for (const DrilledGateway* each : {&drill.watching, &drill.told}) {
+      REQUIRE(each->Find("i-1") != nullptr);
+      CHECK(each->Find("i-1")->draining);
+    }
+    nlohmann::json again = DeskServer("up");
+    again["slots"] = 5;
+    drill.store.Put("servers", "i-1", again);
+    drill.Run(Milliseconds(1500));
+    for (const DrilledGateway* each : {&drill.watching, &drill.told}) {
+      CHECK_FALSE(each->Find("i-1")->draining);
+    }
+  }
   SUBCASE("what a peer knows of before confirms nothing") {
     drill.store.Put("servers", "i-2", DeskServer("up"));
     drill.Run(Milliseconds(1200));
