ORDER, MIXED: check that a continued stream goes on with the stream

What callers of other operators saw: a stream broke off, the next server answered with something else, and its text stood in the middle of the stream, or the stream ended as if it were complete.

Cause: whatever a 200 brought was joined to the events before.

Change: core::StreamContinuity judges each run. A run that goes on with a stream must have its type; its first event an id that follows the last one, by the same step if the ids had one; each later id must follow too; and it must have an event, as an empty answer doesn't show that the stream was complete. In any run of an event stream a block without a field of events is no event. Otherwise the attempt counts as interrupted: another server goes on, or the stream breaks off visibly. What a caller takes up itself must follow its Last-Event-Id, but may be empty. An answer in another format than events is passed on as it is and never continued.

--- a/core/include/carawayvalve/core/server_sent_event_splitter.h
+++ b/core/include/carawayvalve/core/server_sent_event_splitter.h
@@ -1,18 +1,29 @@
 #ifndef CARAWAYVALVE_CORE_SERVER_SENT_EVENT_SPLITTER_H_
 #define CARAWAYVALVE_CORE_SERVER_SENT_EVENT_SPLITTER_H_
 
+#include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
 
 namespace carawayvalve::core {
 
+// Returns the id that a complete event carries, if any.
+std::optional<std::string> EventIdOf(std::string_view event);
+
 // Splits a stream of server-sent events into complete events, so that a caller
 // never receives part of an event from a backend server that breaks off.
 class ServerSentEventSplitter {
  public:
-  // Appends bytes of the stream and returns the events that are now complete.
-  std::string Feed(std::string_view data);
+  // Returns whether a complete event belongs to the stream.
+  using Accept = std::function<bool(std::string_view event)>;
+
+  // Appends bytes of the stream and returns the events that are now complete,
+  // up to the first that `accept` doesn't take; that and what follows remain.
+  std::string Feed(
+      std::string_view data,
+      const Accept& accept = [](std::string_view) { return true; });
   // Returns and discards the incomplete event at the end of the stream.
   std::string TakeIncomplete();
 
--- a/core/src/answer_completeness.cc
+++ b/core/src/answer_completeness.cc
@@ -1,37 +1,16 @@
 #include "carawayvalve/core/answer_completeness.h"
 
-#include <algorithm>
-#include <cctype>
+#include "carawayvalve/core/media_type.h"
 
 namespace carawayvalve::core {
 
-namespace {
-
-constexpr std::string_view kEventStream = "text/event-stream";
-
-// Returns whether the media type, which parameters may follow, is that of event
-// streams.
-bool NamesEventStream(std::string_view content_type) {
-  const size_t begin = content_type.find_first_not_of(" \t");
-  if (begin == std::string_view::npos) {
-    return false;
-  }
-  content_type = content_type.substr(begin);
-  const std::string_view type =
-      content_type.substr(0, content_type.find_first_of("; \t"));
-  return std::equal(
-      type.begin(), type.end(), kEventStream.begin(), kEventStream.end(),
-      [](unsigned char a, unsigned char b) { return std::tolower(a) == b; });
-}
-
-}  // namespace
-
 AnswerCompleteness::AnswerCompleteness(
     const std::optional<std::string>& content_type,
     bool expects_events,
     bool ends_with_connection)
-    : is_event_stream(content_type.has_value() ? NamesEventStream(*content_type)
-                                               : expects_events),
+    : is_event_stream(content_type.has_value()
+                          ? MediaTypeOf(*content_type) == kEventStreamType
+                          : expects_events),
       ends_with_connection(ends_with_connection) {}
 
 void AnswerCompleteness::Feed(std::string_view data) {
--- a/core/src/server_sent_event_splitter.cc
+++ b/core/src/server_sent_event_splitter.cc
@@ -24,7 +24,8 @@
 
 }  // namespace
 
-std::string ServerSentEventSplitter::Feed(std::string_view data) {
+std::string ServerSentEventSplitter::Feed(std::string_view data,
+                                          const Accept& accept) {
   // An event that never ends isn't searched again from its beginning.
   const size_t begin = this->pending.size() < kMaxEndBytes
                            ? 0
@@ -33,8 +34,13 @@
   size_t complete_size = 0;
   for (size_t end = FindEventEnd(this->pending, begin);
        end != std::string::npos; end = FindEventEnd(this->pending, end)) {
-    this->RecordEvent(std::string_view(this->pending)
-                          .substr(complete_size, end - complete_size));
+    const std::string_view event =
+        std::string_view(this->pending)
+            .substr(complete_size, end - complete_size);
+    if (!accept(event)) {
+      break;
+    }
+    this->RecordEvent(event);
     complete_size = end;
   }
   std::string events = this->pending.substr(0, complete_size);
@@ -48,6 +54,13 @@
 
 void ServerSentEventSplitter::RecordEvent(std::string_view event) {
   ++this->count;
+  if (auto event_id = EventIdOf(event)) {
+    this->id = std::move(event_id);
+  }
+}
+
+std::optional<std::string> EventIdOf(std::string_view event) {
+  std::optional<std::string> id;
   while (!event.empty()) {
     const size_t end = std::min(event.find('\n'), event.size());
     std::string_view line = event.substr(0, end);
@@ -62,8 +75,9 @@
     if (line.ends_with('\r')) {
       line.remove_suffix(1);
     }
-    this->id = std::string(line);
+    id = std::string(line);
   }
+  return id;
 }
 
 }  // namespace carawayvalve::core
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kServerError = 500;
@@ -57,6 +56,7 @@
       caller(platform::DecodeCallerRequest(this->exchange->request())),
       table(context.state.table),
       arrived(this->exchange->first_byte_at()),
+      continuity(this->caller.after_event),
       deadline_timer(context.loop),
       overdue_timer(context.loop) {
   if (this->caller.prompt.has_value()) {
@@ -153,7 +153,8 @@
 core::RequestRules RequestHandler::Rules() const {
   const config::RequestKind kind = this->route->kind;
   return {kind == config::RequestKind::kIdempotent,
-          kind == config::RequestKind::kStream && this->route->resumable,
+          kind == config::RequestKind::kStream && this->route->resumable &&
+              this->continuity.MayContinue(),
           this->route->max_attempts};
 }
 
@@ -317,6 +318,15 @@
   if (!this->IsStream()) {
     this->CountUsage(this->call->sent_at());
   }
+  if (!this->AnswersEvents()) {
+    return;
+  }
+  const std::string* type = net::FindField(this->head.fields, "Content-Type");
+  const auto fault = this->continuity.BeginRun(
+      type == nullptr ? std::nullopt : std::optional(*type));
+  if (fault.has_value()) {
+    this->EndAttempt(core::AttemptInterrupted{}, *fault);
+  }
 }
 
 void RequestHandler::On(const BackendAnswerData& event) {
@@ -324,7 +334,7 @@
   if (this->head.status == 0) {
     return;
   }
-  if (this->IsStream() && this->head.status == kOk) {
+  if (this->AnswersEvents()) {
     this->OnEvents(event.data);
     return;
   }
@@ -352,11 +362,23 @@
 
 void RequestHandler::OnEvents(const std::string& data) {
   const base::Instant received = base::Now();
-  const std::string events = this->splitter.Feed(data);
+  std::optional<std::string> fault;
+  const std::string events =
+      this->splitter.Feed(data, [&](std::string_view event) {
+        fault = this->continuity.Accept(event);
+        return !fault.has_value();
+      });
   this->CountBuffered();
-  if (events.empty()) {
-    return;
+  if (!events.empty()) {
+    this->SendEvents(events, received);
   }
+  if (fault.has_value() && !this->ended && this->call != nullptr) {
+    this->EndAttempt(core::AttemptInterrupted{}, *fault);
+  }
+}
+
+void RequestHandler::SendEvents(const std::string& events,
+                                base::Instant received) {
   const auto self = this->shared_from_this();
   this->overdue_timer.Start(BackendCall::NextDataTimeout(),
                             [self] { self->OnOverdue(); });
@@ -393,7 +415,11 @@
                      "the answer isn't the backend server's");
     return;
   }
-  if (this->IsStream() && this->head.status == kOk) {
+  if (this->AnswersEvents()) {
+    if (const auto fault = this->continuity.EndRun()) {
+      this->EndAttempt(core::AttemptInterrupted{}, *fault);
+      return;
+    }
     if (!this->progress.answer_begun) {
       this->progress.answer_begun = true;
       this->exchange->Begin(platform::EncodeForCaller(this->head));
@@ -401,7 +427,7 @@
     this->NoteServed();
     this->exchange->Send(this->splitter.incomplete());
     this->exchange->Finish();
-    this->End(kOk, "answered");
+    this->End(kSuccess, "answered");
     return;
   }
   this->OnCompleteAnswer();
@@ -418,7 +444,7 @@
                      "failed with " + std::to_string(this->head.status));
     return;
   }
-  if (this->head.status == kOk) {
+  if (this->head.status == kSuccess) {
     this->NoteServed();
   }
   this->Perform(core::ForwardFailure{});
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -11,6 +11,7 @@
 #include "carawayvalve/core/attempt_policy.h"
 #include "carawayvalve/core/deadline_fit.h"
 #include "carawayvalve/core/server_sent_event_splitter.h"
+#include "carawayvalve/core/stream_continuity.h"
 #include "carawayvalve/net/http_server.h"
 #include "context.h"
 
@@ -31,6 +32,8 @@
   void OnStop();
 
  private:
+  static constexpr int kSuccess = 200;
+
   // Return whether the request may proceed. If not, it has been answered.
   bool FindRoute();
   bool CheckKey();
@@ -95,6 +98,11 @@
   void On(const BackendAnswerDone& event);
   void On(const BackendCallFailed& event);
   void OnEvents(const std::string& data);
+  // Passes complete events on to the caller.
+  void SendEvents(const std::string& events, base::Instant received);
+  bool AnswersEvents() const {
+    return this->IsStream() && this->head.status == kSuccess;
+  }
   // Counts what is held of the answer against the budget of all requests.
   void CountBuffered();
   // Ends the attempt with this number, whose answer was dropped.
@@ -205,6 +213,7 @@
   // Distinguishes the attempts, also those that were never sent.
   int64_t attempt_number = 0;
   core::ServerSentEventSplitter splitter;
+  core::StreamContinuity continuity;
   // Number of events before the current attempt.
   int64_t earlier_events = 0;
   bool usage_counted = false;
