LOST: answer what `serve` has in hand before it stops

The postmortem of the stop left it open: at the end of its drain timeout an entry process gave up what it had in flight and ended its HTTP server at once, so that callers got a closed connection rather than the outcome.

Evidence: `a process that stops before the deadline` (request_flow_test.cc) fails without the change (3 checks).

--- a/core/include/carawayvalve/core/request_flow.h
+++ b/core/include/carawayvalve/core/request_flow.h
@@ -76,6 +76,12 @@
 // The request's key was withdrawn, or its route closed.
 struct PermissionWithdrawn {};
 
+// The process stops: the request must have its final answer by then, be it that
+// its outcome isn't known.
+struct AnswerBy {
+  base::Instant at;
+};
+
 // Timer tick: makes the flow act on the current time.
 struct RequestTick {};
 
@@ -88,6 +94,7 @@
                                   BackendLost,
                                   CallerDisconnected,
                                   PermissionWithdrawn,
+                                  AnswerBy,
                                   RequestTick>;
 
 // Actions that the owner of the flow performs.
@@ -194,6 +201,7 @@
   Actions On(const BackendLost& event, base::Instant now);
   Actions On(const CallerDisconnected& event, base::Instant now);
   Actions On(const PermissionWithdrawn& event, base::Instant now);
+  Actions On(const AnswerBy& event, base::Instant now);
   Actions On(const RequestTick& event, base::Instant now);
 
   bool IsCurrent(const base::AttemptId& attempt) const;
--- a/core/src/request_flow.cc
+++ b/core/src/request_flow.cc
@@ -164,6 +164,13 @@
   return {};
 }
 
+Actions RequestFlow::On(const AnswerBy& event, base::Instant now) {
+  // An attempt must be settled by then.
+  this->options.deadline =
+      std::min(this->options.deadline, event.at - this->options.settle_time);
+  return this->On(RequestTick{}, now);
+}
+
 Actions RequestFlow::On(const RequestTick&, base::Instant now) {
   if (this->phase == Phase::kSettling && now >= this->settle_until) {
     return this->HandleFailure("the agent gave no answer", now);
--- a/core/tests/request_flow_test.cc
+++ b/core/tests/request_flow_test.cc
@@ -55,6 +55,24 @@
       CHECK(Has<AbandonAttempt>(flow.Step(RequestTick{}, later)));
     }
   }
+  // Guards against requests whose connections a stopping process closes unread.
+  SUBCASE("a process that stops before the deadline") {
+    const Instant end = kStart + std::chrono::seconds(3);
+    CHECK(flow.Step(AnswerBy{end}, kStart).empty());
+    const Instant settles = end - RequestOptions().settle_time;
+    flow.Step(SubmitAccepted{kAttempt}, kStart);
+    CHECK(flow.Step(RequestTick{}, settles - std::chrono::milliseconds(1))
+              .empty());
+
+    SUBCASE("asks what became of the attempt before it ends") {
+      CHECK(Has<AbandonAttempt>(flow.Step(RequestTick{}, settles)));
+      CHECK(Has<FinishRequest>(flow.Step(RequestTick{}, end)));
+    }
+    SUBCASE("keeps an earlier deadline") {
+      flow.Step(AnswerBy{deadline + std::chrono::seconds(9)}, kStart);
+      CHECK(Has<AbandonAttempt>(flow.Step(RequestTick{}, settles)));
+    }
+  }
   SUBCASE("an answer that can't be decoded fails the request") {
     flow.Step(SubmitAccepted{kAttempt}, kStart);
     const auto actions =
--- a/entry/src/dispatcher.cc
+++ b/entry/src/dispatcher.cc
@@ -429,6 +429,12 @@
   }
 }
 
+void Dispatcher::AnswerAllBy(base::Instant at) {
+  for (const auto& run : this->AllRuns()) {
+    this->Notify(run, core::AnswerBy{at});
+  }
+}
+
 void Dispatcher::CancelAll() {
   for (const auto& run : this->AllRuns()) {
     this->Notify(run, core::CallerDisconnected{});
--- a/entry/src/dispatcher.h
+++ b/entry/src/dispatcher.h
@@ -85,6 +85,8 @@
   void Close();
   // Ends every request in flight as if its caller had disconnected.
   void CancelAll();
+  // Makes all requests in flight have their final answer by then.
+  void AnswerAllBy(base::Instant at);
   // Refuses the requests for which `withdrawn` returns true, unless they have
   // started.
   void RefuseWithdrawn(
--- a/entry/src/request_admitter.cc
+++ b/entry/src/request_admitter.cc
@@ -114,8 +114,16 @@
 
 void RequestAdmitter::BeginStop(base::Duration balancer_delay,
                                 base::Duration time_to_end) {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stop.Begin(balancer_delay, time_to_end, base::Now());
+  }
+  this->dispatcher.AnswerAllBy(this->AnswerBy());
+}
+
+base::Instant RequestAdmitter::AnswerBy() const {
   const std::lock_guard lock(this->mutex);
-  this->stop.Begin(balancer_delay, time_to_end, base::Now());
+  return this->stop.AnswerBy(base::Instant::max());
 }
 
 std::shared_ptr<const ActiveConfiguration> RequestAdmitter::Active() const {
@@ -161,6 +169,9 @@
   if (auto problem = this->CheckStop(admitted)) {
     return problem;
   }
+  admitted.options.deadline =
+      std::min(admitted.options.deadline,
+               this->AnswerBy() - admitted.options.settle_time);
   if (auto problem = this->CheckLimits(admitted)) {
     return problem;
   }
--- a/entry/src/request_admitter.h
+++ b/entry/src/request_admitter.h
@@ -89,6 +89,8 @@
   // Counts the request against its account's limits; returns a problem if it
   // may not run.
   std::optional<Problem> CheckLimits(const AdmittedRequest& request) const;
+  // Returns when the last answer must be given as the process stops.
+  base::Instant AnswerBy() const;
   // Returns a problem if this process may end before the request does.
   std::optional<Problem> CheckStop(const AdmittedRequest& request) const;
   // Starts the admitted request, or returns a problem.
--- a/tests/processes/drain_test.cc
+++ b/tests/processes/drain_test.cc
@@ -164,6 +164,39 @@
   }
 }
 
+// Guards against requests that a stop ends by closing their connections unread.
+TEST_CASE("a stop that is shorter than a request answers it") {
+  Deployment deployment;
+  StartPlatform(deployment);
+  deployment.StartFake("engine", "engine",
+                       {"--models=bench-7b", "--decode-tps=20"});
+  deployment.Apply(SmallDeclaration());
+  const std::string key = deployment.GrantKey("north", "test");
+  deployment.StartAgent("bench-1", "bench-models", "model", "engine");
+  deployment.StartEntry("entry-1", {{"drain_timeout_ms", 2000}});
+  deployment.AwaitReady("entry-1", 1);
+  BackgroundCall whole(deployment, "entry-1", "POST", kChatPath, key,
+                       ChatBody(kLongestPrompt, false, 300));
+  BackgroundCall stream(deployment, "entry-1", "POST", kChatPath, key,
+                        ChatBody(kLongestPrompt, true, 300));
+  Await("the answer to be streaming",
+        [&] { return StreamText(stream.Body()).size() > 10; });
+  deployment.process("entry-1").Signal(SIGTERM);
+
+  SUBCASE("with an error that is true") {
+    const auto result = whole.Wait();
+    CHECK(result.complete);
+    CHECK(result.status == 504);
+    CHECK(result.body.find("ncomplete") != std::string::npos);
+
+    SUBCASE("and breaks a stream off visibly") {
+      CHECK_FALSE(stream.Wait().complete);
+      CHECK_FALSE(HasEndMarker(stream.Body()));
+      CHECK(deployment.process("entry-1").WaitForEnd() == 0);
+    }
+  }
+}
+
 TEST_CASE("a role change cuts no request") {
   Deployment deployment;
   StartPlatform(deployment);
