--- a/systems/tests/answer_server.h
+++ b/systems/tests/answer_server.h
@@ -25,6 +25,8 @@
   bool keep_open = false;
   // Refuses further connections after this request.
   bool stop_listening = false;
+  // Resets the connection instead of closing it in order.
+  bool reset = false;
 };
 
 inline Reply JsonReply(int status, const std::string& body) {
@@ -136,6 +138,10 @@
       this->listener.Close();
     }
     send(fd, reply.bytes.data(), reply.bytes.size(), MSG_NOSIGNAL);
+    if (reply.reset) {
+      const linger discard{1, 0};
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    }
     return reply.keep_open;
   }
 
