REFUSED, MIXED: use no kept connection on which something has arrived

Left open by the postmortem of repeated refusals: bytes that wait in the socket of an idle connection when it is used again were read as the answer to the next call. Where calls have ids, an answer with another id was skipped already; orders, reports, the store's and peers' answers have none.

Cause: an idle connection is closed when the loop reads something from it, but a call could take it between the arrival and the reading.

Change: a connection with unread input isn't taken, and closed.

Evidence: `uses no kept connection on which something has arrived since` got the extra answer ("one" for "two") without the change, passes with it.

--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -59,7 +59,7 @@
   while (!found->second.empty() && taken == nullptr) {
     IdleConnection last = std::move(found->second.back());
     found->second.pop_back();
-    if (last.expires_at > now) {
+    if (last.expires_at > now && !last.connection->HasUnreadInput()) {
       taken = std::move(last.connection);
     } else {
       last.connection->Close();
@@ -161,6 +161,11 @@
   });
 }
 
+bool ClientConnection::HasUnreadInput() const {
+  error_code error;
+  return this->socket.available(error) > 0 || error;
+}
+
 void ClientConnection::Open(base::Duration timeout,
                             HttpClient::ConnectHandler on_opened) {
   this->on_open = std::move(on_opened);
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -63,6 +63,9 @@
   void Close();
   void Fail(const std::string& reason, bool reset);
   void SetPaused(bool paused);
+  // Returns whether bytes have arrived that the loop hasn't handled yet. While
+  // the connection is idle, they answer no request of it.
+  bool HasUnreadInput() const;
   const Endpoint& endpoint() const { return this->peer; }
   // Returns the number of the call in flight, 0 when there is none.
   int64_t call_number() const {
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "../../systems/tests/answer_server.h"
@@ -97,6 +98,37 @@
     options.fresh_connection = true;
     CHECK_FALSE(client.Call(server.Address(), options).kept_connection);
   }
+  // Guards against an extra answer that is taken for that of the next request.
+  SUBCASE("uses no kept connection on which something has arrived since") {
+    systems::Listener listener;
+    std::thread server([&] {
+      const int first = accept(listener.fd, nullptr, nullptr);
+      std::array<char, 4096> request;
+      CHECK(recv(first, request.data(), request.size(), 0) > 0);
+      const std::string answer = Answer("", "one").bytes;
+      send(first, answer.data(), answer.size(), MSG_NOSIGNAL);
+      std::this_thread::sleep_for(base::Milliseconds(100));
+      send(first, answer.data(), answer.size(), MSG_NOSIGNAL);
+      const int second = accept(listener.fd, nullptr, nullptr);
+      CHECK(recv(second, request.data(), request.size(), 0) > 0);
+      const std::string other = Answer("", "two").bytes;
+      send(second, other.data(), other.size(), MSG_NOSIGNAL);
+      close(first);
+      close(second);
+    });
+    CHECK(client.Call(listener.Address()).body == "one");
+    // The loop doesn't run meanwhile, so that the extra answer waits.
+    std::this_thread::sleep_for(base::Milliseconds(300));
+    const Outcome second = client.Call(listener.Address());
+    CHECK_FALSE(second.kept_connection);
+    CHECK(second.body == "two");
+    if (second.kept_connection) {
+      const Outcome unblocks =
+          client.Call(listener.Address(), {.fresh_connection = true});
+      CHECK(unblocks.done);
+    }
+    server.join();
+  }
   SUBCASE("keeps no connection that the server closes") {
     AnswerServer server({Answer("Connection: close\r\n", "one")});
     client.Call(server.Address());
