--- a/base/include/carawayvalve/base/byte_budget.h
+++ b/base/include/carawayvalve/base/byte_budget.h
@@ -46,7 +46,8 @@
   int64_t dropped() const { return this->drop_count; }
 
  private:
-  void DropLargest();
+  // Returns whether there was one that may be dropped.
+  bool DropLargest();
 
   size_t limit;
   size_t total = 0;
--- a/base/src/byte_budget.cc
+++ b/base/src/byte_budget.cc
@@ -25,16 +25,12 @@
     return;
   }
   this->budget->buffers.insert(this);
-  while (this->budget->total > this->budget->limit) {
-    const size_t before = this->budget->total;
-    this->budget->DropLargest();
-    if (this->budget->total == before) {
-      return;
-    }
+  while (this->budget->total > this->budget->limit &&
+         this->budget->DropLargest()) {
   }
 }
 
-void ByteBudget::DropLargest() {
+bool ByteBudget::DropLargest() {
   const auto size = [](const Buffer* buffer) {
     return buffer->droppable ? buffer->bytes : 0;
   };
@@ -42,7 +38,7 @@
       this->buffers.begin(), this->buffers.end(),
       [&](const Buffer* a, const Buffer* b) { return size(a) < size(b); });
   if (largest == this->buffers.end() || size(*largest) == 0) {
-    return;
+    return false;
   }
   Buffer* const buffer = *largest;
   this->buffers.erase(largest);
@@ -51,6 +47,7 @@
   buffer->dropped = true;
   ++this->drop_count;
   buffer->drop();
+  return true;
 }
 
 }  // namespace carawayvalve::base
--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -13,6 +13,8 @@
 constexpr base::Milliseconds kKeepAliveMargin(1000);
 constexpr size_t kMaxHeaderBytes = size_t{64} * 1024;
 constexpr size_t kMaxIdlePerPeer = 64;
+// Interim responses, and ones to other calls, before that to a call.
+constexpr int kMaxOtherResponses = 16;
 
 // Returns the timeout of the Keep-Alive field, if there is one.
 std::optional<base::Duration> KeepAliveTimeout(const HeaderFields& fields) {
@@ -144,6 +146,7 @@
   this->echo = options.echo;
   this->max_body_bytes = options.max_body_bytes;
   this->head_request = request.method == "HEAD";
+  this->other_responses = 0;
   this->sent = false;
   this->began_at = base::Now();
   this->output = PrintRequest(request, this->peer.address().to_string() + ":" +
@@ -314,8 +317,7 @@
     return false;
   }
   if (this->parser->status / 100 == 1) {
-    this->ResetParser();
-    return true;
+    return this->SkipResponse();
   }
   if (!this->head_emitted && !this->skipping_response) {
     const std::string* echoed =
@@ -347,20 +349,25 @@
   if (!this->parser->is_done()) {
     return false;
   }
-  this->OnMessageEnd();
+  if (this->skipping_response) {
+    return this->SkipResponse();
+  }
+  this->Finish();
   return true;
 }
 
-void ClientConnection::OnMessageEnd() {
-  if (this->skipping_response) {
-    if (this->parser->keep_alive()) {
-      this->ResetParser();
-    } else {
-      this->Fail("closed after a response to another request", false);
-    }
-    return;
+bool ClientConnection::SkipResponse() {
+  const bool is_last = this->skipping_response && !this->parser->keep_alive();
+  if (is_last) {
+    this->Fail("closed after a response to another request", false);
+    return false;
   }
-  this->Finish();
+  if (++this->other_responses > kMaxOtherResponses) {
+    this->Fail("too many other responses", false);
+    return false;
+  }
+  this->ResetParser();
+  return true;
 }
 
 void ClientConnection::OnEnd() {
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -81,7 +81,9 @@
   void OnReceived(const error_code& error, size_t size);
   void ProcessInput();
   bool ParseMessage();
-  void OnMessageEnd();
+  // Goes on with the next response after one that isn't that to the call.
+  // Returns false if the call has failed instead.
+  bool SkipResponse();
   void OnEnd();
   void Finish();
   void Emit(const CallEvent& event);
@@ -114,6 +116,7 @@
   HeaderField echo;
   size_t max_body_bytes = 0;
   bool head_request = false;
+  int other_responses = 0;
   bool head_emitted = false;
   bool skipping_response = false;
 };
--- a/net/src/server_connection.cc
+++ b/net/src/server_connection.cc
@@ -162,13 +162,23 @@
 }
 
 void ServerConnection::OnDropped() {
-  const bool is_reading =
-      this->phase == Phase::kReadingHead || this->phase == Phase::kReadingBody;
-  if (is_reading) {
-    this->Reject(503);
-  } else {
-    this->Close();
+  switch (this->phase) {
+    case Phase::kReadingHead:
+    case Phase::kReadingBody:
+      this->Reject(503);
+      return;
+    case Phase::kAnswering:
+      // The request was read to its end meanwhile and may run.
+      if (this->output.empty()) {
+        return;
+      }
+      break;
+    case Phase::kIdle:
+    case Phase::kLingering:
+    case Phase::kClosed:
+      break;
   }
+  this->Close();
 }
 
 void ServerConnection::Close() {
--- a/net/tests/endless_messages_test.cc
+++ b/net/tests/endless_messages_test.cc
@@ -93,6 +93,23 @@
   }
 }
 
+TEST_CASE("other responses that go on without end fail a call") {
+  CallOptions options;
+  options.echo = {"X-Id", "mine"};
+  for (const std::string& other :
+       {std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: "
+                    "2\r\n\r\nok")}) {
+    CAPTURE(other);
+    std::string run;
+    while (run.size() < kEndlessBytes) {
+      run += other;
+    }
+    const systems::AnswerServer server({{run, true}});
+    CHECK(FailureOf(server, options).has_value());
+  }
+}
+
 TEST_CASE("a response whose body is longer than the call allows fails it") {
   CallOptions options;
   options.max_body_bytes = 1000;
