--- a/gateway/tests/duty_holder_test.cc
+++ b/gateway/tests/duty_holder_test.cc
@@ -33,7 +33,7 @@
 // One run of a gateway, with what takes the duties.
 struct Candidate {
   Candidate(const std::string& host, const std::string& store)
-      : host(host),
+      : host{host},
         gateway(DutySettings(host)),
         objects(gateway.loop, base::ParseAddress(store), Milliseconds(1000)) {
     this->gateway.on_store_era = [this](int64_t era) {
@@ -63,6 +63,7 @@
   template <typename Done>
   bool RunUntil(const std::vector<Candidate*>& running, const Done& done) {
     std::vector<base::HostId> live;
+    live.reserve(running.size());
     for (const Candidate* candidate : running) {
       live.push_back(candidate->host);
     }
--- a/systems/tests/http_client_test.cc
+++ b/systems/tests/http_client_test.cc
@@ -83,10 +83,11 @@
       lines += "X-Line: value\r\n";
     }
     const std::string chunked =
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    for (const std::string& bytes :
-         {"HTTP/1.1 200 " + run, "HTTP/1.1 200 OK\r\nX-Line: " + run,
-          "HTTP/1.1 200 OK\r\n" + lines, chunked + "0\r\n" + lines}) {
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    const std::vector<std::string> answers = {
+        "HTTP/1.1 200 " + run, "HTTP/1.1 200 OK\r\nX-Line: " + run,
+        "HTTP/1.1 200 OK\r\n" + lines, chunked + lines};
+    for (const std::string& bytes : answers) {
       CAPTURE(bytes.substr(0, 64));
       AnswerServer server({{.bytes = bytes, .keep_open = true}});
       HttpRequest request = MakeTicketRequest(server.Address());
