Test the drop of an unread answer whatever the system buffers

The test now leaves more unread than they hold and fills the budget itself. The check is the same, and that the caller's connection ends is checked too.

--- a/net/tests/endless_messages_test.cc
+++ b/net/tests/endless_messages_test.cc
@@ -2,6 +2,7 @@
 // its memory, with all that it has in hand.
 #include <doctest/doctest.h>
 
+#include <future>
 #include <optional>
 #include <string>
 #include <vector>
@@ -187,19 +188,33 @@
 }
 
 TEST_CASE("a caller that doesn't read a large answer loses it to others") {
-  BudgetServer server(size_t{16} * 1024 * 1024);
-  server.answer = std::string(size_t{12} * 1024 * 1024, 'x');
-  bool is_read_whole = false;
+  // More than the system buffers for a connection.
+  constexpr size_t kAnswerBytes = size_t{64} * 1024 * 1024;
+  constexpr size_t kBudgetBytes = 2 * kAnswerBytes;
+  BudgetServer server(kBudgetBytes);
+  server.answer = std::string(kAnswerBytes, 'x');
+  base::ByteBudget::Buffer other(server.budget, [] {});
+  size_t read_late = 0;
+  size_t read_at_once = 0;
   RunWhile(server.loop, [&] {
     RawCaller idle(server.server.port());
     idle.Send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
-    std::this_thread::sleep_for(base::Milliseconds(200));
+    std::this_thread::sleep_for(base::Milliseconds(300));
+    std::promise<void> filled;
+    server.loop.Post([&] {
+      other.Resize(kBudgetBytes, false);
+      other.Resize(0);
+      filled.set_value();
+    });
+    filled.get_future().wait();
+    read_late = idle.ReadAll().size();
     RawCaller reader(server.server.port());
     reader.Send("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
-    is_read_whole = reader.ReadAll().size() > server.answer.size();
+    read_at_once = reader.ReadAll().size();
   });
   CHECK(server.budget->dropped() == 1);
-  CHECK(is_read_whole);
+  CHECK(read_late < kAnswerBytes);
+  CHECK(read_at_once > kAnswerBytes);
 }
 
 }  // namespace carawayvalve::net
