--- a/tests/soak/child.cc
+++ b/tests/soak/child.cc
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <fstream>
 #include <stdexcept>
 #include <utility>
 
@@ -57,6 +58,14 @@
   }
 }
 
+int64_t Child::ResidentBytes() const {
+  std::ifstream statm("/proc/" + std::to_string(this->pid) + "/statm");
+  int64_t total_pages = 0;
+  int64_t resident_pages = 0;
+  statm >> total_pages >> resident_pages;
+  return resident_pages * sysconf(_SC_PAGESIZE);
+}
+
 bool Child::IsRunning() {
   if (this->pid > 0 && waitpid(this->pid, nullptr, WNOHANG) == this->pid) {
     this->pid = 0;
--- a/tests/soak/child.h
+++ b/tests/soak/child.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
   // Returns whether the process runs, and reaps it if it has ended.
   bool IsRunning();
   bool started() const { return this->pid > 0; }
+  // Returns the memory that it uses at present, in bytes; 0 if it has ended.
+  int64_t ResidentBytes() const;
 
  private:
   pid_t pid = 0;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -16,7 +16,8 @@
   carawayvalve-soak --program=FILE --folder=DIR [--seed=N] [--seconds=S]
                     [--gateways=N] [--callers=N]
                     [--kills-in-turn | --poison-part | --rate-limits |
-                    --versions | --drills]
+                    --versions | --drills |
+                    --spoilt-bytes=NAME [--from-start]]
 
 Prints a line per seed and a line per violated guarantee; exits with 1 if there
 was a violation. Logs of the gateways and of the faults are kept in the folder.
@@ -39,6 +40,11 @@
                   killed, stopped and paused, and backend servers are replaced,
                   instead of random faults.
   --drills        The store comes back from older copies, beside the random faults.
+  --spoilt-bytes=NAME  Backend servers and the store answer without end, again
+                  and again, instead of random faults: "worker/" or "store/" and
+                  the name of such an answer, or "any" to draw them while
+                  gateways are killed, stopped and paused.
+  --from-start    The store answers so when the gateways start.
   --callers=N     Callers, each with one request at a time [default: 12].
 )";
 
@@ -59,10 +65,15 @@
   settings.rate_limits = arguments["--rate-limits"].asBool();
   settings.versions = arguments["--versions"].asBool();
   settings.drills = arguments["--drills"].asBool();
+  if (arguments["--spoilt-bytes"]) {
+    settings.spoilt_bytes = arguments["--spoilt-bytes"].asString();
+    settings.spoilt_from_start = arguments["--from-start"].asBool();
+  }
   // Every third seed of the random faults has only planned operations.
   settings.planned_only = settings.seed % 3 == 0 && !settings.kills_in_turn &&
                           !settings.poison_part && !settings.rate_limits &&
-                          !settings.versions && !settings.drills;
+                          !settings.versions && !settings.drills &&
+                          settings.spoilt_bytes.empty();
   std::filesystem::create_directories(settings.folder);
   const auto complaints = carawayvalve::tests::Soak(settings).Run();
   for (const std::string& complaint : complaints) {
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -80,6 +80,7 @@
       service_generator(settings.seed + 1),
       stream_generator(settings.seed + 2),
       drill_generator(settings.seed + 3),
+      spoil_generator(settings.seed + 4),
       store(this->loop),
       usage(this->loop,
             {"127.0.0.1", 0},
@@ -120,11 +121,17 @@
 
 std::vector<std::string> Soak::Run() {
   this->start_time = base::Now();
+  if (this->settings.spoilt_from_start) {
+    this->SpoilStoreFromStart();
+  }
   for (Gateway& gateway : this->gateways) {
     this->StartGateway(gateway);
   }
   this->RestartGateways();
   this->CheckReadiness();
+  if (!this->settings.spoilt_bytes.empty()) {
+    this->CheckMemory();
+  }
   size_t first_call = 0;
   this->RunAfter(kStartupTime, [this] {
     this->callers->Start();
@@ -147,6 +154,13 @@
       this->ScheduleCutStreams();
       return;
     }
+    if (!this->settings.spoilt_bytes.empty()) {
+      this->ScheduleSpoiltBytes();
+      if (this->settings.spoilt_bytes == kAnySpoiltBytes) {
+        this->ScheduleGatewayFaults();
+      }
+      return;
+    }
     this->ScheduleFault();
     if (this->settings.drills) {
       this->ScheduleDrills();
@@ -177,6 +191,8 @@
   this->CheckServedBesideLimits();
   this->CheckStreamVersions();
   this->CheckStreamsTakenUp();
+  this->CheckSpoiltShares();
+  this->CheckLostBesideSpoiltBytes();
   this->CheckProgress(first_call);
   std::cout << "seed " << this->settings.seed << ": "
             << this->callers->calls().size() << " requests, "
@@ -253,6 +269,9 @@
   }
   server->backend = std::make_unique<Backend>(this->loop, backend, this->runs);
   server->link = std::make_unique<Link>(this->loop, server->backend->port());
+  if (!this->settings.spoilt_bytes.empty()) {
+    server->spoiler = std::make_unique<Spoiler>(server->link->port());
+  }
   server->engine = engine;
   server->prefill = prefill;
   server->version = version;
@@ -269,7 +288,8 @@
 
 void Soak::Register(const Server& server, bool draining) {
   json entry = {{"service", server.engine ? "models" : "desk"},
-                {"addr", server.link->address()},
+                {"addr", server.spoiler == nullptr ? server.link->address()
+                                                   : server.spoiler->address()},
                 {"zone", "a"},
                 {"version", "v" + std::to_string(server.version)},
                 {"slots", this->Slots()},
@@ -290,6 +310,10 @@
   };
   gateway.store_link =
       std::make_unique<Link>(this->loop, port_of(this->store.address()));
+  if (!this->settings.spoilt_bytes.empty()) {
+    gateway.store_spoiler =
+        std::make_unique<Spoiler>(gateway.store_link->port());
+  }
   gateway.usage_link = std::make_unique<Link>(this->loop, this->usage.port());
   const auto listen = [this] {
     return "127.0.0.1:" + std::to_string(FreePort(this->loop));
@@ -304,7 +328,11 @@
         {"readiness", gateway.readiness_address},
         {"metrics", listen()},
         {"peers", listen()}}},
-      {"store", {{"address", gateway.store_link->address()}}},
+      {"store",
+       {{"address", gateway.store_spoiler == nullptr
+                        ? gateway.store_link->address()
+                        : gateway.store_spoiler->address()}}},
+      {"memory_mb", kMemoryMb},
       {"duties",
        {{"address", gateway.usage_link->address()},
         {"usage_window_s", 2},
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -12,12 +12,18 @@
 #include "callers.h"
 #include "child.h"
 #include "link.h"
+#include "spoiler.h"
 
 namespace carawayvalve::tests {
 
 // Number of events in each streamed answer.
 inline constexpr int kEventsPerStream = 5;
 
+// The memory of each gateway, that of a small machine.
+inline constexpr int64_t kMemoryMb = 260;
+// Draws the answers without end.
+inline constexpr char kAnySpoiltBytes[] = "any";
+
 // Bounds the retries of all gateways together: in any window at most `ratio`
 // times the service's requests plus `slack`. The platform sets the rule, this
 // deployment the slack.
@@ -57,6 +63,13 @@
   // Adds to the random faults: the store comes back from an older copy, again
   // and again.
   bool drills = false;
+  // Replaces the random faults: backend servers and the store answer without
+  // end, again and again, while gateways are killed, stopped and paused. The
+  // name of such an answer, as "worker/NAME" or "store/NAME"; "any" draws them;
+  // empty for none.
+  std::string spoilt_bytes;
+  // The store answers without end when the gateways start.
+  bool spoilt_from_start = false;
   RetryBounds retries;
 };
 
@@ -81,6 +94,9 @@
     bool ready = false;
     std::unique_ptr<net::Call> readiness_call;
     std::unique_ptr<Link> store_link;
+    // Before `store_link`; null unless answers are spoilt.
+    std::unique_ptr<Spoiler> store_spoiler;
+    int64_t peak_bytes = 0;
     std::unique_ptr<Link> usage_link;
     // When `usage_link` was last reopened.
     base::Instant usage_link_reopened;
@@ -92,6 +108,8 @@
   struct Server {
     std::unique_ptr<Backend> backend;
     std::unique_ptr<Link> link;
+    // Before `link`; null unless answers are spoilt.
+    std::unique_ptr<Spoiler> spoiler;
     bool engine = false;
     bool prefill = false;
     // Of its software.
@@ -109,6 +127,16 @@
     // No server of its service could answer without a limit.
     bool whole_service = false;
   };
+  // A server of a service with `servers` spoilt its answers for a while.
+  struct SpoiltTime {
+    std::string what;
+    const Server* server = nullptr;
+    int64_t servers = 0;
+    base::Instant begun;
+    base::Instant ended;
+    // The requests that reached the server.
+    int64_t requests = 0;
+  };
   struct Report {
     int64_t epoch = 0;
     std::string holder;
@@ -145,6 +173,14 @@
   void ScheduleDrills();
   // Kills, stops or pauses a gateway, again and again.
   void ScheduleGatewayFaults();
+  // Lets one server of each service, or the store, answer without end for a
+  // while, again and again.
+  void ScheduleSpoiltBytes();
+  void SpoilWorkers(const EndlessBytes& bytes, base::Milliseconds time);
+  void SpoilStore(const EndlessBytes& bytes, base::Milliseconds time);
+  void SpoilStoreFromStart();
+  // Does what the platform does with a process that exceeds its memory.
+  void CheckMemory();
   // Makes the engine unreachable and starts another one later.
   void OnEngineCrash(Server& server);
   void RunAfter(base::Milliseconds wait, std::function<void()> then);
@@ -180,6 +216,10 @@
   void CheckStreamsTakenUp();
   // Returns how many decode engines of the version took requests at that time.
   int64_t ServingEngines(const std::string& version, base::Instant at) const;
+  // No server that spoils its answers got more than its share.
+  void CheckSpoiltShares();
+  // What a sound server ran was answered.
+  void CheckLostBesideSpoiltBytes();
   void CheckProgress(size_t first_call);
   void AddComplaint(const std::string& what);
 
@@ -190,6 +230,7 @@
   std::mt19937 service_generator;
   std::mt19937 stream_generator;
   std::mt19937 drill_generator;
+  std::mt19937 spoil_generator;
   net::EventLoop loop;
   Store store;
   net::HttpServer usage;
@@ -205,6 +246,7 @@
   std::vector<Report> reports;
   std::vector<base::Instant> crashes;
   std::vector<RateLimitTime> rate_limits;
+  std::vector<SpoiltTime> spoilt_times;
   std::vector<std::string> complaints;
   int64_t plan_version = 0;
   int64_t last_server = 0;
