Show a gateway's resident memory in its metrics

Of a gateway that is killed for its memory, nothing told what it had used before: buffered_bytes counts callers' requests and backend servers' answers alone. The gauge resident_bytes is the kernel's figure.

--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -9,6 +9,7 @@
 
 #include "carawayvalve/base/error.h"
 #include "carawayvalve/base/foreign_json.h"
+#include "carawayvalve/base/process_memory.h"
 #include "carawayvalve/gateway/gateway.h"
 #include "explanation.h"
 #include "request_handler.h"
@@ -219,6 +220,8 @@
                          static_cast<double>(this->buffers->used()));
   this->metrics.SetGauge("buffers_dropped",
                          static_cast<double>(this->buffers->dropped()));
+  this->metrics.SetGauge("resident_bytes",
+                         static_cast<double>(base::ResidentBytes()));
   this->metrics.SetGauge("store_era",
                          static_cast<double>(this->state.store_era));
   this->metrics.SetGauge("store_calls",
