FAULT, LOST: bound all answers that a gateway reads as a whole together

Callers saw a gateway end by its memory while the store's answers had no end, with the requests in its hands, and no gateway come up before the store was well.

Cause: each answer was bounded by itself (64 MB of the store, 16 MB of a peer), and nothing bounded all of them; several calls are always under way. Class: a limit for each, none for their sum.

HttpClient collects a body that is read as a whole, and counts it against a budget; the store's, the platform's, engines' orders' and peers' calls share a sixteenth of the memory, of which the largest answer loses. Changes of the store that need more are listed instead, in pages. The outcome too_large counts such calls.

The stand-in's pages end at 1 MB, as the platform's do.

--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -49,6 +49,9 @@
   LiveRequests& live_requests;
   // What requests and answers may hold together.
   const std::shared_ptr<base::ByteBudget>& buffers;
+  // What the answers that are read as a whole, of the store, the platform,
+  // engines and peers, may hold together.
+  const std::shared_ptr<base::ByteBudget>& answers;
   // Called when the store is known to be of a later era.
   std::function<void(int64_t era)>& on_store_era;
 
--- a/gateway/src/duty_holder.cc
+++ b/gateway/src/duty_holder.cc
@@ -89,7 +89,9 @@
       lease(ToLeaseOptions(context.state.settings), context.state.boot),
       reports(ToReporterSettings(context.state.settings)),
       platform_client(context.loop, kKeepAlive),
-      roles(context) {}
+      roles(context) {
+  this->platform_client.SetBudget(context.answers);
+}
 
 void DutyHolder::Tick(const std::vector<base::HostId>& live) {
   const GatewayState& state = this->context.state;
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -44,6 +44,9 @@
 // while it grows and while it is sent, and the rest of a gateway needs a
 // quarter.
 constexpr size_t kBufferDivisor = 8;
+// The same of answers that are read as a whole. Their parsed forms need several
+// times as much.
+constexpr size_t kAnswerDivisor = 16;
 // The number of usage windows that are kept in memory.
 constexpr int64_t kWindowsKept = 8;
 
@@ -58,6 +61,8 @@
       settings(ReadGatewaySettingsFile(this->settings_path)),
       buffers(std::make_shared<base::ByteBudget>(settings.memory_bytes /
                                                  kBufferDivisor)),
+      answers(std::make_shared<base::ByteBudget>(settings.memory_bytes /
+                                                 kAnswerDivisor)),
       journal(settings.log, STDOUT_FILENO),
       state(settings),
       generator(std::random_device()()),
@@ -70,13 +75,16 @@
               this->metrics,        this->backends,      this->waiting,
               this->generator,      this->sent_prefixes, this->on_load_changed,
               this->on_urgent_news, this->origin_lookup, this->account_limits,
-              this->live_requests,  this->buffers,       this->on_store_era},
+              this->live_requests,  this->buffers,       this->answers,
+              this->on_store_era},
       feed(this->context, this->objects),
       peers(this->context, this->objects, this->feed),
       recent(this->context, this->objects, this->feed),
       duties(this->context, this->objects, this->recent),
       tick_timer(this->loop),
       stop_timer(this->loop) {
+  this->objects.SetBudget(this->answers);
+  this->backends.SetBudget(this->answers);
   this->objects.SetOnFault([this](const auto& kind, const auto& object) {
     this->context.NoteUnreadable(kind, object);
   });
@@ -220,6 +228,10 @@
                          static_cast<double>(this->buffers->used()));
   this->metrics.SetGauge("buffers_dropped",
                          static_cast<double>(this->buffers->dropped()));
+  this->metrics.SetGauge("answer_bytes",
+                         static_cast<double>(this->answers->used()));
+  this->metrics.SetGauge("answers_dropped",
+                         static_cast<double>(this->answers->dropped()));
   this->metrics.SetGauge("resident_bytes",
                          static_cast<double>(base::ResidentBytes()));
   this->metrics.SetGauge("store_era",
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -43,6 +43,7 @@
   net::EventLoop loop;
   GatewaySettings settings;
   std::shared_ptr<base::ByteBudget> buffers;
+  std::shared_ptr<base::ByteBudget> answers;
   base::Journal journal;
   GatewayMetrics metrics;
   GatewayState state;
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -58,7 +58,7 @@
 // A peer that hasn't sent its configuration within this time is taken for lost:
 // a connection may go silent for good.
 constexpr std::chrono::seconds kPlanTimeout(1);
-constexpr size_t kMaxPlanBytes = size_t{16} * 1024 * 1024;
+constexpr size_t kMaxPlanBytes = size_t{8} * 1024 * 1024;
 constexpr int kOk = 200;
 constexpr std::chrono::seconds kKeepAlive(10);
 
@@ -109,7 +109,9 @@
                             this->SendAccountRates(host, rates);
                           }),
       round_timer(context.loop),
-      update_timer(context.loop) {}
+      update_timer(context.loop) {
+  this->client.SetBudget(context.answers);
+}
 
 void PeerGossip::Start() {
   const base::Address& address = this->context.state.settings.listen.peers;
@@ -524,6 +526,7 @@
   this->plan_timeout.Start(kPlanTimeout, [this] { this->plan_call.reset(); });
   net::CallOptions options;
   options.max_body_bytes = kMaxPlanBytes;
+  options.whole_body = true;
   this->plan_call = this->client.Start(
       address, {"GET", "/plan", {}, {}}, options,
       [this](const net::CallEvent& event) { this->OnPlanCall(event); });
@@ -533,7 +536,7 @@
   if (const auto* head = std::get_if<net::CallHead>(&event)) {
     this->plan_status = head->head.status;
   } else if (const auto* body = std::get_if<net::CallBody>(&event)) {
-    this->plan_body += body->data;
+    this->plan_body = body->data;
   } else if (std::holds_alternative<net::CallFailed>(event)) {
     this->plan_timeout.Cancel();
     this->plan_call.reset();
--- a/gateway/src/registry_relay.cc
+++ b/gateway/src/registry_relay.cc
@@ -25,7 +25,7 @@
 constexpr base::Milliseconds kFailedFetchDelay(500);
 // A peer that hasn't answered within this time is taken for lost.
 constexpr base::Milliseconds kFetchTimeout(250);
-constexpr size_t kMaxAnswerBytes = size_t{16} * 1024 * 1024;
+constexpr size_t kMaxAnswerBytes = size_t{8} * 1024 * 1024;
 
 json Encode(const core::ObjectChangeRange& range) {
   json changes = json::array();
@@ -83,7 +83,9 @@
     : context(context),
       feed(feed),
       client(context.loop, kKeepAlive),
-      timeout(context.loop) {}
+      timeout(context.loop) {
+  this->client.SetBudget(context.answers);
+}
 
 void RegistryRelay::AddTo(wire::gen::Gossip& gossip) const {
   gossip.__set_store_era(this->context.state.store_era);
@@ -150,6 +152,7 @@
   this->timeout.Start(kFetchTimeout, [this] { this->call.reset(); });
   net::CallOptions options;
   options.max_body_bytes = kMaxAnswerBytes;
+  options.whole_body = true;
   this->call = this->client.Start(
       address, {"GET", target, {}, {}}, options,
       [this](const net::CallEvent& event) { this->OnCall(event); });
@@ -161,7 +164,7 @@
     return;
   }
   if (const auto* part = std::get_if<net::CallBody>(&event)) {
-    this->body += part->data;
+    this->body = part->data;
     return;
   }
   const bool done = std::holds_alternative<net::CallDone>(event);
--- a/gateway/src/role_controller.cc
+++ b/gateway/src/role_controller.cc
@@ -28,7 +28,9 @@
 RoleController::RoleController(Context& context)
     : context(context),
       planner(core::RoleSharePlanner::Settings{}),
-      engines(context.loop, kKeepAlive) {}
+      engines(context.loop, kKeepAlive) {
+  this->engines.SetBudget(context.answers);
+}
 
 bool RoleController::UnderLoad() const {
   const base::Instant now = base::Now();
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -238,11 +238,20 @@
     }
     return;
   }
-  const auto* refused = std::get_if<platform::StoreRefused>(&result);
-  this->RetryLater(refused != nullptr
-                       ? "status " + std::to_string(refused->status)
-                       : std::get<platform::StoreCallFailed>(result).reason,
-                   [this] { this->Follow(); });
+  if (const auto* refused = std::get_if<platform::StoreRefused>(&result)) {
+    this->RetryLater("status " + std::to_string(refused->status),
+                     [this] { this->Follow(); });
+    return;
+  }
+  const auto& failure = std::get<platform::StoreCallFailed>(result);
+  this->RetryLater(failure.reason, [this, lists = failure.too_large] {
+    // A list is had in pages.
+    if (lists) {
+      this->List("");
+    } else {
+      this->Follow();
+    }
+  });
 }
 
 void ObjectWatcher::Confirm(std::function<void()> done) {
--- a/gateway/src/timed_call.cc
+++ b/gateway/src/timed_call.cc
@@ -28,6 +28,7 @@
   });
   net::CallOptions options;
   options.max_body_bytes = kMaxAnswerBytes;
+  options.whole_body = true;
   timed->call = client.Start(address, request, options,
                              [weak](const net::CallEvent& event) {
                                if (const auto self = weak.lock()) {
@@ -42,7 +43,7 @@
     this->result.status = head->head.status;
     this->result.fields = head->head.fields;
   } else if (const auto* body = std::get_if<net::CallBody>(&event)) {
-    this->result.body += body->data;
+    this->result.body = body->data;
   } else if (std::holds_alternative<net::CallDone>(event)) {
     this->Finish();
   } else if (std::holds_alternative<net::CallFailed>(event)) {
--- a/gateway/tests/recent_store_test.cc
+++ b/gateway/tests/recent_store_test.cc
@@ -57,6 +57,7 @@
                 shared.account_limits,
                 shared.live_requests,
                 shared.buffers,
+                shared.answers,
                 shared.on_store_era},
         objects(shared.loop, base::ParseAddress(store), Milliseconds(1000)),
         feed(context, objects),
--- a/gateway/tests/store_feed_test.cc
+++ b/gateway/tests/store_feed_test.cc
@@ -43,6 +43,26 @@
       gateway.loop, base::ParseAddress(store.address()), Milliseconds(1000));
   StoreFeed feed(gateway.context, objects);
 
+  SUBCASE("lists changes that are too large to be read at once") {
+    feed.Start();
+    gateway.RunFor(Milliseconds(300));
+    store.down = true;
+    gateway.RunFor(Milliseconds(100));
+    nlohmann::json large = DeskServer();
+    large["note"] = std::string(size_t{900} * 1024, 'x');
+    for (int i = 0; i < 12; ++i) {
+      store.Put("servers", "large-" + std::to_string(i), large);
+    }
+    store.Put("servers", "small", DeskServer());
+    store.down = false;
+    gateway.RunFor(seconds(3));
+    CHECK(gateway.state.directory.Find({"large-0"}) != nullptr);
+    CHECK(gateway.state.directory.Find({"large-11"}) != nullptr);
+    CHECK(gateway.state.directory.Find({"small"}) != nullptr);
+    const auto& counts = objects.counts().by_reason();
+    CHECK(counts.at({"watch servers", "too_large"}) == 1);
+    CHECK(gateway.answers->used() == 0);
+  }
   SUBCASE("renews watches no more often than planned") {
     feed.SetWatchWaits(
         {{Milliseconds(50), std::nullopt}, {seconds(60), std::nullopt}});
--- a/gateway/tests/test_gateway.h
+++ b/gateway/tests/test_gateway.h
@@ -11,6 +11,8 @@
 namespace carawayvalve::gateway {
 
 inline constexpr size_t kTestBufferBytes = size_t{4} * 1024 * 1024;
+// What the answers that a test's gateway reads as a whole may hold.
+inline constexpr size_t kTestAnswerBytes = size_t{16} * 1024 * 1024;
 
 // The context and other objects that a test of one part of a gateway needs.
 struct TestGateway {
@@ -38,12 +40,15 @@
   LiveRequests live_requests;
   std::shared_ptr<base::ByteBudget> buffers =
       std::make_shared<base::ByteBudget>(kTestBufferBytes);
+  std::shared_ptr<base::ByteBudget> answers =
+      std::make_shared<base::ByteBudget>(kTestAnswerBytes);
   std::function<void(int64_t)> on_store_era = [](int64_t) {};
   Context context{loop,           state,         journal,
                   metrics,        backends,      late_requests,
                   generator,      sent_prefixes, on_load_changed,
                   on_urgent_news, origin_lookup, account_limits,
-                  live_requests,  buffers,       on_store_era};
+                  live_requests,  buffers,       answers,
+                  on_store_era};
 };
 
 }  // namespace carawayvalve::gateway
--- a/net/include/carawayvalve/net/http_client.h
+++ b/net/include/carawayvalve/net/http_client.h
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "carawayvalve/base/address.h"
+#include "carawayvalve/base/byte_budget.h"
 #include "carawayvalve/base/time.h"
 #include "carawayvalve/net/event_loop.h"
 #include "carawayvalve/net/message.h"
@@ -30,6 +31,9 @@
   HeaderField echo;
   // The call fails if the response's body is longer.
   size_t max_body_bytes = size_t{64} * 1024 * 1024;
+  // Passes the body on in one part, once it is complete. Until then it counts
+  // against the client's budget.
+  bool whole_body = false;
 
   bool operator==(const CallOptions&) const = default;
 };
@@ -66,6 +70,8 @@
   // a timeout.
   bool reset = false;
   std::string reason;
+  // The response was longer than the call or the client's budget allows.
+  bool too_large = false;
 };
 
 using CallEvent =
@@ -106,6 +112,10 @@
   HttpClient(EventLoop& loop, base::Duration default_keep_alive);
   ~HttpClient();
 
+  // Bounds what the bodies that are read as a whole hold together. Applies to
+  // calls that start later.
+  void SetBudget(std::shared_ptr<base::ByteBudget> budget);
+
   // Starts a call and passes its events to `handler` from the loop, never from
   // within Start. CallDone or CallFailed is the last one.
   std::unique_ptr<Call> Start(const base::Address& address,
--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -145,6 +145,21 @@
   this->paused = false;
   this->echo = options.echo;
   this->max_body_bytes = options.max_body_bytes;
+  this->whole_body = options.whole_body;
+  this->counted.reset();
+  if (this->whole_body && this->client->budget != nullptr) {
+    this->counted.emplace(this->client->budget, [weak = this->weak_from_this(),
+                                                 number = this->call_count] {
+      if (const auto self = weak.lock()) {
+        self->client->loop.Post([self, number] {
+          if (self->call_number() == number) {
+            self->Fail("the response needs more memory than there is", false,
+                       true);
+          }
+        });
+      }
+    });
+  }
   this->head_request = request.method == "HEAD";
   this->other_responses = 0;
   this->sent = false;
@@ -310,9 +325,11 @@
 bool ClientConnection::ParseMessage() {
   const auto error = this->parser->Read(this->input, kMaxHeaderBytes);
   if (error) {
-    this->Fail("not a response: " + error.message(), false);
+    this->Fail("not a response: " + error.message(), false,
+               error == boost::beast::http::error::body_limit);
     return false;
   }
+  this->CountBody();
   if (!this->parser->is_header_done()) {
     return false;
   }
@@ -337,14 +354,8 @@
       }
     }
   }
-  if (!this->parser->body.empty()) {
-    std::string data = std::exchange(this->parser->body, {});
-    if (!this->skipping_response) {
-      this->Emit(CallBody{std::move(data)});
-      if (this->closed || this->handler == nullptr) {
-        return false;
-      }
-    }
+  if (!this->PassBodyOn()) {
+    return false;
   }
   if (!this->parser->is_done()) {
     return false;
@@ -356,6 +367,25 @@
   return true;
 }
 
+bool ClientConnection::PassBodyOn() {
+  if (this->skipping_response) {
+    this->parser->body.clear();
+    return true;
+  }
+  const bool waits = this->whole_body && !this->parser->is_done();
+  if (waits || this->parser->body.empty()) {
+    return true;
+  }
+  this->Emit(CallBody{std::exchange(this->parser->body, {})});
+  return !this->closed && this->handler != nullptr;
+}
+
+void ClientConnection::CountBody() {
+  if (this->counted.has_value()) {
+    this->counted->Resize(this->parser->body.size());
+  }
+}
+
 bool ClientConnection::SkipResponse() {
   const bool is_last = this->skipping_response && !this->parser->keep_alive();
   if (is_last) {
@@ -376,7 +406,9 @@
     boost::beast::error_code error;
     this->parser->put_eof(error);
     if (!error) {
-      this->Finish();
+      if (this->PassBodyOn()) {
+        this->Finish();
+      }
       return;
     }
   }
@@ -384,6 +416,7 @@
 }
 
 void ClientConnection::Finish() {
+  this->counted.reset();
   const auto on_event = std::exchange(this->handler, nullptr);
   const bool reusable = this->parser->keep_alive() &&
                         !this->parser->need_eof() && this->input.empty() &&
@@ -412,7 +445,9 @@
   on_event(event);
 }
 
-void ClientConnection::Fail(const std::string& reason, bool reset) {
+void ClientConnection::Fail(const std::string& reason,
+                            bool reset,
+                            bool too_large) {
   const auto on_event = std::exchange(this->handler, nullptr);
   const auto opened = std::exchange(this->on_open, nullptr);
   const bool was_sent = this->sent;
@@ -421,7 +456,8 @@
     opened(reset ? ConnectResult::kRefused : ConnectResult::kNoAnswer);
   }
   if (on_event != nullptr) {
-    on_event(CallFailed{!was_sent, this->used_before, reset, reason});
+    on_event(
+        CallFailed{!was_sent, this->used_before, reset, reason, too_large});
   }
 }
 
@@ -439,6 +475,7 @@
   }
   this->closed = true;
   this->connect_timer.Cancel();
+  this->counted.reset();
   error_code ignored;
   this->socket.close(ignored);
   this->client->Remove(this->shared_from_this());
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -33,6 +33,7 @@
 
   EventLoop& loop;
   base::Duration default_keep_alive;
+  std::shared_ptr<base::ByteBudget> budget;
   int64_t connections_opened = 0;
   std::set<std::shared_ptr<ClientConnection>> open;
 
@@ -61,7 +62,7 @@
   // Ends the call without an event and resets the connection.
   void Cancel();
   void Close();
-  void Fail(const std::string& reason, bool reset);
+  void Fail(const std::string& reason, bool reset, bool too_large = false);
   void SetPaused(bool paused);
   // Returns whether bytes have arrived that the loop hasn't handled yet. While
   // the connection is idle, they answer no request of it.
@@ -81,6 +82,11 @@
   void OnReceived(const error_code& error, size_t size);
   void ProcessInput();
   bool ParseMessage();
+  // Passes on what has been read of the body, unless it is to be complete
+  // first. Returns whether the call goes on.
+  bool PassBodyOn();
+  // Counts a body that is read as a whole against the budget.
+  void CountBody();
   // Goes on with the next response after one that isn't that to the call.
   // Returns false if the call has failed instead.
   bool SkipResponse();
@@ -115,6 +121,8 @@
   int64_t call_count = 0;
   HeaderField echo;
   size_t max_body_bytes = 0;
+  bool whole_body = false;
+  std::optional<base::ByteBudget::Buffer> counted;
   bool head_request = false;
   int other_responses = 0;
   bool head_emitted = false;
--- a/net/src/http_client.cc
+++ b/net/src/http_client.cc
@@ -47,6 +47,10 @@
   this->client->CloseAll();
 }
 
+void HttpClient::SetBudget(std::shared_ptr<base::ByteBudget> budget) {
+  this->client->budget = std::move(budget);
+}
+
 std::unique_ptr<Call> HttpClient::Start(const base::Address& address,
                                         const Request& request,
                                         const CallOptions& options,
--- a/net/tests/endless_messages_test.cc
+++ b/net/tests/endless_messages_test.cc
@@ -125,6 +125,51 @@
   }
 }
 
+TEST_CASE("responses that are small enough each are too much together") {
+  constexpr size_t kBudget = size_t{1024} * 1024;
+  constexpr int kCalls = 4;
+  const std::string part(kBudget / 2, 'x');
+  const systems::AnswerServer endless(std::vector<systems::Reply>(
+      kCalls,
+      {"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + part, true}));
+  const systems::AnswerServer sound(
+      {{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", true}});
+  EventLoop loop;
+  HttpClient client(loop, std::chrono::seconds(5));
+  const auto budget = std::make_shared<base::ByteBudget>(kBudget);
+  client.SetBudget(budget);
+  CallOptions options;
+  options.whole_body = true;
+  Timer end(loop);
+  end.Start(std::chrono::seconds(2), [&] { loop.Stop(); });
+  int too_large = 0;
+  std::string whole;
+  std::vector<std::unique_ptr<Call>> calls;
+  for (int i = 0; i < kCalls; ++i) {
+    calls.push_back(client.Start(
+        base::ParseAddress(endless.Address()), {"GET", "/x", {}, ""}, options,
+        [&](const CallEvent& event) {
+          const auto* failed = std::get_if<CallFailed>(&event);
+          too_large += failed != nullptr && failed->too_large ? 1 : 0;
+          CHECK(!std::holds_alternative<CallBody>(event));
+          CHECK(budget->used() <= kBudget);
+        }));
+  }
+  calls.push_back(
+      client.Start(base::ParseAddress(sound.Address()), {"GET", "/x", {}, ""},
+                   options, [&](const CallEvent& event) {
+                     if (const auto* body = std::get_if<CallBody>(&event)) {
+                       whole += body->data;
+                     }
+                   }));
+  loop.Run();
+  CHECK(whole == "done");
+  // Two of them fit.
+  CHECK(too_large == kCalls - 2);
+  calls.clear();
+  CHECK(budget->used() == 0);
+}
+
 TEST_CASE("a request that goes on without end is rejected") {
   for (const EndlessPart& part : EndlessParts()) {
     CAPTURE(part.name);
--- a/tests/platform/store.cc
+++ b/tests/platform/store.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr size_t kPageSize = 50;
+// A page that has reached this size ends.
+constexpr size_t kPageBytes = size_t{1024} * 1024;
 constexpr char kPrefix[] = "/api/objects/";
 // How the stand-ins of malformed values begin, as they are printed.
 constexpr char kTextMark[] = "\"text ";
@@ -233,15 +235,17 @@
 json Store::List(const std::string& kind, const std::string& after) const {
   json items = json::array();
   bool more = false;
+  size_t bytes = 0;
   for (const auto& [key, object] : this->objects) {
     if (key.first != kind || key.second <= after) {
       continue;
     }
-    more = items.size() == kPageSize;
+    more = items.size() == kPageSize || bytes >= kPageBytes;
     if (more) {
       break;
     }
     items.push_back(object);
+    bytes += this->WithTexts(object.dump()).size();
   }
   return {{"items", items}, {"hasMore", more}, {"currentRev", this->revision}};
 }
