FAULT: bound what JSON of other processes needs once it is parsed

Callers saw gateways end by their memory after the store had answered with 7 MB of small items, with requests that sound backend servers ran.

Cause: a value needs up to a hundred bytes, whatever its text needs; lists were split into as many views as they have elements. Class: a limit of the text, none of what it becomes.

A text may have 256 K values, counted before it is parsed. An object or array is split into 64 K parts at most.

--- a/base/include/carawayvalve/base/foreign_json.h
+++ b/base/include/carawayvalve/base/foreign_json.h
@@ -14,18 +14,28 @@
 // Copying and printing a value recurse once a level.
 constexpr int kMaxForeignNesting = 128;
 
+// The greatest number of values in JSON from another process. Each needs up to
+// a hundred bytes once it is parsed, whatever its text needs.
+constexpr size_t kMaxForeignValues = size_t{256} * 1024;
+
 // A value from JSON text that another process wrote.
 struct ForeignJson {
   // Null when the text can't be read. Copying and printing it is safe.
   nlohmann::json value;
   // Why the text can't be read: it isn't JSON or not UTF-8, a number is out of
-  // range, or it is nested too deeply. Empty when it was read.
+  // range, it is nested too deeply or has too many values. Empty when it was
+  // read.
   std::string fault;
 };
 
 // Never throws for what the text holds.
 ForeignJson ParseForeignJson(std::string_view text);
 
+// Parses several texts, which are to have kMaxForeignValues together. If they
+// have more, those with the most values aren't read.
+std::vector<ForeignJson> ParseForeignTexts(
+    const std::vector<std::string_view>& texts);
+
 // Prints JSON whose texts may come from another process; on one line unless
 // `indent` is the spaces a level. Each sequence that isn't UTF-8 becomes
 // U+FFFD, so that different texts may print alike, see SurvivesJson.
@@ -36,8 +46,10 @@
 
 // Return the texts of the members of the object, or of the elements of the
 // array, that `text` holds, each of which may be unreadable by itself; nothing
-// when `text` isn't an object or array whose ends can be found. Names that
-// can't be read are left out. Of two members with one name the last counts.
+// when `text` isn't an object or array whose ends can be found, or has more
+// than kMaxForeignParts of them. Names that can't be read are left out. Of two
+// members with one name the last counts.
+constexpr size_t kMaxForeignParts = size_t{64} * 1024;
 std::optional<std::map<std::string, std::string_view>> SplitJsonObject(
     std::string_view text);
 std::optional<std::vector<std::string_view>> SplitJsonArray(
--- a/base/src/foreign_json.cc
+++ b/base/src/foreign_json.cc
@@ -24,6 +24,12 @@
   return byte == '}' || byte == ']';
 }
 
+// What a text becomes when it is parsed, at most.
+struct Extent {
+  int max_depth = 0;
+  size_t values = 1;
+};
+
 // Reads JSON text by its strings and brackets alone, without recursion.
 class Scanner {
  public:
@@ -67,16 +73,17 @@
                       : std::string_view();
   }
 
-  // Returns the greatest nesting of the text. At least that which a parser
-  // reaches.
-  int MaxDepth() {
+  // Returns the extent of the text.
+  Extent Measure() {
+    Extent extent;
     int depth = 0;
-    int max_depth = 0;
     while (!this->AtEnd()) {
+      const char byte = this->text[this->position];
+      extent.values += byte == ',' || IsOpening(byte) ? 1 : 0;
       this->PassByte(depth);
-      max_depth = std::max(max_depth, depth);
+      extent.max_depth = std::max(extent.max_depth, depth);
     }
-    return max_depth;
+    return extent;
   }
 
  private:
@@ -111,11 +118,16 @@
 }  // namespace
 
 ForeignJson ParseForeignJson(std::string_view text) {
-  if (Scanner(text).MaxDepth() > kMaxForeignNesting) {
+  const Extent extent = Scanner(text).Measure();
+  if (extent.max_depth > kMaxForeignNesting) {
     return {{},
             "is nested deeper than " + std::to_string(kMaxForeignNesting) +
                 " arrays and objects"};
   }
+  if (extent.values > kMaxForeignValues) {
+    return {{},
+            "has more than " + std::to_string(kMaxForeignValues) + " values"};
+  }
   try {
     return {json::parse(text), ""};
   } catch (const json::exception& error) {
@@ -123,6 +135,24 @@
   }
 }
 
+std::vector<ForeignJson> ParseForeignTexts(
+    const std::vector<std::string_view>& texts) {
+  std::vector<std::pair<size_t, size_t>> by_values;
+  for (size_t i = 0; i < texts.size(); ++i) {
+    by_values.emplace_back(Scanner(texts[i]).Measure().values, i);
+  }
+  std::sort(by_values.begin(), by_values.end());
+  std::vector<ForeignJson> parsed(texts.size());
+  size_t total = 0;
+  for (const auto& [values, i] : by_values) {
+    total += values;
+    parsed[i] = total > kMaxForeignValues
+                    ? ForeignJson{{}, "has too many values beside others"}
+                    : ParseForeignJson(texts[i]);
+  }
+  return parsed;
+}
+
 std::string PrintJson(const json& value, int indent) {
   return value.dump(indent, ' ', false, json::error_handler_t::replace);
 }
@@ -139,7 +169,7 @@
     return std::nullopt;
   }
   for (bool first = true; !scanner.Skip('}'); first = false) {
-    if (!first && !scanner.Skip(',')) {
+    if ((!first && !scanner.Skip(',')) || members.size() == kMaxForeignParts) {
       return std::nullopt;
     }
     const std::string_view name = scanner.TakeValue();
@@ -167,7 +197,8 @@
     return std::nullopt;
   }
   while (!scanner.Skip(']')) {
-    if (!elements.empty() && !scanner.Skip(',')) {
+    if ((!elements.empty() && !scanner.Skip(',')) ||
+        elements.size() == kMaxForeignParts) {
       return std::nullopt;
     }
     elements.push_back(scanner.TakeValue());
--- a/base/tests/foreign_json_test.cc
+++ b/base/tests/foreign_json_test.cc
@@ -65,6 +65,39 @@
   }
 }
 
+TEST_CASE("JSON of another process needs no more memory than is allowed") {
+  const std::string most =
+      "[" + Repeat("0,", static_cast<int>(kMaxForeignValues) - 2) + "0]";
+  CHECK(ParseForeignJson(most).fault.empty());
+  CHECK(!ParseForeignJson("[" + most + "]").fault.empty());
+  CHECK(ParseForeignJson("\"" + most + "\"").fault.empty());
+
+  SUBCASE("all texts together, of which the largest isn't read") {
+    const std::string half =
+        "[" + Repeat("0,", static_cast<int>(kMaxForeignValues) / 2) + "0]";
+    const auto parsed =
+        ParseForeignTexts({"[1]", half, "2", most, "{\"a\":3}"});
+    REQUIRE(parsed.size() == 5);
+    CHECK(parsed[0].value == json({1}));
+    CHECK(parsed[1].fault.empty());
+    CHECK(parsed[2].value == json(2));
+    CHECK(!parsed[3].fault.empty());
+    CHECK(parsed[3].value.is_null());
+    CHECK(parsed[4].value == json({{"a", 3}}));
+  }
+  SUBCASE("nor has more parts") {
+    const std::string elements =
+        Repeat("0,", static_cast<int>(kMaxForeignParts) - 1) + "0";
+    CHECK(SplitJsonArray("[" + elements + "]")->size() == kMaxForeignParts);
+    CHECK(!SplitJsonArray("[" + elements + ",0]").has_value());
+    std::string members = "\"a\":0";
+    for (size_t i = 0; i < kMaxForeignParts; ++i) {
+      members += ",\"" + std::to_string(i) + "\":0";
+    }
+    CHECK(!SplitJsonObject("{" + members + "}").has_value());
+  }
+}
+
 TEST_CASE(
     "JSON of another process is split so that one value spoils no other") {
   SUBCASE("members") {
--- a/gateway/src/registry_relay.cc
+++ b/gateway/src/registry_relay.cc
@@ -46,12 +46,16 @@
   platform::ObjectChanges changes;
   changes.revision = document.at("revision").get<int64_t>();
   changes.era = document.value("era", int64_t{0});
+  std::vector<std::string_view> texts;
   for (const json& change : document.at("changes")) {
+    texts.push_back(change.at("value").get_ref<const std::string&>());
+  }
+  std::vector<base::ForeignJson> values = base::ParseForeignTexts(texts);
+  for (const json& change : document.at("changes")) {
+    base::ForeignJson& value = values[changes.changes.size()];
     platform::StoredObject object;
     object.name = change.at("name").get<std::string>();
     object.revision = change.at("revision").get<int64_t>();
-    base::ForeignJson value =
-        base::ParseForeignJson(change.at("value").get<std::string>());
     object.value = std::make_shared<const json>(std::move(value.value));
     object.fault = std::move(value.fault);
     changes.changes.push_back(
--- a/tests/soak/spoiler.cc
+++ b/tests/soak/spoiler.cc
@@ -26,8 +26,10 @@
 constexpr size_t kPieceBytes = size_t{64} * 1024;
 constexpr size_t kRelayedBytes = size_t{16} * 1024;
 constexpr std::string_view kIdField = "X-Request-Id: ";
-// A list of this size needs many times as much when it is parsed.
+// A list needs many times its size when it is parsed. The first is longer than
+// a gateway may read.
 constexpr size_t kLongListBytes = size_t{48} * 1024 * 1024;
+constexpr size_t kWideListBytes = size_t{7} * 1024 * 1024;
 
 std::string Repeat(const std::string& unit, size_t bytes = kPieceBytes) {
   std::string text;
@@ -143,6 +145,17 @@
       {"long-value",
        chunked + AsChunk(R"({"meta":{"name":"main","rev":1},"spec":[0)"),
        AsChunk(Repeat(",0")), kLongListBytes, AsChunk("]}") + "0\r\n\r\n"},
+      {"wide-list", chunked + AsChunk(list), AsChunk(Repeat(",{}")),
+       kWideListBytes, AsChunk("]}") + "0\r\n\r\n"},
+      {"wide-value",
+       chunked + AsChunk(R"({"meta":{"name":"main","rev":1},"spec":[0)"),
+       AsChunk(Repeat(R"(,{"":0})")), kWideListBytes,
+       AsChunk("]}") + "0\r\n\r\n"},
+      {"wide-listed-value",
+       chunked +
+           AsChunk(R"({"items":[{"meta":{"name":"main","rev":1},"spec":[0)"),
+       AsChunk(Repeat(R"(,{"":0})")), kWideListBytes,
+       AsChunk("]}]}") + "0\r\n\r\n"},
       {"failure", "HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n",
        AsChunk(Repeat("x")), 0, ""},
       {"header", "HTTP/1.1 200 OK\r\nX-Long: ", Repeat("x"), 0, ""},
