--- a/net/tests/endless_messages_test.cc
+++ b/net/tests/endless_messages_test.cc
@@ -145,6 +145,7 @@
   int too_large = 0;
   std::string whole;
   std::vector<std::unique_ptr<Call>> calls;
+  calls.reserve(kCalls + 1);
   for (int i = 0; i < kCalls; ++i) {
     calls.push_back(client.Start(
         base::ParseAddress(endless.Address()), {"GET", "/x", {}, ""}, options,
--- a/tests/soak/spoiler.cc
+++ b/tests/soak/spoiler.cc
@@ -77,11 +77,13 @@
   int descriptor;
 };
 
+// Connections whose target doesn't listen fail at their first use.
 Socket ConnectTo(uint16_t port) {
   Socket connected(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   const sockaddr_in address = LoopbackAddress(port);
-  connect(connected.get(), reinterpret_cast<const sockaddr*>(&address),
-          sizeof(address));
+  static_cast<void>(connect(connected.get(),
+                            reinterpret_cast<const sockaddr*>(&address),
+                            sizeof(address)));
   return connected;
 }
 
@@ -111,48 +113,51 @@
 }  // namespace
 
 const std::vector<EndlessBytes>& EndlessWorkerAnswers() {
-  static const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
-  static const std::string events =
-      WorkerHead("200 OK", "Content-Type: text/event-stream\r\n" + chunked);
-  static const std::vector<EndlessBytes> answers = {
-      {"comments", events, AsChunk(Repeat(": x\n\n")), 0, ""},
-      {"slow-comments", events, AsChunk(": x\n\n"), 0, "",
+  static const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
+  static const std::string kEvents =
+      WorkerHead("200 OK", "Content-Type: text/event-stream\r\n" + kChunked);
+  static const std::vector<EndlessBytes> kAnswers = {
+      {"comments", kEvents, AsChunk(Repeat(": x\n\n")), 0, ""},
+      {"slow-comments", kEvents, AsChunk(": x\n\n"), 0, "",
        base::Milliseconds(20)},
-      {"comment-lines", events, AsChunk(Repeat(": x\n")), 0, ""},
-      {"newlines", events, AsChunk(Repeat("\n")), 0, ""},
-      {"slow-newlines", events, AsChunk("\n\n"), 0, "", base::Milliseconds(20)},
-      {"event", events + AsChunk("id: 1\ndata: "), AsChunk(Repeat("x")), 0, ""},
+      {"comment-lines", kEvents, AsChunk(Repeat(": x\n")), 0, ""},
+      {"newlines", kEvents, AsChunk(Repeat("\n")), 0, ""},
+      {"slow-newlines", kEvents, AsChunk("\n\n"), 0, "",
+       base::Milliseconds(20)},
+      {"event", kEvents + AsChunk("id: 1\ndata: "), AsChunk(Repeat("x")), 0,
+       ""},
       {"body", WorkerHead("200 OK", "Connection: close\r\n\r\n"), Repeat("x"),
        0, ""},
-      {"failure", WorkerHead("500 Failed", chunked), AsChunk(Repeat("x")), 0,
+      {"failure", WorkerHead("500 Failed", kChunked), AsChunk(Repeat("x")), 0,
        ""},
       {"header", WorkerHead("200 OK", "X-Long: "), Repeat("x"), 0, ""},
-      {"extension", events + "1;", Repeat("x"), 0, ""},
+      {"extension", kEvents + "1;", Repeat("x"), 0, ""},
       {"noise", "", Repeat("\x01\x9f?"), 0, ""},
   };
-  return answers;
+  return kAnswers;
 }
 
 const std::vector<EndlessBytes>& EndlessStoreAnswers() {
-  static const std::string chunked =
+  static const std::string kChunked =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-  static const std::string list = R"({"currentRev":1,"events":[],"items":[0)";
-  static const std::vector<EndlessBytes> answers = {
-      {"text", chunked + AsChunk(R"({"items":")"), AsChunk(Repeat("x")), 0, ""},
-      {"list", chunked + AsChunk(list), AsChunk(Repeat(",0")), 0, ""},
-      {"long-list", chunked + AsChunk(list), AsChunk(Repeat(",0")),
+  static const std::string kList = R"({"currentRev":1,"events":[],"items":[0)";
+  static const std::vector<EndlessBytes> kAnswers = {
+      {"text", kChunked + AsChunk(R"({"items":")"), AsChunk(Repeat("x")), 0,
+       ""},
+      {"list", kChunked + AsChunk(kList), AsChunk(Repeat(",0")), 0, ""},
+      {"long-list", kChunked + AsChunk(kList), AsChunk(Repeat(",0")),
        kLongListBytes, AsChunk("]}") + "0\r\n\r\n"},
       {"long-value",
-       chunked + AsChunk(R"({"meta":{"name":"main","rev":1},"spec":[0)"),
+       kChunked + AsChunk(R"({"meta":{"name":"main","rev":1},"spec":[0)"),
        AsChunk(Repeat(",0")), kLongListBytes, AsChunk("]}") + "0\r\n\r\n"},
-      {"wide-list", chunked + AsChunk(list), AsChunk(Repeat(",{}")),
+      {"wide-list", kChunked + AsChunk(kList), AsChunk(Repeat(",{}")),
        kWideListBytes, AsChunk("]}") + "0\r\n\r\n"},
       {"wide-value",
-       chunked + AsChunk(R"({"meta":{"name":"main","rev":1},"spec":[0)"),
+       kChunked + AsChunk(R"({"meta":{"name":"main","rev":1},"spec":[0)"),
        AsChunk(Repeat(R"(,{"":0})")), kWideListBytes,
        AsChunk("]}") + "0\r\n\r\n"},
       {"wide-listed-value",
-       chunked +
+       kChunked +
            AsChunk(R"({"items":[{"meta":{"name":"main","rev":1},"spec":[0)"),
        AsChunk(Repeat(R"(,{"":0})")), kWideListBytes,
        AsChunk("]}]}") + "0\r\n\r\n"},
@@ -161,7 +166,7 @@
       {"header", "HTTP/1.1 200 OK\r\nX-Long: ", Repeat("x"), 0, ""},
       {"noise", "", Repeat("\x01\x9f?"), 0, ""},
   };
-  return answers;
+  return kAnswers;
 }
 
 class Spoiler::State {
