--- /dev/null
+++ b/base/tests/foreign_json_memory_test.cc
@@ -0,0 +1,35 @@
+// Guards against JSON that needs more memory than its count of values says.
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "carawayvalve/base/foreign_json.h"
+#include "carawayvalve/base/process_memory.h"
+
+namespace carawayvalve::base {
+
+TEST_CASE("a value of JSON needs a hundred bytes at most" * doctest::skip()) {
+  constexpr size_t kBytesPerValue = 100;
+  constexpr int kDepth = kMaxForeignNesting - 2;
+  std::string nested;
+  for (int i = 0; i < kDepth; ++i) {
+    nested += R"({"0123456789abcdef":)";
+  }
+  nested += "{}" + std::string(kDepth, '}');
+  std::string text = "[" + nested;
+  size_t values = kDepth + 2;
+  while (values + kDepth + 2 < kMaxForeignValues) {
+    text += "," + nested;
+    values += kDepth + 2;
+  }
+  text += "]";
+  CAPTURE(text.size());
+  const int64_t before = ResidentBytes();
+  const ForeignJson parsed = ParseForeignJson(text);
+  const int64_t growth = ResidentBytes() - before;
+  CHECK(parsed.fault.empty());
+  CAPTURE(growth);
+  CHECK(static_cast<size_t>(growth) / kMaxForeignValues <= kBytesPerValue);
+}
+
+}  // namespace carawayvalve::base
