--- a/tests/soak/spoiler.cc
+++ b/tests/soak/spoiler.cc
@@ -30,6 +30,9 @@
 // a gateway may read.
 constexpr size_t kLongListBytes = size_t{48} * 1024 * 1024;
 constexpr size_t kWideListBytes = size_t{7} * 1024 * 1024;
+constexpr size_t kDeepValueBytes = size_t{4750} * 1024;
+// Each field needs many times its size when it is parsed.
+constexpr size_t kWideHeadBytes = size_t{60} * 1024;
 
 std::string Repeat(const std::string& unit, size_t bytes = kPieceBytes) {
   std::string text;
@@ -39,6 +42,16 @@
   return text;
 }
 
+// A value of which each bracket needs two allocations.
+std::string DeepValue() {
+  constexpr int kDepth = 100;
+  std::string text;
+  for (int i = 0; i < kDepth; ++i) {
+    text += R"({"0123456789abcdef":)";
+  }
+  return text + "{}" + std::string(kDepth, '}');
+}
+
 std::string AsChunk(const std::string& data) {
   std::array<char, 16> size{};
   snprintf(size.data(), size.size(), "%zx\r\n", data.size());
@@ -127,6 +140,10 @@
       {"failure", WorkerHead("500 Failed", chunked), AsChunk(Repeat("x")), 0,
        ""},
       {"header", WorkerHead("200 OK", "X-Long: "), Repeat("x"), 0, ""},
+      {"wide-head",
+       WorkerHead("200 OK", "Content-Type: text/event-stream\r\n" +
+                                Repeat("a:\r\n", kWideHeadBytes) + chunked),
+       AsChunk(": x\n\n"), 0, "", base::Milliseconds(20)},
       {"extension", events + "1;", Repeat("x"), 0, ""},
       {"noise", "", Repeat("\x01\x9f?"), 0, ""},
   };
@@ -151,6 +168,10 @@
        chunked + AsChunk(R"({"meta":{"name":"main","rev":1},"spec":[0)"),
        AsChunk(Repeat(R"(,{"":0})")), kWideListBytes,
        AsChunk("]}") + "0\r\n\r\n"},
+      {"deep-value",
+       chunked + AsChunk(R"({"meta":{"name":"main","rev":1},"spec":[0)"),
+       AsChunk(Repeat("," + DeepValue())), kDeepValueBytes,
+       AsChunk("]}") + "0\r\n\r\n"},
       {"wide-listed-value",
        chunked +
            AsChunk(R"({"items":[{"meta":{"name":"main","rev":1},"spec":[0)"),
