FAULT, LOST: bound and count what connections hold beside bodies

Cause: a field of four bytes needs 64 once it is parsed; heads were limited by their text alone and counted against no budget, and an idle connection kept the head and the buffers of what it had carried. Class: a limit of the text, none of what it becomes.

A message has 256 fields at most. Heads of callers' requests count against the budget. A response's fields move to the call's owner, and a connection frees its parser and large buffers once they are empty.

--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -250,7 +250,7 @@
   error_code error;
   const size_t written =
       this->socket.write_some(asio::buffer(this->output), error);
-  this->output.erase(0, written);
+  EraseFront(this->output, written);
   if (error && error != asio::error::would_block) {
     // The connection stays open to read what the peer sent before the error.
     this->output.clear();
@@ -347,8 +347,10 @@
         (echoed == nullptr ? "" : *echoed) != this->echo.value;
     if (!this->skipping_response) {
       this->head_emitted = true;
-      this->Emit(CallHead{{this->parser->status, this->parser->fields},
-                          FramingOf(*this->parser)});
+      this->server_keep_alive = KeepAliveTimeout(this->parser->fields);
+      this->Emit(CallHead{
+          {this->parser->status, std::exchange(this->parser->fields, {})},
+          FramingOf(*this->parser)});
       if (this->closed || this->handler == nullptr) {
         return false;
       }
@@ -421,11 +423,11 @@
   const bool reusable = this->parser->keep_alive() &&
                         !this->parser->need_eof() && this->input.empty() &&
                         this->output.empty() && !this->writing;
+  this->parser.reset();
   if (reusable) {
-    const auto server_keep_alive = KeepAliveTimeout(this->parser->fields);
     const base::Duration keep_alive_time =
-        server_keep_alive.has_value()
-            ? *server_keep_alive - base::Duration(kKeepAliveMargin)
+        this->server_keep_alive.has_value()
+            ? *this->server_keep_alive - base::Duration(kKeepAliveMargin)
             : this->client->default_keep_alive;
     this->used_before = true;
     this->client->PutIdle(this->shared_from_this(),
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -126,6 +126,8 @@
   bool head_request = false;
   int other_responses = 0;
   bool head_emitted = false;
+  // The timeout that the response's head states, if any.
+  std::optional<base::Duration> server_keep_alive;
   bool skipping_response = false;
 };
 
--- a/net/src/loop_state.h
+++ b/net/src/loop_state.h
@@ -10,6 +10,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
+#include <string>
 
 #include "carawayvalve/base/address.h"
 #include "carawayvalve/base/error.h"
@@ -43,6 +44,18 @@
   return Endpoint(ToIpAddress(address), address.port);
 }
 
+// Removes the first `size` bytes. An empty buffer keeps no large block, as its
+// connection may be idle for long.
+inline void EraseFront(std::string& buffer, size_t size) {
+  constexpr size_t kMaxKeptBytes = size_t{16} * 1024;
+  if (size == buffer.size() && buffer.capacity() > kMaxKeptBytes) {
+    // An assignment would keep the block.
+    std::string().swap(buffer);
+  } else {
+    buffer.erase(0, size);
+  }
+}
+
 // Disables Nagle's algorithm and sets the time without acknowledgements after
 // which the connection fails. Ignores errors: the socket works without.
 void SetUpSocket(tcp::socket& socket);
--- a/net/src/message_parser.h
+++ b/net/src/message_parser.h
@@ -13,6 +13,8 @@
 
 namespace carawayvalve::net::detail {
 
+inline constexpr size_t kMaxFields = 256;
+
 // Parses one HTTP/1.1 message incrementally with Beast's parser.
 template <bool kIsRequest>
 class MessageParser : public boost::beast::http::basic_parser<kIsRequest> {
@@ -56,6 +58,9 @@
   HeaderFields fields;
   std::string body;
 
+  // Returns the memory that the head needs, in bytes.
+  size_t head_bytes() const { return this->stored_head_bytes; }
+
  private:
   using View = boost::beast::string_view;
 
@@ -81,11 +86,18 @@
   void on_field_impl(boost::beast::http::field /*field*/,
                      View name,
                      View value,
-                     Error& /*error*/) override {
+                     Error& error) override {
     // Drops trailers.
-    if (!this->is_header_done()) {
-      this->fields.push_back({ToString(name), ToString(value)});
+    if (this->is_header_done()) {
+      return;
     }
+    // A field of four bytes needs many times as much.
+    if (this->fields.size() == kMaxFields) {
+      error = boost::beast::http::error::header_limit;
+      return;
+    }
+    this->fields.push_back({ToString(name), ToString(value)});
+    this->stored_head_bytes += sizeof(HeaderField) + name.size() + value.size();
   }
   void on_header_impl(Error& /*error*/) override {}
   void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
@@ -104,6 +116,8 @@
     return data.size();
   }
   void on_finish_impl(Error& /*error*/) override {}
+
+  size_t stored_head_bytes = 0;
 };
 
 using RequestParser = MessageParser<true>;
--- a/net/src/server_connection.cc
+++ b/net/src/server_connection.cc
@@ -151,7 +151,9 @@
     return;
   }
   const size_t reading =
-      this->parser.has_value() ? this->parser->body.size() : 0;
+      this->parser.has_value()
+          ? this->parser->head_bytes() + this->parser->body.size()
+          : 0;
   // A request that is being answered may have run: only a caller that doesn't
   // read its answer loses it.
   const bool droppable =
@@ -311,10 +313,10 @@
 void ServerConnection::OnRequest() {
   this->phase = Phase::kAnswering;
   this->keep_alive = this->parser->keep_alive();
+  this->request_bytes = this->parser->head_bytes() + this->parser->body.size();
   Request request{
       std::move(this->parser->method), std::move(this->parser->target),
       std::move(this->parser->fields), std::move(this->parser->body)};
-  this->request_bytes = request.body.size();
   this->parser.reset();
   const auto current = std::make_shared<Exchange>(
       this->shared_from_this(), std::move(request), this->first_byte_at);
@@ -325,7 +327,7 @@
 void ServerConnection::Reject(int status) {
   this->closing = true;
   this->parser.reset();
-  this->input = {};
+  std::string().swap(this->input);
   this->phase = Phase::kAnswering;
   HeaderFields fields;
   if (status == 503) {
@@ -350,7 +352,7 @@
   error_code error;
   const size_t sent =
       this->socket.write_some(asio::buffer(this->output), error);
-  this->output.erase(0, sent);
+  EraseFront(this->output, sent);
   if (error && error != asio::error::would_block) {
     this->Close();
     return;
