DRAIN: list the backend servers when changes are too many to be parsed

Cause: the objects with the most values lose, also when all are sound. Changes that don't fit together are listed instead, in pages; a peer that sends such is asked again later, not with each message. An array or object counts as two values, as it needs up to 190 bytes.

gateway_tests many_changes_test.cc and base_tests foreign_json_memory_test.cc failed before and pass. The latter counts as the limit does now: it adds values for as long as the text is read.

--- a/base/include/carawayvalve/base/foreign_json.h
+++ b/base/include/carawayvalve/base/foreign_json.h
@@ -14,8 +14,9 @@
 // Copying and printing a value recurse once a level.
 constexpr int kMaxForeignNesting = 128;
 
-// The greatest number of values in JSON from another process. Each needs up to
-// a hundred bytes once it is parsed, whatever its text needs.
+// The greatest number of values in JSON from another process, of which an array
+// or object counts as two. Each needs up to a hundred bytes once it is parsed,
+// whatever its text needs.
 constexpr size_t kMaxForeignValues = size_t{256} * 1024;
 
 // A value from JSON text that another process wrote.
@@ -36,6 +37,10 @@
 std::vector<ForeignJson> ParseForeignTexts(
     const std::vector<std::string_view>& texts);
 
+// Returns whether ParseForeignTexts reads each text that ParseForeignJson
+// reads.
+bool FitTogether(const std::vector<std::string_view>& texts);
+
 // Prints JSON whose texts may come from another process; on one line unless
 // `indent` is the spaces a level. Each sequence that isn't UTF-8 becomes
 // U+FFFD, so that different texts may print alike, see SurvivesJson.
--- a/base/src/foreign_json.cc
+++ b/base/src/foreign_json.cc
@@ -79,7 +79,7 @@
     int depth = 0;
     while (!this->AtEnd()) {
       const char byte = this->text[this->position];
-      extent.values += byte == ',' || IsOpening(byte) ? 1 : 0;
+      extent.values += byte == ',' ? 1 : IsOpening(byte) ? 2 : 0;
       this->PassByte(depth);
       extent.max_depth = std::max(extent.max_depth, depth);
     }
@@ -153,6 +153,15 @@
   return parsed;
 }
 
+bool FitTogether(const std::vector<std::string_view>& texts) {
+  size_t total = 0;
+  for (const std::string_view text : texts) {
+    const size_t values = Scanner(text).Measure().values;
+    total += values > kMaxForeignValues ? 0 : values;
+  }
+  return total <= kMaxForeignValues;
+}
+
 std::string PrintJson(const json& value, int indent) {
   return value.dump(indent, ' ', false, json::error_handler_t::replace);
 }
--- a/gateway/src/registry_relay.cc
+++ b/gateway/src/registry_relay.cc
@@ -40,8 +40,9 @@
           {"changes", changes}};
 }
 
-// Throws nlohmann::json::exception when the body isn't such an answer.
-platform::ObjectChanges Decode(const std::string& body) {
+// Throws nlohmann::json::exception when the body isn't such an answer. Returns
+// nothing if it holds more than can be read at once.
+std::optional<platform::ObjectChanges> Decode(const std::string& body) {
   const json document = base::ParseForeignJson(body).value;
   platform::ObjectChanges changes;
   changes.revision = document.at("revision").get<int64_t>();
@@ -50,6 +51,9 @@
   for (const json& change : document.at("changes")) {
     texts.push_back(change.at("value").get_ref<const std::string&>());
   }
+  if (!base::FitTogether(texts)) {
+    return std::nullopt;
+  }
   std::vector<base::ForeignJson> values = base::ParseForeignTexts(texts);
   for (const json& change : document.at("changes")) {
     base::ForeignJson& value = values[changes.changes.size()];
@@ -182,9 +186,11 @@
   if (!done || this->status != kOk) {
     return;
   }
-  this->next_fetch = {};
   try {
-    this->feed.ApplyPeerChanges(Decode(this->body));
+    if (const auto changes = Decode(std::exchange(this->body, {}))) {
+      this->next_fetch = {};
+      this->feed.ApplyPeerChanges(*changes);
+    }
   } catch (const json::exception& error) {
     this->context.journal.Write(base::LogLevel::kWarning,
                                 "registry_changes_unreadable",
