Return freed buffers to the system at once

Buffers that grow side by side left gaps: glibc keeps blocks of up to 32 MB once one was freed. No gateway exceeded its memory by this alone.

--- a/agent/src/main.cc
+++ b/agent/src/main.cc
@@ -8,6 +8,7 @@
 
 #include "carawayvalve/agent/agent.h"
 #include "carawayvalve/base/error.h"
+#include "carawayvalve/base/process_memory.h"
 
 namespace {
 
@@ -78,6 +79,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  carawayvalve::base::ReturnLargeBlocks();
   try {
     // docopt::docopt() would end the process itself, with exit code -1.
     return Run(
--- a/base/src/process_memory.cc
+++ b/base/src/process_memory.cc
@@ -1,11 +1,18 @@
 #include "carawayvalve/base/process_memory.h"
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include <fstream>
 
 namespace carawayvalve::base {
 
+namespace {
+
+constexpr int kLargeBlockBytes = 256 * 1024;
+
+}  // namespace
+
 int64_t ResidentBytes() {
   std::ifstream statm("/proc/self/statm");
   int64_t total_pages = 0;
@@ -14,4 +21,8 @@
   return statm ? resident_pages * sysconf(_SC_PAGESIZE) : 0;
 }
 
+void ReturnLargeBlocks() {
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+}
+
 }  // namespace carawayvalve::base
--- a/entry/src/main.cc
+++ b/entry/src/main.cc
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "carawayvalve/base/process_memory.h"
 #include "commands/command_line.h"
 #include "commands/exit_code.h"
 #include "commands/failure.h"
@@ -64,5 +65,6 @@
 }  // namespace carawayvalve::entry::commands
 
 int main(int argc, char** argv) {
+  carawayvalve::base::ReturnLargeBlocks();
   return carawayvalve::entry::commands::Main({argv + 1, argv + argc});
 }
