FAULT: bound the registry changes kept for peers by their bytes

Callers would see a gateway end by its memory. The log of changes that a gateway keeps for its peers was bounded by their number alone (256), while an object has up to 1 MB: 256 MB of text, in a gateway of 260 MB. Class: a limit on the count of things whose size is not bounded.

Names and values in the log now have at most 2 MB; the oldest ranges are dropped first, and peers that lack them ask the store, as before.

--- a/core/include/carawayvalve/core/change_log.h
+++ b/core/include/carawayvalve/core/change_log.h
@@ -38,7 +38,11 @@
 // process has received from the store needn't be fetched from there again.
 class ChangeLog {
  public:
-  explicit ChangeLog(size_t max_changes = 256) : max_changes(max_changes) {}
+  // Holds at most `max_changes`, whose names and values have at most
+  // `max_bytes`.
+  explicit ChangeLog(size_t max_changes = 256,
+                     size_t max_bytes = size_t{2} * 1024 * 1024)
+      : max_changes(max_changes), max_bytes(max_bytes) {}
 
   // Forgets all changes, as a complete list of the objects was received, which
   // includes all changes up to `revision`.
@@ -53,11 +57,13 @@
 
  private:
   size_t max_changes;
+  size_t max_bytes;
   // The log holds all changes after the one and up to the other revision.
   std::optional<StoreRevision> begin;
   StoreRevision end;
   std::deque<ObjectChangeRange> ranges;
   size_t change_count = 0;
+  size_t byte_count = 0;
 };
 
 }  // namespace carawayvalve::core
--- a/core/src/change_log.cc
+++ b/core/src/change_log.cc
@@ -4,9 +4,22 @@
 
 namespace carawayvalve::core {
 
+namespace {
+
+size_t BytesOf(const ObjectChangeRange& range) {
+  size_t bytes = 0;
+  for (const ObjectChangeRecord& change : range.changes) {
+    bytes += change.name.size() + change.value.size();
+  }
+  return bytes;
+}
+
+}  // namespace
+
 void ChangeLog::Restart(const StoreRevision& revision) {
   this->ranges.clear();
   this->change_count = 0;
+  this->byte_count = 0;
   this->begin = revision;
   this->end = revision;
 }
@@ -19,10 +32,13 @@
   if (!range.changes.empty()) {
     this->ranges.push_back({this->end, range.changes});
     this->change_count += range.changes.size();
+    this->byte_count += BytesOf(range);
   }
-  while (this->change_count > this->max_changes) {
+  while (this->change_count > this->max_changes ||
+         this->byte_count > this->max_bytes) {
     this->begin = this->ranges.front().revision;
     this->change_count -= this->ranges.front().changes.size();
+    this->byte_count -= BytesOf(this->ranges.front());
     this->ranges.pop_front();
   }
 }
--- a/core/tests/change_log_test.cc
+++ b/core/tests/change_log_test.cc
@@ -50,6 +50,39 @@
   }
 }
 
+// An object has up to 1 MB: hundreds of them are more than a process has.
+TEST_CASE("ChangeLog holds no more bytes than allowed") {
+  constexpr size_t kMaxChanges = 256;
+  constexpr size_t kMaxBytes = 1000;
+  ChangeLog log(kMaxChanges, kMaxBytes);
+  log.Restart({1, 10});
+  const std::string large(400, 'x');
+  log.Append({{1, 11}, {{"one", 11, false, large}}});
+  log.Append({{1, 12}, {{"two", 12, false, large}}});
+  CHECK(log.Since({1, 10})->changes.size() == 2);
+
+  SUBCASE("and drops the oldest ones") {
+    log.Append({{1, 13}, {{"three", 13, false, large}}});
+    CHECK(!log.Since({1, 10}).has_value());
+    CHECK(log.Since({1, 11})->changes.size() == 2);
+  }
+  SUBCASE("long names count too") {
+    log.Append({{1, 13}, {{large, 13, true, ""}}});
+    CHECK(!log.Since({1, 10}).has_value());
+  }
+  SUBCASE("one change that is larger by itself leaves none") {
+    log.Append({{1, 13}, {{"three", 13, false, std::string(2000, 'x')}}});
+    CHECK(!log.Since({1, 12}).has_value());
+    CHECK(log.Since({1, 13}) == ObjectChangeRange{{1, 13}, {}});
+  }
+  SUBCASE("a list of all objects makes room again") {
+    log.Restart({1, 20});
+    log.Append({{1, 21}, {{"one", 21, false, large}}});
+    log.Append({{1, 22}, {{"two", 22, false, large}}});
+    CHECK(log.Since({1, 20})->changes.size() == 2);
+  }
+}
+
 // A process that follows another one's log by any steps has the same objects,
 // or is told that it can't.
 TEST_CASE("ChangeLog gives followers every change") {
