FAULT: don't keep the entries of a list until it ends

Callers would see a gateway end by its memory while the store's lists hold many large objects that are no entries, or have no end. What follows a kind of objects kept the parsed value of every listed object until the last page came, though it needs their names and revisions alone. Class: what is read in parts, each bounded, is kept as a whole, unbounded.

Each page is passed on, and only names and revisions are kept.

--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -94,8 +94,9 @@
   if (is_first) {
     this->list_revision = at;
   }
-  this->listed.insert(this->listed.end(), page->objects.begin(),
-                      page->objects.end());
+  for (const platform::StoredObject& object : page->objects) {
+    this->listed.push_back({object.name, object.revision});
+  }
   this->hooks.on_page(page->objects);
   if (page->after.has_value()) {
     this->List(*page->after);
@@ -109,14 +110,14 @@
   this->revision = this->list_revision;
   this->hidden_revision = this->revision;
   this->listed_revisions.clear();
-  for (const platform::StoredObject& object : this->listed) {
+  for (const ListedObject& object : std::exchange(this->listed, {})) {
     this->newest_revision =
         std::max(this->newest_revision, {this->revision.era, object.revision});
     this->listed_revisions[object.name] = object.revision;
   }
   this->change_log.Restart(this->revision);
   this->NoteConfirmed(sent_at);
-  this->hooks.on_list(std::exchange(this->listed, {}), sent_at);
+  this->hooks.on_list(sent_at);
   this->Follow();
 }
 
@@ -415,7 +416,7 @@
                this->ApplyConfiguration(object);
              }
            },
-           [this](const auto& /*listed*/, base::Instant sent_at) {
+           [this](base::Instant sent_at) {
              this->context.state.key_freshness.NoteStoreAnswer(sent_at);
            },
            [this](const auto& changes, base::Instant sent_at) {
@@ -435,9 +436,7 @@
                     this->ApplyBackend(object, true);
                   }
                 },
-                [this](const auto& /*listed*/, base::Instant) {
-                  this->OnAllBackendsListed();
-                },
+                [this](base::Instant) { this->OnAllBackendsListed(); },
                 [this](const auto& changes, base::Instant) {
                   for (const platform::ObjectChange& change : changes) {
                     if (change.removed) {
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -24,11 +24,9 @@
   struct Hooks {
     // Receives the objects of each page of a list, as soon as it is there.
     std::function<void(const std::vector<platform::StoredObject>&)> on_page;
-    // Receives all objects, from a list whose first request was sent at
-    // `sent_at`.
-    std::function<void(const std::vector<platform::StoredObject>&,
-                       base::Instant sent_at)>
-        on_list;
+    // Called when all pages of a list were received, whose first request was
+    // sent at `sent_at`.
+    std::function<void(base::Instant sent_at)> on_list;
     // Receives the changes, from a watch that was sent at `sent_at`.
     std::function<void(const std::vector<platform::ObjectChange>&,
                        base::Instant sent_at)>
@@ -114,6 +112,11 @@
   }
 
  private:
+  struct ListedObject {
+    std::string name;
+    int64_t revision = 0;
+  };
+
   // Returns whether the store is known to have come back from an older copy
   // since the objects were listed.
   bool IsOfOlderEra() const {
@@ -156,7 +159,8 @@
   Hooks hooks;
   platform::ObjectClient::Handle call;
   net::Timer timer;
-  std::vector<platform::StoredObject> listed;
+  // The objects of the list in progress, without their values.
+  std::vector<ListedObject> listed;
   // When the first page was requested.
   base::Instant list_sent_at;
   // The revision of the store at the first page. Objects of that page may have
--- a/gateway/tests/store_feed_test.cc
+++ b/gateway/tests/store_feed_test.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "carawayvalve/base/process_memory.h"
+#include "long_list.h"
 #include "platform/store.h"
 #include "test_gateway.h"
 
@@ -32,6 +34,31 @@
 
 }  // namespace
 
+TEST_CASE("entries that are none are not kept until the list ends") {
+  constexpr int64_t kPages = 300;
+  constexpr int64_t kMaxGrowth = int64_t{64} * 1024 * 1024;
+  TestGateway gateway(TestSettings());
+  LongList store(gateway.loop, "servers", kPages);
+  platform::ObjectClient objects(gateway.loop, store.address(), seconds(10));
+  StoreFeed feed(gateway.context, objects);
+  const int64_t before = base::ResidentBytes();
+  int64_t most = before;
+  net::Timer look(gateway.loop);
+  std::function<void()> next = [&] {
+    most = std::max(most, base::ResidentBytes());
+    if (feed.registry().confirmed().has_value()) {
+      gateway.loop.Stop();
+    } else {
+      look.Start(Milliseconds(5), next);
+    }
+  };
+  look.Start(Milliseconds(5), next);
+  feed.Start();
+  gateway.RunFor(seconds(60));
+  CHECK(store.listed() == kPages);
+  CHECK(most - before < kMaxGrowth);
+}
+
 TEST_CASE("StoreFeed follows the store") {
   TestGateway gateway(TestSettings());
   tests::Store store(gateway.loop);
