--- a/gateway/src/recent_store.cc
+++ b/gateway/src/recent_store.cc
@@ -143,8 +143,12 @@
     this->FinishRead(false);
     return;
   }
-  this->listed.insert(this->listed.end(), page->objects.begin(),
-                      page->objects.end());
+  for (const platform::StoredObject& object : page->objects) {
+    this->existing.insert(object.name);
+    if (auto stored = ParseRecentState(*object.value)) {
+      this->listed.push_back(std::move(*stored));
+    }
+  }
   if (page->after.has_value()) {
     this->ListStored(*page->after);
     return;
@@ -156,20 +160,18 @@
   GatewayState& state = this->context.state;
   const base::Duration wall_time = state.wall_clock.At(base::Now());
   std::optional<core::RecentState> newest;
-  for (const platform::StoredObject& object : std::exchange(this->listed, {})) {
-    this->existing.insert(object.name);
-    auto stored = ParseRecentState(*object.value);
-    if (!stored.has_value() || wall_time - stored->written > kMaxAge ||
-        stored->written - wall_time > kClockError) {
+  for (core::RecentState& stored : std::exchange(this->listed, {})) {
+    if (wall_time - stored.written > kMaxAge ||
+        stored.written - wall_time > kClockError) {
       continue;
     }
-    this->Apply(*stored,
-                std::max(wall_time - stored->written, base::Duration(0)));
+    this->Apply(stored,
+                std::max(wall_time - stored.written, base::Duration(0)));
     // In between the store may have lost registrations without a trace.
     const bool is_of_this_era =
-        stored->registry_revision.era == this->feed.registry_read_to().era;
-    if (stored->registry_revision.revision > 0 && is_of_this_era &&
-        (!newest.has_value() || newest->written < stored->written)) {
+        stored.registry_revision.era == this->feed.registry_read_to().era;
+    if (stored.registry_revision.revision > 0 && is_of_this_era &&
+        (!newest.has_value() || newest->written < stored.written)) {
       newest = std::move(stored);
     }
   }
--- a/gateway/src/recent_store.h
+++ b/gateway/src/recent_store.h
@@ -59,7 +59,8 @@
   bool creates = false;
   // The objects that are known to exist.
   std::set<std::string> existing;
-  std::vector<platform::StoredObject> listed;
+  // The readable states of the reading in progress.
+  std::vector<core::RecentState> listed;
   base::Instant list_sent_at;
   std::optional<base::Instant> read_failed_at;
   std::vector<ReadHandler> readers;
--- a/gateway/tests/recent_store_test.cc
+++ b/gateway/tests/recent_store_test.cc
@@ -4,9 +4,13 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <functional>
 #include <optional>
 #include <string>
 
+#include "carawayvalve/base/process_memory.h"
+#include "long_list.h"
 #include "platform/store.h"
 #include "test_gateway.h"
 
@@ -263,4 +267,31 @@
   CHECK(fleet.run->objects.calls() - calls <= 20);
 }
 
+TEST_CASE("objects that are no recent state are not kept until all are read") {
+  constexpr int64_t kPages = 300;
+  constexpr int64_t kMaxGrowth = int64_t{64} * 1024 * 1024;
+  TestGateway gateway(TestSettings());
+  LongList store(gateway.loop, "carawayvalve-recent", kPages);
+  platform::ObjectClient objects(gateway.loop, store.address(), seconds(10));
+  StoreFeed feed(gateway.context, objects);
+  RecentStore recent(gateway.context, objects, feed);
+  const int64_t before = base::ResidentBytes();
+  int64_t most = before;
+  net::Timer look(gateway.loop);
+  std::function<void()> next = [&] {
+    most = std::max(most, base::ResidentBytes());
+    look.Start(Milliseconds(5), next);
+  };
+  next();
+  bool is_read = false;
+  recent.Read([&](bool is_complete) {
+    is_read = is_complete;
+    gateway.loop.Stop();
+  });
+  gateway.RunFor(seconds(60));
+  CHECK(is_read);
+  CHECK(store.listed() == kPages);
+  CHECK(most - before < kMaxGrowth);
+}
+
 }  // namespace carawayvalve::gateway
