Soak: spoil the usage interface, lists, callers' bytes and entries too

Lists of pages without end, answers of the platform's usage interface, bytes without end to all ports of a gateway, and large entries in the store join the answers of backend servers and the store. "any" draws several at the same time, of one or two servers of each service, and one of four at 13 MB/s instead of full speed.

--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -18,6 +18,7 @@
                     [--kills-in-turn | --poison-part | --rate-limits |
                     --versions | --drills |
                     --spoilt-bytes=NAME [--from-start]]
+                    [--memory-limit=MB]
 
 Prints a line per seed and a line per violated guarantee; exits with 1 if there
 was a violation. Logs of the gateways and of the faults are kept in the folder.
@@ -40,11 +41,14 @@
                   killed, stopped and paused, and backend servers are replaced,
                   instead of random faults.
   --drills        The store comes back from older copies, beside the random faults.
-  --spoilt-bytes=NAME  Backend servers and the store answer without end, again
-                  and again, instead of random faults: "worker/" or "store/" and
-                  the name of such an answer, or "any" to draw them while
-                  gateways are killed, stopped and paused.
+  --spoilt-bytes=NAME  Others answer or send without end, again and again,
+                  instead of random faults: "worker/", "store/", "usage/",
+                  "caller/" or "registry/" and the name of what they send, or
+                  "any" to draw them while gateways are killed, stopped and
+                  paused.
   --from-start    The store answers so when the gateways start.
+  --memory-limit=MB  What a gateway may use, with --spoilt-bytes; more than 260
+                  only where it is built with a sanitizer [default: 260].
   --callers=N     Callers, each with one request at a time [default: 12].
 )";
 
@@ -67,6 +71,7 @@
   settings.drills = arguments["--drills"].asBool();
   if (arguments["--spoilt-bytes"]) {
     settings.spoilt_bytes = arguments["--spoilt-bytes"].asString();
+    settings.memory_limit_mb = arguments["--memory-limit"].asLong();
     settings.spoilt_from_start = arguments["--from-start"].asBool();
   }
   // Every third seed of the random faults has only planned operations.
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -315,26 +315,34 @@
         std::make_unique<Spoiler>(gateway.store_link->port());
   }
   gateway.usage_link = std::make_unique<Link>(this->loop, this->usage.port());
+  if (!this->settings.spoilt_bytes.empty()) {
+    gateway.usage_spoiler =
+        std::make_unique<Spoiler>(port_of(gateway.usage_link->address()));
+  }
   const auto listen = [this] {
     return "127.0.0.1:" + std::to_string(FreePort(this->loop));
   };
   gateway.callers_address = listen();
   gateway.readiness_address = listen();
+  gateway.metrics_address = listen();
+  gateway.peers_address = listen();
   const json written = {
       {"host", gateway.name},
       {"data_centre", "a"},
       {"listen",
        {{"callers", gateway.callers_address},
         {"readiness", gateway.readiness_address},
-        {"metrics", listen()},
-        {"peers", listen()}}},
+        {"metrics", gateway.metrics_address},
+        {"peers", gateway.peers_address}}},
       {"store",
        {{"address", gateway.store_spoiler == nullptr
                         ? gateway.store_link->address()
                         : gateway.store_spoiler->address()}}},
       {"memory_mb", kMemoryMb},
       {"duties",
-       {{"address", gateway.usage_link->address()},
+       {{"address", gateway.usage_spoiler == nullptr
+                        ? gateway.usage_link->address()
+                        : gateway.usage_spoiler->address()},
         {"usage_window_s", 2},
         {"lease_ms", 1500}}},
       {"bounds",
@@ -349,6 +357,9 @@
 void Soak::StartGateway(Gateway& gateway) {
   gateway.stopping = false;
   gateway.ready = false;
+  for (Disturbed& disturbed : gateway.disturbed) {
+    disturbed.ended = disturbed.ended.value_or(base::Now());
+  }
   gateway.process = Child({this->settings.program, "gateway",
                            "--settings=" + gateway.settings_path},
                           this->settings.folder + "/" + gateway.name + ".log");
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -19,7 +20,7 @@
 // Number of events in each streamed answer.
 inline constexpr int kEventsPerStream = 5;
 
-// The memory of each gateway, that of a small machine.
+// The memory of each gateway in MB, that of a small machine.
 inline constexpr int64_t kMemoryMb = 260;
 // Draws the answers without end.
 inline constexpr char kAnySpoiltBytes[] = "any";
@@ -63,13 +64,17 @@
   // Adds to the random faults: the store comes back from an older copy, again
   // and again.
   bool drills = false;
-  // Replaces the random faults: backend servers and the store answer without
-  // end, again and again, while gateways are killed, stopped and paused. The
-  // name of such an answer, as "worker/NAME" or "store/NAME"; "any" draws them;
-  // empty for none.
+  // Replaces the random faults: others answer or send without end, again and
+  // again. The name of what they send, as "worker/NAME", "store/NAME",
+  // "usage/NAME" (the platform's usage interface), "caller/NAME" (to all ports)
+  // or "registry/NAME" (large entries in the store). "any" draws them, while
+  // gateways are killed, stopped and paused; empty for none.
   std::string spoilt_bytes;
   // The store answers without end when the gateways start.
   bool spoilt_from_start = false;
+  // A gateway that uses more than this is killed, and it is a complaint. More
+  // than its memory only where gateways are built with a sanitizer.
+  int64_t memory_limit_mb = kMemoryMb;
   RetryBounds retries;
 };
 
@@ -84,12 +89,19 @@
   std::vector<std::string> Run();
 
  private:
+  struct Disturbed {
+    base::Instant begun;
+    // Empty until the process is started again.
+    std::optional<base::Instant> ended;
+  };
   struct Gateway {
     Child process;
     std::string name;
     std::string settings_path;
     std::string callers_address;
     std::string readiness_address;
+    std::string metrics_address;
+    std::string peers_address;
     // Result of the last readiness check.
     bool ready = false;
     std::unique_ptr<net::Call> readiness_call;
@@ -98,6 +110,10 @@
     std::unique_ptr<Spoiler> store_spoiler;
     int64_t peak_bytes = 0;
     std::unique_ptr<Link> usage_link;
+    // Before `usage_link`; null unless answers are spoilt.
+    std::unique_ptr<Spoiler> usage_spoiler;
+    // When it was killed, stopping or paused.
+    std::vector<Disturbed> disturbed;
     // When `usage_link` was last reopened.
     base::Instant usage_link_reopened;
     bool stopping = false;
@@ -173,12 +189,33 @@
   void ScheduleDrills();
   // Kills, stops or pauses a gateway, again and again.
   void ScheduleGatewayFaults();
-  // Lets one server of each service, or the store, answer without end for a
-  // while, again and again.
+  // Lets servers, the store or others answer or send without end for a while,
+  // again and again.
   void ScheduleSpoiltBytes();
-  void SpoilWorkers(const EndlessBytes& bytes, base::Milliseconds time);
+  // Returns how long the spell and the pause after it take.
+  base::Milliseconds Spoil(const std::string& name);
+  // Draws one or several.
+  base::Milliseconds SpoilAny();
+  // Spoils `of_each` servers of each service, but not the last one.
+  void SpoilWorkers(const EndlessBytes& bytes,
+                    size_t of_each,
+                    base::Milliseconds time);
+  // `of_service` servers serve the same as this one.
+  void SpoilWorker(Server& server,
+                   const EndlessBytes& bytes,
+                   int64_t of_service,
+                   base::Instant begun,
+                   base::Milliseconds time);
   void SpoilStore(const EndlessBytes& bytes, base::Milliseconds time);
+  void SpoilUsage(const EndlessBytes& bytes, base::Milliseconds time);
   void SpoilStoreFromStart();
+  void SendEndlessRequests(const EndlessBytes& bytes, base::Milliseconds time);
+  // Adds entries of almost 1 MB to the store, one after the other, and removes
+  // them in the end.
+  void AddLargeEntries(const std::string& name, base::Milliseconds time);
+  void AddLargeEntry(const std::string& name,
+                     int64_t number,
+                     base::Instant until);
   // Does what the platform does with a process that exceeds its memory.
   void CheckMemory();
   // Makes the engine unreachable and starts another one later.
@@ -220,6 +257,9 @@
   void CheckSpoiltShares();
   // What a sound server ran was answered.
   void CheckLostBesideSpoiltBytes();
+  // Returns whether the gateway was killed, stopping or paused at any time
+  // while the request ran.
+  bool WasDisturbed(const CallerCall& call) const;
   void CheckProgress(size_t first_call);
   void AddComplaint(const std::string& what);
 
@@ -247,6 +287,7 @@
   std::vector<base::Instant> crashes;
   std::vector<RateLimitTime> rate_limits;
   std::vector<SpoiltTime> spoilt_times;
+  std::vector<std::unique_ptr<EndlessCaller>> endless_callers;
   std::vector<std::string> complaints;
   int64_t plan_version = 0;
   int64_t last_server = 0;
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -51,6 +51,7 @@
   this->LogEvent("kill " + gateway.name);
   if (gateway.process.started()) {
     gateway.process.Kill();
+    gateway.disturbed.push_back({base::Now(), std::nullopt});
     this->RunAfter(this->RandomDuration(200, 1500), [this, &gateway] {
       if (!gateway.process.started()) {
         this->StartGateway(gateway);
@@ -65,6 +66,7 @@
   this->LogEvent("pause " + gateway.name + " for " +
                  std::to_string(duration.count()) + " ms");
   gateway.paused_until = std::max(gateway.paused_until, base::Now() + duration);
+  gateway.disturbed.push_back({base::Now(), base::Now() + duration});
   gateway.process.Signal(SIGSTOP);
   this->RunAfter(duration, [&gateway] { gateway.process.Signal(SIGCONT); });
 }
@@ -82,6 +84,7 @@
   // here do so at once, and keep using the connections that they have.
   gateway.stopping = true;
   gateway.stop_requested = base::Now();
+  gateway.disturbed.push_back({base::Now(), std::nullopt});
   gateway.process.Signal(SIGTERM);
 }
 
--- a/tests/soak/soak_spoilt_bytes.cc
+++ b/tests/soak/soak_spoilt_bytes.cc
@@ -2,6 +2,8 @@
 #include <algorithm>
 #include <iostream>
 #include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <stdexcept>
 
@@ -27,30 +29,50 @@
 constexpr int64_t kMaxLost = 3;
 // How long callers wait for an answer.
 constexpr base::Milliseconds kAnswerTimeout(3000);
+// The time between two pieces of those who don't send at full speed.
+constexpr base::Milliseconds kSlowInterval(5);
+// The platform's objects have at most 1 MB.
+constexpr size_t kLargeBytes = size_t{900} * 1024;
+constexpr base::Milliseconds kLargeEntryInterval(150);
+constexpr int64_t kMaxLargeEntries = 300;
 
-struct SpoiltBytes {
-  bool of_store = false;
-  const EndlessBytes* bytes = nullptr;
+// Entries that are almost as large as the store allows.
+struct LargeEntries {
+  std::string name;
+  nlohmann::json entry;
 };
 
-std::vector<SpoiltBytes> AllSpoiltBytes() {
-  std::vector<SpoiltBytes> all;
-  for (const EndlessBytes& bytes : EndlessWorkerAnswers()) {
-    all.push_back({false, &bytes});
-  }
-  for (const EndlessBytes& bytes : EndlessStoreAnswers()) {
-    all.push_back({true, &bytes});
-  }
+nlohmann::json LargeEntry() {
+  return {{"service", "other"}, {"addr", "127.0.0.1:1"},
+          {"zone", "a"},        {"version", std::string(kLargeBytes, 'x')},
+          {"slots", 4},         {"state", "up"},
+          {"born", 1}};
+}
+
+const std::vector<LargeEntries>& AllLargeEntries() {
+  static const nlohmann::json odd = {{"note", std::string(kLargeBytes, 'x')}};
+  static const std::vector<LargeEntries> all = {
+      {"odd-entries", odd},
+      {"long-versions", LargeEntry()},
+  };
   return all;
 }
 
-SpoiltBytes FindSpoiltBytes(const std::string& name) {
-  for (const SpoiltBytes& one : AllSpoiltBytes()) {
-    if (name == (one.of_store ? "store/" : "worker/") + one.bytes->name) {
-      return one;
+template <typename Kind>
+const Kind& Find(const std::vector<Kind>& kinds, const std::string& name) {
+  for (const Kind& kind : kinds) {
+    if (kind.name == name) {
+      return kind;
     }
   }
-  throw std::invalid_argument("no answer is called " + name);
+  throw std::invalid_argument("nothing is called " + name);
+}
+
+// Returns what follows the prefix, or nothing if the name has another one.
+std::optional<std::string> After(const std::string& prefix,
+                                 const std::string& name) {
+  return name.starts_with(prefix) ? std::optional(name.substr(prefix.size()))
+                                  : std::nullopt;
 }
 
 }  // namespace
@@ -59,51 +81,111 @@
   if (this->faults_over || this->settings.spoilt_from_start) {
     return;
   }
-  const std::vector<SpoiltBytes> all = AllSpoiltBytes();
-  const SpoiltBytes spoilt = this->settings.spoilt_bytes == kAnySpoiltBytes
-                                 ? all[this->spoil_generator() % all.size()]
-                                 : FindSpoiltBytes(this->settings.spoilt_bytes);
-  if (spoilt.of_store) {
-    this->SpoilStore(*spoilt.bytes, kStoreSpell);
-    this->RunAfter(kStoreInterval, [this] { this->ScheduleSpoiltBytes(); });
-  } else {
-    this->SpoilWorkers(*spoilt.bytes, kWorkerSpell);
-    this->RunAfter(kWorkerSpell + kWorkerPause,
-                   [this] { this->ScheduleSpoiltBytes(); });
+  const base::Milliseconds time =
+      this->settings.spoilt_bytes == kAnySpoiltBytes
+          ? this->SpoilAny()
+          : this->Spoil(this->settings.spoilt_bytes);
+  this->RunAfter(time, [this] { this->ScheduleSpoiltBytes(); });
+}
+
+base::Milliseconds Soak::Spoil(const std::string& name) {
+  if (const auto worker = After("worker/", name)) {
+    this->SpoilWorkers(Find(EndlessWorkerAnswers(), *worker), 1, kWorkerSpell);
+    return kWorkerSpell + kWorkerPause;
+  }
+  if (const auto store = After("store/", name)) {
+    this->SpoilStore(Find(EndlessStoreAnswers(), *store), kStoreSpell);
+    return kStoreInterval;
+  }
+  if (const auto usage = After("usage/", name)) {
+    this->SpoilUsage(Find(EndlessUsageAnswers(), *usage), kWorkerSpell);
+    return kWorkerSpell + kWorkerPause;
   }
+  if (const auto caller = After("caller/", name)) {
+    this->SendEndlessRequests(Find(EndlessRequests(), *caller), kWorkerSpell);
+    return kWorkerSpell + kWorkerPause;
+  }
+  if (const auto registry = After("registry/", name)) {
+    const auto time =
+        std::chrono::duration_cast<base::Milliseconds>(this->settings.duration);
+    this->AddLargeEntries(Find(AllLargeEntries(), *registry).name, time);
+    return time;
+  }
+  throw std::invalid_argument("nothing is called " + name);
 }
 
-void Soak::SpoilWorkers(const EndlessBytes& bytes, base::Milliseconds time) {
+base::Milliseconds Soak::SpoilAny() {
+  const auto draw = [this](auto kinds) {
+    EndlessBytes bytes = kinds[this->spoil_generator() % kinds.size()];
+    if (this->spoil_generator() % 4 == 0) {
+      bytes.interval = std::max(bytes.interval, kSlowInterval);
+    }
+    return bytes;
+  };
+  // The bits say who spoils; always one of the first three does.
+  const auto who = this->spoil_generator() % 32;
+  const auto first = this->spoil_generator() % 3;
+  if (first == 0 || (who & 1) != 0) {
+    this->SpoilWorkers(draw(EndlessWorkerAnswers()),
+                       1 + this->spoil_generator() % 2, kWorkerSpell);
+  }
+  if (first == 1 || (who & 2) != 0) {
+    this->SpoilStore(draw(EndlessStoreAnswers()), kStoreSpell);
+  }
+  if (first == 2 || (who & 12) == 0) {
+    this->SendEndlessRequests(draw(EndlessRequests()), kWorkerSpell);
+  }
+  if ((who & 24) == 0) {
+    this->SpoilUsage(draw(EndlessUsageAnswers()), kWorkerSpell);
+  }
+  return kWorkerSpell + kWorkerPause;
+}
+
+void Soak::SpoilWorkers(const EndlessBytes& bytes,
+                        size_t of_each,
+                        base::Milliseconds time) {
+  const base::Instant now = base::Now();
   for (const bool engine : {false, true}) {
-    std::vector<Server*> of_service;
+    std::vector<Server*> sound;
     for (const auto& server : this->servers) {
       if (server->engine == engine && !server->prefill) {
-        of_service.push_back(server.get());
+        sound.push_back(server.get());
       }
     }
-    Server* const server =
-        of_service[this->spoil_generator() % of_service.size()];
-    this->LogEvent(server->backend->id() + " answers with endless " +
-                   bytes.name);
-    const size_t index = this->spoilt_times.size();
-    this->spoilt_times.push_back(
-        {server->backend->id() + " (" + bytes.name + ")",
-         server,
-         static_cast<int64_t>(of_service.size()),
-         base::Now(),
-         {},
-         0});
-    const int64_t before = server->spoiler->spoilt_requests();
-    server->spoiler->Begin(bytes);
-    this->RunAfter(time, [this, server, index, before] {
-      this->spoilt_times[index].ended = base::Now();
-      this->spoilt_times[index].requests =
-          server->spoiler->spoilt_requests() - before;
-      server->spoiler->End();
-    });
+    const auto of_service = static_cast<int64_t>(sound.size());
+    for (size_t i = 0; i < of_each && sound.size() > 1; ++i) {
+      const auto at =
+          sound.begin() +
+          static_cast<std::ptrdiff_t>(this->spoil_generator() % sound.size());
+      this->SpoilWorker(**at, bytes, of_service, now, time);
+      sound.erase(at);
+    }
   }
 }
 
+void Soak::SpoilWorker(Server& server,
+                       const EndlessBytes& bytes,
+                       int64_t of_service,
+                       base::Instant begun,
+                       base::Milliseconds time) {
+  this->LogEvent(server.backend->id() + " answers with endless " + bytes.name);
+  const size_t index = this->spoilt_times.size();
+  this->spoilt_times.push_back({server.backend->id() + " (" + bytes.name + ")",
+                                &server,
+                                of_service,
+                                begun,
+                                {},
+                                0});
+  const int64_t before = server.spoiler->spoilt_requests();
+  server.spoiler->Begin(bytes);
+  this->RunAfter(time, [this, &server, index, before] {
+    this->spoilt_times[index].ended = base::Now();
+    this->spoilt_times[index].requests =
+        server.spoiler->spoilt_requests() - before;
+    server.spoiler->End();
+  });
+}
+
 void Soak::SpoilStore(const EndlessBytes& bytes, base::Milliseconds time) {
   this->LogEvent("the store answers with endless " + bytes.name);
   for (const Gateway& gateway : this->gateways) {
@@ -116,12 +198,70 @@
   });
 }
 
+void Soak::SpoilUsage(const EndlessBytes& bytes, base::Milliseconds time) {
+  this->LogEvent("the usage interface answers with endless " + bytes.name);
+  for (const Gateway& gateway : this->gateways) {
+    gateway.usage_spoiler->Begin(bytes);
+  }
+  this->RunAfter(time, [this] {
+    for (const Gateway& gateway : this->gateways) {
+      gateway.usage_spoiler->End();
+    }
+  });
+}
+
 void Soak::SpoilStoreFromStart() {
-  const SpoiltBytes spoilt =
-      this->settings.spoilt_bytes == kAnySpoiltBytes
-          ? SpoiltBytes{true, &EndlessStoreAnswers().front()}
-          : FindSpoiltBytes(this->settings.spoilt_bytes);
-  this->SpoilStore(*spoilt.bytes, kStoreSpellFromStart);
+  const std::string& name = this->settings.spoilt_bytes;
+  const auto store = After("store/", name);
+  if (name != kAnySpoiltBytes && !store.has_value()) {
+    throw std::invalid_argument("no answer of the store: " + name);
+  }
+  const auto& answers = EndlessStoreAnswers();
+  this->SpoilStore(store.has_value()
+                       ? Find(answers, *store)
+                       : answers[this->spoil_generator() % answers.size()],
+                   kStoreSpellFromStart);
+}
+
+void Soak::SendEndlessRequests(const EndlessBytes& bytes,
+                               base::Milliseconds time) {
+  this->LogEvent("callers send endless " + bytes.name);
+  for (const Gateway& gateway : this->gateways) {
+    for (const std::string& address :
+         {gateway.callers_address, gateway.readiness_address,
+          gateway.metrics_address, gateway.peers_address}) {
+      this->endless_callers.push_back(std::make_unique<EndlessCaller>(
+          base::ParseAddress(address).port, bytes));
+    }
+  }
+  this->RunAfter(time, [this] { this->endless_callers.clear(); });
+}
+
+void Soak::AddLargeEntries(const std::string& name, base::Milliseconds time) {
+  this->LogEvent("large entries in the store: " + name);
+  this->AddLargeEntry(name, 0, base::Now() + time);
+}
+
+void Soak::AddLargeEntry(const std::string& name,
+                         int64_t number,
+                         base::Instant until) {
+  const auto key = [](int64_t of) { return "large-" + std::to_string(of); };
+  if (base::Now() >= until || number >= kMaxLargeEntries) {
+    this->RunAfter(std::max(base::Milliseconds(0),
+                            std::chrono::duration_cast<base::Milliseconds>(
+                                until - base::Now())),
+                   [this, number, key] {
+                     for (int64_t i = 0; i < number; ++i) {
+                       this->store.Remove("servers", key(i));
+                     }
+                   });
+    return;
+  }
+  const LargeEntries& entries = Find(AllLargeEntries(), name);
+  this->store.Put("servers", key(number), entries.entry);
+  this->RunAfter(kLargeEntryInterval, [this, name, number, until] {
+    this->AddLargeEntry(name, number + 1, until);
+  });
 }
 
 void Soak::CheckMemory() {
@@ -129,11 +269,12 @@
     const int64_t used =
         gateway.process.started() ? gateway.process.ResidentBytes() : 0;
     gateway.peak_bytes = std::max(gateway.peak_bytes, used);
-    if (used > kMemoryMb * kBytesPerMb) {
+    if (used > this->settings.memory_limit_mb * kBytesPerMb) {
       this->AddComplaint(gateway.name + " exceeded its memory, with " +
                          std::to_string(used / kBytesPerMb) + " MB");
       gateway.process.Kill();
       gateway.ready = false;
+      gateway.disturbed.push_back({base::Now(), std::nullopt});
       this->RunAfter(kRestartTime, [this, &gateway] {
         if (!gateway.process.started()) {
           this->StartGateway(gateway);
@@ -146,10 +287,18 @@
 
 void Soak::CheckSpoiltShares() {
   for (const SpoiltTime& spoilt : this->spoilt_times) {
-    int64_t requests = spoilt.requests;
+    int64_t requests = 0;
+    std::set<const Server*> counted;
+    for (const SpoiltTime& beside : this->spoilt_times) {
+      if (beside.begun == spoilt.begun &&
+          beside.server->engine == spoilt.server->engine) {
+        requests += beside.requests;
+        counted.insert(beside.server);
+      }
+    }
     for (const auto& server : this->servers) {
       if (server->engine != spoilt.server->engine || server->prefill ||
-          server.get() == spoilt.server) {
+          counted.contains(server.get())) {
         continue;
       }
       requests += std::count_if(
@@ -182,13 +331,15 @@
   for (const BackendRun& one : this->runs) {
     run.insert(one.request);
   }
+  const bool draws = this->settings.spoilt_bytes == kAnySpoiltBytes;
   std::map<std::string, int64_t> lost;
   std::map<int, int64_t> statuses;
   for (const auto& call : this->callers->calls()) {
     ++statuses[call->complete ? call->status : 0];
     // The gateway closed the connection, in the time that the caller waits.
     if (!call->complete && call->status == 0 && call->kept_connection &&
-        call->ended - call->sent < kAnswerTimeout && run.contains(call->id)) {
+        call->ended - call->sent < kAnswerTimeout && run.contains(call->id) &&
+        (!draws || !this->WasDisturbed(*call))) {
       ++lost[call->gateway];
     }
   }
@@ -198,11 +349,26 @@
   }
   std::cout << " 0 for none or an incomplete one\n";
   for (const auto& [gateway, count] : lost) {
-    if (this->settings.spoilt_bytes != kAnySpoiltBytes && count > kMaxLost) {
+    if (count > kMaxLost) {
       this->AddComplaint(gateway + " answered " + std::to_string(count) +
                          " requests not at all that sound servers ran");
     }
   }
 }
 
+bool Soak::WasDisturbed(const CallerCall& call) const {
+  for (const Gateway& gateway : this->gateways) {
+    if (gateway.callers_address != call.gateway) {
+      continue;
+    }
+    return std::any_of(gateway.disturbed.begin(), gateway.disturbed.end(),
+                       [&](const Disturbed& disturbed) {
+                         return disturbed.begun < call.ended &&
+                                disturbed.ended.value_or(call.ended) >
+                                    call.sent;
+                       });
+  }
+  return false;
+}
+
 }  // namespace carawayvalve::tests
--- a/tests/soak/spoiler.cc
+++ b/tests/soak/spoiler.cc
@@ -26,6 +26,12 @@
 constexpr size_t kPieceBytes = size_t{64} * 1024;
 constexpr size_t kRelayedBytes = size_t{16} * 1024;
 constexpr std::string_view kIdField = "X-Request-Id: ";
+// Entries of a page of a list, and what one of them holds that is no entry.
+constexpr int64_t kPageEntries = 1000;
+constexpr int64_t kOddPageEntries = 8;
+constexpr size_t kOddEntryBytes = size_t{100} * 1024;
+// The time between two attempts to connect.
+constexpr base::Milliseconds kReconnectTime(10);
 // A list of this size needs many times as much when it is parsed.
 constexpr size_t kLongListBytes = size_t{48} * 1024 * 1024;
 
@@ -48,6 +54,19 @@
          "\r\nX-Request-Id: {id}\r\nX-Response-Sig: s\r\n" + fields;
 }
 
+// A page of a list with further ones after it, of entries with new names.
+std::string PageOf(int64_t number, int64_t entries, const std::string& spec) {
+  std::string page = R"({"currentRev":1,"events":[],"hasMore":true,"items":[)";
+  for (int64_t i = 0; i < entries; ++i) {
+    std::array<char, 32> name{};
+    snprintf(name.data(), name.size(), "n-%012lld",
+             static_cast<long long>(number * entries + i));
+    page += (i == 0 ? R"({"meta":{"name":")" : R"(,{"meta":{"name":")") +
+            std::string(name.data()) + R"(","rev":1},"spec":)" + spec + "}";
+  }
+  return page + "]}";
+}
+
 sockaddr_in LoopbackAddress(uint16_t port) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -147,10 +166,55 @@
        AsChunk(Repeat("x")), 0, ""},
       {"header", "HTTP/1.1 200 OK\r\nX-Long: ", Repeat("x"), 0, ""},
       {"noise", "", Repeat("\x01\x9f?"), 0, ""},
+      {"pages", "", "", 0, "", base::Milliseconds(0),
+       [](int64_t number) {
+         return PageOf(number, kPageEntries,
+                       R"({"service":"other","addr":"127.0.0.1:1","zone":"a",)"
+                       R"("version":"v1","slots":4,"state":"up","born":1})");
+       }},
+      {"odd-pages", "", "", 0, "", base::Milliseconds(0),
+       [](int64_t number) {
+         return PageOf(number, kOddPageEntries,
+                       "[0" + Repeat(",0", kOddEntryBytes) + "]");
+       }},
   };
   return answers;
 }
 
+const std::vector<EndlessBytes>& EndlessUsageAnswers() {
+  static const std::string begin = "HTTP/1.1 200 OK\r\n";
+  static const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  static const std::vector<EndlessBytes> answers = {
+      {"text", begin + chunked, AsChunk(Repeat("x")), 0, ""},
+      {"list", begin + chunked + AsChunk("[0"), AsChunk(Repeat(",0")), 0, ""},
+      {"header", begin + "X-Long: ", Repeat("x"), 0, ""},
+      {"extension", begin + chunked + "1;", Repeat("x"), 0, ""},
+      {"noise", "", Repeat("\x01\x9f?"), 0, ""},
+  };
+  return answers;
+}
+
+const std::vector<EndlessBytes>& EndlessRequests() {
+  static const std::string begin =
+      "POST /pay/1 HTTP/1.1\r\nHost: soak.example\r\n";
+  static const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  static const std::vector<EndlessBytes> requests = {
+      {"target", "GET /", Repeat("x"), 0, ""},
+      {"header", begin + "X-Long: ", Repeat("x"), 0, ""},
+      {"fields", begin, Repeat("X-Field: x\r\n"), 0, ""},
+      {"body", begin + chunked, AsChunk(Repeat("x")), 0, ""},
+      {"keyed-body",
+       begin + "Authorization: Bearer key-zoo-0\r\n"
+               "Content-Length: 9000000000000000000\r\n\r\n",
+       Repeat("x"), 0, ""},
+      {"extension", begin + chunked + "1;", Repeat("x"), 0, ""},
+      {"requests", "", Repeat("GET /look/1 HTTP/1.1\r\nHost: x\r\n\r\n"), 0,
+       ""},
+      {"noise", "", Repeat("\x01\x9f?"), 0, ""},
+  };
+  return requests;
+}
+
 class Spoiler::State {
  public:
   explicit State(uint16_t target)
@@ -227,6 +291,9 @@
     if (from_near && BeginsRequest(data)) {
       if (const auto bytes = this->Spoilt()) {
         ++this->requests;
+        if (bytes->page != nullptr) {
+          return this->SendPage(source, *bytes);
+        }
         this->Spoil(source, *bytes, IdOf(data));
         return false;
       }
@@ -234,6 +301,15 @@
     return this->SendAll(sink, data);
   }
 
+  // Returns whether all was sent.
+  bool SendPage(int near, const EndlessBytes& bytes) {
+    const std::string body = bytes.page(this->pages++);
+    this->bytes += static_cast<int64_t>(body.size());
+    return this->SendAll(near, "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                   std::to_string(body.size()) + "\r\n\r\n" +
+                                   body);
+  }
+
   void Spoil(int near, const EndlessBytes& bytes, const std::string& id) {
     const int64_t spell = this->spell;
     size_t repeated = 0;
@@ -284,6 +360,7 @@
   std::shared_ptr<const EndlessBytes> spoilt;
   // Counts the changes of what is spoilt.
   std::atomic<int64_t> spell = 0;
+  std::atomic<int64_t> pages = 0;
   std::atomic<bool> stopping = false;
   std::thread accepting;
   std::list<std::thread> connections;
@@ -314,4 +391,37 @@
   return this->state->bytes;
 }
 
+EndlessCaller::EndlessCaller(uint16_t target_port, const EndlessBytes& bytes)
+    : target(target_port), bytes(bytes) {
+  this->sending = std::thread([this] { this->Send(); });
+}
+
+EndlessCaller::~EndlessCaller() {
+  this->stopping = true;
+  this->sending.join();
+}
+
+void EndlessCaller::Send() const {
+  const timeval send_timeout{0, kPollMs * 1000};
+  while (!this->stopping) {
+    const Socket connected = ConnectTo(this->target);
+    setsockopt(connected.get(), SOL_SOCKET, SO_SNDTIMEO, &send_timeout,
+               sizeof(send_timeout));
+    std::string unsent = this->bytes.begin;
+    while (!this->stopping) {
+      if (unsent.empty()) {
+        unsent = this->bytes.repeated;
+        std::this_thread::sleep_for(this->bytes.interval);
+      }
+      const ssize_t sent =
+          send(connected.get(), unsent.data(), unsent.size(), MSG_NOSIGNAL);
+      if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+        break;
+      }
+      unsent.erase(0, sent < 0 ? 0 : static_cast<size_t>(sent));
+    }
+    std::this_thread::sleep_for(kReconnectTime);
+  }
+}
+
 }  // namespace carawayvalve::tests
--- a/tests/soak/spoiler.h
+++ b/tests/soak/spoiler.h
@@ -1,9 +1,12 @@
 #ifndef CARAWAYVALVE_TESTS_SOAK_SPOILER_H_
 #define CARAWAYVALVE_TESTS_SOAK_SPOILER_H_
 
+#include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "carawayvalve/base/time.h"
@@ -22,11 +25,18 @@
   std::string end;
   // The time between two repetitions.
   base::Milliseconds interval{0};
+  // If set, each request gets one complete answer with such a body instead. The
+  // numbers rise from 0.
+  std::function<std::string(int64_t number)> page = nullptr;
 };
 
-// The kinds of answers that backend servers and the store spoil.
+// The kinds of answers that backend servers, the store and the platform's usage
+// interface spoil.
 const std::vector<EndlessBytes>& EndlessWorkerAnswers();
 const std::vector<EndlessBytes>& EndlessStoreAnswers();
+const std::vector<EndlessBytes>& EndlessUsageAnswers();
+// What callers send without end. They read no answers.
+const std::vector<EndlessBytes>& EndlessRequests();
 
 // A TCP relay on loopback before a server, in threads of its own. While it
 // spoils answers, it doesn't pass requests on but answers them itself, at full
@@ -58,6 +68,24 @@
   std::shared_ptr<State> state;
 };
 
+// Sends without end to a port on loopback, in a thread of its own, and connects
+// again whenever the connection is closed.
+class EndlessCaller {
+ public:
+  EndlessCaller(uint16_t target_port, const EndlessBytes& bytes);
+  ~EndlessCaller();
+  EndlessCaller(const EndlessCaller&) = delete;
+  EndlessCaller& operator=(const EndlessCaller&) = delete;
+
+ private:
+  void Send() const;
+
+  uint16_t target;
+  EndlessBytes bytes;
+  std::atomic<bool> stopping = false;
+  std::thread sending;
+};
+
 }  // namespace carawayvalve::tests
 
 #endif  // CARAWAYVALVE_TESTS_SOAK_SPOILER_H_
