--- a/core/include/carawayvalve/core/backend_directory.h
+++ b/core/include/carawayvalve/core/backend_directory.h
@@ -69,8 +69,6 @@
   // Removes the entries that aren't `listed`, in a list that is complete now.
   void KeepOnly(const std::set<base::BackendServerId>& listed,
                 base::Instant now);
-  // Adds or replaces an entry. A new one is left out while there are already
-  // more than any fleet has.
   void NoteEntry(const BackendEntry& entry);
   void NoteRemoved(const base::BackendServerId& id, base::Instant now);
 
--- a/core/src/backend_directory.cc
+++ b/core/src/backend_directory.cc
@@ -10,8 +10,6 @@
 // Beyond this number the oldest records of leaving or removed backend servers
 // are evicted.
 constexpr size_t kMaxLeaving = 8192;
-// Further ones are left out: more than any fleet has.
-constexpr size_t kMaxEntries = 8192;
 // An older copy of the store holds no entry that was removed longer ago.
 constexpr std::chrono::seconds kRemovedTime(60);
 // The entry of a run that is gone is removed again within this time after the
@@ -47,7 +45,7 @@
 void BackendDirectory::NoteListedEntry(const BackendEntry& entry) {
   this->listing_first = !this->has_list;
   this->NoteEntry(entry);
-  if (this->known.contains(entry.id) && this->WasRemoved(entry)) {
+  if (this->WasRemoved(entry)) {
     this->held.insert(entry.id);
     this->known[entry.id].draining = true;
   }
@@ -108,9 +106,6 @@
 }
 
 void BackendDirectory::NoteEntry(const BackendEntry& entry) {
-  if (this->known.size() >= kMaxEntries && !this->known.contains(entry.id)) {
-    return;
-  }
   BackendEntry& kept = this->known[entry.id];
   this->NoteVersionOf(kept);
   kept = entry;
