FAULT: check sizes that a Thrift message states before taking memory

Callers saw serve or an agent end, with all requests in its hands, after one message of 28 bytes at its port: a list that states 2^31 elements and has none. A text that states 2 GB took 2 GB for a moment, before the call failed.

Cause: Thrift resizes a list to the stated size. Its own check takes a structure for 0 bytes and multiplies in 32 bits, so it lets through any number of structures and 2^30 strings; what new throws then leaves the server's thread. Class: a size that another process states is believed before its bytes are there.

The protocol that servers and channels use checks a container against what is left of its frame, and counts the elements of all containers of a message, of which there may be 256 * 1024: an element needs up to some hundred bytes beside one byte of the message. A text that is longer than the rest of its frame fails before memory is taken.

Before, wire_tests -tc="*Server: lists*,*takes no memory*": SIGABRT by std::bad_alloc with structures and with strings; a call with 262,145 elements was carried out; 537 MB of memory were taken for a text that states 512 MB; an answer of 1,048,576 missing elements became a list that isn't empty. After: 14 of 14 cases of wire_tests pass.

--- a/wire/include/carawayvalve/wire/limits.h
+++ b/wire/include/carawayvalve/wire/limits.h
@@ -9,6 +9,11 @@
 // refuses a longer one; a receiver closes the connection.
 inline constexpr uint32_t kMaxMessageBytes = 16 * 1024 * 1024;
 
+// The elements that all lists, sets and maps of one message may have together.
+// Each needs up to some hundred bytes of memory, whatever it needs in the
+// message.
+inline constexpr uint64_t kMaxMessageElements = 256 * 1024;
+
 // Connections that a server serves at a time; further ones wait to be accepted.
 inline constexpr int64_t kMaxConnections = 1024;
 
--- a/wire/src/channel.cc
+++ b/wire/src/channel.cc
@@ -1,7 +1,6 @@
 #include "carawayvalve/wire/channel.h"
 
 #include <thrift/Thrift.h>
-#include <thrift/protocol/TBinaryProtocol.h>
 
 #include <algorithm>
 #include <chrono>
@@ -14,7 +13,6 @@
 namespace carawayvalve::wire {
 
 using apache::thrift::TException;
-using apache::thrift::protocol::TBinaryProtocol;
 using apache::thrift::protocol::TProtocol;
 
 namespace {
@@ -70,7 +68,7 @@
   } catch (const TException& error) {
     throw base::NotReachedError(step, this->peer_address, error.what());
   }
-  current.protocol = std::make_shared<TBinaryProtocol>(
+  current.protocol = std::make_shared<detail::LimitedProtocol>(
       std::make_shared<detail::LimitedFramedTransport>(socket));
   current.socket = std::move(socket);
   return current.protocol;
--- a/wire/src/framing.h
+++ b/wire/src/framing.h
@@ -1,6 +1,7 @@
 #ifndef CARAWAYVALVE_WIRE_SRC_FRAMING_H_
 #define CARAWAYVALVE_WIRE_SRC_FRAMING_H_
 
+#include <thrift/protocol/TBinaryProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TTransport.h>
 #include <thrift/transport/TTransportException.h>
@@ -30,8 +31,48 @@
   // Throws MessageTooLong.
   void flush() override;
 
+  // Counts the elements that a container of the message being read states, each
+  // of which takes `min_bytes` or more. Throws a TTransportException when the
+  // rest of the message can't hold them, or when the containers of the message
+  // have more than kMaxMessageElements together.
+  void CountElements(uint32_t elements, int min_bytes);
+
  protected:
   bool readFrame() override;
+  // Throws a TTransportException, as the message being read lacks the bytes.
+  const uint8_t* borrowSlow(uint8_t* buf, uint32_t* len) override;
+
+ private:
+  // Of the message being read.
+  uint64_t elements = 0;
+};
+
+// Thrift's binary protocol. Checks the size that a container states before
+// memory is taken for its elements.
+class LimitedProtocol : public apache::thrift::protocol::TBinaryProtocol {
+ public:
+  explicit LimitedProtocol(
+      const std::shared_ptr<LimitedFramedTransport>& transport);
+
+ protected:
+  void checkReadBytesAvailable(apache::thrift::protocol::TSet& set) override;
+  void checkReadBytesAvailable(apache::thrift::protocol::TList& list) override;
+  void checkReadBytesAvailable(apache::thrift::protocol::TMap& map) override;
+
+ private:
+  // Returns the bytes that a value of the type takes at least.
+  int MinBytes(apache::thrift::protocol::TType type);
+
+  LimitedFramedTransport& transport;
+};
+
+// Takes transports of LimitedFramedTransportFactory only.
+class LimitedProtocolFactory
+    : public apache::thrift::protocol::TProtocolFactory {
+ public:
+  std::shared_ptr<apache::thrift::protocol::TProtocol> getProtocol(
+      std::shared_ptr<apache::thrift::transport::TTransport> transport)
+      override;
 };
 
 class LimitedFramedTransportFactory
--- a/wire/src/server.cc
+++ b/wire/src/server.cc
@@ -1,7 +1,6 @@
 #include "carawayvalve/wire/server.h"
 
 #include <thrift/TProcessor.h>
-#include <thrift/protocol/TBinaryProtocol.h>
 #include <thrift/server/TThreadedServer.h>
 
 #include <exception>
@@ -20,7 +19,6 @@
 
 namespace {
 
-using apache::thrift::protocol::TBinaryProtocolFactory;
 using apache::thrift::server::TThreadedServer;
 
 // Reports that the server is listening, or why it can't.
@@ -55,7 +53,7 @@
   this->impl->server = std::make_unique<TThreadedServer>(
       processor, std::make_shared<detail::ListeningSocket>(listening_address),
       std::make_shared<detail::LimitedFramedTransportFactory>(),
-      std::make_shared<TBinaryProtocolFactory>());
+      std::make_shared<detail::LimitedProtocolFactory>());
   this->impl->server->setConcurrentClientLimit(kMaxConnections);
   auto signal = std::make_shared<StartSignal>();
   this->impl->server->setServerEventHandler(signal);
--- a/wire/tests/server_test.cc
+++ b/wire/tests/server_test.cc
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <future>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -24,6 +25,7 @@
 
 using AgentChannel = Channel<gen::AgentClient>;
 using apache::thrift::protocol::TBinaryProtocol;
+using apache::thrift::protocol::TType;
 using apache::thrift::transport::TMemoryBuffer;
 using base::Milliseconds;
 
@@ -89,11 +91,47 @@
   return chunks.at(0).bytes.size();
 }
 
+std::string EncodeReadCall(const std::vector<gen::ReadRequest>& requests) {
+  const auto memory = std::make_shared<TMemoryBuffer>();
+  gen::AgentClient client(std::make_shared<TBinaryProtocol>(memory));
+  client.send_read("an entry process", requests, 0);
+  return Frame(memory->getBufferAsString());
+}
+
 // Encodes a read call that requests `bytes` bytes.
 std::string EncodeReadCall(int64_t bytes) {
+  return EncodeReadCall({MakeReadRequest(bytes)});
+}
+
+// Encodes a read call whose text has none of the bytes that it states.
+std::string EncodeReadCallOfStatedText(uint32_t bytes) {
   const auto memory = std::make_shared<TMemoryBuffer>();
-  gen::AgentClient client(std::make_shared<TBinaryProtocol>(memory));
-  client.send_read("an entry process", {MakeReadRequest(bytes)}, 0);
+  TBinaryProtocol protocol(memory);
+  protocol.writeMessageBegin("read", apache::thrift::protocol::T_CALL, 0);
+  protocol.writeFieldBegin("entry_boot", apache::thrift::protocol::T_STRING, 1);
+  protocol.writeI32(static_cast<int32_t>(bytes));
+  return Frame(memory->getBufferAsString());
+}
+
+// Encodes a read call whose list of requests has none of the elements that it
+// states.
+std::string EncodeReadCallOfStatedSize(TType element, uint32_t elements) {
+  const auto memory = std::make_shared<TMemoryBuffer>();
+  TBinaryProtocol protocol(memory);
+  protocol.writeMessageBegin("read", apache::thrift::protocol::T_CALL, 0);
+  protocol.writeFieldBegin("requests", apache::thrift::protocol::T_LIST, 2);
+  protocol.writeListBegin(element, elements);
+  return Frame(memory->getBufferAsString());
+}
+
+// Encodes the answer to a read call, whose list has none of the elements that
+// it states.
+std::string EncodeReadAnswerOfStatedSize(uint32_t elements) {
+  const auto memory = std::make_shared<TMemoryBuffer>();
+  TBinaryProtocol protocol(memory);
+  protocol.writeMessageBegin("read", apache::thrift::protocol::T_REPLY, 0);
+  protocol.writeFieldBegin("success", apache::thrift::protocol::T_LIST, 0);
+  protocol.writeListBegin(apache::thrift::protocol::T_STRUCT, elements);
   return Frame(memory->getBufferAsString());
 }
 
@@ -112,6 +150,13 @@
   return in_time;
 }
 
+// Returns the greatest resident memory of this process so far.
+int64_t PeakBytes() {
+  rusage usage{};
+  ::getrusage(RUSAGE_SELF, &usage);
+  return int64_t{1024} * usage.ru_maxrss;
+}
+
 std::atomic<bool> accept_failed = false;
 
 void OnThriftLogLine(const char* line) {
@@ -269,4 +314,64 @@
   }
 }
 
+TEST_CASE("Server: lists that state more elements than a message holds") {
+  constexpr uint32_t kMaxStated = std::numeric_limits<int32_t>::max();
+  const std::string address = FreeAddress();
+  const auto agent = std::make_shared<Agent>();
+  const std::unique_ptr<Server> server = StartServer(address, agent);
+  const auto is_closed_after = [&](const std::string& call) {
+    RawConnection raw(address);
+    raw.Send(call);
+    return !raw.ReadFrame();
+  };
+  // Memory for them all, more than the machine has, ended the process.
+  SUBCASE("given structures, the server closes the connection and serves on") {
+    CHECK(is_closed_after(EncodeReadCallOfStatedSize(
+        apache::thrift::protocol::T_STRUCT, kMaxStated)));
+  }
+  SUBCASE("given more strings than 32 bits hold the bytes of, too") {
+    CHECK(is_closed_after(EncodeReadCallOfStatedSize(
+        apache::thrift::protocol::T_STRING, 1U << 30)));
+  }
+  SUBCASE("given more elements than a message may have, too") {
+    CHECK(is_closed_after(EncodeReadCall(std::vector<gen::ReadRequest>(
+        kMaxMessageElements + 1, MakeReadRequest(1)))));
+  }
+  AgentChannel channel(address, kLongTimeout);
+  CHECK(channel.Invoke("submit", [](gen::AgentClient& client) {
+    return Submit(client, 1);
+  }) == "1");
+  CHECK(agent->reads == 0);
+}
+
+TEST_CASE("Server: takes no memory for a text that a message doesn't hold") {
+  const std::string address = FreeAddress();
+  const auto agent = std::make_shared<Agent>();
+  const std::unique_ptr<Server> server = StartServer(address, agent);
+  constexpr uint32_t kStatedBytes = 512 * 1024 * 1024;
+  const int64_t before = PeakBytes();
+  RawConnection raw(address);
+  raw.Send(EncodeReadCallOfStatedText(kStatedBytes));
+  raw.SendEnd();
+  CHECK_FALSE(raw.ReadFrame());
+  CHECK(PeakBytes() - before < kStatedBytes / 2);
+}
+
+TEST_CASE("Channel: takes no memory for missing elements of an answer") {
+  const RawPeer peer([](RawConnection& connection, int) {
+    connection.ReadFrame();
+    connection.Send(EncodeReadAnswerOfStatedSize(1024 * 1024));
+    connection.WaitForEnd();
+  });
+  AgentChannel channel(peer.address(), kLongTimeout);
+  std::vector<gen::Chunk> chunks;
+  CHECK_THROWS_AS(channel.Invoke("read",
+                                 [&chunks](gen::AgentClient& client) {
+                                   client.read(chunks, "an entry process", {},
+                                               0);
+                                 }),
+                  base::UnknownOutcomeError);
+  CHECK(chunks.empty());
+}
+
 }  // namespace carawayvalve::wire
