FAULT: reject configuration patches that are nested without end

Callers saw serve end by signal 11 after another entry process had sent it a patch of the configuration with a million nested arrays, 2 MB.

Cause: applying a patch copies its values, and a copy recurses once a level. Class: a foreign text is taken without a bound of what it becomes.

ApplyPatch reads the patch as JSON of another process, whose nesting and number of values are bounded.

--- a/config/src/patch.cc
+++ b/config/src/patch.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "carawayvalve/base/error.h"
+#include "carawayvalve/base/foreign_json.h"
 #include "carawayvalve/config/json.h"
 
 namespace carawayvalve::config {
@@ -93,7 +94,11 @@
   Configuration to;
   std::string digest;
   try {
-    const json document = json::parse(patch);
+    const base::ForeignJson parsed = base::ParseForeignJson(patch);
+    if (!parsed.fault.empty()) {
+      throw base::Error("apply patch", "configuration", parsed.fault);
+    }
+    const json& document = parsed.value;
     document.at(kDigestMember).get_to(digest);
     const json keyed = KeyedForm(from).patch(document.at(kOperationsMember));
     to = ParseConfiguration(ObjectsToArrays("", keyed).dump(), "patch");
--- a/config/tests/patch_test.cc
+++ b/config/tests/patch_test.cc
@@ -43,6 +43,14 @@
     CHECK_THROWS_AS(ApplyPatch({}, "{"), base::Error);
     CHECK_THROWS_AS(ApplyPatch({}, "[]"), base::Error);
   }
+  SUBCASE("a patch whose values would exhaust the stack is rejected") {
+    std::string deep(1000000, '[');
+    deep.append(deep.size(), ']');
+    CHECK_THROWS_AS(ApplyPatch({}, R"({"digest":"","operations":[{"op":"add",)"
+                                   R"("path":"/other","value":)" +
+                                       deep + "}]}"),
+                    base::Error);
+  }
 }
 
 }  // namespace carawayvalve::config
