FAULT: bound the JSON of others in serve, the agents and calls to engines

Callers would see serve, an agent or a gateway end by its memory after an answer or an object of many small items: a value needs up to a hundred bytes, whatever its text needs, and a body may have 64 MB.

Cause: the clients of the store, the host list, backend servers, engines and the weight store, the texts of leases, orders, claims and usage, the configuration, and a gateway's calls for prefills and reports parsed whatever they read. Class: a limit of the text, none of what it becomes.

They read at most 256 K values, counted before or while they are parsed, as the store's changes are read in a gateway. An object of the store has a megabyte at most, less than such a text needs in the usual forms.

--- a/base/include/carawayvalve/base/field_reader.h
+++ b/base/include/carawayvalve/base/field_reader.h
@@ -21,8 +21,8 @@
 
 // Parses JSON with comments from an untrusted source. Throws Error, with the
 // line if known, when the text isn't valid JSON, a number overflows a double,
-// an object has a duplicate member, or the nesting is so deep that printing it
-// would exhaust the stack.
+// an object has a duplicate member, the nesting is so deep that printing it
+// would exhaust the stack, or there are more than kMaxForeignValues.
 nlohmann::json ParseJson(const std::string& text, const std::string& source);
 
 // Reads the members of one JSON object and records each fault with its path.
--- a/base/src/field_reader.cc
+++ b/base/src/field_reader.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "carawayvalve/base/error.h"
+#include "carawayvalve/base/foreign_json.h"
 
 namespace carawayvalve::base {
 
@@ -21,6 +22,7 @@
   explicit ParseValidator(std::string source) : source(std::move(source)) {}
 
   void OnEvent(int depth, json::parse_event_t event, const json& value) {
+    this->CountValue(event);
     switch (event) {
       case json::parse_event_t::object_start:
         this->members.emplace_back();
@@ -41,6 +43,18 @@
   }
 
  private:
+  void CountValue(json::parse_event_t event) {
+    const bool begins_value = event == json::parse_event_t::value ||
+                              event == json::parse_event_t::object_start ||
+                              event == json::parse_event_t::array_start;
+    this->values += begins_value ? 1 : 0;
+    if (this->values > kMaxForeignValues) {
+      throw Error(
+          "parse JSON", this->source,
+          "has more than " + std::to_string(kMaxForeignValues) + " values");
+    }
+  }
+
   void CheckDepth(int depth) const {
     if (depth > kMaxNesting) {
       throw Error("parse JSON", this->source,
@@ -57,6 +71,7 @@
   }
 
   std::string source;
+  size_t values = 0;
   // The names of the members seen so far in each open object.
   std::vector<std::set<std::string>> members;
 };
--- a/base/tests/field_reader_test.cc
+++ b/base/tests/field_reader_test.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "carawayvalve/base/error.h"
+#include "carawayvalve/base/foreign_json.h"
 
 namespace carawayvalve::base {
 
@@ -83,6 +84,14 @@
                            Error);
     }
   }
+  SUBCASE("given more values than may be read, the error says so") {
+    std::string list = "[0";
+    for (size_t i = 0; i < kMaxForeignValues; ++i) {
+      list += ",0";
+    }
+    CHECK_THROWS_WITH_AS(ParseJson(list + "]", "entry.json"),
+                         doctest::Contains("values"), Error);
+  }
 }
 
 }  // namespace carawayvalve::base
--- a/core/src/claim_object.cc
+++ b/core/src/claim_object.cc
@@ -6,6 +6,7 @@
 
 #include "byte_text.h"
 #include "carawayvalve/base/error.h"
+#include "stored_json.h"
 
 namespace carawayvalve::core {
 
@@ -104,7 +105,7 @@
 
 ClaimObject DecodeClaim(const std::string& text) {
   try {
-    const json value = json::parse(text);
+    const json value = ParseStoredJson(kStep, kPeer, text);
     ClaimObject claim;
     claim.writer = {TextToBytes(value.at("writer").get<std::string>())};
     claim.nonce = TextToBytes(value.at("nonce").get<std::string>());
--- a/core/src/fleet_order_issuer.cc
+++ b/core/src/fleet_order_issuer.cc
@@ -4,12 +4,16 @@
 #include <utility>
 
 #include "carawayvalve/base/error.h"
+#include "stored_json.h"
 
 namespace carawayvalve::core {
 
 namespace {
 
 using nlohmann::json;
+
+constexpr const char* kStep = "read fleet intent";
+constexpr const char* kPeer = "Object API";
 using Actions = std::vector<FleetOrderAction>;
 
 constexpr char kStart[] = "start";
@@ -31,7 +35,7 @@
 
 FleetIntent ParseFleetIntent(const std::string& text) {
   try {
-    const json value = json::parse(text);
+    const json value = ParseStoredJson(kStep, kPeer, text);
     FleetIntent intent;
     intent.token.epoch = value.at("epoch").get<int64_t>();
     intent.token.sequence = value.at("sequence").get<int64_t>();
@@ -45,7 +49,7 @@
     intent.open = value.at("open").get<bool>();
     return intent;
   } catch (const json::exception& error) {
-    throw base::Error("read fleet intent", "Object API", error.what());
+    throw base::Error(kStep, kPeer, error.what());
   }
 }
 
--- a/core/src/lease.cc
+++ b/core/src/lease.cc
@@ -5,6 +5,7 @@
 
 #include "carawayvalve/base/error.h"
 #include "carawayvalve/core/store_revision.h"
+#include "stored_json.h"
 
 namespace carawayvalve::core {
 
@@ -12,6 +13,8 @@
 
 using nlohmann::json;
 
+constexpr const char* kStep = "read lease";
+constexpr const char* kPeer = "Object API";
 constexpr int64_t kPerMille = 1000;
 // Bounds the exponent of the retry backoff.
 constexpr int32_t kMaxRetryDoublings = 6;
@@ -45,7 +48,7 @@
 
 LeaseRecord ParseLeaseRecord(const std::string& text) {
   try {
-    const json value = json::parse(text);
+    const json value = ParseStoredJson(kStep, kPeer, text);
     LeaseRecord record;
     record.holder.value = value.at("holder").get<std::string>();
     record.epoch = value.at("epoch").get<int64_t>();
@@ -54,7 +57,7 @@
     record.era = value.value("era", int64_t{0});
     return record;
   } catch (const json::exception& error) {
-    throw base::Error("read lease", "Object API", error.what());
+    throw base::Error(kStep, kPeer, error.what());
   }
 }
 
--- a/core/src/order_gate.cc
+++ b/core/src/order_gate.cc
@@ -6,12 +6,16 @@
 
 #include "carawayvalve/base/error.h"
 #include "carawayvalve/core/lease.h"
+#include "stored_json.h"
 
 namespace carawayvalve::core {
 
 namespace {
 
 using nlohmann::json;
+
+constexpr const char* kStep = "read order mark";
+constexpr const char* kPeer = "Object API";
 using Actions = std::vector<GateAction>;
 
 // The sequence numbers of one epoch fit into this many bits.
@@ -63,7 +67,7 @@
 
 OrderHighWaterMark ParseOrderHighWaterMark(const std::string& text) {
   try {
-    const json value = json::parse(text);
+    const json value = ParseStoredJson(kStep, kPeer, text);
     OrderHighWaterMark mark;
     mark.token.epoch = value.at("epoch").get<int64_t>();
     mark.token.sequence = value.at("sequence").get<int64_t>();
@@ -71,7 +75,7 @@
     mark.open = value.at("open").get<bool>();
     return mark;
   } catch (const json::exception& error) {
-    throw base::Error("read order mark", "Object API", error.what());
+    throw base::Error(kStep, kPeer, error.what());
   }
 }
 
--- a/core/src/usage_objects.cc
+++ b/core/src/usage_objects.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "carawayvalve/base/error.h"
+#include "stored_json.h"
 
 namespace carawayvalve::core {
 
@@ -182,7 +183,7 @@
 
 UsageObject DecodeUsageObject(UsageObjectKind kind, const std::string& text) {
   try {
-    return ObjectFromJson(kind, json::parse(text));
+    return ObjectFromJson(kind, ParseStoredJson(kStep, kPeer, text));
   } catch (const json::exception& error) {
     throw base::Error(kStep, kPeer, error.what());
   }
--- a/systems/src/json_body.h
+++ b/systems/src/json_body.h
@@ -3,10 +3,12 @@
 
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "carawayvalve/base/error.h"
 #include "carawayvalve/base/field_reader.h"
+#include "carawayvalve/base/foreign_json.h"
 
 namespace carawayvalve::systems::detail {
 
@@ -23,13 +25,13 @@
   throw base::UnknownOutcomeError(site.step, site.peer, reason);
 }
 
-// Parses a peer's JSON. Throws base::UnknownOutcomeError when it is malformed.
+// Parses a peer's JSON. Throws base::UnknownOutcomeError when it can't be read.
 inline nlohmann::json ParseBody(const CallSite& site, const std::string& body) {
-  nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
-  if (document.is_discarded()) {
-    ThrowUnreadable(site, "the answer is not JSON");
+  base::ForeignJson parsed = base::ParseForeignJson(body);
+  if (!parsed.fault.empty()) {
+    ThrowUnreadable(site, "the answer can't be read: " + parsed.fault);
   }
-  return document;
+  return std::move(parsed.value);
 }
 
 // Serialises `body`. Throws base::NotReachedError when a string is not UTF-8,
