FAULT: bound all answers that serve and the agents read as a whole together

Callers would see serve or an agent end by its memory while several answers of the store, the host list, engines or the usage interface have no end.

Cause: a body may have 64 MB, and several calls are always under way. Class: a limit for each, none for their sum.

HttpCall counts the bodies of a process against one budget of 64 MB, of which the largest loses; one that ends is still read.

Before: systems_tests -tc="answers without end together*" (three bodies that stop at 30 MB): all three are kept until their calls time out.

--- a/systems/src/http_client.cc
+++ b/systems/src/http_client.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <exception>
 
+#include "answer_budget.h"
 #include "carawayvalve/base/error.h"
 #include "curl_handle.h"
 #include "http_headers.h"
@@ -18,6 +19,13 @@
 // The body of a response that is read as a whole.
 constexpr size_t kMaxBodyBytes = size_t{64} * 1024 * 1024;
 
+// What the bodies of all responses that are read as a whole hold together is
+// bounded as a single one is.
+detail::AnswerBudget& BudgetOfProcess() {
+  static detail::AnswerBudget budget(kMaxBodyBytes);
+  return budget;
+}
+
 // The state of one call, passed to libcurl's callbacks.
 struct Transfer {
   const HttpSink& sink;
@@ -230,6 +238,7 @@
 
 HttpResponse HttpCall(const std::string& step, const HttpRequest& request) {
   HttpResponse response;
+  detail::AnswerBudget::Share share(BudgetOfProcess());
   HttpSink sink;
   sink.head = [&response](int status, const std::vector<HttpHeader>& headers) {
     response.status = status;
@@ -241,10 +250,17 @@
       throw base::UnknownOutcomeError(step, HostAndPort(request.url),
                                       "its body is too long");
     }
-    response.body.append(bytes, count);
+    share.Resize(response.body.size() + count);
+    if (!share.dropped()) {
+      response.body.append(bytes, count);
+    }
     return true;
   };
-  HttpStream(step, request, sink);
+  sink.cancelled = [&share] { return share.dropped(); };
+  if (!HttpStream(step, request, sink)) {
+    throw base::UnknownOutcomeError(step, HostAndPort(request.url),
+                                    "all answers together are too long");
+  }
   return response;
 }
 
