FAULT: bound the records that serve collects of an agent's output

Callers would see serve end by its memory when an agent's output states records that never end: each request keeps up to 64 MB of them, as a record is read only once it is whole, and what isn't read pauses nothing.

Cause: the bound of a record was that of a whole body, though agents send a head of 64 KB or a line of 1 MB at most; an end was parsed whatever it holds. Class: a bound that isn't taken from what may be sent.

A record may have 4 MB, heads and ends 256 K values.

Before: core_tests -tc=AnswerStreamReader fails twice (a record of 5 MB, an end of 256 K values). After: passes.

--- a/core/src/answer_stream.cc
+++ b/core/src/answer_stream.cc
@@ -5,6 +5,7 @@
 
 #include "byte_text.h"
 #include "carawayvalve/base/error.h"
+#include "stored_json.h"
 
 namespace carawayvalve::core {
 
@@ -15,7 +16,8 @@
 // A record consists of its kind (one byte), the length of its payload (four
 // bytes, little-endian) and the payload.
 constexpr size_t kPrefixBytes = 5;
-constexpr size_t kMaxPayloadBytes = 64 * 1024 * 1024;
+// More than a line of an engine or a head needs.
+constexpr size_t kMaxPayloadBytes = 4 * 1024 * 1024;
 
 constexpr const char* kStep = "read answer";
 constexpr const char* kPeer = "agent";
@@ -67,7 +69,7 @@
 }
 
 AnswerHead DecodeHead(const std::string& payload) {
-  const json value = json::parse(payload);
+  const json value = ParseStoredJson(kStep, kPeer, payload);
   AnswerHead head;
   value.at(0).get_to(head.status);
   for (const json& header : value.at(1)) {
@@ -77,7 +79,7 @@
 }
 
 AnswerEnd DecodeEnd(const std::string& payload) {
-  const json value = json::parse(payload);
+  const json value = ParseStoredJson(kStep, kPeer, payload);
   return {BytesFrom(value.at(0)), value.at(1), value.at(2), value.at(3)};
 }
 
--- a/core/tests/answer_stream_test.cc
+++ b/core/tests/answer_stream_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "carawayvalve/base/error.h"
+#include "carawayvalve/base/foreign_json.h"
 
 namespace carawayvalve::core {
 
@@ -100,6 +101,27 @@
     CHECK_THROWS_AS(AnswerStreamReader().Feed("P\xff\xff\xff\xff"),
                     base::Error);
   }
+  SUBCASE("a record of 5 MB, which no agent sends, isn't waited for") {
+    CHECK_THROWS_AS(AnswerStreamReader().Feed({"P\0\0\x50\0", 5}), base::Error);
+  }
+  SUBCASE("a line of an engine and a head of the maximum length are read") {
+    const std::string line(1024 * 1024, '\x01');
+    CHECK(AnswerStreamReader().Feed(EncodeRecord(AnswerChunk{line})).size() ==
+          1);
+    CHECK(AnswerStreamReader()
+              .Feed(EncodeRecord(
+                  AnswerHead{200, {{"name", line.substr(0, 65536)}}}))
+              .size() == 1);
+  }
+  SUBCASE("an end of many small values isn't parsed") {
+    std::string values = "[\"\",1,2,3";
+    for (size_t i = 0; i < base::kMaxForeignValues; ++i) {
+      values += ",0";
+    }
+    std::string bytes = EncodeRecord(AnswerChunk{values + "]"});
+    bytes[0] = 'E';
+    CHECK_THROWS_AS(AnswerStreamReader().Feed(bytes), base::Error);
+  }
 }
 
 }  // namespace carawayvalve::core
