Log and count attempts that end with their request

Operators saw attempt_sent and nothing more of an attempt that ran into its request's deadline (162 attempts sent and one ended in one gateway's log), so that a backend server without an answer couldn't be told from a slow one.

Cause: attempt_ended was written only where another attempt may follow. Attempts that end at the deadline, at a stop or with their caller are now written and counted too, with outcomes of their own; the line has the status and the bytes received of the answer.

--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -127,12 +127,11 @@
 }
 
 void BackendCall::On(const net::CallBody& event) {
-  if (this->head.declined || !this->head.genuine) {
-    this->unusable_bytes += event.data.size();
-    if (this->unusable_bytes > kMaxUnusableBytes) {
-      this->GiveUpUnusable();
-      return;
-    }
+  this->received_bytes += event.data.size();
+  const bool unusable = this->head.declined || !this->head.genuine;
+  if (unusable && this->received_bytes > kMaxUnusableBytes) {
+    this->GiveUpUnusable();
+    return;
   }
   if (this->head.declined) {
     return;
--- a/gateway/src/backend_call.h
+++ b/gateway/src/backend_call.h
@@ -53,6 +53,14 @@
                                   BackendAnswerDone,
                                   BackendCallFailed>;
 
+// How far an answer has come.
+struct BackendAnswerProgress {
+  // 0 before the head was received.
+  int status = 0;
+  // Received of the body.
+  size_t bytes = 0;
+};
+
 // The target of a call, its order and its estimated load and time.
 struct BackendCallPlan {
   core::BackendEntry backend;
@@ -92,6 +100,9 @@
   const BackendCallPlan& plan() const { return this->call_plan; }
   // When the call was started or, later, when the request was sent.
   base::Instant sent_at() const { return this->sent; }
+  BackendAnswerProgress answer() const {
+    return {this->status, this->received_bytes};
+  }
   // Returns the time after which a backend server that hasn't sent any data
   // counts as silent.
   static base::Duration FirstDataTimeout(base::Duration expected);
@@ -132,7 +143,7 @@
   int status = 0;
   net::BodyFraming framing = net::BodyFraming::kLength;
   core::AnswerCompleteness completeness;
-  size_t unusable_bytes = 0;
+  size_t received_bytes = 0;
   net::Timer declined_timer;
   bool got_data = false;
   bool end_recorded = false;
--- a/gateway/src/request_answer.cc
+++ b/gateway/src/request_answer.cc
@@ -55,6 +55,7 @@
   if (this->ended) {
     return;
   }
+  this->LogAttemptCutOff("caller_left", "the caller closed the connection");
   this->End(kNoStatus, "caller_left");
 }
 
@@ -199,6 +200,8 @@
                                    const std::string& reason) {
   const std::string backend =
       this->call == nullptr ? "" : this->call->plan().backend.id.value;
+  const BackendAnswerProgress answer =
+      this->call == nullptr ? BackendAnswerProgress{} : this->call->answer();
   this->context.metrics.CountAttempt(kind);
   this->context.journal.Write(
       base::LogLevel::kInfo, "attempt_ended",
@@ -206,12 +209,21 @@
        {"backend", backend},
        {"outcome", kind},
        {"reason", reason},
+       {"status", answer.status},
+       {"received_bytes", answer.bytes},
        {"framing", this->FramingName()},
        {"events", this->splitter.event_count()},
        {"incomplete_bytes", this->splitter.incomplete().size()},
        {"age_ms", this->AgeMs(base::Now())}});
 }
 
+void RequestHandler::LogAttemptCutOff(const char* kind,
+                                      const std::string& reason) {
+  if (this->call != nullptr) {
+    this->LogAttemptEnd(kind, reason);
+  }
+}
+
 const char* RequestHandler::FramingName() const {
   return this->head.status == 0 ? "none" : net::NameOf(this->framing);
 }
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -134,6 +134,9 @@
   void CountUsage(base::Instant at);
   // Also counts the end in the metrics, by `kind`, of which there must be few.
   void LogAttemptEnd(const char* kind, const std::string& reason);
+  // Does the same for an attempt in progress, if there is one, that ends with
+  // its request.
+  void LogAttemptCutOff(const char* kind, const std::string& reason);
   // Returns how the end of the current answer is marked, "none" before its
   // head.
   const char* FramingName() const;
--- a/gateway/src/request_stop.cc
+++ b/gateway/src/request_stop.cc
@@ -50,10 +50,16 @@
       this->StartDeadlineTimer(this->deadline);
       return;
     }
+    this->LogAttemptCutOff("deadline", "the request's deadline has passed");
     this->exchange->Abort();
     this->End(kNoStatus, "broken_off_at_deadline");
     return;
   }
+  if (base::Now() < this->deadline) {
+    this->LogAttemptCutOff("stop", "this gateway stops");
+  } else {
+    this->LogAttemptCutOff("deadline", "the request's deadline has passed");
+  }
   if (this->progress.may_have_run) {
     this->Refuse(kTimeout, "no answer within the time allowed", false);
   } else {
