LOST: don't count comments and empty lines as an answer

Cause: any byte of a body counted as progress of an answer, for health, speeds, silence and the retry of an attempt without an answer, and was passed on. Class: what is received is taken for what was asked for.

- An event stream comes on with the end of an event that has a field.
More than 64 KB beside events ends the attempt, as a failure of the server.
- Comments and empty lines go to the caller with the event after them, or at the end of the stream, so that the bytes are the server's.
- A head alone is nothing received: a server with heads and comments alone is silent.
Refusals and complete answers are received.
- A body other than events counts as an answer when it is complete; until then it ended the server's failures, though each was dropped later.
- A body without a signature, and a stream that holds something else than events, are failures of the server.

--- a/core/include/carawayvalve/core/answer_completeness.h
+++ b/core/include/carawayvalve/core/answer_completeness.h
@@ -11,7 +11,8 @@
 // Judges whether an answer is complete whose transfer ended without an error. A
 // backend server that crashes may close its connection in order, which also
 // ends a body that has neither a length nor chunks. An event stream is complete
-// only between two events.
+// only between two events. What it sends beside events, such as comments, isn't
+// an answer.
 class AnswerCompleteness {
  public:
   // Any body is complete.
@@ -24,23 +25,40 @@
                      bool expects_events,
                      bool ends_with_connection);
 
-  // Reads the next bytes of the body.
-  void Feed(std::string_view data);
+  // Reads the next bytes of the body. Returns whether they bring the answer on:
+  // any bytes do, but those of an event stream only with the end of an event.
+  bool Feed(std::string_view data);
 
-  // Returns why the body read so far isn't complete, nothing if it is.
+  // Returns why the body can't become complete any more, nothing if it can.
+  std::optional<std::string> FaultSoFar() const;
+  // Returns why the body, if it ends here, isn't complete, nothing if it is.
   std::optional<std::string> Fault() const;
 
+  bool is_event_stream() const { return this->event_stream; }
+
  private:
-  void EndLine();
+  // Returns whether the line ends an event.
+  bool EndLine();
+  void ReadInLine(char byte);
+  void NoteName();
 
-  bool is_event_stream = false;
+  bool event_stream = false;
   bool ends_with_connection = false;
   // The event being read has a line that isn't a comment.
   bool event_begun = false;
+  // It has a field.
+  bool has_field = false;
   bool event_ended = false;
+  // Received since the last event, and before a field of the next one.
+  size_t bytes_beside_events = 0;
+  bool too_much_beside_events = false;
   // The line being read.
   bool line_begun = false;
   bool line_is_comment = false;
+  bool name_read = false;
+  // Its first bytes before a colon.
+  std::string name;
+  bool first_line = true;
   bool last_was_cr = false;
 };
 
--- a/core/include/carawayvalve/core/server_sent_event_splitter.h
+++ b/core/include/carawayvalve/core/server_sent_event_splitter.h
@@ -14,6 +14,8 @@
 
 // Splits a stream of server-sent events into complete events, so that a caller
 // never receives part of an event from a backend server that breaks off.
+// Comments and empty lines before an event belong to it: alone they show
+// nothing of an answer.
 class ServerSentEventSplitter {
  public:
   // Returns whether a complete event belongs to the stream.
@@ -24,7 +26,8 @@
   std::string Feed(
       std::string_view data,
       const Accept& accept = [](std::string_view) { return true; });
-  // Returns and discards the incomplete event at the end of the stream.
+  // Returns and discards the incomplete event at the end of the stream, with
+  // the comments before it.
   std::string TakeIncomplete();
 
   // The last id that a complete event carried, if any.
@@ -38,6 +41,8 @@
   void RecordEvent(std::string_view event);
 
   std::string pending;
+  // The bytes of complete blocks of comments at the beginning of it.
+  size_t comment_size = 0;
   std::optional<std::string> id;
   int64_t count = 0;
 };
--- a/core/src/server_sent_event_splitter.cc
+++ b/core/src/server_sent_event_splitter.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "carawayvalve/core/event_content.h"
+
 namespace carawayvalve::core {
 
 namespace {
@@ -27,28 +29,37 @@
 std::string ServerSentEventSplitter::Feed(std::string_view data,
                                           const Accept& accept) {
   // An event that never ends isn't searched again from its beginning.
-  const size_t begin = this->pending.size() < kMaxEndBytes
-                           ? 0
-                           : this->pending.size() - kMaxEndBytes + 1;
+  const size_t searched = this->pending.size() < kMaxEndBytes
+                              ? 0
+                              : this->pending.size() - kMaxEndBytes + 1;
+  size_t block_begin = this->comment_size;
+  const size_t begin = std::max(searched, block_begin);
   this->pending += data;
   size_t complete_size = 0;
   for (size_t end = FindEventEnd(this->pending, begin);
        end != std::string::npos; end = FindEventEnd(this->pending, end)) {
+    const std::string_view text(this->pending);
+    const std::string_view block = text.substr(block_begin, end - block_begin);
+    if (ContentOf(block) == EventContent::kComments) {
+      block_begin = end;
+      continue;
+    }
     const std::string_view event =
-        std::string_view(this->pending)
-            .substr(complete_size, end - complete_size);
+        text.substr(complete_size, end - complete_size);
     if (!accept(event)) {
       break;
     }
     this->RecordEvent(event);
-    complete_size = end;
+    complete_size = block_begin = end;
   }
+  this->comment_size = block_begin - complete_size;
   std::string events = this->pending.substr(0, complete_size);
   this->pending.erase(0, complete_size);
   return events;
 }
 
 std::string ServerSentEventSplitter::TakeIncomplete() {
+  this->comment_size = 0;
   return std::exchange(this->pending, {});
 }
 
--- a/core/src/stream_continuity.cc
+++ b/core/src/stream_continuity.cc
@@ -1,9 +1,8 @@
 #include "carawayvalve/core/stream_continuity.h"
 
-#include <algorithm>
-#include <array>
 #include <charconv>
 
+#include "carawayvalve/core/event_content.h"
 #include "carawayvalve/core/media_type.h"
 #include "carawayvalve/core/server_sent_event_splitter.h"
 
@@ -11,12 +10,6 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> kEventFields = {"data", "event", "id",
-                                                          "retry"};
-
-// May stand before the first event of a stream.
-constexpr std::string_view kByteOrderMark = "\xef\xbb\xbf";
-
 std::optional<int64_t> NumberOf(std::string_view id) {
   int64_t number = 0;
   const char* end = id.data() + id.size();
@@ -26,31 +19,6 @@
              : std::nullopt;
 }
 
-enum class Content { kOther, kComments, kEvent };
-
-// Returns what a block of lines is to a reader of events.
-Content ContentOf(std::string_view block) {
-  if (block.starts_with(kByteOrderMark)) {
-    block.remove_prefix(kByteOrderMark.size());
-  }
-  Content content = Content::kComments;
-  while (!block.empty()) {
-    const size_t end = std::min(block.find_first_of("\r\n"), block.size());
-    const std::string_view line = block.substr(0, end);
-    block.remove_prefix(std::min(end + 1, block.size()));
-    const std::string_view name = line.substr(0, line.find(':'));
-    if (std::find(kEventFields.begin(), kEventFields.end(), name) !=
-        kEventFields.end()) {
-      return Content::kEvent;
-    }
-    // The name of a comment is empty.
-    if (!name.empty()) {
-      content = Content::kOther;
-    }
-  }
-  return content;
-}
-
 }  // namespace
 
 std::optional<std::string> StreamContinuity::BeginRun(
@@ -75,11 +43,11 @@
     this->has_begun = this->has_events = true;
     return std::nullopt;
   }
-  const Content content = ContentOf(event);
-  if (content == Content::kOther) {
+  const EventContent content = ContentOf(event);
+  if (content == EventContent::kOther) {
     return "the stream holds something that isn't an event";
   }
-  if (content == Content::kComments) {
+  if (content == EventContent::kComments) {
     this->has_begun = true;
     return std::nullopt;
   }
--- a/core/tests/answer_completeness_test.cc
+++ b/core/tests/answer_completeness_test.cc
@@ -48,10 +48,61 @@
   }
 }
 
+// Guards against a backend server that sends comments or empty lines without
+// end, and counts as one that answers.
+TEST_CASE("what an event stream sends beside events doesn't bring it on") {
+  AnswerCompleteness answer(kEventStream, false, false);
+  const auto fill = [&](const std::string& unit, size_t bytes) {
+    bool brought_on = false;
+    for (size_t sent = 0; sent < bytes; sent += unit.size()) {
+      brought_on = answer.Feed(unit) || brought_on;
+    }
+    return brought_on;
+  };
+  constexpr size_t kMaxBytes = size_t{64} * 1024;
+
+  SUBCASE("only the end of an event does") {
+    for (const char* text : {": soon\n", "\n\n", "\r\n", "data", ":", " a\n"}) {
+      CAPTURE(text);
+      CHECK_FALSE(answer.Feed(text));
+    }
+    CHECK(answer.Feed("\n"));
+    CHECK_FALSE(answer.Feed("\n"));
+    CHECK(answer.Feed("id\r\r"));
+  }
+  SUBCASE("a byte order mark may stand before the first event") {
+    CHECK(answer.Feed("\357\273\277data: a\n\n"));
+    CHECK_FALSE(answer.Feed("\357\273\277data: a\n\n"));
+  }
+  SUBCASE("it is bounded between two events") {
+    for (const char* unit : {": x\n\n", ": x\n", "\n", "\r\n", ":", "error\n\n",
+                             "x", "\357\273\277"}) {
+      CAPTURE(unit);
+      answer = AnswerCompleteness(kEventStream, false, false);
+      CHECK_FALSE(fill(unit, kMaxBytes - 8));
+      CHECK_FALSE(answer.FaultSoFar().has_value());
+      CHECK_FALSE(fill(unit, 16));
+      CHECK(answer.FaultSoFar().has_value());
+    }
+  }
+  SUBCASE("any number of events may have some before them") {
+    for (int i = 0; i < 100; ++i) {
+      CHECK(fill(": some\n\ndata: a\n\n", kMaxBytes / 10));
+    }
+    CHECK_FALSE(answer.FaultSoFar().has_value());
+  }
+  SUBCASE("an event may be longer") {
+    answer.Feed("data: ");
+    CHECK_FALSE(fill("x", 2 * kMaxBytes));
+    CHECK_FALSE(answer.FaultSoFar().has_value());
+    CHECK(answer.Feed("\n\n"));
+  }
+}
+
 TEST_CASE("AnswerCompleteness of other answers") {
   SUBCASE("any end is the end") {
     AnswerCompleteness answer("application/json", true, true);
-    answer.Feed("{\"half\":");
+    CHECK(answer.Feed("{\"half\":"));
     CHECK_FALSE(answer.Fault().has_value());
   }
   SUBCASE("without a content type, what was expected decides") {
--- a/core/tests/server_sent_event_splitter_test.cc
+++ b/core/tests/server_sent_event_splitter_test.cc
@@ -40,6 +40,18 @@
     CHECK(base::Now() - begun < std::chrono::seconds(2));
     CHECK(splitter.incomplete().size() == 4096 * piece.size());
   }
+  SUBCASE("keeps comments and empty lines until the event after them") {
+    CHECK(splitter.Feed(": soon\n\n\n\n") == "");
+    CHECK(splitter.Feed(":\r\n\r\nid: 1\n") == "");
+    CHECK(splitter.event_count() == 0);
+    CHECK(splitter.Feed("\n: on\n\n") == ": soon\n\n\n\n:\r\n\r\nid: 1\n\n");
+    CHECK(splitter.event_count() == 1);
+    CHECK(splitter.TakeIncomplete() == ": on\n\n");
+    CHECK(splitter.Feed("id: 2\n\n") == "id: 2\n\n");
+  }
+  SUBCASE("passes a text in another format on as it is") {
+    CHECK(splitter.Feed("{\"a\": 1}\n\n{\"b\"") == "{\"a\": 1}\n\n");
+  }
   SUBCASE("an incomplete event doesn't change the last id") {
     splitter.Feed("id: 1\ndata: a\n\nid: 2\n");
     CHECK(splitter.last_event_id() == "1");
@@ -51,7 +63,8 @@
 TEST_CASE("splitting neither loses nor adds bytes") {
   CHECK(rc::check("for any chunk sizes", [] {
     const std::string stream =
-        "id: 1\ndata: one\n\nversion: 2\nid: 2\ndata: two\n\ndata: none\n\n";
+        ": soon\n\n\nid: 1\ndata: one\n\n:\n\nversion: 2\nid: 2\ndata: two\n\n"
+        "data: none\n\n: end\n\n";
     ServerSentEventSplitter splitter;
     std::string passed;
     size_t at = 0;
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -19,8 +19,8 @@
 // Engines produce an event of several tokens within 100 ms even with many
 // streams, and callers count pauses of 400 ms as late.
 constexpr base::Milliseconds kNextDataTimeout(400);
-// What an answer without use for the caller may send, and how long one that
-// declines may take to end. Beyond it the connection isn't worth keeping.
+// What an answer that isn't passed on may send, and how long one that declines
+// may take to end. Beyond it the connection isn't worth keeping.
 constexpr size_t kMaxUnusableBytes = size_t{64} * 1024;
 constexpr base::Milliseconds kDeclinedBodyTimeout(250);
 
@@ -41,11 +41,8 @@
   this->silence_ticket = context.state.silence.NoteSent(
       plan.backend.id, FirstDataTimeout(plan.expected), this->sent);
   this->context.on_load_changed();
-  this->context.NoteBackendRequest(
-      plan.backend.id,
-      std::holds_alternative<platform::PrefillOnly>(plan.order.stage)
-          ? "prefill"
-          : "attempt");
+  this->context.NoteBackendRequest(plan.backend.id,
+                                   plan.IsPrefill() ? "prefill" : "attempt");
   net::CallOptions options;
   options.connect_timeout = kConnectTimeout;
   options.echo = platform::RequestIdField(caller);
@@ -97,8 +94,6 @@
 }
 
 void BackendCall::On(const net::CallHead& event) {
-  this->context.state.silence.NoteReceived(this->call_plan.backend.id,
-                                           base::Now());
   this->head = this->context.NoteBackendHead(this->call_plan.backend,
                                              event.head, this->sent);
   this->status = event.head.status;
@@ -109,8 +104,10 @@
       this->call_plan.expects_events && this->status == kOk,
       event.framing == net::BodyFraming::kConnectionClose);
   if (this->head.declined) {
-    this->declined_timer.Start(kDeclinedBodyTimeout,
-                               [this] { this->GiveUpUnusable(); });
+    this->NoteReceived();
+    this->declined_timer.Start(kDeclinedBodyTimeout, [this] {
+      this->GiveUp("a refusal doesn't end");
+    });
   }
   // Only a genuine answer counts as begun. The body of a declined request isn't
   // used.
@@ -120,49 +117,73 @@
   this->Notify(BackendAnswerBegun{event.head, event.framing});
 }
 
-void BackendCall::GiveUpUnusable() {
+void BackendCall::GiveUp(const std::string& reason) {
   this->call->Cancel();
-  this->On(net::CallFailed{false, false, false,
-                           "an answer without use doesn't end"});
+  this->On(net::CallFailed{false, false, false, reason});
+}
+
+bool BackendCall::IsUsable() const {
+  return !this->head.declined &&
+         (this->head.genuine || this->call_plan.IsPrefill());
+}
+
+void BackendCall::NoteReceived() {
+  this->context.state.silence.NoteReceived(this->call_plan.backend.id,
+                                           base::Now());
 }
 
 void BackendCall::On(const net::CallBody& event) {
   this->received_bytes += event.data.size();
-  const bool unusable = this->head.declined || !this->head.genuine;
-  if (unusable && this->received_bytes > kMaxUnusableBytes) {
-    this->GiveUpUnusable();
+  const bool for_caller = this->IsUsable() && !this->call_plan.IsPrefill();
+  if (!for_caller && this->received_bytes > kMaxUnusableBytes) {
+    this->GiveUp("an answer without use doesn't end");
     return;
   }
-  if (this->head.declined) {
+  if (!this->IsUsable()) {
     return;
   }
-  this->completeness.Feed(event.data);
-  this->context.state.silence.NoteReceived(this->call_plan.backend.id,
-                                           base::Now());
-  if (!this->got_data) {
-    this->NoteFirstData();
+  if (this->completeness.Feed(event.data)) {
+    this->NoteProgress();
+  }
+  if (const auto fault = this->completeness.FaultSoFar()) {
+    this->GiveUp(*fault);
+    return;
   }
-  // Data is passed on even if the head isn't genuine: answers that don't go to
-  // the caller, such as those to PrefillOnly, carry no signature.
   this->Notify(BackendAnswerData{event.data});
 }
 
-void BackendCall::NoteFirstData() {
-  this->got_data = true;
+// A server that hangs, or that sends something beside its answers, may send
+// heads and comments for ever: only what brings an answer on counts.
+void BackendCall::NoteProgress() {
+  this->NoteReceived();
+  if (this->first_data_time.has_value()) {
+    return;
+  }
+  this->first_data_time = base::Now() - this->sent;
   GatewayState& state = this->context.state;
   state.load.NotePrefilled(this->ticket);
   this->context.on_load_changed();
   state.silence.SetTimeout(this->call_plan.backend.id, this->silence_ticket,
                            NextDataTimeout());
-  if (this->status < kServerError) {
-    const base::Instant now = base::Now();
-    state.health.NoteAnswer(this->call_plan.backend.id, now - this->sent,
-                            this->call_plan.at_full_speed, now);
-    state.reported_load.NoteAnswer(this->call_plan.backend.id, now - this->sent,
-                                   this->call_plan.at_full_speed, now);
-    if (const auto observed = this->ObserveFirstData(now - this->sent)) {
-      this->context.NoteSpeed(this->call_plan.backend, *observed);
-    }
+  // Whether any other body is an answer shows only at its end.
+  if (this->completeness.is_event_stream()) {
+    this->NoteAnswer();
+  }
+}
+
+void BackendCall::NoteAnswer() {
+  if (!this->first_data_time.has_value() || this->status >= kServerError) {
+    return;
+  }
+  GatewayState& state = this->context.state;
+  const base::Instant now = base::Now();
+  const base::Duration time = *this->first_data_time;
+  state.health.NoteAnswer(this->call_plan.backend.id, time,
+                          this->call_plan.at_full_speed, now);
+  state.reported_load.NoteAnswer(this->call_plan.backend.id, time,
+                                 this->call_plan.at_full_speed, now);
+  if (const auto observed = this->ObserveFirstData(time)) {
+    this->context.NoteSpeed(this->call_plan.backend, *observed);
   }
 }
 
@@ -174,7 +195,7 @@
     return core::PlainAnswerObserved{plan.requests_ahead, plan.backend.slots,
                                      time};
   }
-  if (std::holds_alternative<platform::PrefillOnly>(plan.order.stage)) {
+  if (plan.IsPrefill()) {
     // With more ahead than its own work, the time tells mostly of others.
     if (plan.order.copy_from.has_value() ||
         plan.tokens_ahead > plan.prefill_work) {
@@ -191,8 +212,7 @@
 void BackendCall::NoteSlotTime() {
   const bool held_slot = this->call_plan.kv_tokens > 0 &&
                          this->status < kServerError &&
-                         !std::holds_alternative<platform::PrefillOnly>(
-                             this->call_plan.order.stage);
+                         !this->call_plan.IsPrefill();
   if (held_slot) {
     this->context.NoteSpeed(this->call_plan.backend,
                             core::SlotTimeObserved{base::Now() - this->sent});
@@ -225,10 +245,17 @@
     this->Notify(BackendDeclined{this->status});
     return;
   }
-  if (this->status >= kServerError && !this->head.wait.has_value()) {
+  const bool failed =
+      this->status >= kServerError && !this->head.wait.has_value();
+  if (failed || !this->IsUsable()) {
     health.NoteFailure(id, now);
+  } else {
+    this->NoteReceived();
+    this->NoteSlotTime();
+    if (!this->completeness.is_event_stream()) {
+      this->NoteAnswer();
+    }
   }
-  this->NoteSlotTime();
   this->Notify(BackendAnswerDone{});
 }
 
--- a/gateway/src/backend_call.h
+++ b/gateway/src/backend_call.h
@@ -77,6 +77,10 @@
   base::Duration at_full_speed{};
   // A successful answer is an event stream unless its content type differs.
   bool expects_events = false;
+
+  bool IsPrefill() const {
+    return std::holds_alternative<platform::PrefillOnly>(this->order.stage);
+  }
 };
 
 // Sends one request to one backend server and records its effect on the backend
@@ -118,9 +122,16 @@
   void On(const net::CallBody& event);
   void On(const net::CallDone& event);
   void On(const net::CallFailed& event);
-  // Ends a call whose answer can't be used and doesn't end.
-  void GiveUpUnusable();
-  void NoteFirstData();
+  // Ends a call whose answer isn't worth waiting for.
+  void GiveUp(const std::string& reason);
+  // Returns whether the body is read. Answers that don't go to the caller, such
+  // as those to PrefillOnly, carry no signature.
+  bool IsUsable() const;
+  void NoteReceived();
+  // Records that the answer has come on.
+  void NoteProgress();
+  // Records the speed of an answer, which ends the backend server's failures.
+  void NoteAnswer();
   // Returns what the time to the first data tells of the service's speed.
   std::optional<core::SpeedObservation> ObserveFirstData(
       base::Duration time) const;
@@ -145,7 +156,7 @@
   core::AnswerCompleteness completeness;
   size_t received_bytes = 0;
   net::Timer declined_timer;
-  bool got_data = false;
+  std::optional<base::Duration> first_data_time;
   bool end_recorded = false;
 };
 
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -325,10 +325,16 @@
   const auto fault = this->continuity.BeginRun(
       type == nullptr ? std::nullopt : std::optional(*type));
   if (fault.has_value()) {
-    this->EndAttempt(core::AttemptInterrupted{}, *fault);
+    this->RejectAnswer(*fault);
   }
 }
 
+void RequestHandler::RejectAnswer(const std::string& reason) {
+  this->context.state.health.NoteFailure(this->call->plan().backend.id,
+                                         base::Now());
+  this->EndAttempt(core::AttemptInterrupted{}, reason);
+}
+
 void RequestHandler::On(const BackendAnswerData& event) {
   // Without the server's own head there is nothing to pass on.
   if (this->head.status == 0) {
@@ -353,11 +359,8 @@
   if (this->ended || this->call == nullptr || attempt != this->attempt_number) {
     return;
   }
-  this->context.state.health.NoteFailure(this->call->plan().backend.id,
-                                         base::Now());
   this->body = {};
-  this->EndAttempt(core::AttemptInterrupted{},
-                   "the answer needs more memory than there is");
+  this->RejectAnswer("the answer needs more memory than there is");
 }
 
 void RequestHandler::OnEvents(const std::string& data) {
@@ -373,7 +376,7 @@
     this->SendEvents(events, received);
   }
   if (fault.has_value() && !this->ended && this->call != nullptr) {
-    this->EndAttempt(core::AttemptInterrupted{}, *fault);
+    this->RejectAnswer(*fault);
   }
 }
 
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -107,6 +107,9 @@
   void CountBuffered();
   // Ends the attempt with this number, whose answer was dropped.
   void OnAnswerDropped(int64_t attempt);
+  // Ends the attempt, whose backend server answers with something else than
+  // what it was asked for.
+  void RejectAnswer(const std::string& reason);
   void OnCompleteAnswer();
   void OnOverdue();
   void OnNotSent(const std::string& reason);
--- /dev/null
+++ b/gateway/tests/spoilt_answer_test.cc
@@ -0,0 +1,108 @@
+// Guards against a backend server whose answers are none, but begin at once, so
+// that it seems to be the fastest one and gets the requests of all others.
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "../../systems/tests/answer_server.h"
+#include "request_fixture.h"
+
+namespace carawayvalve::gateway {
+
+using config::EngineRole;
+
+namespace {
+
+constexpr int kRequests = 6;
+// Of these; an even share is half of them.
+constexpr size_t kMaxSpoilt = 2;
+
+struct SpoiltAnswer {
+  std::string name;
+  std::string bytes;
+};
+
+std::string Repeat(const std::string& unit, size_t bytes) {
+  std::string text;
+  while (text.size() < bytes) {
+    text += unit;
+  }
+  return text;
+}
+
+std::vector<SpoiltAnswer> SpoiltAnswers() {
+  const std::string events =
+      tests::AnswerHead("Content-Type: text/event-stream\r\n");
+  constexpr size_t kMuch = size_t{200} * 1024;
+  constexpr size_t kEndless = 2 * kTestBufferBytes;
+  return {
+      {"a head alone", events},
+      {"comments", events + ": soon\n\n: soon\n\n"},
+      {"empty lines", events + "\n\n\n\n"},
+      {"much of comments", events + Repeat(": x\n\n", kMuch)},
+      {"much of empty lines", events + Repeat("\r\n", kMuch)},
+      {"a line without end", events + Repeat("x", kMuch)},
+      {"one event without end", events + "data: " + Repeat("x", kEndless)},
+      {"a body without end", tests::AnswerHead("Content-Type: text/plain\r\n") +
+                                 Repeat("x", kEndless)},
+      {"an answer without a signature",
+       tests::UnsignedHead("Content-Length: 4\r\n") + "text"},
+  };
+}
+
+// A server that spoils every answer, and a sound one with more work in hand.
+struct SpoiltFixture : RequestFixture {
+  SpoiltFixture(const SpoiltAnswer& answer, int64_t max_attempts)
+      : RequestFixture(max_attempts, kSlackOfManyRetries),
+        spoiling(std::vector<systems::Reply>(kRequests, {answer.bytes, true})) {
+    this->Add("spoiling", base::ParseAddress(this->spoiling.Address()).port,
+              EngineRole::kDecode);
+    this->Add("sound", this->sound.port(), EngineRole::kDecode);
+    this->gateway.state.load.NoteSent({"sound"}, {5, 0, 1000});
+  }
+
+  systems::AnswerServer spoiling;
+  tests::Backend sound{gateway.loop, {.id = "sound"}, runs};
+};
+
+}  // namespace
+
+TEST_CASE("a stream is answered by another server than one that spoils it") {
+  std::string events;
+  for (int number = 1; number <= tests::Backend::Settings().events; ++number) {
+    events += tests::StreamEvent("r1", number);
+  }
+  for (const SpoiltAnswer& answer : SpoiltAnswers()) {
+    CAPTURE(answer.name);
+    SpoiltFixture fixture(answer, 3);
+    fixture.SendRequest([](const std::string&) {});
+    CHECK(fixture.spoiling.Requests().size() == 1);
+    CHECK(fixture.status == 200);
+    CHECK(fixture.complete);
+    CHECK(fixture.body == events);
+  }
+}
+
+TEST_CASE("a server that spoils every answer soon gets no further request") {
+  config::ServingPlan plan = NotesPlan(1);
+  ++plan.version;
+  SUBCASE("of streams") {}
+  SUBCASE("of plain requests") {
+    plan.routes.front().kind = config::RequestKind::kNonIdempotent;
+    plan.routes.front().resumable = false;
+  }
+  // Ends an attempt without an event sooner.
+  plan.routes.front().timeout = base::Milliseconds(800);
+  for (const SpoiltAnswer& answer : SpoiltAnswers()) {
+    CAPTURE(answer.name);
+    SpoiltFixture fixture(answer, 1);
+    fixture.gateway.state.ApplyPlan(plan);
+    for (int sent = 0; sent < kRequests; ++sent) {
+      fixture.SendRequest([](const std::string&) {});
+    }
+    CHECK(fixture.spoiling.Requests().size() <= kMaxSpoilt);
+  }
+}
+
+}  // namespace carawayvalve::gateway
