--- a/gateway/src/backend_call.h
+++ b/gateway/src/backend_call.h
@@ -53,6 +53,14 @@
                                   BackendAnswerDone,
                                   BackendCallFailed>;
 
+// How far an answer has come.
+struct BackendAnswerProgress {
+  // 0 before the head was received.
+  int status = 0;
+  // Received of the body.
+  size_t bytes = 0;
+};
+
 // The target of a call, its order and its estimated load and time.
 struct BackendCallPlan {
   core::BackendEntry backend;
@@ -69,6 +77,10 @@
   base::Duration at_full_speed{};
   // A successful answer is an event stream unless its content type differs.
   bool expects_events = false;
+
+  bool IsPrefill() const {
+    return std::holds_alternative<platform::PrefillOnly>(this->order.stage);
+  }
 };
 
 // Sends one request to one backend server and records its effect on the backend
@@ -92,6 +104,9 @@
   const BackendCallPlan& plan() const { return this->call_plan; }
   // When the call was started or, later, when the request was sent.
   base::Instant sent_at() const { return this->sent; }
+  BackendAnswerProgress answer() const {
+    return {this->status, this->received_bytes};
+  }
   // Returns the time after which a backend server that hasn't sent any data
   // counts as silent.
   static base::Duration FirstDataTimeout(base::Duration expected);
@@ -107,9 +122,16 @@
   void On(const net::CallBody& event);
   void On(const net::CallDone& event);
   void On(const net::CallFailed& event);
-  // Ends a call whose answer can't be used and doesn't end.
-  void GiveUpUnusable();
-  void NoteFirstData();
+  // Ends a call whose answer isn't worth waiting for.
+  void GiveUp(const std::string& reason);
+  // Returns whether the body is read. Answers that don't go to the caller, such
+  // as those to PrefillOnly, carry no signature.
+  bool IsUsable() const;
+  void NoteReceived();
+  // Records that the answer has come on.
+  void NoteProgress();
+  // Records the speed of an answer, which ends the backend server's failures.
+  void NoteAnswer();
   // Returns what the time to the first data tells of the service's speed.
   std::optional<core::SpeedObservation> ObserveFirstData(
       base::Duration time) const;
@@ -132,9 +154,9 @@
   int status = 0;
   net::BodyFraming framing = net::BodyFraming::kLength;
   core::AnswerCompleteness completeness;
-  size_t unusable_bytes = 0;
+  size_t received_bytes = 0;
   net::Timer declined_timer;
-  bool got_data = false;
+  std::optional<base::Duration> first_data_time;
   bool end_recorded = false;
 };
 
