Wait for a port that another process uses

Callers saw a gateway, an entry process or an agent that didn't start: the platform restarted it, and counted it, until the port was free. For a gateway a taken metrics port, which is fixed and outside of the platform's range, cost the whole service.

Cause: each listener was opened once; its error ended the process with status 1. Class: a passing condition of the surroundings is taken for a fault of the process.

It isn't ready, uses no store and talks to no peers before callers, readiness and peers (TCP and datagrams) are all open, so a second process of one name stays out of the way of the first. Metrics aren't needed for service. `serve` and the agent wait at each of their listeners before anyone is told of them; their operators' port also answers the platform's probes, so it is needed. A stop request ends the wait with status 0. Only ListenError is waited for: an address that can't be parsed still ends the process.

--- a/agent/src/agent.cc
+++ b/agent/src/agent.cc
@@ -11,6 +11,7 @@
 #include "agent_handler.h"
 #include "attempt_service.h"
 #include "carawayvalve/base/crash_report.h"
+#include "carawayvalve/base/listen.h"
 #include "carawayvalve/base/log.h"
 #include "carawayvalve/base/stop_signal.h"
 #include "carawayvalve/systems/operator_server.h"
@@ -104,16 +105,20 @@
                            }});
   handler =
       std::make_shared<AgentHandler>(settings, boot, attempts, orders, usage);
-  {
+  try {
     RunnerThreads runners(attempts);
     runners.Start(settings);
     const LoadPoller load_poller(settings, *handler, attempts);
-    const wire::Server server(
-        "entry processes", settings.peer_address,
-        std::make_shared<wire::gen::AgentProcessor>(handler));
-    const systems::OperatorServer operator_server(
-        settings.operator_address,
-        OperatorPages(settings, *handler, attempts, usage));
+    const wire::Server server = base::OpenWhenFree(log, [&] {
+      return wire::Server("entry processes", settings.peer_address,
+                          std::make_shared<wire::gen::AgentProcessor>(handler));
+    });
+    const systems::OperatorServer operator_server =
+        base::OpenWhenFree(log, [&] {
+          return systems::OperatorServer(
+              settings.operator_address,
+              OperatorPages(settings, *handler, attempts, usage));
+        });
     log.Info("The agent serves.", {.peer = settings.peer_address});
 
     base::WaitForStopSignal();
@@ -129,6 +134,8 @@
     }
     WaitForUsageCollection(usage, until, log);
     attempts.Close();
+  } catch (const base::StoppedBeforeListening&) {
+    // Nothing has been accepted.
   }
   log.Info("The agent has stopped.");
   return 0;
--- a/agent/src/main.cc
+++ b/agent/src/main.cc
@@ -29,8 +29,10 @@
   --print-defaults  Print a settings file that explains every field.
   --help            Print this text.
 
-Exit codes: 0 done; 1 failed, or a listener can't be opened; 2 wrong command
-line; 3 faults in the settings, or the file can't be read.
+An address that is in use is waited for.
+
+Exit codes: 0 done; 1 failed; 2 wrong command line; 3 faults in the settings, or
+the file can't be read.
 )";
 
 constexpr int kExitDone = 0;
--- a/base/src/stop_signal.cc
+++ b/base/src/stop_signal.cc
@@ -1,6 +1,8 @@
 #include "carawayvalve/base/stop_signal.h"
 
+#include <chrono>
 #include <csignal>
+#include <ctime>
 
 namespace carawayvalve::base {
 
@@ -28,4 +30,14 @@
   sigwait(&signals, &received);
 }
 
+bool WaitForStopSignal(Milliseconds timeout) {
+  const sigset_t signals = StopSignals();
+  const auto whole_seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(timeout);
+  timespec wait{};
+  wait.tv_sec = whole_seconds.count();
+  wait.tv_nsec = std::chrono::nanoseconds(timeout - whole_seconds).count();
+  return sigtimedwait(&signals, nullptr, &wait) > 0;
+}
+
 }  // namespace carawayvalve::base
--- a/entry/src/caller_http_server.cc
+++ b/entry/src/caller_http_server.cc
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "carawayvalve/base/address.h"
-#include "carawayvalve/base/error.h"
+#include "carawayvalve/base/listen.h"
 
 namespace carawayvalve::entry {
 
@@ -241,7 +241,8 @@
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, limits.max_header_bytes,
       MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024U, MHD_OPTION_END);
   if (this->impl->daemon == nullptr) {
-    throw base::Error("listen for callers", address, "can't listen there");
+    throw base::ListenError("listen for callers", address,
+                            "can't listen there");
   }
 }
 
--- a/entry/src/caller_http_server.h
+++ b/entry/src/caller_http_server.h
@@ -28,7 +28,7 @@
   using Handler = std::function<void(const CallerRequest& request,
                                      std::shared_ptr<Exchange> exchange)>;
 
-  // Starts listening. Throws base::Error if that fails.
+  // Starts listening. Throws base::ListenError if that fails.
   CallerHttpServer(const std::string& address,
                    const Limits& limits,
                    Handler handler);
--- a/entry/src/serve.cc
+++ b/entry/src/serve.cc
@@ -8,6 +8,7 @@
 
 #include "caller_http_server.h"
 #include "carawayvalve/base/crash_report.h"
+#include "carawayvalve/base/listen.h"
 #include "carawayvalve/base/log.h"
 #include "carawayvalve/base/stop_signal.h"
 #include "carawayvalve/core/agent_selection.h"
@@ -97,9 +98,10 @@
   DutyTasks duty_tasks;
   DutyManager duty_manager;
   wire::Server peer_server;
-  HostListPoller hosts;
   CallerHttpServer callers;
   systems::OperatorServer operators;
+  // Last, as the other hosts may be told of this process only once it listens.
+  HostListPoller hosts;
 };
 
 EntryProcess::EntryProcess(const EntrySettings& settings)
@@ -135,22 +137,35 @@
                    [this](const core::Duty& duty) {
                      return this->duty_tasks.TaskFor(duty);
                    }),
-      peer_server(
-          "other entry processes",
-          settings.peer_address,
-          std::make_shared<wire::gen::EntryPeerProcessor>(
-              std::make_shared<PeerHandler>(this->PeerHandlerSources()))),
+      peer_server(base::OpenWhenFree(
+          log,
+          [this] {
+            return wire::Server(
+                "other entry processes", this->settings.peer_address,
+                std::make_shared<wire::gen::EntryPeerProcessor>(
+                    std::make_shared<PeerHandler>(this->PeerHandlerSources())));
+          })),
+      callers(base::OpenWhenFree(
+          log,
+          [this] {
+            return CallerHttpServer(
+                this->settings.callers_address,
+                CallerLimits(this->settings, this->admitter),
+                [this](const CallerRequest& request,
+                       const std::shared_ptr<Exchange>& exchange) {
+                  this->admitter.Handle(request, exchange);
+                });
+          })),
+      operators(base::OpenWhenFree(log,
+                                   [this] {
+                                     return systems::OperatorServer(
+                                         this->settings.operator_address,
+                                         OperatorPages(this->PageSources()));
+                                   })),
       hosts(settings.host_list_address,
             [this](const std::vector<systems::Host>& list) {
               this->SetHosts(list);
-            }),
-      callers(settings.callers_address,
-              CallerLimits(settings, admitter),
-              [this](const CallerRequest& request,
-                     const std::shared_ptr<Exchange>& exchange) {
-                this->admitter.Handle(request, exchange);
-              }),
-      operators(settings.operator_address, OperatorPages(this->PageSources())) {
+            }) {
   this->feed.Start(
       [this](const ConfigurationFeed::ConfigurationPtr& configuration) {
         this->SetConfiguration(configuration);
@@ -260,10 +275,12 @@
   base::BlockStopSignals();
   base::SetUpLog(settings.log_level);
   base::ReportCrashes(STDERR_FILENO);
-  {
+  try {
     EntryProcess process(settings);
     base::WaitForStopSignal();
     process.Drain();
+  } catch (const base::StoppedBeforeListening&) {
+    // Nothing has been accepted.
   }
   base::Log("entry").Info("The entry process has stopped.");
   return 0;
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -81,6 +81,10 @@
       peers(this->context, this->objects, this->feed),
       recent(this->context, this->objects, this->feed),
       duties(this->context, this->objects, this->recent),
+      callers_listener(this->loop, this->journal),
+      readiness_listener(this->loop, this->journal),
+      metrics_listener(this->loop, this->journal),
+      peers_listener(this->loop, this->journal),
       tick_timer(this->loop),
       stop_timer(this->loop) {
   this->objects.SetBudget(this->answers);
@@ -95,21 +99,64 @@
                       {{"host", this->settings.host.value},
                        {"boot", this->state.boot.value},
                        {"data_centre", this->settings.data_centre.value}});
-  this->callers = std::make_unique<net::HttpServer>(
-      this->loop, this->settings.listen.callers,
-      [this](const auto& exchange) { this->OnRequest(exchange); });
-  this->readiness = std::make_unique<net::HttpServer>(
-      this->loop, this->settings.listen.readiness,
-      [this](const auto& exchange) { this->OnReadiness(exchange); });
-  this->metrics_server = std::make_unique<net::HttpServer>(
-      this->loop, this->settings.listen.metrics,
-      [this](const auto& exchange) { this->OnMetrics(exchange); });
-  for (const auto& server :
-       {&this->callers, &this->readiness, &this->metrics_server}) {
-    (*server)->SetBudget(this->buffers);
-  }
   this->loop.OnSignals({SIGTERM, SIGINT, SIGHUP},
                        [this](int number) { this->OnSignal(number); });
+  this->Listen();
+  this->Tick();
+  this->loop.Run();
+  this->journal.Write(base::LogLevel::kInfo, "stopped", {});
+  this->journal.Flush();
+}
+
+void Gateway::Listen() {
+  const auto& addresses = this->settings.listen;
+  const auto on_open = [this] { this->JoinWhenListening(); };
+  this->readiness_listener.Start(
+      "readiness", addresses.readiness,
+      [this] {
+        this->readiness = this->OpenServer(
+            this->settings.listen.readiness,
+            [this](const auto& exchange) { this->OnReadiness(exchange); });
+      },
+      on_open);
+  this->metrics_listener.Start(
+      "metrics", addresses.metrics,
+      [this] {
+        this->metrics_server = this->OpenServer(
+            this->settings.listen.metrics,
+            [this](const auto& exchange) { this->OnMetrics(exchange); });
+      },
+      [] {});
+  this->peers_listener.Start(
+      "peers", addresses.peers, [this] { this->peers.Listen(); }, on_open);
+  this->callers_listener.Start(
+      "callers", addresses.callers,
+      [this] {
+        this->callers = this->OpenServer(
+            this->settings.listen.callers,
+            [this](const auto& exchange) { this->OnRequest(exchange); });
+      },
+      on_open);
+}
+
+std::unique_ptr<net::HttpServer> Gateway::OpenServer(
+    const base::Address& address,
+    net::HttpServer::Handler handler) {
+  auto server = std::make_unique<net::HttpServer>(this->loop, address,
+                                                  std::move(handler));
+  server->SetBudget(this->buffers);
+  return server;
+}
+
+void Gateway::JoinWhenListening() {
+  if (this->callers_listener.is_open() && this->readiness_listener.is_open() &&
+      this->peers_listener.is_open() && !this->state.stop.begun()) {
+    this->Join();
+  }
+}
+
+void Gateway::Join() {
+  this->joined = true;
   this->on_store_era = [this](int64_t era) { this->duties.NoteStoreEra(era); };
   this->feed.Start();
   this->peers.Start();
@@ -122,14 +169,22 @@
     this->recent.Read([done](bool /*is_complete*/) { done(); });
   });
   this->recent.Start();
-  this->Tick();
-  this->loop.Run();
-  this->journal.Write(base::LogLevel::kInfo, "stopped", {});
-  this->journal.Flush();
 }
 
 void Gateway::Tick() {
   this->tick_timer.Start(kTickInterval, [this] { this->Tick(); });
+  if (this->joined) {
+    this->TickJoined();
+  }
+  if (this->Ready() != this->was_ready) {
+    this->was_ready = !this->was_ready;
+    this->journal.Write(base::LogLevel::kInfo,
+                        this->was_ready ? "ready" : "not_ready", {});
+  }
+  this->journal.Flush();
+}
+
+void Gateway::TickJoined() {
   const base::Instant now = base::Now();
   this->state.wall_clock.RecordOwnTime(TimeOfDay(), now);
   this->feed.ExpireBackends();
@@ -160,12 +215,6 @@
     this->callers->SetLimits({limits.max_header_bytes, limits.max_body_bytes,
                               limits.header_timeout, limits.idle_timeout});
   }
-  if (this->Ready() != this->was_ready) {
-    this->was_ready = !this->was_ready;
-    this->journal.Write(base::LogLevel::kInfo,
-                        this->was_ready ? "ready" : "not_ready", {});
-  }
-  this->journal.Flush();
 }
 
 bool Gateway::Ready() const {
@@ -198,8 +247,10 @@
     return;
   }
   const base::Instant now = base::Now();
-  this->metrics.SetGauge("connections",
-                         static_cast<double>(this->callers->connections()));
+  this->metrics.SetGauge(
+      "connections", this->callers == nullptr
+                         ? 0
+                         : static_cast<double>(this->callers->connections()));
   this->metrics.SetGauge(
       "backend_connects",
       static_cast<double>(this->backends.connections_opened()));
@@ -344,6 +395,10 @@
   this->state.stop.Begin(kBalancerDrainTime,
                          this->state.settings.bounds.stop - kStopMargin,
                          base::Now());
+  if (!this->callers_listener.is_open()) {
+    this->FinishStop();
+    return;
+  }
   this->journal.Write(
       base::LogLevel::kInfo, "stopping",
       {{"connections", static_cast<int64_t>(this->callers->connections())}});
@@ -370,7 +425,9 @@
     this->journal.Write(base::LogLevel::kWarning, "stop_closes",
                         {{"phase", phase}, {"requests", count}});
   }
-  this->peers.Leave();
+  if (this->joined) {
+    this->peers.Leave();
+  }
   this->loop.Stop();
 }
 
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -10,6 +10,7 @@
 #include "carawayvalve/platform/objects.h"
 #include "context.h"
 #include "duty_holder.h"
+#include "listener.h"
 #include "peer_gossip.h"
 #include "recent_store.h"
 #include "store_feed.h"
@@ -25,9 +26,20 @@
   void Run();
 
  private:
+  // Opens the listeners. The metrics' one isn't needed for service.
+  void Listen();
+  std::unique_ptr<net::HttpServer> OpenServer(const base::Address& address,
+                                              net::HttpServer::Handler handler);
+  // Begins to use the store and to talk to peers once all listeners that are
+  // needed for service are open: before, another process may still run with
+  // this one's name.
+  void JoinWhenListening();
+  void Join();
   void OnSignal(int number);
   void Reload();
   void Tick();
+  // The part of Tick that needs the store and the peers.
+  void TickJoined();
   void BeginStop();
   void Stop();
   void FinishStop();
@@ -66,12 +78,17 @@
   std::unique_ptr<net::HttpServer> callers;
   std::unique_ptr<net::HttpServer> readiness;
   std::unique_ptr<net::HttpServer> metrics_server;
+  Listener callers_listener;
+  Listener readiness_listener;
+  Listener metrics_listener;
+  Listener peers_listener;
   net::Timer tick_timer;
   net::Timer stop_timer;
   int64_t plan_version = 0;
   // The usage window at the last tick.
   int64_t current_window = 0;
   bool was_ready = false;
+  bool joined = false;
 };
 
 }  // namespace carawayvalve::gateway
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -113,9 +113,9 @@
   this->client.SetBudget(context.answers);
 }
 
-void PeerGossip::Start() {
+void PeerGossip::Listen() {
   const base::Address& address = this->context.state.settings.listen.peers;
-  this->datagrams = std::make_unique<net::DatagramSocket>(
+  auto socket = std::make_unique<net::DatagramSocket>(
       this->context.loop, address,
       [this](const std::string& data, const base::Address& sender) {
         this->OnDatagram(data, sender);
@@ -126,6 +126,10 @@
         this->OnCall(exchange);
       });
   this->server->SetBudget(this->context.buffers);
+  this->datagrams = std::move(socket);
+}
+
+void PeerGossip::Start() {
   this->context.on_load_changed = [this] { this->OnLoadChanged(); };
   this->context.on_urgent_news = [this] {
     this->ScheduleUpdate(kUrgentNewsInterval);
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -35,6 +35,10 @@
              platform::ObjectClient& objects,
              StoreFeed& feed);
 
+  // Opens the ports for peers' datagrams and calls. Throws base::ListenError when
+  // it can't.
+  void Listen();
+  // Registers this gateway and begins to send. Follows Listen.
   void Start();
   // Tells the peers that this gateway stops.
   void Leave();
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -44,6 +44,7 @@
   for (int i = 0; i < kPorts; ++i) {
     port = static_cast<uint16_t>(kFirstPort + (getpid() * 64 + i) % kPorts);
     try {
+      gossip.Listen();
       gossip.Start();
       return;
     } catch (const base::Error&) {
--- a/net/include/carawayvalve/net/datagram_socket.h
+++ b/net/include/carawayvalve/net/datagram_socket.h
@@ -21,7 +21,7 @@
       std::function<void(const std::string& data, const base::Address& sender)>;
 
   // Binds to `address` and calls `handler` from the loop for each datagram
-  // received. Throws base::Error when binding fails.
+  // received. Throws base::ListenError when binding fails.
   DatagramSocket(EventLoop& loop,
                  const base::Address& address,
                  Handler handler);
--- a/net/include/carawayvalve/net/http_server.h
+++ b/net/include/carawayvalve/net/http_server.h
@@ -92,7 +92,7 @@
   };
   using Handler = std::function<void(std::shared_ptr<Exchange>)>;
 
-  // Starts listening on `address`. Throws base::Error when it can't.
+  // Starts listening on `address`. Throws base::ListenError when it can't.
   HttpServer(EventLoop& loop, const base::Address& address, Handler handler);
   ~HttpServer();
 
--- a/net/src/datagram_socket.cc
+++ b/net/src/datagram_socket.cc
@@ -3,7 +3,7 @@
 #include <array>
 #include <utility>
 
-#include "carawayvalve/base/error.h"
+#include "carawayvalve/base/listen.h"
 #include "loop_state.h"
 
 namespace carawayvalve::net {
@@ -57,9 +57,9 @@
     this->state->socket.bind(endpoint);
     this->state->socket.non_blocking(true);
   } catch (const boost::system::system_error& error) {
-    throw base::Error("bind datagrams",
-                      address.host + ":" + std::to_string(address.port),
-                      error.what());
+    throw base::ListenError("bind datagrams",
+                            address.host + ":" + std::to_string(address.port),
+                            error.what());
   }
   this->state->Receive();
 }
--- a/net/src/server_connection.cc
+++ b/net/src/server_connection.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "carawayvalve/base/error.h"
+#include "carawayvalve/base/listen.h"
 
 namespace carawayvalve::net::detail {
 
@@ -64,9 +64,9 @@
     this->acceptor.bind(endpoint);
     this->acceptor.listen(kBacklog);
   } catch (const boost::system::system_error& error) {
-    throw base::Error("listen",
-                      address.host + ":" + std::to_string(address.port),
-                      error.what());
+    throw base::ListenError("listen",
+                            address.host + ":" + std::to_string(address.port),
+                            error.what());
   }
 }
 
--- a/systems/include/carawayvalve/systems/operator_server.h
+++ b/systems/include/carawayvalve/systems/operator_server.h
@@ -22,7 +22,8 @@
   using Handler = std::function<OperatorAnswer()>;
 
   // Starts listening on `address`. `pages` maps paths to handlers, which run on
-  // the server's own thread. Throws base::Error when it can't listen.
+  // the server's own thread. Throws base::ListenError when it can't
+  // listen.
   OperatorServer(const std::string& address,
                  std::map<std::string, Handler> pages);
   ~OperatorServer();
--- a/systems/src/operator_server.cc
+++ b/systems/src/operator_server.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "carawayvalve/base/address.h"
-#include "carawayvalve/base/error.h"
+#include "carawayvalve/base/listen.h"
 
 namespace carawayvalve::systems {
 
@@ -86,7 +86,8 @@
                        MHD_OPTION_SOCK_ADDR, &at, MHD_OPTION_CONNECTION_TIMEOUT,
                        10U, MHD_OPTION_CONNECTION_LIMIT, 64U, MHD_OPTION_END);
   if (this->impl->daemon == nullptr) {
-    throw base::Error("listen for operators", address, "can't listen there");
+    throw base::ListenError("listen for operators", address,
+                            "can't listen there");
   }
 }
 
--- a/wire/include/carawayvalve/wire/server.h
+++ b/wire/include/carawayvalve/wire/server.h
@@ -15,7 +15,7 @@
 class Server {
  public:
   // Starts listening on `address`, a host and a port. `purpose` appears in
-  // errors. Throws base::Error when it can't listen.
+  // errors. Throws base::ListenError when it can't listen.
   Server(const std::string& purpose,
          const std::string& address,
          const std::shared_ptr<apache::thrift::TProcessor>& processor);
--- a/wire/src/server.cc
+++ b/wire/src/server.cc
@@ -10,7 +10,7 @@
 #include <thread>
 
 #include "carawayvalve/base/address.h"
-#include "carawayvalve/base/error.h"
+#include "carawayvalve/base/listen.h"
 #include "carawayvalve/wire/limits.h"
 #include "framing.h"
 #include "listening_socket.h"
@@ -70,7 +70,7 @@
   const std::string fault = signal->Wait();
   if (!fault.empty()) {
     this->impl->thread.join();
-    throw base::Error("listen for " + purpose, address, fault);
+    throw base::ListenError("listen for " + purpose, address, fault);
   }
 }
 
