FAULT: don't take a spoilt answer at an agent for a crash by its content

Callers of serve were refused for ten minutes with sound contents ("backend servers died while they ran this request") after a running engine or plain service had answered two requests of the same content with noise, a line or a header without end; parts that contents share can be blamed the same way.

Cause: an agent reported every answer that failed before its deadline as a crash of the backend server. Class: bytes that are no answer count as a sign of something else.

What can't be read (a line or a refusal that is too long or isn't JSON, headers that are too long) throws UnreadableAnswerError and ends the attempt as broken off, without a crash. A connection that breaks, also in order within a line, an output without its end and an unexpected status remain crashes.

Before: agent_tests -tc="Runner: an answer that can't be read is no crash" fails in 5 of 5 kinds. After: 16 of 16 cases of agent_tests and 18 of 18 of systems_tests pass. That contents are then refused is by the design of crash records (docs/DESIGN.md); no run with processes was made.

--- a/agent/src/runner.cc
+++ b/agent/src/runner.cc
@@ -66,6 +66,11 @@
   } catch (const base::NotReachedError& error) {
     this->log.Warn("The backend server was not reached.", context);
     this->attempts.MarkNotRun(job.attempt, "the backend server is down");
+  } catch (const base::UnreadableAnswerError& error) {
+    this->log.Warn(std::string("The answer can't be read: ") + error.what(),
+                   context);
+    this->attempts.Finish(job.attempt, core::AttemptOutcome::kBrokenOff,
+                          "the backend server's answer can't be read");
   } catch (const std::exception& error) {
     this->log.Warn(std::string("The attempt broke off: ") + error.what(),
                    context);
--- a/agent/tests/runner_test.cc
+++ b/agent/tests/runner_test.cc
@@ -133,4 +133,64 @@
   }
 }
 
+// Contents counted as the cause, and were refused for ten minutes after two.
+TEST_CASE("Runner: an answer that can't be read is no crash") {
+  AttemptService service({.slots = 1,
+                          .max_queued_per_account = 10,
+                          .retention = kLongTime,
+                          .on_crash = {}});
+  const auto run = [&](const Job& job, const std::string& answer) {
+    systems::AnswerServer backend({{answer, true}});
+    REQUIRE(service.Submit(job).accepted);
+    std::thread runner([&] { Runner(service, backend.Address()).Run(); });
+    const bool has_ended = WaitForEnd(service, {"a"});
+    service.Close();
+    runner.join();
+    REQUIRE(has_ended);
+  };
+  const std::string without_end(size_t{2} * 1024 * 1024, 'a');
+  const std::string chunks =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n200000\r\n";
+
+  SUBCASE("given a line without end of an engine") {
+    run(MakeGeneration("a"), chunks + without_end + "\r\n");
+  }
+  SUBCASE("given lines of an engine that aren't JSON") {
+    run(MakeGeneration("a"), chunks + "noise\n" + without_end);
+  }
+  SUBCASE("given a refusal without end of an engine") {
+    run(MakeGeneration("a"),
+        "HTTP/1.1 503 Busy\r\nContent-Length: 4000000\r\n\r\n" + without_end);
+  }
+  SUBCASE("given a header without end of an engine") {
+    run(MakeGeneration("a"), "HTTP/1.1 200 OK\r\nX-Other: " + without_end);
+  }
+  SUBCASE("given headers without end of a plain service") {
+    std::string fields;
+    while (fields.size() < without_end.size()) {
+      fields += "X-Other: value\r\n";
+    }
+    run(MakePlainCall("a"), "HTTP/1.1 200 OK\r\n" + fields);
+  }
+  CHECK(service.totals().broken_off == 1);
+  CHECK(service.RecentCrashes().empty());
+}
+
+// A crash may close the connection in order, in the middle of a line.
+TEST_CASE("Runner: a line of an engine that its connection cuts is a crash") {
+  AttemptService service({.slots = 1,
+                          .max_queued_per_account = 10,
+                          .retention = kLongTime,
+                          .on_crash = {}});
+  systems::AnswerServer engine(
+      {{"HTTP/1.1 200 OK\r\n\r\n{\"text\":\"a\"}\n{\"te", false}});
+  REQUIRE(service.Submit(MakeGeneration("a")).accepted);
+  std::thread runner([&] { Runner(service, engine.Address()).Run(); });
+  const bool has_ended = WaitForEnd(service, {"a"});
+  service.Close();
+  runner.join();
+  CHECK(has_ended);
+  CHECK(service.RecentCrashes().size() == 1);
+}
+
 }  // namespace carawayvalve::agent
--- a/base/include/carawayvalve/base/error.h
+++ b/base/include/carawayvalve/base/error.h
@@ -29,6 +29,13 @@
   using Error::Error;
 };
 
+// The peer sent what isn't an answer, so the step may or may not have taken
+// effect. No sign that the peer has crashed.
+class UnreadableAnswerError : public UnknownOutcomeError {
+ public:
+  using UnknownOutcomeError::UnknownOutcomeError;
+};
+
 // The peer was never reached, so the step had no effect.
 class NotReachedError : public Error {
  public:
--- a/systems/include/carawayvalve/systems/http_client.h
+++ b/systems/include/carawayvalve/systems/http_client.h
@@ -49,8 +49,9 @@
 
 // Performs one call and returns its answer, whatever its status. Throws
 // base::NotReachedError when no connection is established or the request is
-// invalid, and base::UnknownOutcomeError when the answer is missing or
-// incomplete. `step` names the call in errors.
+// invalid, base::UnreadableAnswerError when the headers of the answer are too
+// long, and base::UnknownOutcomeError when it is missing or incomplete. `step`
+// names the call in errors.
 HttpResponse HttpCall(const std::string& step, const HttpRequest& request);
 
 // Like HttpCall, but passes the answer to `sink` in chunks as it arrives.
--- a/systems/src/engine.cc
+++ b/systems/src/engine.cc
@@ -90,7 +90,8 @@
   if (!is_complete) {
     return GenerateResult::kCancelled;
   }
-  detail::ThrowUnreadable(site, "the output ended without its end line");
+  throw base::UnknownOutcomeError(site.step, site.peer,
+                                  "the output ended without its end line");
 }
 
 void Engine::Cancel(const std::string& id) const {
--- a/systems/src/engine_line.cc
+++ b/systems/src/engine_line.cc
@@ -61,8 +61,14 @@
 }
 
 void EngineOutputReader::Finish() {
-  if (!this->has_ended && !this->partial_line.empty()) {
+  if (this->has_ended || this->partial_line.empty()) {
+    return;
+  }
+  try {
     this->HandleLine(this->partial_line);
+  } catch (const base::UnreadableAnswerError& error) {
+    // The connection may have cut the line.
+    throw base::UnknownOutcomeError(error.step(), error.peer(), error.reason());
   }
 }
 
--- a/systems/src/http_client.cc
+++ b/systems/src/http_client.cc
@@ -134,6 +134,12 @@
   });
 }
 
+// Returns whether libcurl found one header too long for its own buffer, which
+// it reports as a lack of memory.
+bool IsHeaderTooLong(CURLcode code) {
+  return code == CURLE_OUT_OF_MEMORY;
+}
+
 // Rejects a request that would reach the peer in another form than given.
 void CheckRequest(const std::string& step, const HttpRequest& request) {
   const auto refuse = [&](const std::string& reason) {
@@ -226,10 +232,12 @@
   if (code == CURLE_OK && transfer.is_head_complete) {
     return true;
   }
-  const std::string reason = transfer.header_bytes > kMaxHeaderBytes
-                                 ? "its headers are too long"
-                             : details[0] == '\0' ? curl_easy_strerror(code)
-                                                  : details.data();
+  if (transfer.header_bytes > kMaxHeaderBytes || IsHeaderTooLong(code)) {
+    throw base::UnreadableAnswerError(step, HostAndPort(request.url),
+                                      "its headers are too long");
+  }
+  const std::string reason =
+      details[0] == '\0' ? curl_easy_strerror(code) : details.data();
   if (!transfer.is_connected) {
     throw base::NotReachedError(step, HostAndPort(request.url), reason);
   }
--- a/systems/src/json_body.h
+++ b/systems/src/json_body.h
@@ -18,11 +18,11 @@
   std::string peer;
 };
 
-// Throws base::UnknownOutcomeError, as a peer whose answer is unreadable may
+// Throws base::UnreadableAnswerError, as a peer whose answer is unreadable may
 // have carried out the call.
 [[noreturn]] inline void ThrowUnreadable(const CallSite& site,
                                          const std::string& reason) {
-  throw base::UnknownOutcomeError(site.step, site.peer, reason);
+  throw base::UnreadableAnswerError(site.step, site.peer, reason);
 }
 
 // Parses a peer's JSON. Throws base::UnknownOutcomeError when it can't be read.
--- a/systems/src/json_call.cc
+++ b/systems/src/json_call.cc
@@ -45,7 +45,8 @@
 }
 
 void ThrowUnexpectedStatus(const CallSite& site, int status) {
-  ThrowUnreadable(site, "unexpected status " + std::to_string(status));
+  throw base::UnknownOutcomeError(
+      site.step, site.peer, "unexpected status " + std::to_string(status));
 }
 
 std::string CallForOk(const CallSite& site, const HttpRequest& request) {
