--- a/tests/platform/store.cc
+++ b/tests/platform/store.cc
@@ -102,10 +102,11 @@
 void Store::Respond(net::Exchange& exchange, int status, const json& body) {
   std::string text = this->WithTexts(body.dump());
   this->on_answer(text);
-  exchange.Respond({{status,
-                     {{"Content-Type", "application/json"},
-                      {"Store-Era", std::to_string(this->era)}}},
-                    text});
+  exchange.Respond(
+      {{status,
+        {{"Content-Type", "application/json"},
+         {"Store-Era", this->stated_era.value_or(std::to_string(this->era))}}},
+       text});
 }
 
 void Store::Remove(const std::string& kind, const std::string& name) {
@@ -184,6 +185,10 @@
     exchange->Abort();
     return;
   }
+  if (this->status.has_value()) {
+    this->Respond(*exchange, *this->status, json::object());
+    return;
+  }
   if (this->refuses || !request.target.starts_with(kPrefix)) {
     this->Respond(*exchange, this->refuses ? 503 : 404, json::object());
     return;
--- a/tests/platform/store.h
+++ b/tests/platform/store.h
@@ -59,6 +59,10 @@
   // Called before each page of a list, with the name that it begins after.
   std::function<void(const std::string& after)> on_page =
       [](const std::string&) {};
+  // Answers every call with this status and no object.
+  std::optional<int> status;
+  // The era that answers state instead of the true one.
+  std::optional<std::string> stated_era;
   // May alter each answer.
   std::function<void(std::string& text)> on_answer = [](std::string&) {};
   // The names after which the pages of lists began, by kind.
