--- a/tests/soak/soak_spoilt_bytes.cc
+++ b/tests/soak/soak_spoilt_bytes.cc
@@ -50,12 +50,12 @@
 }
 
 const std::vector<LargeEntries>& AllLargeEntries() {
-  static const nlohmann::json odd = {{"note", std::string(kLargeBytes, 'x')}};
-  static const std::vector<LargeEntries> all = {
+  const nlohmann::json odd = {{"note", std::string(kLargeBytes, 'x')}};
+  static const std::vector<LargeEntries> kAll = {
       {"odd-entries", odd},
       {"long-versions", LargeEntry()},
   };
-  return all;
+  return kAll;
 }
 
 template <typename Kind>
--- a/tests/soak/spoiler.cc
+++ b/tests/soak/spoiler.cc
@@ -60,7 +60,7 @@
   for (int64_t i = 0; i < entries; ++i) {
     std::array<char, 32> name{};
     snprintf(name.data(), name.size(), "n-%012lld",
-             static_cast<long long>(number * entries + i));
+             static_cast<long long>(number) * entries + i);
     page += (i == 0 ? R"({"meta":{"name":")" : R"(,{"meta":{"name":")") +
             std::string(name.data()) + R"(","rev":1},"spec":)" + spec + "}";
   }
@@ -97,8 +97,8 @@
 Socket ConnectTo(uint16_t port) {
   Socket connected(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   const sockaddr_in address = LoopbackAddress(port);
-  connect(connected.get(), reinterpret_cast<const sockaddr*>(&address),
-          sizeof(address));
+  (void)connect(connected.get(), reinterpret_cast<const sockaddr*>(&address),
+                sizeof(address));
   return connected;
 }
 
@@ -128,10 +128,10 @@
 }  // namespace
 
 const std::vector<EndlessBytes>& EndlessWorkerAnswers() {
-  static const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
-  static const std::string events =
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string events =
       WorkerHead("200 OK", "Content-Type: text/event-stream\r\n" + chunked);
-  static const std::vector<EndlessBytes> answers = {
+  static const std::vector<EndlessBytes> kAll = {
       {"comments", events, AsChunk(Repeat(": x\n\n")), 0, ""},
       {"slow-comments", events, AsChunk(": x\n\n"), 0, "",
        base::Milliseconds(20)},
@@ -147,14 +147,14 @@
       {"extension", events + "1;", Repeat("x"), 0, ""},
       {"noise", "", Repeat("\x01\x9f?"), 0, ""},
   };
-  return answers;
+  return kAll;
 }
 
 const std::vector<EndlessBytes>& EndlessStoreAnswers() {
-  static const std::string chunked =
+  const std::string chunked =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-  static const std::string list = R"({"currentRev":1,"events":[],"items":[0)";
-  static const std::vector<EndlessBytes> answers = {
+  const std::string list = R"({"currentRev":1,"events":[],"items":[0)";
+  static const std::vector<EndlessBytes> kAll = {
       {"text", chunked + AsChunk(R"({"items":")"), AsChunk(Repeat("x")), 0, ""},
       {"list", chunked + AsChunk(list), AsChunk(Repeat(",0")), 0, ""},
       {"long-list", chunked + AsChunk(list), AsChunk(Repeat(",0")),
@@ -178,27 +178,26 @@
                        "[0" + Repeat(",0", kOddEntryBytes) + "]");
        }},
   };
-  return answers;
+  return kAll;
 }
 
 const std::vector<EndlessBytes>& EndlessUsageAnswers() {
-  static const std::string begin = "HTTP/1.1 200 OK\r\n";
-  static const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
-  static const std::vector<EndlessBytes> answers = {
+  const std::string begin = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  static const std::vector<EndlessBytes> kAll = {
       {"text", begin + chunked, AsChunk(Repeat("x")), 0, ""},
       {"list", begin + chunked + AsChunk("[0"), AsChunk(Repeat(",0")), 0, ""},
       {"header", begin + "X-Long: ", Repeat("x"), 0, ""},
       {"extension", begin + chunked + "1;", Repeat("x"), 0, ""},
       {"noise", "", Repeat("\x01\x9f?"), 0, ""},
   };
-  return answers;
+  return kAll;
 }
 
 const std::vector<EndlessBytes>& EndlessRequests() {
-  static const std::string begin =
-      "POST /pay/1 HTTP/1.1\r\nHost: soak.example\r\n";
-  static const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
-  static const std::vector<EndlessBytes> requests = {
+  const std::string begin = "POST /pay/1 HTTP/1.1\r\nHost: soak.example\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  static const std::vector<EndlessBytes> kAll = {
       {"target", "GET /", Repeat("x"), 0, ""},
       {"header", begin + "X-Long: ", Repeat("x"), 0, ""},
       {"fields", begin, Repeat("X-Field: x\r\n"), 0, ""},
@@ -212,7 +211,7 @@
        ""},
       {"noise", "", Repeat("\x01\x9f?"), 0, ""},
   };
-  return requests;
+  return kAll;
 }
 
 class Spoiler::State {
