Bound what one answer of a backend server may hold

An event, a failure's body or a whole body without end was read until the budget of all answers was used up (an eighth of the memory), each time again: the peak of a gateway of 260 MB was 108 to 182 MB beside one spoiling server of each service.

Cause: only all answers together were bounded. Class: a limit for the sum, none for each.

An event that is passed on and the body of a failure may have 1 MB, a whole answer a sixteenth of the memory. Beyond it the attempt ends as a failure of the server. A body of another type than events on a route of streams is bounded by the budget alone, as before.

--- a/core/include/carawayvalve/core/answer_completeness.h
+++ b/core/include/carawayvalve/core/answer_completeness.h
@@ -2,6 +2,7 @@
 #define CARAWAYVALVE_CORE_ANSWER_COMPLETENESS_H_
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,6 +30,9 @@
   // any bytes do, but those of an event stream only with the end of an event.
   bool Feed(std::string_view data);
 
+  // Bounds what is held of the answer: all of its body or, if its events are
+  // passed on one by one, an event.
+  void SetMaxHeldBytes(size_t bytes, bool passes_events_on);
   // Returns why the body can't become complete any more, nothing if it can.
   std::optional<std::string> FaultSoFar() const;
   // Returns why the body, if it ends here, isn't complete, nothing if it is.
@@ -52,6 +56,10 @@
   // Received since the last event, and before a field of the next one.
   size_t bytes_beside_events = 0;
   bool too_much_beside_events = false;
+  // Received of the body or, if events are passed on, of the current one.
+  size_t held_bytes = 0;
+  size_t max_held_bytes = std::numeric_limits<size_t>::max();
+  bool passes_events_on = false;
   // The line being read.
   bool line_begun = false;
   bool line_is_comment = false;
--- a/core/include/carawayvalve/core/silence_detector.h
+++ b/core/include/carawayvalve/core/silence_detector.h
@@ -28,7 +28,7 @@
   void SetTimeout(const base::BackendServerId& id,
                   Ticket ticket,
                   base::Duration timeout);
-  // Records that anything was received from the backend server.
+  // Records that the backend server has brought any of its answers on.
   void NoteReceived(const base::BackendServerId& id, base::Instant now);
   // Records that a request has ended.
   void NoteEnded(const base::BackendServerId& id, Ticket ticket);
--- a/core/src/answer_completeness.cc
+++ b/core/src/answer_completeness.cc
@@ -25,7 +25,13 @@
                        : expects_events),
       ends_with_connection(ends_with_connection) {}
 
+void AnswerCompleteness::SetMaxHeldBytes(size_t bytes, bool passes_on) {
+  this->max_held_bytes = bytes;
+  this->passes_events_on = passes_on;
+}
+
 bool AnswerCompleteness::Feed(std::string_view data) {
+  this->held_bytes += data.size();
   if (!this->event_stream) {
     return !data.empty();
   }
@@ -47,6 +53,9 @@
       this->ReadInLine(byte);
     }
   }
+  if (got_event && this->passes_events_on) {
+    this->held_bytes = 0;
+  }
   return got_event;
 }
 
@@ -96,9 +105,13 @@
 }
 
 std::optional<std::string> AnswerCompleteness::FaultSoFar() const {
-  return this->too_much_beside_events
-             ? std::optional<std::string>("the stream goes on without an event")
-             : std::nullopt;
+  if (this->too_much_beside_events) {
+    return "the stream goes on without an event";
+  }
+  if (this->held_bytes > this->max_held_bytes) {
+    return "the answer is too long";
+  }
+  return std::nullopt;
 }
 
 std::optional<std::string> AnswerCompleteness::Fault() const {
--- a/core/tests/answer_completeness_test.cc
+++ b/core/tests/answer_completeness_test.cc
@@ -113,6 +113,29 @@
   }
 }
 
+TEST_CASE("what is held of an answer is bounded") {
+  const std::string event = "data: " + std::string(90, 'x') + "\n\n";
+  const auto may_have = [&](const std::string& type, bool passes_events_on) {
+    AnswerCompleteness answer(type, false, false);
+    answer.SetMaxHeldBytes(100, passes_events_on);
+    answer.Feed(event);
+    CHECK_FALSE(answer.FaultSoFar().has_value());
+    answer.Feed(event);
+    return !answer.FaultSoFar().has_value();
+  };
+  SUBCASE("as a whole") {
+    CHECK_FALSE(may_have("text/plain", false));
+    CHECK_FALSE(may_have(kEventStream, false));
+  }
+  SUBCASE("event by event, if they are passed on") {
+    CHECK(may_have(kEventStream, true));
+    AnswerCompleteness answer(kEventStream, false, false);
+    answer.SetMaxHeldBytes(100, true);
+    answer.Feed("data: " + std::string(100, 'x'));
+    CHECK(answer.FaultSoFar().has_value());
+  }
+}
+
 TEST_CASE("a stream that is cut anywhere is complete only between events") {
   CHECK(rc::check("for any chunk sizes and line ends", [] {
     const auto line_end =
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -23,6 +23,10 @@
 // may take to end. Beyond it the connection isn't worth keeping.
 constexpr size_t kMaxUnusableBytes = size_t{64} * 1024;
 constexpr base::Milliseconds kDeclinedBodyTimeout(250);
+// What one event that is passed on may have, and the body of a failure.
+constexpr size_t kMaxEventBytes = size_t{1024} * 1024;
+// A whole answer may have this part of the memory of the process.
+constexpr size_t kAnswerDivisor = 16;
 
 }  // namespace
 
@@ -103,6 +107,7 @@
       type == nullptr ? std::nullopt : std::optional(*type),
       this->call_plan.expects_events && this->status == kOk,
       event.framing == net::BodyFraming::kConnectionClose);
+  this->LimitHeldBytes();
   if (this->head.declined) {
     this->NoteReceived();
     this->declined_timer.Start(kDeclinedBodyTimeout, [this] {
@@ -117,6 +122,19 @@
   this->Notify(BackendAnswerBegun{event.head, event.framing});
 }
 
+void BackendCall::LimitHeldBytes() {
+  const bool for_stream = this->call_plan.expects_events && this->status == kOk;
+  if (for_stream && !this->completeness.is_event_stream()) {
+    // Passed on in parts, of which little is held.
+    return;
+  }
+  const bool is_short = for_stream || this->status >= kServerError;
+  this->completeness.SetMaxHeldBytes(
+      is_short ? kMaxEventBytes
+               : this->context.state.settings.memory_bytes / kAnswerDivisor,
+      for_stream);
+}
+
 void BackendCall::GiveUp(const std::string& reason) {
   this->call->Cancel();
   this->On(net::CallFailed{false, false, false, reason});
--- a/gateway/src/backend_call.h
+++ b/gateway/src/backend_call.h
@@ -122,6 +122,8 @@
   void On(const net::CallBody& event);
   void On(const net::CallDone& event);
   void On(const net::CallFailed& event);
+  // Bounds what the answer may take of the memory.
+  void LimitHeldBytes();
   // Ends a call whose answer isn't worth waiting for.
   void GiveUp(const std::string& reason);
   // Returns whether the body is read. Answers that don't go to the caller, such
--- a/gateway/tests/spoilt_answer_test.cc
+++ b/gateway/tests/spoilt_answer_test.cc
@@ -105,4 +105,64 @@
   }
 }
 
+// Guards against answers that keep the gateway busy until they have used up the
+// memory of all answers, while those of other servers wait.
+TEST_CASE("an answer is given up long before it takes all memory") {
+  config::ServingPlan plan = NotesPlan(1);
+  ++plan.version;
+  constexpr size_t kMb = size_t{1024} * 1024;
+  const std::string events =
+      tests::AnswerHead("Content-Type: text/event-stream\r\n");
+  std::string head;
+  SUBCASE("an event") {
+    head = events + "data: ";
+  }
+  SUBCASE("the body of a failure") {
+    head = tests::FailureHead("");
+  }
+  SUBCASE("a whole body") {
+    plan.routes.front().kind = config::RequestKind::kNonIdempotent;
+    plan.routes.front().resumable = false;
+    head = tests::AnswerHead("");
+  }
+  const systems::AnswerServer engine(
+      {{head + std::string(2 * kMb, 'x'), true}});
+  RequestFixture fixture(1);
+  fixture.gateway.state.settings.memory_bytes = 16 * kMb;
+  fixture.gateway.state.ApplyPlan(plan);
+  fixture.Add("endless", base::ParseAddress(engine.Address()).port,
+              EngineRole::kDecode);
+  fixture.SendRequest([](const std::string&) {});
+  CHECK(fixture.status == 502);
+}
+
+TEST_CASE("a long answer is passed on") {
+  constexpr size_t kBytes = size_t{900} * 1024;
+  const std::string event = "data: " + std::string(kBytes, 'x') + "\n\n";
+  const std::string body = event + event + event;
+  const std::string fields =
+      "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  config::ServingPlan plan = NotesPlan(1);
+  ++plan.version;
+  std::string type = "Content-Type: text/event-stream\r\n";
+  SUBCASE("as a stream of events") {}
+  SUBCASE("as a whole") {
+    plan.routes.front().kind = config::RequestKind::kNonIdempotent;
+    plan.routes.front().resumable = false;
+  }
+  SUBCASE("of another type, on a route of streams") {
+    type = "Content-Type: application/json\r\n";
+  }
+  const systems::AnswerServer engine(
+      {{tests::AnswerHead(type + fields) + body, true}});
+  RequestFixture fixture(1);
+  fixture.gateway.state.ApplyPlan(plan);
+  fixture.Add("engine", base::ParseAddress(engine.Address()).port,
+              EngineRole::kDecode);
+  fixture.SendRequest([](const std::string&) {});
+  CHECK(fixture.status == 200);
+  CHECK(fixture.complete);
+  CHECK(fixture.body == body);
+}
+
 }  // namespace carawayvalve::gateway
