Soak: break spoilt answers off with a reset

The spoiler closed it in order at the end of its spell, which completes such a message in HTTP; the logs show both the spell's end and the answer, "framing": "connection", 4.51 s after the start. An answer without end has to break off: it is reset now. What is checked stays the same.

--- a/tests/soak/spoiler.cc
+++ b/tests/soak/spoiler.cc
@@ -322,6 +322,10 @@
     }
     if (open && this->spell == spell) {
       this->SendAll(near, bytes.end);
+    } else if (open) {
+      // The close would complete a body that has no length.
+      const linger reset{1, 0};
+      setsockopt(near, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
     }
   }
 
