--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -35,8 +35,8 @@
              platform::ObjectClient& objects,
              StoreFeed& feed);
 
-  // Opens the ports for peers' datagrams and calls. Throws base::ListenError when
-  // it can't.
+  // Opens the ports for peers' datagrams and calls. Throws base::ListenError
+  // when it can't.
   void Listen();
   // Registers this gateway and begins to send. Follows Listen.
   void Start();
