--- a/gateway/tests/recent_store_test.cc
+++ b/gateway/tests/recent_store_test.cc
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "carawayvalve/base/process_memory.h"
-#include "long_list.h"
+#include "platform/long_list.h"
 #include "platform/store.h"
 #include "test_gateway.h"
 
@@ -271,7 +271,7 @@
   constexpr int64_t kPages = 300;
   constexpr int64_t kMaxGrowth = int64_t{64} * 1024 * 1024;
   TestGateway gateway(TestSettings());
-  LongList store(gateway.loop, "carawayvalve-recent", kPages);
+  tests::LongList store(gateway.loop, "carawayvalve-recent", kPages);
   platform::ObjectClient objects(gateway.loop, store.address(), seconds(10));
   StoreFeed feed(gateway.context, objects);
   RecentStore recent(gateway.context, objects, feed);
--- a/gateway/tests/store_feed_test.cc
+++ b/gateway/tests/store_feed_test.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "carawayvalve/base/process_memory.h"
-#include "long_list.h"
+#include "platform/long_list.h"
 #include "platform/store.h"
 #include "test_gateway.h"
 
@@ -38,7 +38,7 @@
   constexpr int64_t kPages = 300;
   constexpr int64_t kMaxGrowth = int64_t{64} * 1024 * 1024;
   TestGateway gateway(TestSettings());
-  LongList store(gateway.loop, "servers", kPages);
+  tests::LongList store(gateway.loop, "servers", kPages);
   platform::ObjectClient objects(gateway.loop, store.address(), seconds(10));
   StoreFeed feed(gateway.context, objects);
   const int64_t before = base::ResidentBytes();
--- /dev/null
+++ b/tests/platform/desk.cc
@@ -0,0 +1,30 @@
+#include "desk.h"
+
+#include <nlohmann/json.hpp>
+
+namespace carawayvalve::tests {
+
+nlohmann::json DeskConfiguration() {
+  return {{"version", 1},
+          {"routes",
+           {{{"name", "look"},
+             {"host", "gateway.example"},
+             {"prefix", "/look/"},
+             {"kind", "idempotent"},
+             {"timeoutMs", 3000},
+             {"sloMs", 500},
+             {"service", "desk"},
+             {"maxAttempts", 2},
+             {"resumable", false}}}},
+          {"services",
+           {{{"name", "desk"}, {"healthPath", "/health"}, {"maxConns", 100}}}},
+          {"tenants", {{{"name", "guild"}, {"apiKeys", {"key-guild"}}}}}};
+}
+
+nlohmann::json DeskServer(const std::string& address) {
+  return {{"service", "desk"}, {"addr", address}, {"zone", "a"},
+          {"version", "v1"},   {"slots", 4},      {"state", "up"},
+          {"born", 1}};
+}
+
+}  // namespace carawayvalve::tests
--- /dev/null
+++ b/tests/platform/desk.h
@@ -0,0 +1,17 @@
+#ifndef CARAWAYVALVE_TESTS_PLATFORM_DESK_H_
+#define CARAWAYVALVE_TESTS_PLATFORM_DESK_H_
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace carawayvalve::tests {
+
+// Returns a configuration with one plain service, "desk", and a route to it.
+nlohmann::json DeskConfiguration();
+
+// Returns the entry of a backend server of that service.
+nlohmann::json DeskServer(const std::string& address);
+
+}  // namespace carawayvalve::tests
+
+#endif  // CARAWAYVALVE_TESTS_PLATFORM_DESK_H_
--- a/gateway/tests/long_list.h
+++ b/tests/platform/long_list.h
@@ -1,5 +1,5 @@
-#ifndef CARAWAYVALVE_GATEWAY_TESTS_LONG_LIST_H_
-#define CARAWAYVALVE_GATEWAY_TESTS_LONG_LIST_H_
+#ifndef CARAWAYVALVE_TESTS_PLATFORM_LONG_LIST_H_
+#define CARAWAYVALVE_TESTS_PLATFORM_LONG_LIST_H_
 
 #include <cstdint>
 #include <string>
@@ -7,7 +7,7 @@
 #include "carawayvalve/base/address.h"
 #include "carawayvalve/net/http_server.h"
 
-namespace carawayvalve::gateway {
+namespace carawayvalve::tests {
 
 // A store whose list of one kind has this many pages, each with one
 // entry of almost 1 MB that is none.
@@ -52,6 +52,6 @@
   net::HttpServer server;
 };
 
-}  // namespace carawayvalve::gateway
+}  // namespace carawayvalve::tests
 
-#endif  // CARAWAYVALVE_GATEWAY_TESTS_LONG_LIST_H_
+#endif  // CARAWAYVALVE_TESTS_PLATFORM_LONG_LIST_H_
--- a/tests/processes/gateway_process.cc
+++ b/tests/processes/gateway_process.cc
@@ -5,6 +5,7 @@
 #include <future>
 #include <sstream>
 
+#include "../platform/desk.h"
 #include "carawayvalve/base/address.h"
 #include "carawayvalve/systems/http_client.h"
 
@@ -38,30 +39,8 @@
                       {"lease_ms", 1500}}},
                     {"bounds", {{"stop_s", 8}}}};
   this->WriteSettings();
-  this->store.Put(
-      "config", "main",
-      {{"version", 1},
-       {"routes",
-        {{{"name", "look"},
-          {"host", "gateway.example"},
-          {"prefix", "/look/"},
-          {"kind", "idempotent"},
-          {"timeoutMs", 3000},
-          {"sloMs", 500},
-          {"service", "desk"},
-          {"maxAttempts", 2},
-          {"resumable", false}}}},
-       {"services",
-        {{{"name", "desk"}, {"healthPath", "/health"}, {"maxConns", 100}}}},
-       {"tenants", {{{"name", "guild"}, {"apiKeys", {"key-guild"}}}}}});
-  this->store.Put("servers", "i-1",
-                  {{"service", "desk"},
-                   {"addr", Loopback(FreePort())},
-                   {"zone", "a"},
-                   {"version", "v1"},
-                   {"slots", 4},
-                   {"state", "up"},
-                   {"born", 1}});
+  this->store.Put("config", "main", DeskConfiguration());
+  this->store.Put("servers", "i-1", DeskServer(Loopback(FreePort())));
   this->thread = std::thread([this] { this->loop.Run(); });
 }
 
