--- a/base/tests/foreign_json_memory_test.cc
+++ b/base/tests/foreign_json_memory_test.cc
@@ -16,17 +16,21 @@
     nested += R"({"0123456789abcdef":)";
   }
   nested += "{}" + std::string(kDepth, '}');
-  std::string text = nested;
-  // As many as are read.
-  while (ParseForeignJson("[" + text + "," + nested + "]").fault.empty()) {
-    text += "," + nested;
+  // An array or object counts as two values, a comma as one.
+  constexpr size_t kNestedValues = 2 * (kDepth + 1) + 1;
+  const std::string next = "," + nested;
+  std::string text = "[" + nested;
+  for (size_t i = 1; i < (kMaxForeignValues - 2) / kNestedValues; ++i) {
+    text += next;
   }
-  text = "[" + text + "]";
+  const std::string longer = text + next + "]";
+  text += "]";
   CAPTURE(text.size());
   const int64_t before = ResidentBytes();
   const ForeignJson parsed = ParseForeignJson(text);
   const int64_t growth = ResidentBytes() - before;
   CHECK(parsed.fault.empty());
+  CHECK(!ParseForeignJson(longer).fault.empty());
   CAPTURE(growth);
   CHECK(static_cast<size_t>(growth) / kMaxForeignValues <= kBytesPerValue);
 }
