--- a/tests/soak/spoiler.cc
+++ b/tests/soak/spoiler.cc
@@ -73,11 +73,15 @@
 std::string PageOf(int64_t number, int64_t entries, const std::string& spec) {
   std::string page = R"({"currentRev":1,"events":[],"hasMore":true,"items":[)";
   for (int64_t i = 0; i < entries; ++i) {
-    std::array<char, 32> name{};
-    snprintf(name.data(), name.size(), "n-%012lld",
-             static_cast<long long>(number * entries + i));
-    page += (i == 0 ? R"({"meta":{"name":")" : R"(,{"meta":{"name":")") +
-            std::string(name.data()) + R"(","rev":1},"spec":)" + spec + "}";
+    // Of equal lengths, as lists are in the order of names.
+    const std::string name =
+        "n-" + std::to_string(1'000'000'000'000 + number * entries + i);
+    page += i == 0 ? "" : ",";
+    page += R"({"meta":{"name":")";
+    page += name;
+    page += R"(","rev":1},"spec":)";
+    page += spec;
+    page += "}";
   }
   return page + "]}";
 }
