Log how far calls for the configuration had come

store_lost stands once for a series of failed calls and says neither how many bytes had arrived nor how long that took; that a peer was asked for its configuration, and that this failed, wasn't logged at all. Each failed list or watch now logs store_call_failed, each question to a peer plan_fetched, with bytes and milliseconds.

--- a/gateway/src/object_watcher.cc
+++ b/gateway/src/object_watcher.cc
@@ -56,6 +56,9 @@
   if (page == nullptr) {
     const auto* refused = std::get_if<platform::StoreRefused>(&result);
     const auto* failure = std::get_if<platform::StoreCallFailed>(&result);
+    if (failure != nullptr) {
+      this->LogFailedCall("list", *failure, sent_at);
+    }
     const std::string after =
         this->listed.empty() ? "" : this->listed.back().name;
     this->RetryLater(refused != nullptr
@@ -236,6 +239,7 @@
     return;
   }
   const auto& failure = std::get<platform::StoreCallFailed>(result);
+  this->LogFailedCall("watch", failure, sent_at);
   this->RetryLater(failure.reason, [this, lists = failure.too_large] {
     // A list is had in pages.
     if (lists) {
@@ -373,6 +377,19 @@
   this->timer.Start(wait, std::move(retry));
 }
 
+void ObjectWatcher::LogFailedCall(const char* call,
+                                  const platform::StoreCallFailed& failure,
+                                  base::Instant sent_at) {
+  this->context.journal.Write(
+      base::LogLevel::kWarning, "store_call_failed",
+      {{"kind", this->kind},
+       {"call", call},
+       {"reason", failure.reason},
+       {"bytes", static_cast<int64_t>(failure.received_bytes)},
+       {"ms", base::ToMilliseconds(base::Now() - sent_at)},
+       {"failures", this->failures + 1}});
+}
+
 void ObjectWatcher::LogLowerRevision(const core::StoreRevision& answered,
                                      const core::StoreRevision& known) {
   if (answered.revision == 0 || answered.revision >= known.revision) {
--- a/gateway/src/object_watcher.h
+++ b/gateway/src/object_watcher.h
@@ -148,6 +148,10 @@
   // Removes the changes that the list already included.
   void DropListedChanges(std::vector<platform::ObjectChange>& changes);
   void NoteSuccess();
+  // Logs how far a call had come.
+  void LogFailedCall(const char* call,
+                     const platform::StoreCallFailed& failure,
+                     base::Instant sent_at);
   // Logs and counts it if an answer's revision is less than `known`.
   void LogLowerRevision(const core::StoreRevision& answered,
                         const core::StoreRevision& known);
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -527,7 +527,11 @@
   }
   this->plan_body.clear();
   this->plan_status = 0;
-  this->plan_timeout.Start(kPlanTimeout, [this] { this->plan_call.reset(); });
+  this->plan_asked_at = base::Now();
+  this->plan_timeout.Start(kPlanTimeout, [this] {
+    this->LogPlanFetch("timed out", this->plan_call->received_bytes());
+    this->plan_call.reset();
+  });
   net::CallOptions options;
   options.max_body_bytes = kMaxPlanBytes;
   options.whole_body = true;
@@ -536,12 +540,23 @@
       [this](const net::CallEvent& event) { this->OnPlanCall(event); });
 }
 
+void PeerGossip::LogPlanFetch(const std::string& fault, size_t bytes) {
+  this->context.journal.Write(
+      fault.empty() ? base::LogLevel::kInfo : base::LogLevel::kWarning,
+      "plan_fetched",
+      {{"fault", fault},
+       {"status", this->plan_status},
+       {"bytes", static_cast<int64_t>(bytes)},
+       {"ms", base::ToMilliseconds(base::Now() - this->plan_asked_at)}});
+}
+
 void PeerGossip::OnPlanCall(const net::CallEvent& event) {
   if (const auto* head = std::get_if<net::CallHead>(&event)) {
     this->plan_status = head->head.status;
   } else if (const auto* body = std::get_if<net::CallBody>(&event)) {
     this->plan_body = body->data;
-  } else if (std::holds_alternative<net::CallFailed>(event)) {
+  } else if (const auto* failed = std::get_if<net::CallFailed>(&event)) {
+    this->LogPlanFetch(failed->reason, failed->received_bytes);
     this->plan_timeout.Cancel();
     this->plan_call.reset();
   } else if (std::holds_alternative<net::CallDone>(event)) {
@@ -549,6 +564,7 @@
     this->plan_call.reset();
     auto value = std::make_shared<const nlohmann::json>(
         base::ParseForeignJson(this->plan_body).value);
+    this->LogPlanFetch("", this->plan_body.size());
     if (this->plan_status == kOk && value->is_object()) {
       this->feed.ApplyPlan(value, "peer");
     }
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -91,6 +91,9 @@
   void ApplyDepartures(const wire::gen::Gossip& gossip, base::Instant now);
   void ApplyFreshness(const wire::gen::Gossip& gossip, const Peer& peer);
   void FetchPlan(const base::Address& address);
+  // Logs how a request for a peer's configuration ended; `fault` is empty for
+  // an answer.
+  void LogPlanFetch(const std::string& fault, size_t bytes);
   void OnPlanCall(const net::CallEvent& event);
   void OnCall(const std::shared_ptr<net::Exchange>& exchange);
   base::Duration RoundInterval() const;
@@ -126,6 +129,7 @@
   std::unique_ptr<net::Call> plan_call;
   std::string plan_body;
   int plan_status = 0;
+  base::Instant plan_asked_at;
 };
 
 }  // namespace carawayvalve::gateway
--- a/net/include/carawayvalve/net/http_client.h
+++ b/net/include/carawayvalve/net/http_client.h
@@ -72,6 +72,8 @@
   std::string reason;
   // The response was longer than the call or the client's budget allows.
   bool too_large = false;
+  // What had arrived of the response.
+  size_t received_bytes = 0;
 };
 
 using CallEvent =
@@ -91,6 +93,9 @@
   // a slow reader.
   void Pause();
   void Resume();
+  // Returns how many bytes of the response have arrived; 0 once the call has
+  // ended. What was received counts before the loop has handled it.
+  size_t received_bytes() const;
 
  private:
   std::shared_ptr<detail::ClientConnection> ActiveConnection() const;
--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -146,6 +146,7 @@
   this->echo = options.echo;
   this->max_body_bytes = options.max_body_bytes;
   this->whole_body = options.whole_body;
+  this->handled_bytes = 0;
   this->counted.reset();
   if (this->whole_body && this->client->budget != nullptr) {
     this->counted.emplace(this->client->budget, [weak = this->weak_from_this(),
@@ -184,6 +185,12 @@
   return this->socket.available(error) > 0 || error;
 }
 
+size_t ClientConnection::received_bytes() const {
+  error_code error;
+  const size_t unread = this->connected ? this->socket.available(error) : 0;
+  return this->handled_bytes + (error ? 0 : unread);
+}
+
 void ClientConnection::Open(base::Duration timeout,
                             HttpClient::ConnectHandler on_opened) {
   this->on_open = std::move(on_opened);
@@ -307,6 +314,7 @@
     this->Close();
     return;
   }
+  this->handled_bytes += size;
   this->input.append(this->buffer.data(), size);
   this->ProcessInput();
   this->Receive();
@@ -453,13 +461,14 @@
   const auto on_event = std::exchange(this->handler, nullptr);
   const auto opened = std::exchange(this->on_open, nullptr);
   const bool was_sent = this->sent;
+  const size_t received = this->received_bytes();
   this->Close();
   if (opened != nullptr) {
     opened(reset ? ConnectResult::kRefused : ConnectResult::kNoAnswer);
   }
   if (on_event != nullptr) {
-    on_event(
-        CallFailed{!was_sent, this->used_before, reset, reason, too_large});
+    on_event(CallFailed{!was_sent, this->used_before, reset, reason, too_large,
+                        received});
   }
 }
 
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -68,6 +68,8 @@
   // the connection is idle, they answer no request of it.
   bool HasUnreadInput() const;
   const Endpoint& endpoint() const { return this->peer; }
+  // Returns how many bytes have arrived since the call began, handled or not.
+  size_t received_bytes() const;
   // Returns the number of the call in flight, 0 when there is none.
   int64_t call_number() const {
     return this->handler == nullptr ? 0 : this->call_count;
@@ -122,6 +124,7 @@
   HeaderField echo;
   size_t max_body_bytes = 0;
   bool whole_body = false;
+  size_t handled_bytes = 0;
   std::optional<base::ByteBudget::Buffer> counted;
   bool head_request = false;
   int other_responses = 0;
--- a/net/src/http_client.cc
+++ b/net/src/http_client.cc
@@ -40,6 +40,11 @@
   }
 }
 
+size_t Call::received_bytes() const {
+  const auto active = this->ActiveConnection();
+  return active == nullptr ? 0 : active->received_bytes();
+}
+
 HttpClient::HttpClient(EventLoop& loop, base::Duration default_keep_alive)
     : client(std::make_shared<detail::ClientState>(loop, default_keep_alive)) {}
 
