Wait for an answer of the store as long as it arrives

Callers got 404 for routes that a confirmed version had, when the configuration was large. Each call of the store had a second in all, and a watch whose answer was arriving was sent again once peers had confirmed nothing for 1.1 s. On the link of a small gateway, which requests use too, half a megabyte takes longer: the answer was abandoned while it arrived and asked for again from its first byte, for as long as the configuration was that large.

The soak's Link moves to the platform's stand-ins and gets a rate.

--- a/gateway/src/object_watcher.cc
+++ b/gateway/src/object_watcher.cc
@@ -137,8 +137,7 @@
                    now - *this->confirmed_at > *limit;
   const bool lacks =
       this->lacking_since.has_value() && now - *this->lacking_since > kMaxLack;
-  const bool replaces = this->activity == Activity::kWatching &&
-                        now - *this->watch_sent_at > kMinWatchAge;
+  const bool replaces = this->MayReplaceWatch(kMinWatchAge, now);
   if ((this->activity == Activity::kIdle && (old || lacks)) ||
       (replaces && old)) {
     this->Watch(base::Milliseconds(0));
@@ -153,15 +152,20 @@
   }
   const base::Instant now = base::Now();
   this->lacking_since = this->lacking_since.value_or(now);
-  if (this->activity == Activity::kWatching &&
-      now - *this->watch_sent_at > kMinWatchAge) {
+  if (this->MayReplaceWatch(kMinWatchAge, now)) {
     this->Follow();
   }
 }
 
+bool ObjectWatcher::MayReplaceWatch(base::Duration age,
+                                    base::Instant now) const {
+  return this->activity == Activity::kWatching &&
+         now - *this->watch_sent_at > age &&
+         !platform::ObjectClient::IsArriving(this->call);
+}
+
 void ObjectWatcher::PollNow() {
-  const bool replaces = this->activity == Activity::kWatching &&
-                        base::Now() - *this->watch_sent_at > kMinPollInterval;
+  const bool replaces = this->MayReplaceWatch(kMinPollInterval, base::Now());
   if (replaces || this->activity == Activity::kIdle) {
     this->Watch(base::Milliseconds(0));
   }
--- a/gateway/src/object_watcher.h
+++ b/gateway/src/object_watcher.h
@@ -126,6 +126,10 @@
   core::StoreRevision At(int64_t answered, std::optional<int64_t> era) const {
     return {era.value_or(this->context.state.store_era), answered};
   }
+  // Returns whether a watch that was sent longer ago than `age` is pending,
+  // whose connection may be broken. One whose answer is arriving isn't sent
+  // again, as the answer would begin again.
+  bool MayReplaceWatch(base::Duration age, base::Instant now) const;
   // Lists the objects again, as the store came back from an older copy.
   void ListOlderStore();
   void List(const std::string& after);
--- a/tests/soak/link.cc
+++ b/tests/platform/link.cc
@@ -5,6 +5,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -105,10 +106,24 @@
                                return;
                              }
                              flow->size = size;
-                             self->Wait(flow, self->delay);
+                             self->Wait(flow, self->delay + self->Take(*flow));
                            });
   }
 
+  // Returns the time after which the link is free for the bytes of the flow.
+  base::Milliseconds Take(const Flow& flow) {
+    const base::Instant now = base::Now();
+    if (flow.from_near || this->rate == 0) {
+      return base::Milliseconds(0);
+    }
+    this->free_at =
+        std::max(this->free_at, now) +
+        std::chrono::duration_cast<base::Duration>(
+            std::chrono::duration<double>(static_cast<double>(flow.size) /
+                                          static_cast<double>(this->rate)));
+    return std::chrono::duration_cast<base::Milliseconds>(this->free_at - now);
+  }
+
   void Wait(const std::shared_ptr<Flow>& flow, base::Milliseconds wait) {
     flow->timer.expires_after(wait);
     flow->timer.async_wait(
@@ -162,6 +177,8 @@
   tcp::endpoint target;
   Mode mode = Mode::kOpen;
   base::Milliseconds delay{0};
+  int64_t rate = 0;
+  base::Instant free_at;
   std::set<std::shared_ptr<Connection>> connections;
 };
 
@@ -191,6 +208,10 @@
   this->state->delay = delay;
 }
 
+void Link::SetRate(int64_t bytes_per_second) {
+  this->state->rate = bytes_per_second;
+}
+
 void Link::Reset() {
   this->state->Reset();
 }
--- a/tests/soak/link.h
+++ b/tests/platform/link.h
@@ -1,5 +1,5 @@
-#ifndef CARAWAYVALVE_TESTS_SOAK_LINK_H_
-#define CARAWAYVALVE_TESTS_SOAK_LINK_H_
+#ifndef CARAWAYVALVE_TESTS_PLATFORM_LINK_H_
+#define CARAWAYVALVE_TESTS_PLATFORM_LINK_H_
 
 #include <cstdint>
 #include <memory>
@@ -9,8 +9,8 @@
 
 namespace carawayvalve::tests {
 
-// A TCP relay on loopback between two processes that can delay, stall, refuse
-// and reset connections, in one direction or both.
+// A TCP relay on loopback between two processes that can delay, slow down,
+// stall, refuse and reset connections, in one direction or both.
 class Link {
  public:
   enum class Mode {
@@ -33,6 +33,9 @@
 
   void Set(Mode mode);
   void SetDelay(base::Milliseconds delay);
+  // Limits what all connections together bring to the connecting side, in bytes
+  // a second; 0 for no limit.
+  void SetRate(int64_t bytes_per_second);
   // Resets all connections that are open now.
   void Reset();
   bool undisturbed() const;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "../platform/backend.h"
+#include "../platform/link.h"
 #include "../platform/store.h"
 #include "callers.h"
 #include "child.h"
-#include "link.h"
 #include "spoiler.h"
 
 namespace carawayvalve::tests {
