Pass changes of the configuration on, and wait for them as they arrive

Callers got 404 for routes that a confirmed version had, when the configuration was large. A gateway that heard of a newer version asked that peer for all of it, within a second in all: on a link that requests use too, half a megabyte was abandoned while it arrived, and the next question began again, unlogged. The peer printed the configuration anew for each that asked, and most asked the one that was heard first.

A peer is asked for the changes since the version known here, and for the whole configuration if it doesn't have them. An answer is waited for as long as it arrives.

--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -75,6 +75,11 @@
           .Name("carawayvalve_registry_fetches_total")
           .Help("Changes of backend servers asked of a peer, by how it ended")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& plan_fetches =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_plan_fetches_total")
+          .Help("Configurations asked of a peer, by how it ended")
+          .Register(registry);
   prometheus::Family<prometheus::Gauge>& platform_calls =
       prometheus::BuildGauge()
           .Name("carawayvalve_platform_calls")
@@ -174,6 +179,10 @@
   this->families->registry_fetches.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::CountPlanFetch(const std::string& outcome) {
+  this->families->plan_fetches.Add({{"outcome", outcome}}).Increment();
+}
+
 void GatewayMetrics::SetPlatformCalls(const std::string& call,
                                       const std::string& outcome,
                                       int64_t count) {
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -44,6 +44,10 @@
   // Counts a request for changes of backend servers that was sent to a peer,
   // which "answered" or "failed" to.
   void CountRegistryFetch(const std::string& outcome);
+  // Counts a request for the configuration, or for its changes, that was sent
+  // to a peer, which "answered" or "failed" to, or has "no_changes" since a
+  // version.
+  void CountPlanFetch(const std::string& outcome);
   // Sets the number of calls to the platform so far that were made for the same
   // purpose, such as the watch of a kind of objects, and ended the same way.
   void SetPlatformCalls(const std::string& call,
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -5,7 +5,6 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "carawayvalve/base/foreign_json.h"
 #include "carawayvalve/core/duty.h"
 #include "duty_holder.h"
 #include "gossip_format.h"
@@ -55,12 +54,7 @@
 // The minimum interval between two updates about urgent news, with any number
 // of peers.
 constexpr base::Milliseconds kUrgentNewsInterval(100);
-// A peer that hasn't sent its configuration within this time is taken for lost:
-// a connection may go silent for good.
-constexpr std::chrono::seconds kPlanTimeout(1);
-constexpr size_t kMaxPlanBytes = size_t{8} * 1024 * 1024;
 constexpr int kOk = 200;
-constexpr std::chrono::seconds kKeepAlive(10);
 
 int64_t ToTimestampMs(base::Instant instant) {
   return base::ToMilliseconds(instant.time_since_epoch());
@@ -95,23 +89,20 @@
                  this->peers[host].address = address;
                }),
       feed(feed),
-      client(context.loop, kKeepAlive),
-      plan_timeout(context.loop),
       crash_gossip(context),
       rate_limit_gossip(context),
       origin_gossip(context),
       speed_gossip(context),
       usage_gossip(context),
       registry_relay(context, feed),
+      plan_relay(context, feed),
       account_rate_gossip(context,
                           [this](const base::HostId& host,
                                  const wire::gen::GossipAccountRates& rates) {
                             this->SendAccountRates(host, rates);
                           }),
       round_timer(context.loop),
-      update_timer(context.loop) {
-  this->client.SetBudget(context.answers);
-}
+      update_timer(context.loop) {}
 
 void PeerGossip::Listen() {
   const base::Address& address = this->context.state.settings.listen.peers;
@@ -203,12 +194,7 @@
   gossip.boot = state.boot.value;
   gossip.stamp = ToTimestampMs(now);
   gossip.unix_ms = UnixMs();
-  gossip.plan_version = state.table == nullptr ? 0 : state.table->version();
-  const auto age = state.key_freshness.Age(now);
-  gossip.proof_age_ms = age.has_value()
-                            ? static_cast<int32_t>(std::min<int64_t>(
-                                  base::ToMilliseconds(*age) + 1, INT32_MAX))
-                            : -1;
+  this->plan_relay.AddTo(gossip);
   gossip.leaving = this->leaving;
   gossip.registry_revision = this->feed.registry_revision().revision;
   this->registry_relay.AddTo(gossip);
@@ -454,7 +440,7 @@
   this->AnswerOrigins(*gossip, sender);
   this->usage_gossip.Apply(*gossip);
   this->account_rate_gossip.Apply(*gossip, now);
-  this->ApplyFreshness(*gossip, peer);
+  this->plan_relay.Apply(*gossip, sender);
   this->registry_relay.Apply(*gossip, sender);
 }
 
@@ -502,75 +488,6 @@
   }
 }
 
-void PeerGossip::ApplyFreshness(const Gossip& gossip, const Peer& peer) {
-  GatewayState& state = this->context.state;
-  const int64_t own_version =
-      state.table == nullptr ? 0 : state.table->version();
-  if (gossip.plan_version > own_version) {
-    this->FetchPlan(peer.address);
-    return;
-  }
-  if (gossip.plan_version == own_version && own_version > 0 &&
-      gossip.proof_age_ms >= 0) {
-    const auto sent_at = EchoSentAt(gossip, state, base::Now());
-    const base::Milliseconds age(gossip.proof_age_ms);
-    if (sent_at.has_value()) {
-      state.key_freshness.NotePeerAnswer(*sent_at, age);
-      this->feed.NoteConfigurationConfirmed(*sent_at - age);
-    }
-  }
-}
-
-void PeerGossip::FetchPlan(const base::Address& address) {
-  if (this->plan_call != nullptr) {
-    return;
-  }
-  this->plan_body.clear();
-  this->plan_status = 0;
-  this->plan_asked_at = base::Now();
-  this->plan_timeout.Start(kPlanTimeout, [this] {
-    this->LogPlanFetch("timed out", this->plan_call->received_bytes());
-    this->plan_call.reset();
-  });
-  net::CallOptions options;
-  options.max_body_bytes = kMaxPlanBytes;
-  options.whole_body = true;
-  this->plan_call = this->client.Start(
-      address, {"GET", "/plan", {}, {}}, options,
-      [this](const net::CallEvent& event) { this->OnPlanCall(event); });
-}
-
-void PeerGossip::LogPlanFetch(const std::string& fault, size_t bytes) {
-  this->context.journal.Write(
-      fault.empty() ? base::LogLevel::kInfo : base::LogLevel::kWarning,
-      "plan_fetched",
-      {{"fault", fault},
-       {"status", this->plan_status},
-       {"bytes", static_cast<int64_t>(bytes)},
-       {"ms", base::ToMilliseconds(base::Now() - this->plan_asked_at)}});
-}
-
-void PeerGossip::OnPlanCall(const net::CallEvent& event) {
-  if (const auto* head = std::get_if<net::CallHead>(&event)) {
-    this->plan_status = head->head.status;
-  } else if (const auto* body = std::get_if<net::CallBody>(&event)) {
-    this->plan_body = body->data;
-  } else if (const auto* failed = std::get_if<net::CallFailed>(&event)) {
-    this->LogPlanFetch(failed->reason, failed->received_bytes);
-    this->plan_timeout.Cancel();
-    this->plan_call.reset();
-  } else if (std::holds_alternative<net::CallDone>(event)) {
-    this->plan_timeout.Cancel();
-    this->plan_call.reset();
-    auto value = std::make_shared<const nlohmann::json>(
-        base::ParseForeignJson(this->plan_body).value);
-    this->LogPlanFetch("", this->plan_body.size());
-    if (this->plan_status == kOk && value->is_object()) {
-      this->feed.ApplyPlan(value, "peer");
-    }
-  }
-}
-
 void PeerGossip::OnCall(const std::shared_ptr<net::Exchange>& exchange) {
   if (const auto changes =
           this->registry_relay.Answer(exchange->request().target)) {
@@ -578,13 +495,11 @@
         {{kOk, {{"Content-Type", "application/json"}}}, *changes});
     return;
   }
-  const auto& plan = this->feed.plan_value();
-  if (exchange->request().target != "/plan" || plan == nullptr) {
-    exchange->Respond({{404, {}}, ""});
+  if (const auto plan = this->plan_relay.Answer(exchange->request())) {
+    exchange->Respond(*plan);
     return;
   }
-  exchange->Respond(
-      {{kOk, {{"Content-Type", "application/json"}}}, base::PrintJson(*plan)});
+  exchange->Respond({{404, {}}, ""});
 }
 
 void PeerGossip::Leave() {
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -16,6 +16,7 @@
 #include "gossip_types.h"
 #include "host_registry.h"
 #include "origin_gossip.h"
+#include "plan_relay.h"
 #include "rate_limit_gossip.h"
 #include "registry_relay.h"
 #include "speed_gossip.h"
@@ -27,8 +28,7 @@
 // Exchanges gossip with the other gateways in datagrams: the loads that each
 // has placed on backend servers, its usage counts and how fresh its
 // configuration is. Merges the messages of peers into the state. Gateways find
-// each other in the store. When a peer has a newer configuration, it is fetched
-// from that peer.
+// each other in the store.
 class PeerGossip {
  public:
   PeerGossip(Context& context,
@@ -89,12 +89,6 @@
   void OnDatagram(const std::string& data, const base::Address& sender);
   void ApplyLoads(const wire::gen::Gossip& gossip, base::Instant now);
   void ApplyDepartures(const wire::gen::Gossip& gossip, base::Instant now);
-  void ApplyFreshness(const wire::gen::Gossip& gossip, const Peer& peer);
-  void FetchPlan(const base::Address& address);
-  // Logs how a request for a peer's configuration ended; `fault` is empty for
-  // an answer.
-  void LogPlanFetch(const std::string& fault, size_t bytes);
-  void OnPlanCall(const net::CallEvent& event);
   void OnCall(const std::shared_ptr<net::Exchange>& exchange);
   base::Duration RoundInterval() const;
   base::Duration UpdateInterval() const;
@@ -104,8 +98,6 @@
   StoreFeed& feed;
   std::unique_ptr<net::DatagramSocket> datagrams;
   std::unique_ptr<net::HttpServer> server;
-  net::HttpClient client;
-  net::Timer plan_timeout;
   std::map<base::HostId, Peer> peers;
   // The value that was logged last.
   std::optional<int64_t> logged_slack_divisor;
@@ -119,17 +111,13 @@
   SpeedGossip speed_gossip;
   UsageGossip usage_gossip;
   RegistryRelay registry_relay;
+  PlanRelay plan_relay;
   AccountRateGossip account_rate_gossip;
   bool new_peer_seen = false;
   core::FleetLoad::Loads sent_loads;
   base::Instant loads_sent_at;
   bool update_scheduled = false;
   bool leaving = false;
-  // The configuration fetch in flight, if any.
-  std::unique_ptr<net::Call> plan_call;
-  std::string plan_body;
-  int plan_status = 0;
-  base::Instant plan_asked_at;
 };
 
 }  // namespace carawayvalve::gateway
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "carawayvalve/base/error.h"
+#include "carawayvalve/base/foreign_json.h"
+#include "carawayvalve/base/json_difference.h"
 #include "carawayvalve/platform/object_decoding.h"
 
 namespace carawayvalve::gateway {
@@ -103,11 +105,16 @@
   }
 }
 
-void StoreFeed::ApplyPlan(const std::shared_ptr<const nlohmann::json>& value,
-                          const std::string& source) {
+bool StoreFeed::ApplyPlan(const std::shared_ptr<const nlohmann::json>& value,
+                          const std::string& source,
+                          const std::vector<core::PlanChange>& changes) {
   try {
     const config::ServingPlan decoded = platform::DecodePlan(*value);
+    const auto before = this->context.state.table;
     if (this->context.state.ApplyPlan(decoded)) {
+      if (before != nullptr && this->plan != nullptr) {
+        this->LogPlanChanges(before->version(), *value, changes);
+      }
       this->plan = value;
       this->context.journal.Write(base::LogLevel::kInfo, "plan_taken",
                                   {{"version", decoded.version},
@@ -115,10 +122,25 @@
                                    {"accounts", decoded.accounts.size()},
                                    {"source", source}});
     }
+    return true;
   } catch (const base::Error& error) {
     this->context.journal.Write(
         base::LogLevel::kError, "plan_unreadable",
         {{"source", source}, {"reason", error.reason()}});
+    return false;
+  }
+}
+
+void StoreFeed::LogPlanChanges(int64_t version,
+                               const nlohmann::json& value,
+                               const std::vector<core::PlanChange>& changes) {
+  for (const core::PlanChange& change : changes) {
+    this->plan_changes.Append(change);
+  }
+  if (changes.empty()) {
+    this->plan_changes.Append(
+        {version, this->context.state.table->version(),
+         base::PrintJson(base::DifferenceBetween(*this->plan, value))});
   }
 }
 
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -3,9 +3,12 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
+#include "carawayvalve/core/plan_log.h"
 #include "carawayvalve/core/store_revision.h"
 #include "carawayvalve/core/watch_plan.h"
 #include "carawayvalve/platform/objects.h"
@@ -37,6 +40,8 @@
   // servers are current, if neither the store nor a peer has confirmed it for
   // some time. Must be called several times a second.
   void RenewFreshness(base::Instant now);
+  // Returns the changes between the latest versions.
+  const core::PlanLog& plan_log() const { return this->plan_changes; }
   // Records that a peer's configuration, of the version known here, was current
   // at this instant.
   void NoteConfigurationConfirmed(base::Instant at) {
@@ -72,10 +77,17 @@
     this->UpdateCurrent();
   }
   // Applies a configuration that the store or a peer sent; `source` is logged.
-  void ApplyPlan(const std::shared_ptr<const nlohmann::json>& value,
-                 const std::string& source);
+  // `changes` turn the one known here into it; without any they are found.
+  // Returns whether it can be read.
+  bool ApplyPlan(const std::shared_ptr<const nlohmann::json>& value,
+                 const std::string& source,
+                 const std::vector<core::PlanChange>& changes = {});
 
  private:
+  // Adds the changes from the configuration known here to the log, for peers.
+  void LogPlanChanges(int64_t version,
+                      const nlohmann::json& value,
+                      const std::vector<core::PlanChange>& changes);
   // Records in the state whether the list of backend servers is current.
   void UpdateCurrent() {
     this->context.state.directory.SetCurrent(this->backends.IsCurrent());
@@ -96,6 +108,7 @@
   // The readable entries on the pages of the list in progress.
   std::set<base::BackendServerId> listed_backends;
   std::shared_ptr<const nlohmann::json> plan;
+  core::PlanLog plan_changes;
 };
 
 }  // namespace carawayvalve::gateway
--- a/gateway/src/timed_call.h
+++ b/gateway/src/timed_call.h
@@ -3,14 +3,17 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
+#include "carawayvalve/core/transfer_progress.h"
 #include "carawayvalve/net/http_client.h"
 
 namespace carawayvalve::gateway {
 
-// An HTTP call that collects the complete answer within a timeout. Destroying
-// it cancels the call.
+// An HTTP call that collects the complete answer, within a timeout or as long
+// as it arrives. Destroying it cancels the call.
 class TimedCall : public std::enable_shared_from_this<TimedCall> {
  public:
   struct Result {
@@ -18,24 +21,53 @@
     int status = 0;
     net::HeaderFields fields;
     std::string body;
+    // Why there was no complete answer; empty if there was one.
+    std::string failure;
+    // What had arrived by then, and how long that took.
+    size_t received_bytes = 0;
+    base::Duration time{};
   };
   using Handler = std::function<void(const Result&)>;
 
-  // Calls `done` once, after Start has returned.
+  // Calls `done` once, after Start has returned. The answer is complete within
+  // `timeout`, or the call fails.
   static std::shared_ptr<TimedCall> Start(net::EventLoop& loop,
                                           net::HttpClient& client,
                                           const base::Address& address,
                                           const net::Request& request,
                                           base::Duration timeout,
                                           Handler done);
+  // The same for an answer of up to `max_bytes` that may take longer: it begins
+  // within `period`, and each further one brings a part of it, see
+  // core::TransferProgress.
+  static std::shared_ptr<TimedCall> StartTransfer(net::EventLoop& loop,
+                                                  net::HttpClient& client,
+                                                  const base::Address& address,
+                                                  const net::Request& request,
+                                                  base::Duration period,
+                                                  size_t max_bytes,
+                                                  Handler done);
 
-  explicit TimedCall(net::EventLoop& loop) : timer(loop) {}
+  TimedCall(net::EventLoop& loop, Handler done)
+      : timer(loop), started_at(base::Now()), done(std::move(done)) {}
 
  private:
+  void Send(net::HttpClient& client,
+            const base::Address& address,
+            const net::Request& request,
+            size_t max_bytes);
+  // Sets the timeout of the whole answer, or of the next part of a transfer.
+  void StartTimer(base::Duration timeout);
+  void OnTimeout();
   void OnEvent(const net::CallEvent& event);
+  void Fail(const std::string& reason, size_t received_bytes);
   void Finish();
 
   net::Timer timer;
+  base::Instant started_at;
+  // Only of a transfer.
+  std::optional<base::Duration> period;
+  core::TransferProgress progress;
   std::unique_ptr<net::Call> call;
   Result result;
   Handler done;
