Don't read a configuration from the store that a peer has passed on

A gateway that has a version from a peer went on to ask the store for all changes since the revision of its own last answer: when it heard of no confirmation for 1.2 s, the store sent the whole configuration once more, and its list to one whose revision the store had forgotten. So after any pause most gateways read at once what they had, over the link that the next version needs.

Gossip says up to which revision of the store the sender's version is the configuration; a gateway with the same version asks from there on. One that couldn't read the store's newest value doesn't say it.

--- a/gateway/src/object_watcher.h
+++ b/gateway/src/object_watcher.h
@@ -64,6 +64,15 @@
   const core::ChangeLog& log() const { return this->change_log; }
   // Applies changes that a peer returned for the revision known here then.
   void ApplyPeerChanges(const platform::ObjectChanges& received);
+  // Records that all changes up to `at` are known here, as a peer knows no
+  // others up to then. The store isn't asked for them again. No effect while a
+  // call of this process is under way.
+  void NoteReceived(const core::StoreRevision& at) {
+    if (this->activity != Activity::kBusy && at.Includes(this->revision) &&
+        !this->IsOfOlderEra()) {
+      this->revision = at;
+    }
+  }
   // Records that a peer which has no changes that are missing here had all
   // changes at this instant.
   void NoteConfirmed(base::Instant at) {
--- a/gateway/src/plan_relay.cc
+++ b/gateway/src/plan_relay.cc
@@ -70,6 +70,9 @@
                             ? static_cast<int32_t>(std::min<int64_t>(
                                   base::ToMilliseconds(*age) + 1, INT32_MAX))
                             : -1;
+  if (const auto revision = this->feed.plan_revision()) {
+    gossip.__set_plan_revision(revision->revision);
+  }
 }
 
 void PlanRelay::Apply(const wire::gen::Gossip& gossip,
@@ -93,6 +96,9 @@
 
 void PlanRelay::NoteSameVersion(const wire::gen::Gossip& gossip) {
   GatewayState& state = this->context.state;
+  if (gossip.__isset.plan_revision) {
+    this->feed.NotePlanRevision({gossip.store_era, gossip.plan_revision});
+  }
   const auto sent_at = EchoSentAt(gossip, state, base::Now());
   if (gossip.proof_age_ms >= 0 && sent_at.has_value()) {
     const base::Milliseconds age(gossip.proof_age_ms);
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -100,11 +100,20 @@
 }
 
 void StoreFeed::ApplyConfiguration(const platform::StoredObject& object) {
-  if (object.name == platform::kConfigurationName && object.fault.empty()) {
-    this->ApplyPlan(object.value, "store");
+  if (object.name == platform::kConfigurationName) {
+    this->plan_unreadable =
+        !object.fault.empty() || !this->ApplyPlan(object.value, "store");
   }
 }
 
+std::optional<core::StoreRevision> StoreFeed::plan_revision() const {
+  const core::StoreRevision& read_to = this->configuration.received_revision();
+  const bool is_known = this->plan != nullptr && !this->plan_unreadable &&
+                        read_to.revision > 0 &&
+                        read_to.era == this->context.state.store_era;
+  return is_known ? std::optional(read_to) : std::nullopt;
+}
+
 bool StoreFeed::ApplyPlan(const std::shared_ptr<const nlohmann::json>& value,
                           const std::string& source,
                           const std::vector<core::PlanChange>& changes) {
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -42,6 +42,13 @@
   void RenewFreshness(base::Instant now);
   // Returns the changes between the latest versions.
   const core::PlanLog& plan_log() const { return this->plan_changes; }
+  // Returns the store's revision up to which the configuration known here is
+  // the configuration; nothing if that isn't known.
+  std::optional<core::StoreRevision> plan_revision() const;
+  // Records the corresponding revision of a peer with the same version.
+  void NotePlanRevision(const core::StoreRevision& at) {
+    this->configuration.NoteReceived(at);
+  }
   // Records that a peer's configuration, of the version known here, was current
   // at this instant.
   void NoteConfigurationConfirmed(base::Instant at) {
@@ -109,6 +116,8 @@
   std::set<base::BackendServerId> listed_backends;
   std::shared_ptr<const nlohmann::json> plan;
   core::PlanLog plan_changes;
+  // The store's newest value of the configuration couldn't be read.
+  bool plan_unreadable = false;
 };
 
 }  // namespace carawayvalve::gateway
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -3189,6 +3189,11 @@
   this->echo_boot = val;
 __isset.echo_boot = true;
 }
+
+void Gossip::__set_plan_revision(const int64_t val) {
+  this->plan_revision = val;
+__isset.plan_revision = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -3622,6 +3627,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->plan_revision);
+          this->__isset.plan_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3904,6 +3917,11 @@
     xfer += oprot->writeString(this->echo_boot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.plan_revision) {
+    xfer += oprot->writeFieldBegin("plan_revision", ::apache::thrift::protocol::T_I64, 31);
+    xfer += oprot->writeI64(this->plan_revision);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3939,6 +3957,7 @@
   swap(a.service_speeds, b.service_speeds);
   swap(a.store_era, b.store_era);
   swap(a.echo_boot, b.echo_boot);
+  swap(a.plan_revision, b.plan_revision);
   swap(a.__isset, b.__isset);
 }
 
@@ -3971,6 +3990,7 @@
   service_speeds = other196.service_speeds;
   store_era = other196.store_era;
   echo_boot = other196.echo_boot;
+  plan_revision = other196.plan_revision;
   __isset = other196.__isset;
 }
 Gossip::Gossip(Gossip&& other197) noexcept {
@@ -4002,6 +4022,7 @@
   service_speeds = std::move(other197.service_speeds);
   store_era = other197.store_era;
   echo_boot = std::move(other197.echo_boot);
+  plan_revision = other197.plan_revision;
   __isset = other197.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other198) {
@@ -4033,6 +4054,7 @@
   service_speeds = other198.service_speeds;
   store_era = other198.store_era;
   echo_boot = other198.echo_boot;
+  plan_revision = other198.plan_revision;
   __isset = other198.__isset;
   return *this;
 }
@@ -4065,6 +4087,7 @@
   service_speeds = std::move(other199.service_speeds);
   store_era = other199.store_era;
   echo_boot = std::move(other199.echo_boot);
+  plan_revision = other199.plan_revision;
   __isset = other199.__isset;
   return *this;
 }
@@ -4099,6 +4122,7 @@
   out << ", " << "service_speeds="; (__isset.service_speeds ? (out << to_string(service_speeds)) : (out << "<null>"));
   out << ", " << "store_era="; (__isset.store_era ? (out << to_string(store_era)) : (out << "<null>"));
   out << ", " << "echo_boot="; (__isset.echo_boot ? (out << to_string(echo_boot)) : (out << "<null>"));
+  out << ", " << "plan_revision="; (__isset.plan_revision ? (out << to_string(plan_revision)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -1068,7 +1068,7 @@
 std::ostream& operator<<(std::ostream& out, const GossipServiceSpeeds& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), account_rates(false), wanted_contents(false), registry_proof(false), speed_observations(false), service_speeds(false), store_era(false), echo_boot(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), account_rates(false), wanted_contents(false), registry_proof(false), speed_observations(false), service_speeds(false), store_era(false), echo_boot(false), plan_revision(false) {}
   bool absences :1;
   bool departures :1;
   bool served_parts :1;
@@ -1084,6 +1084,7 @@
   bool service_speeds :1;
   bool store_era :1;
   bool echo_boot :1;
+  bool plan_revision :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -1105,7 +1106,8 @@
            registry_revision(0),
            reports_usage(0),
            store_era(0),
-           echo_boot() {
+           echo_boot(),
+           plan_revision(0) {
   }
 
   virtual ~Gossip() noexcept;
@@ -1137,6 +1139,7 @@
   std::vector<GossipServiceSpeeds>  service_speeds;
   int64_t store_era;
   std::string echo_boot;
+  int64_t plan_revision;
 
   _Gossip__isset __isset;
 
@@ -1196,6 +1199,8 @@
 
   void __set_echo_boot(const std::string& val);
 
+  void __set_plan_revision(const int64_t val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -1284,6 +1289,10 @@
       return false;
     else if (__isset.echo_boot && !(echo_boot == rhs.echo_boot))
       return false;
+    if (__isset.plan_revision != rhs.__isset.plan_revision)
+      return false;
+    else if (__isset.plan_revision && !(plan_revision == rhs.plan_revision))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -214,4 +214,7 @@
   29: optional i64 store_era,
   // The run of the receiver that made `echo`; without it `echo` proves nothing.
   30: optional string echo_boot,
+  // The store's revision, of `store_era`, up to which `plan_version` is the
+  // configuration; absent if the sender doesn't know it.
+  31: optional i64 plan_revision,
 }
