Wait for a peer's changes of backend servers as they arrive

The same cause as with the configuration: an answer had 250 ms in all, and one that arrived more slowly was abandoned and read from the store instead. Each part has 250 ms now. What had arrived of a failed one is logged.

gateway/tests/registry_relay_test.cc, 250 servers over 60 KB/s, the store away: the changes didn't come on within 2 s; they do now.

--- a/gateway/src/registry_relay.cc
+++ b/gateway/src/registry_relay.cc
@@ -23,8 +23,8 @@
 // After a failed fetch there is no other one for this time: the peer may not
 // have known the changes any more.
 constexpr base::Milliseconds kFailedFetchDelay(500);
-// A peer that hasn't answered within this time is taken for lost.
-constexpr base::Milliseconds kFetchTimeout(250);
+// Each part of an answer must arrive within this time.
+constexpr base::Milliseconds kFetchPeriod(250);
 constexpr size_t kMaxAnswerBytes = size_t{8} * 1024 * 1024;
 
 json Encode(const core::ObjectChangeRange& range) {
@@ -88,10 +88,7 @@
 }  // namespace
 
 RegistryRelay::RegistryRelay(Context& context, StoreFeed& feed)
-    : context(context),
-      feed(feed),
-      client(context.loop, kKeepAlive),
-      timeout(context.loop) {
+    : context(context), feed(feed), client(context.loop, kKeepAlive) {
   this->client.SetBudget(context.answers);
 }
 
@@ -151,43 +148,33 @@
 }
 
 void RegistryRelay::Fetch(const base::Address& address) {
-  this->status = 0;
-  this->body.clear();
   const core::StoreRevision& known = this->feed.registry().received_revision();
   const std::string target =
       kPath + std::to_string(known.revision) + kEra + std::to_string(known.era);
   this->next_fetch = base::Now() + kFailedFetchDelay;
-  this->timeout.Start(kFetchTimeout, [this] { this->call.reset(); });
-  net::CallOptions options;
-  options.max_body_bytes = kMaxAnswerBytes;
-  options.whole_body = true;
-  this->call = this->client.Start(
-      address, {"GET", target, {}, {}}, options,
-      [this](const net::CallEvent& event) { this->OnCall(event); });
+  this->call = TimedCall::StartTransfer(
+      this->context.loop, this->client, address, {"GET", target, {}, {}},
+      kFetchPeriod, kMaxAnswerBytes, [this](const TimedCall::Result& result) {
+        this->call.reset();
+        this->OnFetched(result);
+      });
 }
 
-void RegistryRelay::OnCall(const net::CallEvent& event) {
-  if (const auto* head = std::get_if<net::CallHead>(&event)) {
-    this->status = head->head.status;
-    return;
-  }
-  if (const auto* part = std::get_if<net::CallBody>(&event)) {
-    this->body = part->data;
-    return;
-  }
-  const bool done = std::holds_alternative<net::CallDone>(event);
-  if (!done && !std::holds_alternative<net::CallFailed>(event)) {
-    return;
+void RegistryRelay::OnFetched(const TimedCall::Result& result) {
+  const bool is_answered = result.status == kOk;
+  this->context.metrics.CountRegistryFetch(is_answered ? "answered" : "failed");
+  if (!result.failure.empty()) {
+    this->context.journal.Write(
+        base::LogLevel::kWarning, "registry_fetch_failed",
+        {{"reason", result.failure},
+         {"bytes", static_cast<int64_t>(result.received_bytes)},
+         {"ms", base::ToMilliseconds(result.time)}});
   }
-  this->timeout.Cancel();
-  this->call.reset();
-  this->context.metrics.CountRegistryFetch(
-      done && this->status == kOk ? "answered" : "failed");
-  if (!done || this->status != kOk) {
+  if (!is_answered) {
     return;
   }
   try {
-    if (const auto changes = Decode(std::exchange(this->body, {}))) {
+    if (const auto changes = Decode(result.body)) {
       this->next_fetch = {};
       this->feed.ApplyPeerChanges(*changes);
     }
--- a/gateway/src/registry_relay.h
+++ b/gateway/src/registry_relay.h
@@ -9,6 +9,7 @@
 #include "context.h"
 #include "gossip_types.h"
 #include "store_feed.h"
+#include "timed_call.h"
 
 namespace carawayvalve::gateway {
 
@@ -32,18 +33,15 @@
 
  private:
   void Fetch(const base::Address& address);
-  void OnCall(const net::CallEvent& event);
+  void OnFetched(const TimedCall::Result& result);
 
   Context& context;
   StoreFeed& feed;
   net::HttpClient client;
   // The call in flight, if any.
-  std::unique_ptr<net::Call> call;
-  net::Timer timeout;
+  std::shared_ptr<TimedCall> call;
   // No call is made before this instant.
   base::Instant next_fetch;
-  int status = 0;
-  std::string body;
 };
 
 }  // namespace carawayvalve::gateway
--- a/gateway/tests/registry_relay_test.cc
+++ b/gateway/tests/registry_relay_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include "platform/link.h"
 #include "platform/store.h"
 #include "test_gateway.h"
 
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr Milliseconds kRenewAge(2000);
+// Bytes a second that requests leave of a link of 10 Mbit/s.
+constexpr int64_t kSlowLink = 60000;
 
 nlohmann::json DeskServer(const char* state) {
   return {{"service", "desk"}, {"addr", "127.0.0.1:1"},
@@ -134,6 +137,23 @@
   }
 }
 
+// Guards against answers that are abandoned while they arrive.
+TEST_CASE("changes of many backend servers come from a peer with a slow link") {
+  constexpr int kServers = 250;
+  RelayTest test;
+  for (int i = 0; i < kServers; ++i) {
+    test.store.Put("servers", "j-" + std::to_string(i), DeskServer("up"));
+  }
+  test.Run(Milliseconds(900));
+  REQUIRE(test.told.registry_revision() < test.watching.registry_revision());
+  test.store.silent = true;
+  tests::Link link(test.gateway.loop, test.server.port());
+  link.SetRate(kSlowLink);
+  test.told_relay.Apply(test.Message(), {"127.0.0.1", link.port()});
+  test.Run(seconds(2));
+  CHECK(test.told.registry_revision() == test.watching.registry_revision());
+}
+
 TEST_CASE("a gateway tells its peers only what it knows without a gap") {
   const RelayTest test;
   const int64_t revision =
