--- a/base/tests/deflate_test.cc
+++ b/base/tests/deflate_test.cc
@@ -15,7 +15,7 @@
   std::string text;
   for (int i = 0; i < 3000; ++i) {
     text += R"({"name":"route-)" + std::to_string(i) +
-            R"(","service":"desk","timeoutMs":5000},)";
+            R"(","service":"desk","objective":5000},)";
   }
   return text;
 }
--- a/gateway/tests/large_plan.h
+++ b/gateway/tests/large_plan.h
@@ -3,11 +3,11 @@
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
-#include <string>
 
 #include "carawayvalve/base/foreign_json.h"
 #include "carawayvalve/base/time.h"
 #include "gateway_state.h"
+#include "platform/plans.h"
 
 namespace carawayvalve::gateway {
 
@@ -22,25 +22,9 @@
   return base::ParseForeignJson(base::PrintJson(value)).value;
 }
 
-// Returns a configuration in the store's form.
+// Returns a configuration in the store's form, as it is read.
 inline nlohmann::json LargePlan(int64_t version, int routes = kManyRoutes) {
-  nlohmann::json plan = {
-      {"version", version},
-      {"routes", nlohmann::json::array()},
-      {"services", {{{"name", "desk"}}}},
-  };
-  for (int i = 0; i < routes; ++i) {
-    plan["routes"].push_back({{"name", "route-" + std::to_string(i)},
-                              {"host", "desk.example"},
-                              {"prefix", "/p" + std::to_string(i) + "/"},
-                              {"kind", "idempotent"},
-                              {"service", "desk"},
-                              {"maxAttempts", 2},
-                              {"timeoutMs", 5000},
-                              {"sloMs", 600},
-                              {"priority", 1}});
-  }
-  return AsRead(plan);
+  return AsRead(tests::PlanWithRoutes(version, routes));
 }
 
 // Returns how long a link that is mostly taken needs for the value.
--- a/gateway/tests/plan_fleet_test.cc
+++ b/gateway/tests/plan_fleet_test.cc
@@ -10,6 +10,7 @@
 
 #include "carawayvalve/base/error.h"
 #include "peer_gossip.h"
+#include "platform/plans.h"
 #include "platform/store.h"
 #include "store_feed.h"
 #include "test_gateway.h"
@@ -32,20 +33,8 @@
 constexpr Milliseconds kAway(2500);
 
 nlohmann::json Plan(int64_t version) {
-  nlohmann::json plan = {
-      {"version", version},
-      {"routes", nlohmann::json::array()},
-      {"services", {{{"name", "desk"}}}},
-  };
-  for (int64_t i = 0; i < kManyRoutes + version; ++i) {
-    plan["routes"].push_back({{"name", "route-" + std::to_string(i)},
-                              {"host", "desk.example"},
-                              {"prefix", "/p" + std::to_string(i) + "/"},
-                              {"kind", "idempotent"},
-                              {"service", "desk"},
-                              {"timeoutMs", 5000}});
-  }
-  return plan;
+  return tests::PlanWithRoutes(version,
+                               kManyRoutes + static_cast<int>(version));
 }
 
 GatewaySettings TestSettings(int number) {
--- a/gateway/tests/plan_relay_test.cc
+++ b/gateway/tests/plan_relay_test.cc
@@ -92,7 +92,7 @@
   test.targets.clear();
   test.bytes = 0;
   plan["version"] = 7;
-  plan["routes"][100]["timeoutMs"] = 700;
+  plan["routes"][100]["priority"] = 7;
   test.peer.Take(plan);
 
   // Guards against links that are filled with routes which haven't changed.
@@ -130,7 +130,7 @@
 
   SUBCASE("as a whole, if it has another configuration of its version") {
     nlohmann::json odd = LargePlan(5);
-    odd["routes"][7]["timeoutMs"] = 1;
+    odd["routes"][7]["priority"] = 9;
     test.told.gateway.state.table.reset();
     test.told.Take(odd);
     test.Tell();
