Wait for an object of the store as long as it arrives

systems/tests/object_api_test.cc, 300 KB at 160 KB/s and a timeout of 500 ms, linked to: "Operation timed out after 500 milliseconds"; now it is read. One that stalls, or doesn't begin, fails as before.

--- a/systems/include/carawayvalve/systems/http_client.h
+++ b/systems/include/carawayvalve/systems/http_client.h
@@ -2,6 +2,7 @@
 #define CARAWAYVALVE_SYSTEMS_HTTP_CLIENT_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -19,8 +20,13 @@
   // given: libcurl sets them.
   std::vector<HttpHeader> headers;
   std::string body;
-  // Limit for the whole call, including connecting.
+  // Limit for the whole call, including connecting; with a `period` until the
+  // answer begins.
   base::Milliseconds timeout = base::Milliseconds(5000);
+  // If set, the answer may take longer than `timeout` as long as each further
+  // period brings a part of it, see core::TransferProgress. Checked once a
+  // second.
+  std::optional<base::Milliseconds> period = std::nullopt;
   // When true, the request uses a new connection, so libcurl never resends it.
   // Otherwise libcurl resends a request when a reused connection turns out to
   // be closed.
--- a/systems/src/http_client.cc
+++ b/systems/src/http_client.cc
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <array>
 #include <exception>
+#include <optional>
 
 #include "answer_budget.h"
 #include "carawayvalve/base/error.h"
+#include "carawayvalve/core/transfer_progress.h"
 #include "curl_handle.h"
 #include "http_headers.h"
 
@@ -36,6 +38,11 @@
   bool is_head_complete = false;
   size_t header_bytes = 0;
   bool ended_by_sink = false;
+  // Empty for a call whose whole time is limited.
+  std::optional<base::Milliseconds> period;
+  base::Instant period_ends_at;
+  core::TransferProgress progress = {};
+  bool is_stalled = false;
   // A callback's exception, as exceptions must not pass through libcurl.
   std::exception_ptr failure = nullptr;
 };
@@ -105,8 +112,26 @@
   return continues ? length : 0;
 }
 
-int OnProgress(void* user, curl_off_t, curl_off_t, curl_off_t, curl_off_t) {
+// Returns whether a period without enough progress has ended.
+bool IsStalled(Transfer& transfer, size_t received_bytes) {
+  const base::Instant now = base::Now();
+  if (!transfer.period.has_value() || now < transfer.period_ends_at) {
+    return false;
+  }
+  transfer.period_ends_at = now + *transfer.period;
+  return !transfer.progress.Continues(received_bytes, *transfer.period);
+}
+
+int OnProgress(void* user,
+               curl_off_t,
+               curl_off_t received,
+               curl_off_t,
+               curl_off_t) {
   Transfer& transfer = *static_cast<Transfer*>(user);
+  transfer.is_stalled = IsStalled(transfer, static_cast<size_t>(received));
+  if (transfer.is_stalled) {
+    return 1;
+  }
   const bool continues = RunCallback(
       transfer, [&transfer] { return !IsCancelled(transfer.sink); });
   return continues ? 0 : 1;
@@ -186,7 +211,11 @@
   handle.Set(CURLOPT_PROXY, "");
   handle.Set(CURLOPT_NOSIGNAL, 1L);
   handle.Set(CURLOPT_FOLLOWLOCATION, 0L);
-  handle.Set(CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+  const base::Milliseconds transfer_time =
+      request.period.value_or(base::Milliseconds(0)) *
+      core::kMaxTransferPeriods;
+  handle.Set(CURLOPT_TIMEOUT_MS,
+             static_cast<long>((request.timeout + transfer_time).count()));
   // libcurl resends only when a reused connection turns out to be closed.
   if (request.at_most_once) {
     handle.Set(CURLOPT_FRESH_CONNECT, 1L);
@@ -216,6 +245,8 @@
   std::array<char, CURL_ERROR_SIZE> details = {};
   detail::CurlHandle handle;
   Transfer transfer{sink, handle};
+  transfer.period = request.period;
+  transfer.period_ends_at = base::Now() + request.timeout;
   SetConnection(handle, request);
   SetRequest(handle, request);
   SetCallbacks(handle, transfer);
@@ -236,8 +267,9 @@
     throw base::UnreadableAnswerError(step, HostAndPort(request.url),
                                       "its headers are too long");
   }
-  const std::string reason =
-      details[0] == '\0' ? curl_easy_strerror(code) : details.data();
+  const std::string reason = transfer.is_stalled  ? "the answer has stalled"
+                             : details[0] == '\0' ? curl_easy_strerror(code)
+                                                  : details.data();
   if (!transfer.is_connected) {
     throw base::NotReachedError(step, HostAndPort(request.url), reason);
   }
--- a/systems/src/object_api.cc
+++ b/systems/src/object_api.cc
@@ -79,9 +79,11 @@
 std::optional<Object> ObjectApi::Get(const std::string& kind,
                                      const std::string& name) const {
   const CallSite site{"get object", this->address};
-  const HttpResponse response = HttpCall(
-      site.step,
-      detail::MakeRequest(site, "GET", ObjectPath(kind, name), this->timeout));
+  HttpRequest request =
+      detail::MakeRequest(site, "GET", ObjectPath(kind, name), this->timeout);
+  // A value has up to a megabyte.
+  request.period = this->timeout;
+  const HttpResponse response = HttpCall(site.step, request);
   const int64_t answered_era = this->NoteEra(site.step, response);
   if (response.status == detail::kNotFound) {
     return std::nullopt;
--- a/systems/tests/object_api_test.cc
+++ b/systems/tests/object_api_test.cc
@@ -35,6 +35,40 @@
   CHECK(api.newest_era() == 4);
 }
 
+// Guards against a configuration whose chunks are abandoned while they arrive,
+// and read again from their beginning.
+TEST_CASE("a large object comes through a slow link") {
+  constexpr Milliseconds kTimeout(500);
+  const std::string value(size_t{300} * 1024, 'a');
+  const std::string body = R"({"version":8,"value":")" + value + R"("})";
+  Reply reply = JsonReply(200, body);
+  // 160 KB a second: two seconds in all.
+  reply.piece = size_t{16} * 1024;
+
+  SUBCASE("as long as that takes") {
+    AnswerServer server({reply});
+    const ObjectApi api(server.Address(), kTimeout);
+    CHECK(api.Get("configuration-chunk", "0")->value == value);
+  }
+
+  SUBCASE("but isn't waited for once it has stalled") {
+    reply.bytes.resize(reply.bytes.size() / 2);
+    AnswerServer server({reply});
+    const ObjectApi api(server.Address(), kTimeout);
+    const base::Instant before = base::Now();
+    CHECK_THROWS_AS(api.Get("configuration-chunk", "0"), UnknownOutcomeError);
+    CHECK(base::Now() - before < std::chrono::seconds(5));
+  }
+
+  SUBCASE("nor at all unless it begins") {
+    AnswerServer server({Reply{.bytes = "", .keep_open = true}});
+    const ObjectApi api(server.Address(), kTimeout);
+    const base::Instant before = base::Now();
+    CHECK_THROWS_AS(api.Get("configuration-chunk", "0"), UnknownOutcomeError);
+    CHECK(base::Now() - before < std::chrono::seconds(3));
+  }
+}
+
 TEST_CASE("PutAndConfirm resolves the outcome of an update") {
   const auto put = [](const AnswerServer& server, int64_t if_version = 7) {
     return ObjectApi(server.Address())
