Read a configuration again that couldn't be read

A gateway whose answer of the store held a configuration that couldn't be read went on to watch from that answer's revision: the confirmed version wasn't in force there before the next change, or before a peer told of it, which none does if all of them got such an answer. It is listed again every 600 ms until it can be read.

--- a/gateway/src/object_watcher.cc
+++ b/gateway/src/object_watcher.cc
@@ -13,6 +13,8 @@
 constexpr base::Milliseconds kFirstRetryDelay(100);
 constexpr base::Milliseconds kMaxRetryDelay(800);
 constexpr int64_t kMaxDoublings = 3;
+// Objects that couldn't be read are listed again after this time.
+constexpr base::Milliseconds kListAgainDelay(600);
 // The minimum interval between two watches that are answered at once.
 constexpr base::Milliseconds kMinPollInterval(1000);
 // A watch older than this is sent again when a peer knows a newer revision.
@@ -116,6 +118,11 @@
 }
 
 void ObjectWatcher::Follow() {
+  if (std::exchange(this->lists_again, false)) {
+    this->activity = Activity::kBusy;
+    this->timer.Start(kListAgainDelay, [this] { this->List(""); });
+    return;
+  }
   if (this->schedule.wait.has_value()) {
     this->Watch(*this->schedule.wait);
   } else {
--- a/gateway/src/object_watcher.h
+++ b/gateway/src/object_watcher.h
@@ -43,6 +43,9 @@
                 Hooks hooks);
 
   void Start() { this->List(""); }
+  // Lists the objects again after a while, as one couldn't be read. Called from
+  // a hook.
+  void ListAgain() { this->lists_again = true; }
 
   // Sets how the objects are followed, from the next call on.
   void SetSchedule(const core::WatchSchedule& changed) {
@@ -192,6 +195,7 @@
   core::WatchSchedule schedule;
   base::Milliseconds batch_delay{0};
   bool keeps_log = false;
+  bool lists_again = false;
   core::ChangeLog change_log;
   // The revision of the store up to which changes were received.
   core::StoreRevision revision;
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -103,6 +103,9 @@
   if (object.name == platform::kConfigurationName) {
     this->plan_unreadable =
         !object.fault.empty() || !this->ApplyPlan(object.value, "store");
+    if (this->plan_unreadable) {
+      this->configuration.ListAgain();
+    }
   }
 }
 
