Remember streams whose first request has a long id by its hash

Records with ids of over 256 bytes are refused, as their number alone wouldn't bound the memory; so a stream that began with such a request couldn't be taken up.

--- a/core/include/carawayvalve/core/stream_origins.h
+++ b/core/include/carawayvalve/core/stream_origins.h
@@ -16,10 +16,14 @@
 
 namespace carawayvalve::core {
 
-// Streams whose first request has a longer id aren't remembered, as the number
-// of records alone wouldn't bound the memory.
+// Records with longer ids are refused, as their number alone wouldn't bound the
+// memory.
 inline constexpr size_t kMaxStreamIdBytes = 256;
 
+// Returns the id by which the stream that began with this request is
+// remembered: the request's own, or its hash if it is too long.
+base::RequestId StreamIdOf(const base::RequestId& first);
+
 // The software version that began a stream.
 struct StreamOrigin {
   // The request that brought the caller the stream's first event.
--- a/core/src/stream_origins.cc
+++ b/core/src/stream_origins.cc
@@ -44,6 +44,13 @@
   return digest.data();
 }
 
+base::RequestId StreamIdOf(const base::RequestId& first) {
+  return first.value.size() <= kMaxStreamIdBytes
+             ? first
+             : base::RequestId{"#" +
+                               std::to_string(base::StableHash(first.value))};
+}
+
 bool StreamOrigins::Note(const StreamOrigin& origin, base::Instant now) {
   if (origin.first.value.size() > kMaxStreamIdBytes) {
     return false;
--- a/core/tests/long_texts_test.cc
+++ b/core/tests/long_texts_test.cc
@@ -32,8 +32,11 @@
   StreamOrigins origins;
   const base::Instant now = base::Now();
   for (int i = 0; i < 6000; ++i) {
+    origins.Note({StreamIdOf({LongText(i)}), "v1", {}, "content", false}, now);
+    // As a peer may send it.
     origins.Note({{LongText(i)}, "v1", {}, "content", false}, now);
   }
+  CHECK(origins.Find(StreamIdOf({LongText(1)})) == "v1");
   CHECK(base::ResidentBytes() - before < kMaxGrowth);
 }
 
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -111,9 +111,6 @@
 void Context::NoteStream(const core::StreamOrigin& origin,
                          const base::ServiceId& service,
                          base::Duration horizon) {
-  if (origin.first.value.size() > core::kMaxStreamIdBytes) {
-    return;
-  }
   const base::Instant now = base::Now();
   this->state.stream_origins.Note(origin, now);
   if (this->state.untold_origins.size() < kMaxUntoldOrigins) {
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -62,6 +62,8 @@
   // Returns how long after its beginning callers take the stream up.
   base::Duration TakeUpTime() const;
   std::string StreamContent() const;
+  // Returns the stream that the caller names as the one it takes up, if any.
+  std::optional<base::RequestId> ResumedStream() const;
   // Chooses a backend server and sends the request to it, queues the request,
   // or ends it.
   void Attempt();
--- a/gateway/src/request_resumption.cc
+++ b/gateway/src/request_resumption.cc
@@ -22,22 +22,29 @@
       request.target, request.body, this->caller.prompt);
 }
 
+std::optional<base::RequestId> RequestHandler::ResumedStream() const {
+  return this->caller.resumes.has_value()
+             ? std::optional(core::StreamIdOf(*this->caller.resumes))
+             : std::nullopt;
+}
+
 void RequestHandler::TakeUpStream() {
   const auto self = this->shared_from_this();
-  this->context.origin_lookup.Find({this->caller.resumes, this->StreamContent(),
-                                    this->service, this->TakeUpTime()},
-                                   [self](const core::OriginVerdict& verdict) {
-                                     if (!self->ended) {
-                                       self->OnStreamOrigin(verdict);
-                                     }
-                                   });
+  this->context.origin_lookup.Find(
+      {this->ResumedStream(), this->StreamContent(), this->service,
+       this->TakeUpTime()},
+      [self](const core::OriginVerdict& verdict) {
+        if (!self->ended) {
+          self->OnStreamOrigin(verdict);
+        }
+      });
 }
 
 void RequestHandler::OnStreamOrigin(const core::OriginVerdict& verdict) {
   const auto* known = std::get_if<core::ContinueAtVersion>(&verdict);
   const bool is_from_store =
       known != nullptr && this->context.state.stream_origins.IsFromStore(
-                              this->caller.resumes.value_or(base::RequestId{}),
+                              this->ResumedStream().value_or(base::RequestId{}),
                               this->StreamContent());
   this->context.metrics.CountStreamTakenUp(known == nullptr ? "refused"
                                            : is_from_store  ? "goes_on_stored"
@@ -47,7 +54,7 @@
   this->context.journal.Write(
       base::LogLevel::kInfo, "stream_taken_up",
       {{"request", this->caller.id.value},
-       {"first", this->caller.resumes.value_or(base::RequestId{}).value},
+       {"first", this->ResumedStream().value_or(base::RequestId{}).value},
        {"content", this->StreamContent()},
        {"after", *this->caller.after_event},
        {"version", known == nullptr ? "" : known->version},
@@ -69,11 +76,12 @@
 }
 
 void RequestHandler::NoteStream(const std::string& software_version) {
-  this->context.NoteStream({this->caller.resumes.value_or(this->caller.id),
-                            software_version,
-                            {},
-                            this->StreamContent()},
-                           this->service, this->TakeUpTime());
+  this->context.NoteStream(
+      {core::StreamIdOf(this->caller.resumes.value_or(this->caller.id)),
+       software_version,
+       {},
+       this->StreamContent()},
+      this->service, this->TakeUpTime());
 }
 
 }  // namespace carawayvalve::gateway
--- a/gateway/tests/stream_version_test.cc
+++ b/gateway/tests/stream_version_test.cc
@@ -159,6 +159,30 @@
   }
 }
 
+TEST_CASE("a stream whose request has a long id isn't taken up") {
+  const std::string first(1000, 'r');
+  RequestFixture fixture(kMaxAttempts, kSlackOfManyRetries);
+  Backend old_engine(fixture.gateway.loop, {.id = "old", .version = "v1"},
+                     fixture.runs);
+  fixture.Add("old", old_engine.port(), EngineRole::kDecode, "v1");
+  old_engine.cut_streams = 1;
+  // No other attempt goes on with it here.
+  fixture.gateway.state.directory.NoteRemoved({"generator"}, base::Now());
+  fixture.SendRequest([](const std::string&) {}, Stream(first));
+  CHECK_FALSE(fixture.complete);
+  fixture.gateway.state.directory.NoteRemoved({"old"}, base::Now());
+  Backend same(fixture.gateway.loop, {.id = "same", .version = "v1"},
+               fixture.runs);
+  fixture.Add("same", same.port(), EngineRole::kDecode, "v1");
+  Backend other(fixture.gateway.loop, {.id = "other", .version = "v2"},
+                fixture.runs);
+  fixture.Add("other", other.port(), EngineRole::kDecode, "v2");
+  fixture.SendRequest([](const std::string&) {}, TakingUp("r2", first, "1"));
+  CHECK(fixture.status == 200);
+  CHECK(fixture.complete);
+  CHECK(fixture.runs.back().backend == "same");
+}
+
 TEST_CASE("a stream that its caller names is taken up after the loss of all") {
   TakeUpAfterLoss("r1");
 }
