--- a/gateway/tests/store_feed_test.cc
+++ b/gateway/tests/store_feed_test.cc
@@ -71,6 +71,7 @@
   StoreFeed feed(gateway.context, objects);
 
   SUBCASE("lists changes that are too large to be read at once") {
+    objects.SetBudget(gateway.answers);
     feed.Start();
     gateway.RunFor(Milliseconds(300));
     store.down = true;
