--- a/tests/platform/link.cc
+++ b/tests/platform/link.cc
@@ -28,6 +28,8 @@
 // How often to check whether held bytes may be forwarded.
 constexpr base::Milliseconds kHeldCheckInterval(20);
 
+constexpr size_t kPacketBytes = 1448;
+
 bool WasReset(tcp::socket& socket) {
   char next = 0;
   return recv(socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
@@ -98,7 +100,9 @@
   void Read(const std::shared_ptr<Flow>& flow) {
     tcp::socket& source =
         flow->from_near ? flow->connection->near : flow->connection->far;
-    source.async_read_some(asio::buffer(flow->buffer),
+    // A slow link brings no more than a packet at once.
+    const size_t most = this->rate == 0 ? flow->buffer.size() : kPacketBytes;
+    source.async_read_some(asio::buffer(flow->buffer, most),
                            [self = this->shared_from_this(), flow](
                                const error_code& error, size_t size) {
                              if (error) {
