--- a/gateway/src/plan_relay.cc
+++ b/gateway/src/plan_relay.cc
@@ -179,7 +179,7 @@
 }
 
 void PlanRelay::ApplyChanges(const json& encoded) {
-  json value = *this->feed.plan_value();
+  std::shared_ptr<const json> value = this->feed.plan_value();
   int64_t version = this->context.state.table->version();
   std::vector<core::PlanChange> changes;
   for (const json& item : encoded.at("changes")) {
@@ -193,15 +193,13 @@
     if (change.from != version) {
       throw base::Error("apply changes", "peer", "are of another version");
     }
-    value = base::ApplyDifference(
-        value, base::ParseForeignJson(change.difference).value);
+    value = std::make_shared<const json>(base::ApplyDifference(
+        *value, base::ParseForeignJson(change.difference).value));
     version = change.to;
     changes.push_back(change);
   }
   const bool is_read =
-      changes.empty() ||
-      this->feed.ApplyPlan(std::make_shared<const json>(std::move(value)),
-                           "peer", changes);
+      changes.empty() || this->feed.ApplyPlan(value, "peer", changes);
   if (!is_read) {
     throw base::Error("apply changes", "peer", "make no configuration");
   }
