Tell usage counts to new peers alone when they start

Each round in which a gateway heard of a peer that had just started, it sent all its usage counts to all peers. Beside much load the first messages of 28 peers are read in several rounds, and each of them sent everything once more. Only the peers that have started are sent the counts; the others have them.

--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -263,11 +263,22 @@
   if (base::Now() - this->usage_sent_at >= kUsageChangeInterval) {
     this->SendUsageChanges();
   }
-  const bool usage_due = this->rounds % kRoundsPerUsageMessage == 0;
-  if (std::exchange(this->new_peer_seen, false) || usage_due) {
-    for (const Gossip& windows :
-         this->usage_gossip.Messages(false, this->BaseMessage())) {
-      this->Send(windows);
+  this->SendUsage();
+}
+
+void PeerGossip::SendUsage() {
+  const bool is_for_all = this->rounds % kRoundsPerUsageMessage == 0;
+  const auto fresh = std::exchange(this->new_peers, {});
+  if (!is_for_all && fresh.empty()) {
+    return;
+  }
+  for (Gossip message :
+       this->usage_gossip.Messages(false, this->BaseMessage())) {
+    for (const auto& [host, peer] : this->peers) {
+      if (is_for_all || fresh.contains(host)) {
+        SetEcho(message, peer.boot, peer.stamp);
+        this->datagrams->Send(PrintGossip(message), peer.address);
+      }
     }
   }
 }
@@ -412,7 +423,7 @@
   }
   if (peer.boot != gossip->boot) {
     // The peer has just started and lacks the counts of all gateways.
-    this->new_peer_seen = true;
+    this->new_peers.insert(host);
     if (!peer.boot.empty()) {
       state.NoteGatewayLost(now);
     }
--- a/gateway/src/peer_gossip.h
+++ b/gateway/src/peer_gossip.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,9 @@
   // Returns a message with all loads of this gateway. Peers take a message
   // without loads to mean that this gateway is idle.
   wire::gen::Gossip LoadMessage() const;
+  // Tells peers that have just started, and now and then all, what this one has
+  // counted.
+  void SendUsage();
   // Tells the gateway that reports usage, and its next successors, what this
   // one has counted lately.
   void SendUsageChanges();
@@ -113,7 +117,8 @@
   RegistryRelay registry_relay;
   PlanRelay plan_relay;
   AccountRateGossip account_rate_gossip;
-  bool new_peer_seen = false;
+  // Peers that have started since the last round.
+  std::set<base::HostId> new_peers;
   core::FleetLoad::Loads sent_loads;
   base::Instant loads_sent_at;
   bool update_scheduled = false;
