--- a/gateway/tests/large_plan_test.cc
+++ b/gateway/tests/large_plan_test.cc
@@ -1,5 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <optional>
+
+#include "carawayvalve/net/http_server.h"
 #include "large_plan.h"
 #include "platform/link.h"
 #include "platform/store.h"
@@ -86,4 +90,29 @@
   }
 }
 
+// Guards against watches that are given up while they wait.
+TEST_CASE("a watch waits on after the head of its answer") {
+  TestGateway gateway(TestSettings());
+  std::shared_ptr<net::Exchange> watch;
+  net::HttpServer store(gateway.loop, {"127.0.0.1", 0},
+                        [&](const std::shared_ptr<net::Exchange>& exchange) {
+                          watch = exchange;
+                          exchange->Begin({200, {}});
+                        });
+  platform::ObjectClient objects(gateway.loop, {"127.0.0.1", store.port()},
+                                 kCallTimeout);
+  std::optional<platform::WatchResult> result;
+  const auto call =
+      objects.Watch("config", 1, kCallTimeout * 3,
+                    [&](const platform::WatchResult& got) { result = got; });
+  gateway.RunFor(kCallTimeout * 2);
+  REQUIRE(watch != nullptr);
+  CHECK_FALSE(result.has_value());
+  watch->Send(R"({"events":[]})");
+  watch->Finish();
+  gateway.RunFor(Milliseconds(100));
+  REQUIRE(result.has_value());
+  CHECK(std::holds_alternative<platform::ObjectChanges>(*result));
+}
+
 }  // namespace carawayvalve::gateway
