--- a/gateway/src/plan_relay.cc
+++ b/gateway/src/plan_relay.cc
@@ -29,7 +29,7 @@
 // Each part of an answer must arrive within this time.
 constexpr std::chrono::seconds kFetchPeriod(1);
 // A peer that failed to answer isn't asked for this time; others are.
-constexpr base::Milliseconds kFailedFetchDelay(500);
+constexpr base::Milliseconds kFailedFetchDelay(300);
 constexpr size_t kMaxPlanBytes = size_t{8} * 1024 * 1024;
 // Answers to peers that have earlier versions than these are encoded anew.
 constexpr size_t kMaxEncoded = 8;
