--- a/base/include/carawayvalve/base/address.h
+++ b/base/include/carawayvalve/base/address.h
@@ -18,6 +18,9 @@
 // Parses HOST:PORT. Throws base::Error with the text when it has another form.
 Address ParseAddress(const std::string& text);
 
+// Returns HOST:PORT.
+std::string PrintAddress(const Address& address);
+
 // Converts to the socket API's address type. Throws base::Error when the host
 // isn't a numeric IPv4 address.
 sockaddr_in ToSocketAddress(const Address& address);
--- a/base/src/address.cc
+++ b/base/src/address.cc
@@ -23,6 +23,10 @@
   throw Error("parse address", text, "expected HOST:PORT");
 }
 
+std::string PrintAddress(const Address& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
+
 sockaddr_in ToSocketAddress(const Address& address) {
   sockaddr_in socket_address{};
   socket_address.sin_family = AF_INET;
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -37,6 +37,7 @@
                          Handler handler)
     : context(context),
       call_plan(plan),
+      request(caller.id),
       handler(std::move(handler)),
       sent(base::Now()),
       declined_timer(context.loop) {
@@ -94,9 +95,19 @@
 
 void BackendCall::On(const net::CallSent& event) {
   this->sent = base::Now();
+  this->used.number = event.connection;
+  this->used.kept = event.kept_connection;
   this->Notify(BackendRequestSent{event.kept_connection});
 }
 
+void BackendCall::On(const net::CallSkipped& event) {
+  ++this->used.skipped_answers;
+  this->context.NoteSkippedAnswer(
+      this->call_plan.backend,
+      this->call_plan.IsPrefill() ? "prefill" : "attempt", this->request,
+      this->used.number, event);
+}
+
 void BackendCall::On(const net::CallHead& event) {
   this->head = this->context.NoteBackendHead(this->call_plan.backend,
                                              event.head, this->sent);
--- a/gateway/src/backend_call.h
+++ b/gateway/src/backend_call.h
@@ -53,6 +53,15 @@
                                   BackendAnswerDone,
                                   BackendCallFailed>;
 
+// The connection of a call, and what arrived on it for others.
+struct BackendConnection {
+  // 0 before the request was sent.
+  int64_t number = 0;
+  // It had carried an earlier request.
+  bool kept = false;
+  int skipped_answers = 0;
+};
+
 // How far an answer has come.
 struct BackendAnswerProgress {
   // 0 before the head was received.
@@ -107,6 +116,7 @@
   BackendAnswerProgress answer() const {
     return {this->status, this->received_bytes};
   }
+  const BackendConnection& connection() const { return this->used; }
   // Returns the time after which a backend server that hasn't sent any data
   // counts as silent.
   static base::Duration FirstDataTimeout(base::Duration expected);
@@ -118,6 +128,7 @@
 
  private:
   void On(const net::CallSent& event);
+  void On(const net::CallSkipped& event);
   void On(const net::CallHead& event);
   void On(const net::CallBody& event);
   void On(const net::CallDone& event);
@@ -146,6 +157,8 @@
 
   Context& context;
   BackendCallPlan call_plan;
+  base::RequestId request;
+  BackendConnection used;
   Handler handler;
   std::unique_ptr<net::Call> call;
   core::FleetLoad::Ticket ticket = 0;
--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -45,6 +45,22 @@
   this->metrics.CountBackendRequest(kind);
 }
 
+void Context::NoteSkippedAnswer(const core::BackendEntry& backend,
+                                const char* kind,
+                                const base::RequestId& request,
+                                int64_t connection,
+                                const net::CallSkipped& skipped) {
+  this->metrics.CountSkippedAnswer(kind);
+  this->journal.Write(base::LogLevel::kInfo, "answer_skipped",
+                      {{"request", request.value},
+                       {"kind", kind},
+                       {"backend", backend.id.value},
+                       {"address", base::PrintAddress(backend.address)},
+                       {"connection", connection},
+                       {"status", skipped.status},
+                       {"answers_request", skipped.echo}});
+}
+
 void Context::NoteStoreEra(int64_t era, const std::string& source) {
   const int64_t before = this->state.store_era;
   if (era <= before || era > core::kMaxStoreEra) {
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -61,6 +61,14 @@
   // Records that a request of this kind, such as "attempt", is sent to a
   // backend server.
   void NoteBackendRequest(const base::BackendServerId& id, const char* kind);
+  // Records that an answer arrived on the connection of a request of this kind,
+  // such as "attempt", that isn't the one to it. `request` is empty for calls
+  // of the gateway itself.
+  void NoteSkippedAnswer(const core::BackendEntry& backend,
+                         const char* kind,
+                         const base::RequestId& request,
+                         int64_t connection,
+                         const net::CallSkipped& skipped);
   // Applies what the head of a backend server's answer to a request that was
   // sent at `sent` says of that server. Returns the decoded head.
   platform::BackendHead NoteBackendHead(const core::BackendEntry& backend,
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -40,6 +40,11 @@
           .Name("carawayvalve_backend_answers_total")
           .Help("Backend servers' answers by framing and how they ended")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& skipped_answers =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_skipped_answers_total")
+          .Help("Answers to others than the request on their connection")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& placements =
       prometheus::BuildCounter()
           .Name("carawayvalve_placements_total")
@@ -148,6 +153,10 @@
       .Increment();
 }
 
+void GatewayMetrics::CountSkippedAnswer(const std::string& kind) {
+  this->families->skipped_answers.Add({{"kind", kind}}).Increment();
+}
+
 void GatewayMetrics::CountPlacement(bool passed_over_lowest) {
   this->families->placements
       .Add({{"choice", passed_over_lowest ? "equal" : "lowest"}})
--- a/gateway/src/request_answer.cc
+++ b/gateway/src/request_answer.cc
@@ -202,6 +202,8 @@
       this->call == nullptr ? "" : this->call->plan().backend.id.value;
   const BackendAnswerProgress answer =
       this->call == nullptr ? BackendAnswerProgress{} : this->call->answer();
+  const BackendConnection connection =
+      this->call == nullptr ? BackendConnection{} : this->call->connection();
   this->context.metrics.CountAttempt(kind);
   this->context.journal.Write(
       base::LogLevel::kInfo, "attempt_ended",
@@ -214,6 +216,9 @@
        {"framing", this->FramingName()},
        {"events", this->splitter.event_count()},
        {"incomplete_bytes", this->splitter.incomplete().size()},
+       {"connection", connection.number},
+       {"kept_connection", connection.kept},
+       {"skipped_answers", connection.skipped_answers},
        {"age_ms", this->AgeMs(base::Now())}});
 }
 
--- a/gateway/src/request_prefill.cc
+++ b/gateway/src/request_prefill.cc
@@ -48,6 +48,7 @@
       base::LogLevel::kInfo, "prompt_sent",
       {{"request", this->caller.id.value},
        {"backend", placement.target.id.value},
+       {"address", base::PrintAddress(placement.target.address)},
        {"missing_tokens", placement.missing_tokens},
        {"copy_from",
         placement.copy_from.has_value() ? placement.copy_from->id.value : ""},
--- a/net/include/carawayvalve/net/http_client.h
+++ b/net/include/carawayvalve/net/http_client.h
@@ -45,6 +45,15 @@
   // Time from the start of the call until the connection was established; 0
   // for a kept connection.
   base::Duration connect_time{};
+  // Identifies the connection among those of the client.
+  int64_t connection = 0;
+};
+
+// A response that isn't the one to the call was dropped: its field
+// CallOptions::echo has another value, `echo`.
+struct CallSkipped {
+  int status = 0;
+  std::string echo;
 };
 
 // The head of the response has arrived.
@@ -76,8 +85,8 @@
   size_t received_bytes = 0;
 };
 
-using CallEvent =
-    std::variant<CallSent, CallHead, CallBody, CallDone, CallFailed>;
+using CallEvent = std::
+    variant<CallSent, CallSkipped, CallHead, CallBody, CallDone, CallFailed>;
 
 // A call in flight. Destroying it cancels the call.
 class Call {
--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -135,7 +135,8 @@
     : client(std::move(client)),
       peer(endpoint),
       socket(this->client->loop.state().context),
-      connect_timer(this->client->loop) {}
+      connect_timer(this->client->loop),
+      number(++this->client->last_connection) {}
 
 void ClientConnection::Begin(const Request& request,
                              const CallOptions& options,
@@ -249,7 +250,7 @@
   this->Flush();
   this->Receive();
   if (!this->closed) {
-    this->Emit(CallSent{this->used_before, connect_time});
+    this->Emit(CallSent{this->used_before, connect_time, this->number});
   }
 }
 
@@ -371,7 +372,11 @@
     return false;
   }
   if (this->skipping_response) {
-    return this->SkipResponse();
+    const std::string* echoed =
+        FindField(this->parser->fields, this->echo.name);
+    this->Emit(
+        CallSkipped{this->parser->status, echoed == nullptr ? "" : *echoed});
+    return !this->closed && this->handler != nullptr && this->SkipResponse();
   }
   this->Finish();
   return true;
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -35,6 +35,7 @@
   base::Duration default_keep_alive;
   std::shared_ptr<base::ByteBudget> budget;
   int64_t connections_opened = 0;
+  int64_t last_connection = 0;
   std::set<std::shared_ptr<ClientConnection>> open;
 
  private:
@@ -102,6 +103,7 @@
   tcp::socket socket;
   Timer connect_timer;
   base::Instant began_at;
+  int64_t number;
 
   bool connected = false;
   bool closed = false;
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -31,6 +31,8 @@
   bool done = false;
   bool failed = false;
   bool not_sent = false;
+  // What the skipped responses echo.
+  std::vector<std::string> skipped;
 };
 
 struct Client {
@@ -48,6 +50,8 @@
             outcome.framing = head->framing;
           } else if (const auto* body = std::get_if<CallBody>(&event)) {
             outcome.body += body->data;
+          } else if (const auto* skipped = std::get_if<CallSkipped>(&event)) {
+            outcome.skipped.push_back(skipped->echo);
           } else {
             outcome.done = std::holds_alternative<CallDone>(event);
             if (const auto* failed = std::get_if<CallFailed>(&event)) {
@@ -191,6 +195,7 @@
     AnswerServer server({{late.bytes + expected.bytes, true}});
     const Outcome outcome = client.Call(server.Address(), ExpectingId("2"));
     CHECK(outcome.body == "right");
+    CHECK(outcome.skipped == std::vector<std::string>{"1"});
   }
   SUBCASE("skips a response without the id before its own") {
     const Reply repeated = Answer("", "an earlier refusal");
