--- a/systems/tests/answer_server.h
+++ b/systems/tests/answer_server.h
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <concepts>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <stdexcept>
@@ -77,12 +79,20 @@
   sockaddr_in name = {};
 };
 
-// Answers requests with fixed replies in order. Once they are used up it closes
-// every connection that sends a request.
+// Answers requests with fixed replies in order, or as a function says. Once the
+// replies are used up it closes every connection that sends a request.
 class AnswerServer {
  public:
+  // Returns the reply to a request; connections are numbered from 1. Called
+  // from the server's thread.
+  using Responder =
+      std::function<Reply(int connection, const std::string& request)>;
+
   explicit AnswerServer(std::vector<Reply> replies)
       : replies(std::move(replies)), thread([this] { this->Run(); }) {}
+  template <std::invocable<int, const std::string&> Function>
+  explicit AnswerServer(Function responder)
+      : responder(std::move(responder)), thread([this] { this->Run(); }) {}
 
   ~AnswerServer() {
     eventfd_write(this->stop, 1);
@@ -102,6 +112,12 @@
   }
 
  private:
+  struct Connection {
+    int number = 0;
+    // What has arrived of its current request.
+    std::string request;
+  };
+
   void Run() {
     std::vector<pollfd> polled;
     do {
@@ -113,15 +129,16 @@
       }
       if (polled.size() > 1 && this->listener.fd >= 0 &&
           polled[1].revents != 0) {
-        this->received[accept(this->listener.fd, nullptr, nullptr)] = "";
+        const int fd = accept(this->listener.fd, nullptr, nullptr);
+        this->received[fd] = {++this->last_connection, ""};
       }
       polled = {{this->stop, POLLIN, 0}, {this->listener.fd, POLLIN, 0}};
-      for (const auto& [fd, bytes] : this->received) {
+      for (const auto& [fd, connection] : this->received) {
         polled.push_back({fd, POLLIN, 0});
       }
     } while (poll(polled.data(), polled.size(), -1) > 0 &&
              polled[0].revents == 0);
-    for (const auto& [fd, bytes] : this->received) {
+    for (const auto& [fd, connection] : this->received) {
       close(fd);
     }
   }
@@ -133,12 +150,13 @@
     if (count <= 0) {
       return false;
     }
-    std::string& request = this->received[fd];
-    request.append(bytes.data(), static_cast<size_t>(count));
-    if (!IsComplete(request)) {
+    Connection& connection = this->received[fd];
+    connection.request.append(bytes.data(), static_cast<size_t>(count));
+    if (!IsComplete(connection.request)) {
       return true;
     }
-    const Reply reply = this->NextReply(std::exchange(request, ""));
+    const Reply reply = this->NextReply(connection.number,
+                                        std::exchange(connection.request, ""));
     if (reply.stop_listening) {
       this->listener.Close();
     }
@@ -172,20 +190,25 @@
     return request.size() >= head_end + 4 + body;
   }
 
-  Reply NextReply(std::string request) {
+  Reply NextReply(int connection, std::string request) {
     const std::lock_guard lock(this->mutex);
     const size_t index = this->requests.size();
     this->requests.push_back(std::move(request));
+    if (this->responder) {
+      return this->responder(connection, this->requests.back());
+    }
     return index < this->replies.size() ? this->replies[index] : NoReply();
   }
 
   std::vector<Reply> replies;
+  Responder responder;
   Listener listener;
   int stop = eventfd(0, EFD_CLOEXEC);
   std::mutex mutex;
   std::vector<std::string> requests;
-  // The bytes received of each connection's current request.
-  std::map<int, std::string> received;
+  int last_connection = 0;
+  // The open connections, by their descriptors.
+  std::map<int, Connection> received;
   std::thread thread;
 };
 
