Send no id twice on one connection to a backend server

Callers saw 503 "not run" for requests that ran: a server wrote its earlier refusal once more, with the request's own id, and the gateway, which had sent that id on this connection before, took it for the answer. An id tells an answer from the others only if the connection has carried it once.

One that has carried 1,024 ids isn't kept.

--- a/net/include/carawayvalve/net/http_client.h
+++ b/net/include/carawayvalve/net/http_client.h
@@ -27,7 +27,8 @@
   bool fresh_connection = false;
   // Responses without this field and value belong to other calls and are
   // skipped; a missing field counts as empty. With an empty name, any response
-  // is accepted.
+  // is accepted. No connection carries two calls with the same field and value:
+  // a server may repeat its response to the first one.
   HeaderField echo;
   // The call fails if the response's body is longer.
   size_t max_body_bytes = size_t{64} * 1024 * 1024;
--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -15,6 +15,12 @@
 constexpr size_t kMaxIdlePerPeer = 64;
 // Interim responses, and ones to other calls, before that to a call.
 constexpr int kMaxOtherResponses = 16;
+// A connection of which more calls expected a field isn't kept.
+constexpr size_t kMaxCarried = 1024;
+
+uint64_t HashOf(const HeaderField& echo) {
+  return std::hash<std::string>()(echo.name + ':' + echo.value);
+}
 
 // Returns the timeout of the Keep-Alive field, if there is one.
 std::optional<base::Duration> KeepAliveTimeout(const HeaderFields& fields) {
@@ -50,24 +56,30 @@
     : loop(loop), default_keep_alive(default_keep_alive), sweep_timer(loop) {}
 
 std::shared_ptr<ClientConnection> ClientState::TakeIdle(
-    const Endpoint& endpoint) {
+    const Endpoint& endpoint,
+    const HeaderField& echo) {
   const auto found = this->idle.find(endpoint);
   if (found == this->idle.end()) {
     return nullptr;
   }
-  // The server is least likely to have closed the most recently used one.
   const base::Instant now = base::Now();
-  std::shared_ptr<ClientConnection> taken;
-  while (!found->second.empty() && taken == nullptr) {
-    IdleConnection last = std::move(found->second.back());
-    found->second.pop_back();
-    if (last.expires_at > now && !last.connection->HasUnreadInput()) {
-      taken = std::move(last.connection);
-    } else {
-      last.connection->Close();
+  std::vector<IdleConnection>& idle_to_peer = found->second;
+  // The server is least likely to have closed the most recently used one.
+  for (size_t i = idle_to_peer.size(); i-- > 0;) {
+    const std::shared_ptr<ClientConnection> candidate =
+        idle_to_peer[i].connection;
+    const bool usable =
+        idle_to_peer[i].expires_at > now && !candidate->HasUnreadInput();
+    if (usable && candidate->HasCarried(echo)) {
+      continue;
     }
+    idle_to_peer.erase(idle_to_peer.begin() + static_cast<ptrdiff_t>(i));
+    if (usable) {
+      return candidate;
+    }
+    candidate->Close();
   }
-  return taken;
+  return nullptr;
 }
 
 void ClientState::PutIdle(const std::shared_ptr<ClientConnection>& connection,
@@ -145,6 +157,9 @@
   ++this->call_count;
   this->paused = false;
   this->echo = options.echo;
+  if (!this->echo.name.empty()) {
+    this->carried.push_back(HashOf(this->echo));
+  }
   this->max_body_bytes = options.max_body_bytes;
   this->whole_body = options.whole_body;
   this->handled_bytes = 0;
@@ -181,6 +196,12 @@
   });
 }
 
+bool ClientConnection::HasCarried(const HeaderField& expected) const {
+  return !expected.name.empty() &&
+         std::find(this->carried.begin(), this->carried.end(),
+                   HashOf(expected)) != this->carried.end();
+}
+
 bool ClientConnection::HasUnreadInput() const {
   error_code error;
   return this->socket.available(error) > 0 || error;
@@ -435,7 +456,8 @@
   const auto on_event = std::exchange(this->handler, nullptr);
   const bool reusable = this->parser->keep_alive() &&
                         !this->parser->need_eof() && this->input.empty() &&
-                        this->output.empty() && !this->writing;
+                        this->output.empty() && !this->writing &&
+                        this->carried.size() < kMaxCarried;
   this->parser.reset();
   if (reusable) {
     const base::Duration keep_alive_time =
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -2,6 +2,7 @@
 #define CARAWAYVALVE_NET_SRC_CLIENT_CONNECTION_H_
 
 #include <array>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -22,8 +23,10 @@
  public:
   ClientState(EventLoop& loop, base::Duration default_keep_alive);
 
-  // Returns an idle connection that hasn't expired, or null.
-  std::shared_ptr<ClientConnection> TakeIdle(const Endpoint& endpoint);
+  // Returns an idle connection that hasn't expired and hasn't carried a call
+  // with this CallOptions::echo, or null.
+  std::shared_ptr<ClientConnection> TakeIdle(const Endpoint& endpoint,
+                                             const HeaderField& echo);
   void PutIdle(const std::shared_ptr<ClientConnection>& connection,
                base::Instant expires_at);
   void Remove(const std::shared_ptr<ClientConnection>& connection);
@@ -65,6 +68,9 @@
   void Close();
   void Fail(const std::string& reason, bool reset, bool too_large = false);
   void SetPaused(bool paused);
+  // Returns whether a call with this CallOptions::echo was begun here. Errs
+  // towards true.
+  bool HasCarried(const HeaderField& echo) const;
   // Returns whether bytes have arrived that the loop hasn't handled yet. While
   // the connection is idle, they answer no request of it.
   bool HasUnreadInput() const;
@@ -124,6 +130,8 @@
   HttpClient::Handler handler;
   int64_t call_count = 0;
   HeaderField echo;
+  // The hashes of the fields that its calls expected, without repetition.
+  std::vector<uint64_t> carried;
   size_t max_body_bytes = 0;
   bool whole_body = false;
   size_t handled_bytes = 0;
--- a/net/src/http_client.cc
+++ b/net/src/http_client.cc
@@ -63,7 +63,7 @@
   const auto endpoint = detail::ToEndpoint<detail::Endpoint>(address);
   std::shared_ptr<detail::ClientConnection> connection;
   if (!options.fresh_connection) {
-    connection = this->client->TakeIdle(endpoint);
+    connection = this->client->TakeIdle(endpoint, options.echo);
   }
   if (connection == nullptr) {
     connection =
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -133,6 +133,30 @@
     }
     server.join();
   }
+  SUBCASE("keeps a connection for a call with another id") {
+    AnswerServer server(
+        {Answer("X-Id: 1\r\n", "one"), Answer("X-Id: 2\r\n", "two")});
+    client.Call(server.Address(), ExpectingId("1"));
+    CHECK(client.Call(server.Address(), ExpectingId("2")).kept_connection);
+  }
+  // Guards against a repeated response to an earlier call with the same id.
+  SUBCASE("uses no kept connection for an id that it has carried") {
+    const Reply declined = Answer("X-Id: 1\r\n", "declined");
+    const Reply right = Answer("X-Id: 1\r\n", "right");
+    AnswerServer server([&](int connection, const std::string& /*request*/) {
+      return connection == 1 ? declined : right;
+    });
+    client.Call(server.Address(), ExpectingId("1"));
+    CHECK(client.Call(server.Address(), ExpectingId("1")).body == "right");
+    CHECK(client.client.idle_connections() == 2);
+  }
+  SUBCASE("uses a kept connection for one call that expects no id") {
+    AnswerServer server(
+        {Answer("", "one"), Answer("", "two"), Answer("X-Id: 1\r\n", "three")});
+    client.Call(server.Address(), ExpectingId(""));
+    CHECK_FALSE(client.Call(server.Address(), ExpectingId("")).kept_connection);
+    CHECK(client.Call(server.Address(), ExpectingId("1")).kept_connection);
+  }
   SUBCASE("keeps no connection that the server closes") {
     AnswerServer server({Answer("Connection: close\r\n", "one")});
     client.Call(server.Address());
