Pause a server's entry whose address another server has

Callers saw 503 "not run" while a sound server stood idle: an entry of its earlier start has the same address, is tried first each time, answers 421, and no retry is left in the budget. A 421 told nothing about the entry.

It now pauses the entry for 500 ms, doubled each time up to 4 s, and then allows one request, as the entry may stand for seconds after its server's end. An answer or another role ends the pause; a 421 to an entry that has changed since doesn't begin one.

--- a/core/include/carawayvalve/core/backend_health.h
+++ b/core/include/carawayvalve/core/backend_health.h
@@ -45,6 +45,10 @@
   // Records that connecting failed, because the backend server is down or
   // unreachable. Pauses it after the first failure.
   void NoteUnreachable(const base::BackendServerId& id, base::Instant now);
+  // Records that a request was declined as another backend server has the
+  // address, or as this one has another role. Pauses it, for longer each time:
+  // its entry may stand for seconds after its end.
+  void NoteMisdirected(const base::BackendServerId& id, base::Instant now);
   // Records that the backend server was ordered to change its role. Until that
   // is done, expected before `until`, it declines requests that it has not
   // begun, and isn't usable.
@@ -56,7 +60,7 @@
   void NoteAskedToWait(const base::BackendServerId& id, base::Instant until);
   // Returns whether that time hasn't passed yet.
   bool AskedToWait(const base::BackendServerId& id, base::Instant now) const;
-  // Records that the change of role is complete.
+  // Records that the backend server has another role now.
   void NoteRoleChangeDone(const base::BackendServerId& id);
   // Drops all that is recorded of a backend server, as it has restarted.
   void Forget(const base::BackendServerId& id);
@@ -77,6 +81,7 @@
     double slowness = 1;
     double failure_rate = 0;
     int64_t consecutive_failures = 0;
+    int64_t consecutive_misdirected = 0;
     base::Instant paused_until;
     base::Instant role_change_until;
     base::Instant wait_until;
@@ -88,7 +93,8 @@
   // Returns the weight from 0 to 1 that the averages of `record` still have.
   double Weight(const Record& record, base::Instant now) const;
   void Decay(Record& record, base::Instant now);
-  void Pause(Record& record, base::Instant now);
+  // Pauses for the first pause, doubled so often.
+  void Pause(Record& record, int64_t doublings, base::Instant now);
 
   Settings settings;
   std::unordered_map<base::BackendServerId, Record> records;
--- a/core/src/backend_health.cc
+++ b/core/src/backend_health.cc
@@ -32,11 +32,12 @@
   record.updated = now;
 }
 
-void BackendHealth::Pause(Record& record, base::Instant now) {
-  const int64_t extra =
-      record.consecutive_failures - this->settings.failure_threshold;
-  const int64_t doublings = std::clamp<int64_t>(extra, 0, kMaxDoublings);
-  const base::Duration pause = this->settings.pause * (int64_t{1} << doublings);
+void BackendHealth::Pause(Record& record,
+                          int64_t doublings,
+                          base::Instant now) {
+  const base::Duration pause =
+      this->settings.pause *
+      (int64_t{1} << std::clamp<int64_t>(doublings, 0, kMaxDoublings));
   record.paused_until = now + std::min(pause, this->settings.max_pause);
 }
 
@@ -55,6 +56,7 @@
       newest_weight * (std::clamp(ratio, 0.0, kMaxSlowness) - record.slowness);
   record.failure_rate -= newest_weight * record.failure_rate;
   record.consecutive_failures = 0;
+  record.consecutive_misdirected = 0;
   record.paused_until = {};
   if (record.max_in_flight > 0 && now >= record.wait_until) {
     record.max_in_flight *= 2;
@@ -71,8 +73,10 @@
   record.failure_rate +=
       this->settings.newest_weight * (1 - record.failure_rate);
   ++record.consecutive_failures;
-  if (record.consecutive_failures >= this->settings.failure_threshold) {
-    this->Pause(record, now);
+  const int64_t extra =
+      record.consecutive_failures - this->settings.failure_threshold;
+  if (extra >= 0) {
+    this->Pause(record, extra, now);
   }
 }
 
@@ -84,7 +88,15 @@
   this->Decay(record, now);
   record.failure_rate +=
       this->settings.newest_weight * (1 - record.failure_rate);
-  this->Pause(record, now);
+  this->Pause(record,
+              record.consecutive_failures - this->settings.failure_threshold,
+              now);
+}
+
+void BackendHealth::NoteMisdirected(const base::BackendServerId& id,
+                                    base::Instant now) {
+  Record& record = this->records[id];
+  this->Pause(record, record.consecutive_misdirected++, now);
 }
 
 void BackendHealth::NoteRoleChangeStarted(const base::BackendServerId& id,
@@ -96,6 +108,10 @@
   const auto found = this->records.find(id);
   if (found != this->records.end()) {
     found->second.role_change_until = {};
+    if (found->second.consecutive_misdirected > 0) {
+      found->second.consecutive_misdirected = 0;
+      found->second.paused_until = {};
+    }
   }
 }
 
@@ -131,7 +147,8 @@
     return false;
   }
   const bool half_open =
-      record.consecutive_failures >= this->settings.failure_threshold;
+      record.consecutive_failures >= this->settings.failure_threshold ||
+      record.consecutive_misdirected > 0;
   return now >= record.paused_until && (!half_open || in_flight == 0);
 }
 
--- a/core/tests/backend_health_test.cc
+++ b/core/tests/backend_health_test.cc
@@ -52,6 +52,27 @@
       CHECK(health.Usable(id, 0, start));
     }
   }
+  SUBCASE("one whose address another has is paused at once") {
+    health.NoteMisdirected(id, start);
+    CHECK_FALSE(health.Usable(id, 0, start + Milliseconds(499)));
+    CHECK(health.Usable(id, 0, start + Milliseconds(500)));
+    CHECK_FALSE(health.Usable(id, 1, start + Milliseconds(500)));
+    CHECK(health.FailureRate(id, start) == 0);
+
+    SUBCASE("for longer each time") {
+      health.NoteMisdirected(id, start);
+      CHECK_FALSE(health.Usable(id, 0, start + Milliseconds(999)));
+      CHECK(health.Usable(id, 0, start + seconds(1)));
+    }
+    SUBCASE("until it answers") {
+      health.NoteAnswer(id, Milliseconds(50), Milliseconds(50), start);
+      CHECK(health.Usable(id, 7, start));
+    }
+    SUBCASE("until its role changes") {
+      health.NoteRoleChangeDone(id);
+      CHECK(health.Usable(id, 7, start));
+    }
+  }
   SUBCASE("an unreachable backend server is paused at once") {
     health.NoteUnreachable(id, start);
     CHECK_FALSE(health.Usable(id, 0, start));
--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -248,6 +248,17 @@
   }
 }
 
+void BackendCall::NoteMisdirected() {
+  const core::BackendEntry& asked = this->call_plan.backend;
+  const core::BackendEntry* known =
+      this->context.state.directory.Find(asked.id);
+  // A changed entry may be that of the server that answers by now.
+  if (known != nullptr && known->address == asked.address &&
+      known->role == asked.role && known->started_ms == asked.started_ms) {
+    this->context.state.health.NoteMisdirected(asked.id, base::Now());
+  }
+}
+
 void BackendCall::CountAnswer(const char* end) {
   if (this->status != 0) {
     this->context.metrics.CountBackendAnswer(net::NameOf(this->framing), end);
@@ -266,9 +277,9 @@
   core::BackendHealth& health = this->context.state.health;
   const base::BackendServerId& id = this->call_plan.backend.id;
   if (this->head.declined) {
-    // If another backend server has the address now, its answer says nothing
-    // about this one's health.
-    if (!this->head.other_backend && !this->head.wait.has_value()) {
+    if (this->head.other_backend) {
+      this->NoteMisdirected();
+    } else if (!this->head.wait.has_value()) {
       health.NoteFailure(id, now);
     }
     this->Notify(BackendDeclined{this->status});
--- a/gateway/src/backend_call.h
+++ b/gateway/src/backend_call.h
@@ -150,6 +150,9 @@
       base::Duration time) const;
   // Records for how long the request held a slot of a decode engine.
   void NoteSlotTime();
+  // Records that the request reached the address, but not the backend server
+  // in the role for which it was sent.
+  void NoteMisdirected();
   void RecordEnd();
   // Counts an answer that has begun; `end` is "complete" or "broken".
   void CountAnswer(const char* end);
--- a/gateway/tests/repeated_answer_test.cc
+++ b/gateway/tests/repeated_answer_test.cc
@@ -51,6 +51,24 @@
 
 }  // namespace
 
+// Guards against requests that are refused while a sound server stands idle,
+// as an entry of its earlier start is tried first.
+TEST_CASE("an earlier name of a server is registered beside its own") {
+  RequestFixture fixture(3, kSlackOfOneRetry);
+  fixture.gateway.state.ApplyPlan(PaymentPlan());
+  RepeatingBackend backend;
+  backend.SetEarlierName("earlier");
+  AddPaymentServer(fixture, "later", backend.port());
+  AddPaymentServer(fixture, "earlier", backend.port());
+  // Makes the earlier name the better choice.
+  fixture.gateway.state.load.NoteSent({"later"}, {5, 0, 0});
+  for (int i = 1; i <= 10; ++i) {
+    fixture.SendRequest([](const std::string&) {},
+                        Payment("r" + std::to_string(i)));
+    CHECK(fixture.status == 200);
+  }
+}
+
 TEST_CASE("a payment server repeats its answers") {
   RequestFixture fixture(3, kSlackOfManyRetries);
   fixture.gateway.state.ApplyPlan(PaymentPlan());
