--- a/review/standin/lab.hpp
+++ b/review/standin/lab.hpp
@@ -20,7 +20,7 @@
 #include <vector>
 
 #include "../../tests/platform/backend.h"
-#include "../../tests/soak/link.h"
+#include "../../tests/platform/link.h"
 #include "carawayvalve/base/error.h"
 #include "carawayvalve/net/http_client.h"
 #include "store.hpp"
