--- a/gateway/tests/repeated_answer_test.cc
+++ b/gateway/tests/repeated_answer_test.cc
@@ -57,7 +57,7 @@
   RequestFixture fixture(3, kSlackOfOneRetry);
   fixture.gateway.state.ApplyPlan(PaymentPlan());
   RepeatingBackend backend;
-  backend.SetEarlierName("earlier");
+  backend.SetName("later");
   AddPaymentServer(fixture, "later", backend.port());
   AddPaymentServer(fixture, "earlier", backend.port());
   // Makes the earlier name the better choice.
@@ -79,7 +79,7 @@
   };
 
   SUBCASE("its earlier name is registered too, and is tried first") {
-    backend.SetEarlierName("earlier");
+    backend.SetName("later");
     AddPaymentServer(fixture, "earlier", backend.port());
     // Makes the earlier name the better choice.
     fixture.gateway.state.load.NoteSent({"later"}, {5, 0, 0});
@@ -119,7 +119,7 @@
     CHECK(engine.Arrivals().front().prefill_only);
   }
   SUBCASE("it declines a prefill, and runs the request under another name") {
-    engine.SetEarlierName("earlier");
+    engine.SetName("later");
     fixture.Add("earlier", engine.port(), EngineRole::kPrefill);
     fixture.Add("later", engine.port(), EngineRole::kDecode);
     send();
--- a/tests/platform/repeating_backend.cc
+++ b/tests/platform/repeating_backend.cc
@@ -58,9 +58,9 @@
       }));
 }
 
-void RepeatingBackend::SetEarlierName(const std::string& name) {
+void RepeatingBackend::SetName(const std::string& new_name) {
   const std::lock_guard lock(this->mutex);
-  this->earlier_name = name;
+  this->name = new_name;
 }
 
 void RepeatingBackend::DeclineNext(int count) {
@@ -83,7 +83,7 @@
   arrival.prefill_only = FieldOf(request, "X-Stage") == "prefill";
   const std::string expected = FieldOf(request, "X-Expect-Instance");
   const bool is_misdirected =
-      !expected.empty() && expected == this->earlier_name;
+      !expected.empty() && !this->name.empty() && expected != this->name;
   std::string answer;
   if (is_misdirected || this->to_decline > 0) {
     this->to_decline -= is_misdirected ? 0 : 1;
--- a/tests/platform/repeating_backend.h
+++ b/tests/platform/repeating_backend.h
@@ -37,9 +37,9 @@
   // Returns how many requests with this id ran.
   int RunsOf(const std::string& id) const;
 
-  // Declines requests that expect the backend server of this name, as another
-  // one had it at this address before.
-  void SetEarlierName(const std::string& name);
+  // Declines requests that expect a backend server of another name; without a
+  // name, none.
+  void SetName(const std::string& name);
   // Declines as many further requests as not run.
   void DeclineNext(int count);
   // Ends the next stream inside its second event.
@@ -51,7 +51,7 @@
   std::string Answer(const std::string& request, const Arrival& arrival);
 
   mutable std::mutex mutex;
-  std::string earlier_name;
+  std::string name;
   int to_decline = 0;
   bool cuts_next = false;
   std::vector<Arrival> arrivals;
