--- a/entry/src/configuration_feed.cc
+++ b/entry/src/configuration_feed.cc
@@ -205,7 +205,7 @@
   wire::gen::ConfigurationCopy copy;
   try {
     PeerChannel channel(source.address, kWatchTimeout + kAnswerMargin);
-    channel.Invoke(
+    channel.InvokeTransfer(
         "read configuration", [&](wire::gen::EntryPeerClient& client) {
           client.configuration(copy, generation, kWatchTimeout.count());
         });
--- a/wire/include/carawayvalve/wire/channel.h
+++ b/wire/include/carawayvalve/wire/channel.h
@@ -33,6 +33,12 @@
   const std::shared_ptr<apache::thrift::protocol::TProtocol>& Open(
       const std::string& step,
       base::Milliseconds timeout);
+  // The same for a call whose answer may have any size: it begins within
+  // `period`, and each further period brings a part of it, see
+  // core::TransferProgress.
+  const std::shared_ptr<apache::thrift::protocol::TProtocol>& OpenTransfer(
+      const std::string& step,
+      base::Milliseconds period);
 
   // Closes the connection. An answer that is still in flight is never read.
   void Close();
@@ -92,14 +98,7 @@
               base::Milliseconds timeout,
               const Call& call) {
     Client client(this->connection.Open(step, timeout));
-    const detail::CloseOnException guard(this->connection);
-    try {
-      return call(client);
-    } catch (const base::Error&) {
-      throw;
-    } catch (const std::exception& failure) {
-      this->connection.ThrowFailure(step, failure);
-    }
+    return this->Run(step, client, call);
   }
 
   // Uses the channel's timeout.
@@ -108,9 +107,29 @@
     return this->Invoke(step, this->timeout, call);
   }
 
+  // Waits for an answer of any size as long as it arrives, in periods of the
+  // channel's timeout, see Connection::OpenTransfer.
+  template <typename Call>
+  auto InvokeTransfer(const std::string& step, const Call& call) {
+    Client client(this->connection.OpenTransfer(step, this->timeout));
+    return this->Run(step, client, call);
+  }
+
   const std::string& address() const { return this->connection.address(); }
 
  private:
+  template <typename Call>
+  auto Run(const std::string& step, Client& client, const Call& call) {
+    const detail::CloseOnException guard(this->connection);
+    try {
+      return call(client);
+    } catch (const base::Error&) {
+      throw;
+    } catch (const std::exception& failure) {
+      this->connection.ThrowFailure(step, failure);
+    }
+  }
+
   Connection connection;
   base::Milliseconds timeout;
 };
--- a/wire/src/channel.cc
+++ b/wire/src/channel.cc
@@ -46,6 +46,14 @@
   this->Close();
 }
 
+const std::shared_ptr<TProtocol>& Connection::OpenTransfer(
+    const std::string& step,
+    base::Milliseconds period) {
+  const auto& protocol = this->Open(step, period);
+  this->impl->socket->SetTransfer(base::Now() + period, period);
+  return protocol;
+}
+
 const std::shared_ptr<TProtocol>& Connection::Open(const std::string& step,
                                                    base::Milliseconds timeout) {
   if (timeout.count() <= 0) {
--- a/wire/src/deadline_socket.h
+++ b/wire/src/deadline_socket.h
@@ -3,10 +3,13 @@
 
 #include <thrift/transport/TSocket.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "carawayvalve/base/address.h"
 #include "carawayvalve/base/time.h"
+#include "carawayvalve/core/transfer_progress.h"
 
 namespace carawayvalve::wire::detail {
 
@@ -18,6 +21,10 @@
 
   // Applies to all following operations.
   void SetDeadline(base::Instant deadline);
+  // The same for one call with an answer of any size: once a part of it has
+  // arrived, it is waited for as core::TransferProgress says, in further
+  // periods.
+  void SetTransfer(base::Instant deadline, base::Duration period);
 
   // Returns whether the peer has closed the connection or sent bytes that
   // haven't been read. Doesn't block.
@@ -29,9 +36,15 @@
   uint32_t write_partial(const uint8_t* buffer, uint32_t count) override;
 
  private:
-  int RemainingMs() const;
+  int RemainingMs();
+  // Moves the deadline if the answer is coming on. Returns whether it is.
+  bool BeginNextPeriod();
 
   base::Instant deadline;
+  // Only during a transfer.
+  std::optional<base::Duration> period;
+  core::TransferProgress progress;
+  size_t received_bytes = 0;
 };
 
 }  // namespace carawayvalve::wire::detail
--- a/wire/tests/channel_test.cc
+++ b/wire/tests/channel_test.cc
@@ -1,10 +1,14 @@
 #include "carawayvalve/wire/channel.h"
 
 #include <doctest/doctest.h>
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
 
 #include <future>
+#include <thread>
 
 #include "Agent.h"
+#include "EntryPeer.h"
 #include "raw_peer.h"
 
 namespace carawayvalve::wire {
@@ -24,6 +28,23 @@
   client.cancel("an attempt");
 }
 
+// Encodes an answer to EntryPeer.configuration whose text has this size.
+std::string ConfigurationAnswer(size_t size) {
+  const auto buffer =
+      std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+  apache::thrift::protocol::TBinaryProtocol protocol(buffer);
+  gen::ConfigurationCopy copy;
+  copy.__set_text(std::string(size, 'x'));
+  gen::EntryPeer_configuration_result result;
+  result.success = copy;
+  result.__isset.success = true;
+  protocol.writeMessageBegin("configuration", apache::thrift::protocol::T_REPLY,
+                             0);
+  result.write(&protocol);
+  protocol.writeMessageEnd();
+  return Frame(buffer->getBufferAsString());
+}
+
 // Answers every call until the client closes the connection.
 void AnswerAll(RawConnection& connection) {
   while (connection.ReadFrame()) {
@@ -67,6 +88,43 @@
   }
 }
 
+// Guards against copies of a large configuration that never arrive through a
+// slow link, and are begun again each time.
+TEST_CASE("Channel: a large answer takes longer than a period") {
+  constexpr int kPieces = 10;
+  constexpr Milliseconds kPause{100};
+  const std::string piece(size_t{16} * 1024, 'x');
+  const std::string answer = ConfigurationAnswer(kPieces * piece.size());
+  int sent_pieces = kPieces;
+  RawPeer peer([&](RawConnection& connection, int) {
+    connection.ReadFrame();
+    for (int i = 0; i <= sent_pieces; ++i) {
+      connection.Send(answer.substr(i * piece.size(), piece.size()));
+      std::this_thread::sleep_for(kPause);
+    }
+    connection.WaitForEnd();
+  });
+  Channel<gen::EntryPeerClient> channel(peer.address(), kShortTimeout);
+  gen::ConfigurationCopy copy;
+  const auto read = [&](gen::EntryPeerClient& client) {
+    client.configuration(copy, 0, 0);
+  };
+
+  SUBCASE("a transfer goes on as long as it arrives") {
+    channel.InvokeTransfer("read configuration", read);
+    CHECK(copy.text.size() == kPieces * piece.size());
+  }
+  SUBCASE("a transfer that stalls ends") {
+    sent_pieces = 2;
+    CHECK_THROWS_AS(channel.InvokeTransfer("read configuration", read),
+                    base::UnknownOutcomeError);
+  }
+  SUBCASE("any other call ends by its timeout") {
+    CHECK_THROWS_AS(channel.Invoke("read configuration", read),
+                    base::UnknownOutcomeError);
+  }
+}
+
 TEST_CASE("Channel: a call without time left is not sent") {
   std::atomic<int> calls = 0;
   RawPeer peer([&](RawConnection& connection, int) {
