Use a connection of its own for each call of libcurl

A server may write an earlier answer once more where the next one is due. On a kept connection libcurl takes it for the answer; these calls bear no id that would tell. Callers got another caller's answer, or the refusal of another request for one that ran.

Each call now opens a connection and closes it, as those that may run once did already; HttpRequest::at_most_once and Job::idempotent had no other use and go. libcurl so sends no request a second time.

--- a/agent/src/attempt_service.h
+++ b/agent/src/attempt_service.h
@@ -44,7 +44,6 @@
   base::RequestId request;
   base::BootId entry_boot;
   base::ClientAccountId client_account;
-  bool idempotent = false;
   base::Instant deadline;
   std::string content_digest;
   int32_t known_deaths = 0;
--- a/agent/src/runner.cc
+++ b/agent/src/runner.cc
@@ -89,7 +89,6 @@
   request.headers = call.headers;
   request.body = call.body;
   request.timeout = RemainingTime(job);
-  request.at_most_once = !job.idempotent;
 
   const base::Instant asked = base::Now();
   core::AnswerCompleteness completeness;
--- a/agent/src/wire_conversion.cc
+++ b/agent/src/wire_conversion.cc
@@ -69,7 +69,6 @@
   job.request = {submission.request};
   job.entry_boot = {submission.entry_boot};
   job.client_account = {submission.client_account};
-  job.idempotent = submission.idempotent;
   job.deadline = now + base::Milliseconds(submission.remaining_ms);
   job.content_digest = submission.content_digest;
   job.known_deaths = submission.known_deaths;
--- a/systems/include/carawayvalve/systems/http_client.h
+++ b/systems/include/carawayvalve/systems/http_client.h
@@ -27,10 +27,6 @@
   // period brings a part of it, see core::TransferProgress. Checked once a
   // second.
   std::optional<base::Milliseconds> period = std::nullopt;
-  // When true, the request uses a new connection, so libcurl never resends it.
-  // Otherwise libcurl resends a request when a reused connection turns out to
-  // be closed.
-  bool at_most_once = false;
 
   bool operator==(const HttpRequest&) const = default;
 };
@@ -53,7 +49,8 @@
   std::function<bool()> cancelled;
 };
 
-// Performs one call and returns its answer, whatever its status. Throws
+// Performs one call over a connection of its own and returns its answer,
+// whatever its status. Sends the request at most once. Throws
 // base::NotReachedError when no connection is established or the request is
 // invalid, base::UnreadableAnswerError when the headers of the answer are too
 // long, and base::UnknownOutcomeError when it is missing or incomplete. `step`
--- a/systems/src/curl_handle.cc
+++ b/systems/src/curl_handle.cc
@@ -45,7 +45,7 @@
 }
 
 CurlHandle::~CurlHandle() {
-  // Clears all options and pointers but keeps connections open.
+  // Clears all options and pointers.
   curl_easy_reset(this->easy);
   IdleHandles().emplace_back(this->easy);
 }
--- a/systems/src/curl_handle.h
+++ b/systems/src/curl_handle.h
@@ -7,9 +7,9 @@
 
 namespace carawayvalve::systems::detail {
 
-// A libcurl easy handle for one call. Idle handles and their open connections
-// are pooled per thread; a call made inside another call's callback gets a
-// handle of its own.
+// A libcurl easy handle for one call. Idle handles are pooled per thread, with
+// the names that they have resolved; a call made inside another call's callback
+// gets a handle of its own.
 class CurlHandle {
  public:
   // Throws base::Error when libcurl can't be initialised or is out of memory.
--- a/systems/src/http_client.cc
+++ b/systems/src/http_client.cc
@@ -137,9 +137,7 @@
   return continues ? 0 : 1;
 }
 
-// Called when a new or reused connection is ready, before the request is sent.
-// The transfer's error code can't replace this: when libcurl resends after a
-// reused connection closed, the last error can be a refused connection.
+// Called when the connection is ready, before the request is sent.
 int OnConnected(void* user, char*, char*, int, int) {
   static_cast<Transfer*>(user)->is_connected = true;
   return CURL_PREREQFUNC_OK;
@@ -216,11 +214,10 @@
       core::kMaxTransferPeriods;
   handle.Set(CURLOPT_TIMEOUT_MS,
              static_cast<long>((request.timeout + transfer_time).count()));
-  // libcurl resends only when a reused connection turns out to be closed.
-  if (request.at_most_once) {
-    handle.Set(CURLOPT_FRESH_CONNECT, 1L);
-    handle.Set(CURLOPT_FORBID_REUSE, 1L);
-  }
+  // On a kept connection, the first answer can be a copy of an earlier one, and
+  // libcurl resends a request when the connection turns out to be closed.
+  handle.Set(CURLOPT_FRESH_CONNECT, 1L);
+  handle.Set(CURLOPT_FORBID_REUSE, 1L);
 }
 
 void SetCallbacks(detail::CurlHandle& handle, Transfer& transfer) {
--- a/systems/src/json_call.cc
+++ b/systems/src/json_call.cc
@@ -40,7 +40,6 @@
   HttpRequest request = MakeRequest(site, method, path, timeout);
   request.headers = {{"Content-Type", "application/json"}};
   request.body = DumpBody(site, body);
-  request.at_most_once = true;
   return request;
 }
 
--- a/systems/src/object_api.cc
+++ b/systems/src/object_api.cc
@@ -115,8 +115,6 @@
                             const std::string& value,
                             int64_t if_version) const {
   const CallSite site{"put object", this->address};
-  // Sent at most once: a resent update would be refused because its first
-  // sending changed the version.
   const HttpRequest request = detail::MakeJsonRequest(
       site, "PUT", ObjectPath(kind, name),
       {{"if_version", if_version}, {"value", value}}, this->timeout);
