--- a/tests/processes/background_call.cc
+++ b/tests/processes/background_call.cc
@@ -23,7 +23,6 @@
   request.headers.emplace_back("Authorization", "Bearer " + key);
   request.body = body;
   request.timeout = base::Milliseconds(60000);
-  request.at_most_once = true;
   this->thread = std::thread([this, request] {
     systems::HttpSink sink;
     sink.head = [this](int status, const auto&) {
--- a/tests/processes/deployment.cc
+++ b/tests/processes/deployment.cc
@@ -240,7 +240,6 @@
   }
   request.body = body;
   request.timeout = base::Milliseconds(60000);
-  request.at_most_once = true;
   return systems::HttpCall("call entry process", request);
 }
 
--- a/tests/processes/repeated_refusal_test.cc
+++ b/tests/processes/repeated_refusal_test.cc
@@ -79,7 +79,6 @@
                        {"X-Credential", "key-guild"},
                        {"X-Request-Id", id}};
     request.body = "5";
-    request.at_most_once = true;
     try {
       return systems::HttpCall("pay", request).status;
     } catch (const base::Error&) {
--- a/tests/processes/whole_answer_test.cc
+++ b/tests/processes/whole_answer_test.cc
@@ -38,7 +38,6 @@
     request.headers = {{"Authorization", "Bearer " + key}};
     request.body = body;
     request.timeout = base::Milliseconds(120000);
-    request.at_most_once = true;
     this->thread = std::thread([this, request] {
       systems::HttpSink sink;
       sink.body = [this](const char* bytes, size_t count) {
