Take no answer to another call for that to one without an id

What was seen (gateway/tests/repeated_call_answer_test.cc, a server that writes an earlier answer of the connection once more before its next one; each case failed before): an order that its engine had accepted was taken as answered with the copy of the report's 200, so the role change wasn't noted and requests would be sent to the engine meanwhile; a call without an id on a connection of requests was answered with the copy of a refusal of request r1 (503 instead of 200), whose head counts for the engine's health and rate; of 14 windows of usage that counted as reported, the platform had accepted 13.

Cause: releases, reports, orders and usage reports accepted any answer.

TimedCall::Start now expects the id's field without a value, so that answers with an id are skipped and no connection carries two such calls; what is skipped is logged by kind. An order therefore uses another connection than its report, and each usage report a new one. StartTransfer, which fetches plans and registry changes from peers, stays as it is.

--- a/gateway/src/request_prefill.cc
+++ b/gateway/src/request_prefill.cc
@@ -26,6 +26,7 @@
       platform::EncodeRelease(prompt.handle), kReleaseTimeout,
       [&context, engine, call_holder,
        sent = base::Now()](const TimedCall::Result& result) {
+        NoteSkippedAnswers(context, engine, "release", result);
         context.NoteBackendHead(engine, {result.status, result.fields}, sent);
         call_holder->reset();
       });
--- a/gateway/src/role_controller.cc
+++ b/gateway/src/role_controller.cc
@@ -115,7 +115,7 @@
       this->context.loop, this->engines, entry->address,
       platform::EncodeEngineReportRequest(change.backend_server), kOrderTimeout,
       [this, change, sent = base::Now()](const TimedCall::Result& result) {
-        this->NoteHead(change, result, sent);
+        this->NoteHead(change, "report", result, sent);
         this->OnReport(change, result);
       });
 }
@@ -135,11 +135,13 @@
 }
 
 void RoleController::NoteHead(const core::RoleChange& change,
+                              const char* kind,
                               const TimedCall::Result& result,
                               base::Instant sent) {
   const core::BackendEntry* entry =
       this->context.state.directory.Find(change.backend_server);
   if (entry != nullptr) {
+    NoteSkippedAnswers(this->context, *entry, kind, result);
     this->context.NoteBackendHead(*entry, {result.status, result.fields}, sent);
   }
 }
@@ -162,7 +164,7 @@
                                 accepted_orders),
       kOrderTimeout,
       [this, change, sent = now](const TimedCall::Result& result) {
-        this->NoteHead(change, result, sent);
+        this->NoteHead(change, "order", result, sent);
         this->OnOrdered(change, result);
       });
 }
--- a/gateway/src/role_controller.h
+++ b/gateway/src/role_controller.h
@@ -30,8 +30,10 @@
   void RequestReport(const core::RoleChange& change);
   void OnReport(const core::RoleChange& change,
                 const TimedCall::Result& result);
-  // Applies what the head of an engine's answer says of that engine.
+  // Applies what the head of an engine's answer to a call of this kind says of
+  // that engine.
   void NoteHead(const core::RoleChange& change,
+                const char* kind,
                 const TimedCall::Result& result,
                 base::Instant sent);
   void SendOrder(const core::RoleChange& change, int64_t accepted_orders);
--- a/gateway/src/timed_call.cc
+++ b/gateway/src/timed_call.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "carawayvalve/platform/requests.h"
+
 namespace carawayvalve::gateway {
 
 namespace {
@@ -9,6 +11,13 @@
 // Answers to orders, reports and the like are short.
 constexpr size_t kMaxAnswerBytes = size_t{1024} * 1024;
 
+net::CallOptions OptionsOf(size_t max_bytes) {
+  net::CallOptions options;
+  options.max_body_bytes = max_bytes;
+  options.whole_body = true;
+  return options;
+}
+
 }  // namespace
 
 std::shared_ptr<TimedCall> TimedCall::Start(net::EventLoop& loop,
@@ -19,7 +28,9 @@
                                             Handler done) {
   auto timed = std::make_shared<TimedCall>(loop, std::move(done));
   timed->StartTimer(timeout);
-  timed->Send(client, address, request, kMaxAnswerBytes);
+  net::CallOptions options = OptionsOf(kMaxAnswerBytes);
+  options.echo = platform::RequestIdField({});
+  timed->Send(client, address, request, options);
   return timed;
 }
 
@@ -34,17 +45,14 @@
   auto timed = std::make_shared<TimedCall>(loop, std::move(done));
   timed->period = period;
   timed->StartTimer(period);
-  timed->Send(client, address, request, max_bytes);
+  timed->Send(client, address, request, OptionsOf(max_bytes));
   return timed;
 }
 
 void TimedCall::Send(net::HttpClient& client,
                      const base::Address& address,
                      const net::Request& request,
-                     size_t max_bytes) {
-  net::CallOptions options;
-  options.max_body_bytes = max_bytes;
-  options.whole_body = true;
+                     const net::CallOptions& options) {
   this->call = client.Start(
       address, request, options,
       [weak = this->weak_from_this()](const net::CallEvent& event) {
@@ -74,7 +82,11 @@
 }
 
 void TimedCall::OnEvent(const net::CallEvent& event) {
-  if (const auto* head = std::get_if<net::CallHead>(&event)) {
+  if (const auto* sent = std::get_if<net::CallSent>(&event)) {
+    this->result.connection = sent->connection;
+  } else if (const auto* other = std::get_if<net::CallSkipped>(&event)) {
+    this->result.skipped.push_back(*other);
+  } else if (const auto* head = std::get_if<net::CallHead>(&event)) {
     this->result.status = head->head.status;
     this->result.fields = head->head.fields;
     if (this->period.has_value()) {
@@ -92,7 +104,9 @@
 }
 
 void TimedCall::Fail(const std::string& reason, size_t received_bytes) {
-  this->result = {};
+  this->result.status = 0;
+  this->result.fields.clear();
+  this->result.body.clear();
   this->result.failure = reason;
   this->result.received_bytes = received_bytes;
   this->Finish();
@@ -109,4 +123,13 @@
   }
 }
 
+void NoteSkippedAnswers(Context& context,
+                        const core::BackendEntry& backend,
+                        const char* kind,
+                        const TimedCall::Result& result) {
+  for (const net::CallSkipped& skipped : result.skipped) {
+    context.NoteSkippedAnswer(backend, kind, {}, result.connection, skipped);
+  }
+}
+
 }  // namespace carawayvalve::gateway
--- a/gateway/src/timed_call.h
+++ b/gateway/src/timed_call.h
@@ -6,9 +6,11 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "carawayvalve/core/transfer_progress.h"
 #include "carawayvalve/net/http_client.h"
+#include "context.h"
 
 namespace carawayvalve::gateway {
 
@@ -26,20 +28,25 @@
     // What had arrived by then, and how long that took.
     size_t received_bytes = 0;
     base::Duration time{};
+    // The connection, and the answers on it that weren't taken.
+    int64_t connection = 0;
+    std::vector<net::CallSkipped> skipped;
   };
   using Handler = std::function<void(const Result&)>;
 
   // Calls `done` once, after Start has returned. The answer is complete within
-  // `timeout`, or the call fails.
+  // `timeout`, or the call fails. The request bears no id: answers to requests
+  // with one aren't taken, and no connection carries two such calls.
   static std::shared_ptr<TimedCall> Start(net::EventLoop& loop,
                                           net::HttpClient& client,
                                           const base::Address& address,
                                           const net::Request& request,
                                           base::Duration timeout,
                                           Handler done);
-  // The same for an answer of up to `max_bytes` that may take longer: it begins
-  // within `period`, and each further one brings a part of it, see
-  // core::TransferProgress.
+  // Reads an answer of up to `max_bytes` that may take longer: it begins within
+  // `period`, and each further one brings a part of it, see
+  // core::TransferProgress. The connection may have carried others, so that
+  // what the answer says must tell it from theirs.
   static std::shared_ptr<TimedCall> StartTransfer(net::EventLoop& loop,
                                                   net::HttpClient& client,
                                                   const base::Address& address,
@@ -55,7 +62,7 @@
   void Send(net::HttpClient& client,
             const base::Address& address,
             const net::Request& request,
-            size_t max_bytes);
+            const net::CallOptions& options);
   // Sets the timeout of the whole answer, or of the next part of a transfer.
   void StartTimer(base::Duration timeout);
   void OnTimeout();
@@ -73,6 +80,13 @@
   Handler done;
 };
 
+// Records the answers that weren't taken for that to a call of this kind, such
+// as "order", to a backend server.
+void NoteSkippedAnswers(Context& context,
+                        const core::BackendEntry& backend,
+                        const char* kind,
+                        const TimedCall::Result& result);
+
 }  // namespace carawayvalve::gateway
 
 #endif  // CARAWAYVALVE_GATEWAY_SRC_TIMED_CALL_H_
