Search the origin of each unnamed stream on its own

What callers saw: a stream may go on at another software version. Callers that took up streams with the same content without naming them shared one search, dated from the first. A stream of the second caller may have begun after that, at a version that joined in between.

Cause: proof that no other version was registered at the first take-up was taken as proof for a later one.

Change: only streams that their callers name share a search.

Measured: stream_version_test.cc, "callers take up streams of one content one after the other": before, both were given the only version (2 verdicts, 1 expected), with the registry known to 10 ms before the second; after, it passes.

--- a/gateway/src/stream_origin_lookup.cc
+++ b/gateway/src/stream_origin_lookup.cc
@@ -4,9 +4,10 @@
 
 namespace carawayvalve::gateway {
 
-std::string TakenUpStream::Key() const {
-  return this->first.has_value() ? "request/" + this->first->value
-                                 : "content/" + this->content;
+std::string StreamOriginLookup::KeyOf(const TakenUpStream& stream) {
+  return stream.first.has_value()
+             ? "request/" + stream.first->value
+             : "unnamed/" + std::to_string(++this->unnamed_searches);
 }
 
 core::OriginEvidence StreamOriginLookup::EvidenceOf(
@@ -32,7 +33,7 @@
 }
 
 void StreamOriginLookup::Find(const TakenUpStream& stream, Handler handler) {
-  const std::string key = stream.Key();
+  const std::string key = this->KeyOf(stream);
   const auto found = this->searches.find(key);
   if (found != this->searches.end()) {
     found->second.handlers.push_back(std::move(handler));
@@ -69,23 +70,27 @@
   // Performing may end the search.
   const TakenUpStream stream = search.stream;
   for (const core::OriginRequest& request : requests) {
-    std::visit([&](const auto& kind) { this->Perform(stream, kind); }, request);
+    std::visit([&](const auto& kind) { this->Perform(key, stream, kind); },
+               request);
   }
 }
 
-void StreamOriginLookup::Perform(const TakenUpStream& stream,
+void StreamOriginLookup::Perform(const std::string& /*key*/,
+                                 const TakenUpStream& stream,
                                  const core::AskOriginKeepers& /*request*/) {
   this->ask({stream.first, stream.content, false});
 }
 
-void StreamOriginLookup::Perform(const TakenUpStream& stream,
+void StreamOriginLookup::Perform(const std::string& /*key*/,
+                                 const TakenUpStream& stream,
                                  const core::AskAllPeers& /*request*/) {
   this->ask({stream.first, stream.content, true});
 }
 
-void StreamOriginLookup::Perform(const TakenUpStream& stream,
+void StreamOriginLookup::Perform(const std::string& key,
+                                 const TakenUpStream& /*stream*/,
                                  const core::ReadStoredOrigins& /*request*/) {
-  this->read_stored([this, key = stream.Key()] {
+  this->read_stored([this, key] {
     const auto found = this->searches.find(key);
     if (found != this->searches.end()) {
       found->second.search.NoteStoredRead();
@@ -94,7 +99,8 @@
   });
 }
 
-void StreamOriginLookup::Perform(const TakenUpStream& /*stream*/,
+void StreamOriginLookup::Perform(const std::string& /*key*/,
+                                 const TakenUpStream& /*stream*/,
                                  const core::ConfirmRegistry& /*request*/) {
   this->confirm_registry();
 }
--- a/gateway/src/stream_origin_lookup.h
+++ b/gateway/src/stream_origin_lookup.h
@@ -23,9 +23,6 @@
   base::ServiceId service;
   // Callers take streams up within this time after they have begun.
   base::Duration horizon{};
-
-  // Identifies it among those looked up.
-  std::string Key() const;
 };
 
 // A question to peers about the origin of a stream.
@@ -38,7 +35,9 @@
 };
 
 // Finds out which software version began a stream that a caller takes up, for
-// all requests that ask for it at the same time.
+// all requests that name it at the same time. A stream that its caller doesn't
+// name may have begun after the search for another one with the same content,
+// and has a search of its own.
 class StreamOriginLookup {
  public:
   using Handler = std::function<void(const core::OriginVerdict&)>;
@@ -81,15 +80,21 @@
     std::vector<Handler> handlers;
   };
 
+  // Returns the key of its search.
+  std::string KeyOf(const TakenUpStream& stream);
   core::OriginEvidence EvidenceOf(const Search& search) const;
   void Step(const std::string& key);
-  void Perform(const TakenUpStream& stream,
+  void Perform(const std::string& key,
+               const TakenUpStream& stream,
                const core::AskOriginKeepers& request);
-  void Perform(const TakenUpStream& stream, const core::AskAllPeers& request);
-  void Perform(const TakenUpStream& stream,
+  void Perform(const std::string& key,
+               const TakenUpStream& stream,
+               const core::AskAllPeers& request);
+  void Perform(const std::string& key,
+               const TakenUpStream& stream,
                const core::ReadStoredOrigins& request);
-
-  void Perform(const TakenUpStream& stream,
+  void Perform(const std::string& key,
+               const TakenUpStream& stream,
                const core::ConfirmRegistry& request);
 
   net::EventLoop& loop;
@@ -99,6 +104,8 @@
   Ask ask = [](const OriginQuestion&) {};
   ReadStored read_stored = [](const std::function<void()>& done) { done(); };
   std::map<std::string, Search> searches;
+  // Of streams that their callers don't name.
+  int64_t unnamed_searches = 0;
 };
 
 }  // namespace carawayvalve::gateway
--- a/gateway/tests/stream_version_test.cc
+++ b/gateway/tests/stream_version_test.cc
@@ -220,4 +220,35 @@
   }
 }
 
+// Guards against a search that proves the origin of a stream which began after
+// the proof.
+TEST_CASE("callers take up streams of one content one after the other") {
+  RestartedGateway fixture;
+  TestGateway& gateway = fixture.gateway;
+  gateway.RunFor(kTakeUpTime);
+  fixture.Tick();
+  base::Instant known_to = base::Now();
+  gateway.origin_lookup.SetRegistryKnownTo([&] { return known_to; });
+  const TakenUpStream stream{{}, "content", {"models"}, kShortTimeout};
+  int ended = 0;
+  const auto find = [&] {
+    gateway.origin_lookup.Find(stream, [&](const core::OriginVerdict& verdict) {
+      CHECK(std::holds_alternative<core::ContinueAtVersion>(verdict));
+      ++ended;
+    });
+  };
+  gateway.RunFor(base::Milliseconds(1));
+  find();
+  const base::Instant after_first = base::Now();
+  gateway.RunFor(base::Milliseconds(10));
+  find();
+  REQUIRE(ended == 0);
+  known_to = after_first;
+  gateway.origin_lookup.NoteLearned();
+  CHECK(ended == 1);
+  known_to = base::Now();
+  gateway.origin_lookup.NoteLearned();
+  CHECK(ended == 2);
+}
+
 }  // namespace carawayvalve::gateway
