Test every sequence of ends of a request's attempts

Servers refuse, misdirect, cut, fail, run or answer without a signature, in every order, beside one that can't be reached; a request of which an attempt ran may not be refused, and one that may run once runs once.

gateway_tests, four kinds of routes: nothing found.

--- /dev/null
+++ b/gateway/tests/attempt_outcomes_test.cc
@@ -0,0 +1,175 @@
+// Guards against requests that are answered as not run and have run, whatever
+// became of each of their attempts.
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "../../systems/tests/answer_server.h"
+#include "request_fixture.h"
+
+namespace carawayvalve::gateway {
+
+using config::EngineRole;
+using config::RequestKind;
+using systems::AnswerServer;
+using systems::Reply;
+
+namespace {
+
+constexpr size_t kMaxAttempts = 3;
+
+// What a backend server makes of a request.
+struct Behaviour {
+  std::string name;
+  bool runs = false;
+  Reply reply;
+};
+
+Reply Answer(const std::string& status,
+             const std::string& fields,
+             const std::string& body = "") {
+  return {"HTTP/1.1 " + status + "\r\nX-Request-Id: r1\r\n" + fields +
+              "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+              body,
+          true};
+}
+
+std::string EventsHead() {
+  return tests::AnswerHead("Content-Type: text/event-stream\r\n");
+}
+
+std::vector<Behaviour> Refusals() {
+  const std::string not_run = "X-Not-Run: 1\r\n";
+  return {{"declined", false, Answer("503 Full", not_run)},
+          {"declined with 429", false, Answer("429 Often", not_run)},
+          {"misdirected", false, Answer("421 Misdirected", "")},
+          {"declined, cut",
+           false,
+           {tests::RefusalHead("Content-Length: 9\r\n\r\n"), false}}};
+}
+
+std::vector<Behaviour> Runs() {
+  return {
+      {"no answer", true, systems::NoReply()},
+      {"cut",
+       true,
+       {EventsHead() + "\r\n" + tests::StreamEvent("r1", 1) + "id: 2", false}},
+      {"failed", true, Answer("500 Failed", "X-Response-Sig: s\r\n")},
+      {"unsigned 503", true, Answer("503 Failed", "")},
+      {"unsigned 200", true, Answer("200 OK", "", "b")},
+      {"answered", true,
+       Answer("200 OK",
+              "X-Response-Sig: s\r\nContent-Type: text/event-stream\r\n",
+              tests::StreamEvent("r1", 1))}};
+}
+
+config::ServingPlan PlanOf(RequestKind kind, bool resumable) {
+  config::ServingPlan plan = NotesPlan(kMaxAttempts);
+  ++plan.version;
+  plan.routes.front().kind = kind;
+  plan.routes.front().resumable = resumable;
+  return plan;
+}
+
+// A request whose attempts meet these behaviours in turn, and the last of them
+// again.
+struct Drill {
+  Drill(const std::vector<Behaviour>& behaviours,
+        RequestKind kind,
+        bool resumable)
+      : behaviours(behaviours) {
+    this->fixture.gateway.state.ApplyPlan(PlanOf(kind, resumable));
+    this->fixture.gateway.state.directory.NoteRemoved({"reader"}, base::Now());
+    int number = 0;
+    for (const AnswerServer* server : {&this->one, &this->two, &this->three}) {
+      this->fixture.Add("engine" + std::to_string(++number),
+                        base::ParseAddress(server->Address()).port,
+                        EngineRole::kDecode);
+    }
+    this->fixture.Add(
+        "unreachable",
+        base::ParseAddress(systems::Listener(systems::kNotListening).Address())
+            .port,
+        EngineRole::kDecode);
+    this->fixture.SendRequest([](const std::string&) {});
+  }
+
+  Reply Next() {
+    const size_t index = this->arrivals++;
+    const Behaviour& met =
+        this->behaviours[std::min(index, this->behaviours.size() - 1)];
+    this->run_count += met.runs ? 1 : 0;
+    return met.reply;
+  }
+
+  bool IsRefused() const {
+    return std::set<int>{408, 421, 429, 503}.contains(this->fixture.status);
+  }
+
+  const std::vector<Behaviour>& behaviours;
+  std::atomic<size_t> arrivals = 0;
+  std::atomic<int> run_count = 0;
+  AnswerServer one{[this](int, const std::string&) { return this->Next(); }};
+  AnswerServer two{[this](int, const std::string&) { return this->Next(); }};
+  AnswerServer three{[this](int, const std::string&) { return this->Next(); }};
+  RequestFixture fixture{kMaxAttempts, kSlackOfManyRetries};
+};
+
+// Meets all sequences of behaviours. Those that differ only in attempts that
+// aren't made are met once.
+void MeetAll(const std::vector<Behaviour>& all,
+             RequestKind kind,
+             bool resumable) {
+  std::vector<size_t> chosen(kMaxAttempts, 0);
+  size_t used = 1;
+  while (used > 0) {
+    std::vector<Behaviour> behaviours;
+    std::string names;
+    for (const size_t index : chosen) {
+      behaviours.push_back(all[index]);
+      names += all[index].name + ", ";
+    }
+    CAPTURE(names);
+    const Drill drill(behaviours, kind, resumable);
+    CAPTURE(drill.fixture.status);
+    CHECK(drill.arrivals > 0);
+    CHECK(drill.arrivals <= kMaxAttempts);
+    CHECK_FALSE((drill.IsRefused() && drill.run_count > 0));
+    // Any other request may be repeated while its answer is late.
+    if (kind != RequestKind::kIdempotent && !resumable) {
+      CHECK(drill.run_count <= 1);
+      CHECK(drill.IsRefused() == (drill.run_count == 0));
+    }
+    used = std::min<size_t>(drill.arrivals, kMaxAttempts);
+    std::fill(chosen.begin() + static_cast<ptrdiff_t>(used), chosen.end(), 0);
+    while (used > 0 && ++chosen[used - 1] == all.size()) {
+      chosen[--used] = 0;
+    }
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a request meets every sequence of ends of its attempts") {
+  std::vector<Behaviour> all = Refusals();
+  const std::vector<Behaviour> runs = Runs();
+  all.insert(all.end(), runs.begin(), runs.end());
+
+  SUBCASE("and may run once") {
+    MeetAll(all, RequestKind::kNonIdempotent, false);
+  }
+  SUBCASE("and may run any number of times") {
+    MeetAll(all, RequestKind::kIdempotent, false);
+  }
+  SUBCASE("as a stream") {
+    MeetAll(all, RequestKind::kStream, false);
+  }
+  SUBCASE("as a stream that may be resumed") {
+    MeetAll(all, RequestKind::kStream, true);
+  }
+}
+
+}  // namespace carawayvalve::gateway
