Pass on no failure that says a request hasn't run

Callers saw 503, 429 or 408, which promise that a request hasn't run, for one that its server had run: the answer bore the server's signature and that status, but not that the request wasn't run. Only a declined request was known not to have run, but any signed status was passed on.

Such an answer now counts as interrupted: what may be repeated is, and what may not gets 502.

--- a/core/include/carawayvalve/core/attempt_policy.h
+++ b/core/include/carawayvalve/core/attempt_policy.h
@@ -106,6 +106,10 @@
                         const AttemptEnd& end,
                         const RetryConditions& conditions);
 
+// Returns whether callers take an answer with this status to say that the
+// request has not run and never will.
+bool SaysNotRun(int status);
+
 // Returns how a request ends that gets no further attempt. Never TryAgain.
 NextStep DecideFinalStep(const RequestProgress& progress);
 
--- a/core/src/attempt_policy.cc
+++ b/core/src/attempt_policy.cc
@@ -1,9 +1,14 @@
 #include "carawayvalve/core/attempt_policy.h"
 
+#include <algorithm>
+#include <array>
+
 namespace carawayvalve::core {
 
 namespace {
 
+constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
+
 bool MayRunAgain(const RequestRules& rules, const RequestProgress& progress) {
   if (progress.answer_begun) {
     return rules.may_resume;
@@ -42,6 +47,11 @@
   return DecideFinalStep(progress);
 }
 
+bool SaysNotRun(int status) {
+  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) !=
+         kNotRunStatuses.end();
+}
+
 NextStep DecideFinalStep(const RequestProgress& progress) {
   if (progress.answer_begun) {
     return BreakAnswerOff{};
--- a/core/tests/attempt_policy_test.cc
+++ b/core/tests/attempt_policy_test.cc
@@ -84,6 +84,15 @@
   }
 }
 
+TEST_CASE("statuses that say that a request hasn't run") {
+  for (const int status : {408, 421, 429, 503}) {
+    CHECK(SaysNotRun(status));
+  }
+  for (const int status : {200, 400, 404, 500, 502, 504}) {
+    CHECK_FALSE(SaysNotRun(status));
+  }
+}
+
 // Checks every combination of rules, progress and attempt end.
 TEST_CASE("no decision wrongly repeats a request or reports a false outcome") {
   const std::initializer_list<AttemptEnd> ends = {
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -443,6 +443,12 @@
     this->EndAttempt(core::AttemptInterrupted{}, "the continued stream failed");
     return;
   }
+  if (core::SaysNotRun(this->head.status)) {
+    // Its server doesn't say so, as the request wasn't declined.
+    this->EndAttempt(core::AttemptInterrupted{},
+                     "answered with " + std::to_string(this->head.status));
+    return;
+  }
   if (this->head.status >= kServerError) {
     this->EndAttempt(core::AttemptFailed{},
                      "failed with " + std::to_string(this->head.status));
--- a/gateway/tests/attempt_outcomes_test.cc
+++ b/gateway/tests/attempt_outcomes_test.cc
@@ -172,4 +172,21 @@
   }
 }
 
+// Guards against the status of a refusal that is passed on though its server
+// doesn't say that the request wasn't run.
+TEST_CASE("a server's own failure bears the status of a refusal") {
+  for (const std::string& status :
+       std::vector<std::string>{"408 Late", "429 Often", "503 Failed"}) {
+    CAPTURE(status);
+    const std::vector<Behaviour> failure = {
+        {status, true, Answer(status, "X-Response-Sig: s\r\n")}};
+    for (const RequestKind kind :
+         {RequestKind::kNonIdempotent, RequestKind::kStream}) {
+      const Drill drill(failure, kind, false);
+      CHECK(drill.run_count == 1);
+      CHECK(drill.fixture.status == 502);
+    }
+  }
+}
+
 }  // namespace carawayvalve::gateway
