Use no connection of a call without a field for one without an id

A server's copy of its refusal of a call that expected no field, such as the release of a prompt, was taken for the answer to the next request, if that bore no id: the connection only remembered calls that expected a field.

It now remembers that one accepted any response, and then carries none that expects an empty field.

--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -157,7 +157,9 @@
   ++this->call_count;
   this->paused = false;
   this->echo = options.echo;
-  if (!this->echo.name.empty()) {
+  if (this->echo.name.empty()) {
+    this->expected_any = true;
+  } else {
     this->carried.push_back(HashOf(this->echo));
   }
   this->max_body_bytes = options.max_body_bytes;
@@ -197,7 +199,11 @@
 }
 
 bool ClientConnection::HasCarried(const HeaderField& expected) const {
-  return !expected.name.empty() &&
+  if (expected.name.empty()) {
+    return false;
+  }
+  // A response to a call that expected any may lack the field.
+  return (this->expected_any && expected.value.empty()) ||
          std::find(this->carried.begin(), this->carried.end(),
                    HashOf(expected)) != this->carried.end();
 }
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -68,8 +68,8 @@
   void Close();
   void Fail(const std::string& reason, bool reset, bool too_large = false);
   void SetPaused(bool paused);
-  // Returns whether a call with this CallOptions::echo was begun here. Errs
-  // towards true.
+  // Returns whether a call whose response may bear this CallOptions::echo was
+  // begun here. Errs towards true.
   bool HasCarried(const HeaderField& echo) const;
   // Returns whether bytes have arrived that the loop hasn't handled yet. While
   // the connection is idle, they answer no request of it.
@@ -132,6 +132,8 @@
   HeaderField echo;
   // The hashes of the fields that its calls expected, without repetition.
   std::vector<uint64_t> carried;
+  // A call accepted any response.
+  bool expected_any = false;
   size_t max_body_bytes = 0;
   bool whole_body = false;
   size_t handled_bytes = 0;
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -150,6 +150,42 @@
     CHECK(client.Call(server.Address(), ExpectingId("1")).body == "right");
     CHECK(client.client.idle_connections() == 2);
   }
+  // The same after calls with other ids.
+  SUBCASE("uses another kept connection for an id that one has carried") {
+    AnswerServer server({Answer("X-Id: 1\r\n", ""), Answer("X-Id: 1\r\n", ""),
+                         Answer("X-Id: 2\r\n", ""), Answer("X-Id: 2\r\n", ""),
+                         Answer("X-Id: 1\r\n", "")});
+    const auto is_kept = [&](const std::string& id) {
+      return client.Call(server.Address(), ExpectingId(id)).kept_connection;
+    };
+    CHECK_FALSE(is_kept("1"));
+    CHECK_FALSE(is_kept("1"));
+    CHECK(is_kept("2"));
+    CHECK(is_kept("2"));
+    CHECK_FALSE(is_kept("1"));
+  }
+  // Guards against connections whose ids take ever more memory and time.
+  SUBCASE("keeps no connection that has carried very many ids") {
+    int answers = 0;
+    AnswerServer server([&](int /*connection*/, const std::string&) {
+      return Answer("X-Id: " + std::to_string(++answers) + "\r\n", "");
+    });
+    constexpr int kIds = 2000;
+    for (int id = 1; id <= kIds; ++id) {
+      client.Call(server.Address(), ExpectingId(std::to_string(id)));
+    }
+    CHECK(client.client.connections_opened() == 2);
+  }
+  // Guards against a repeated response to a call that expected nothing.
+  SUBCASE("uses no kept connection for no id after a call without a field") {
+    const Reply declined = Answer("", "declined");
+    const Reply right = Answer("", "right");
+    AnswerServer server([&](int connection, const std::string& /*request*/) {
+      return connection == 1 ? declined : right;
+    });
+    client.Call(server.Address());
+    CHECK(client.Call(server.Address(), ExpectingId("")).body == "right");
+  }
   SUBCASE("uses a kept connection for one call that expects no id") {
     AnswerServer server(
         {Answer("", "one"), Answer("", "two"), Answer("X-Id: 1\r\n", "three")});
