Number the calls between entries and agents

Thrift's clients send each call with the number 0 and don't look at that of the answer, so none said to which call it belongs. An entry that read the earlier answer of an agent again took a submission for refused ("not run", to be sent elsewhere) that the agent had accepted and ran. No process of ours is known to write an answer twice; this guards against one that does.

The client's protocol numbers the calls of a connection and takes no answer with another number: the connection is closed, and the outcome is unknown. Servers, also earlier ones, return the number that they get.

The tests' raw peer returns the call's number as Thrift's servers do, instead of 0.

--- a/wire/src/channel.cc
+++ b/wire/src/channel.cc
@@ -76,7 +76,7 @@
   } catch (const TException& error) {
     throw base::NotReachedError(step, this->peer_address, error.what());
   }
-  current.protocol = std::make_shared<detail::LimitedProtocol>(
+  current.protocol = std::make_shared<detail::ClientProtocol>(
       std::make_shared<detail::LimitedFramedTransport>(socket));
   current.socket = std::move(socket);
   return current.protocol;
--- a/wire/src/framing.cc
+++ b/wire/src/framing.cc
@@ -1,5 +1,6 @@
 #include "framing.h"
 
+#include <thrift/TApplicationException.h>
 #include <thrift/TConfiguration.h>
 
 #include <algorithm>
@@ -9,10 +10,12 @@
 
 namespace carawayvalve::wire::detail {
 
+using apache::thrift::TApplicationException;
 using apache::thrift::TConfiguration;
 using apache::thrift::protocol::TBinaryProtocol;
 using apache::thrift::protocol::TList;
 using apache::thrift::protocol::TMap;
+using apache::thrift::protocol::TMessageType;
 using apache::thrift::protocol::TProtocol;
 using apache::thrift::protocol::TSet;
 using apache::thrift::protocol::TType;
@@ -109,6 +112,25 @@
   return std::max(this->getMinSerializedSize(type), 1);
 }
 
+uint32_t ClientProtocol::writeMessageBegin_virt(const std::string& name,
+                                                TMessageType type,
+                                                int32_t /*sequence*/) {
+  return LimitedProtocol::writeMessageBegin_virt(
+      name, type, static_cast<int32_t>(++this->call));
+}
+
+uint32_t ClientProtocol::readMessageBegin_virt(std::string& name,
+                                               TMessageType& type,
+                                               int32_t& sequence) {
+  const uint32_t bytes =
+      LimitedProtocol::readMessageBegin_virt(name, type, sequence);
+  if (static_cast<uint32_t>(sequence) != this->call) {
+    throw TApplicationException(TApplicationException::BAD_SEQUENCE_ID,
+                                "the answer is that to another call");
+  }
+  return bytes;
+}
+
 std::shared_ptr<TProtocol> LimitedProtocolFactory::getProtocol(
     std::shared_ptr<TTransport> transport) {
   return std::make_shared<LimitedProtocol>(
--- a/wire/src/framing.h
+++ b/wire/src/framing.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 
 namespace carawayvalve::wire::detail {
 
@@ -66,6 +67,25 @@
   LimitedFramedTransport& transport;
 };
 
+// The protocol of a client, for one connection. Numbers its calls, as Thrift's
+// clients don't, and takes no answer that bears another number than the call.
+class ClientProtocol : public LimitedProtocol {
+ public:
+  using LimitedProtocol::LimitedProtocol;
+
+  uint32_t writeMessageBegin_virt(const std::string& name,
+                                  apache::thrift::protocol::TMessageType type,
+                                  int32_t sequence) override;
+  // Throws a TApplicationException if the answer is that to another call.
+  uint32_t readMessageBegin_virt(std::string& name,
+                                 apache::thrift::protocol::TMessageType& type,
+                                 int32_t& sequence) override;
+
+ private:
+  // The number of the last call.
+  uint32_t call = 0;
+};
+
 // Takes transports of LimitedFramedTransportFactory only.
 class LimitedProtocolFactory
     : public apache::thrift::protocol::TProtocolFactory {
--- a/wire/tests/channel_test.cc
+++ b/wire/tests/channel_test.cc
@@ -28,27 +28,34 @@
   client.cancel("an attempt");
 }
 
-// Encodes an answer to EntryPeer.configuration whose text has this size.
-std::string ConfigurationAnswer(size_t size) {
-  const auto buffer =
+// Encodes a copy of a configuration whose text has this size.
+std::string CopyFields(size_t size) {
+  const auto bytes =
       std::make_shared<apache::thrift::transport::TMemoryBuffer>();
-  apache::thrift::protocol::TBinaryProtocol protocol(buffer);
-  gen::ConfigurationCopy copy;
-  copy.__set_text(std::string(size, 'x'));
+  apache::thrift::protocol::TBinaryProtocol protocol(bytes);
   gen::EntryPeer_configuration_result result;
-  result.success = copy;
+  result.success.text = std::string(size, 'x');
+  result.__isset.success = true;
+  result.write(&protocol);
+  return bytes->getBufferAsString();
+}
+
+// Encodes what an agent answers to a submission.
+std::string FieldsOf(bool accepted) {
+  const auto bytes =
+      std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+  apache::thrift::protocol::TBinaryProtocol protocol(bytes);
+  gen::Agent_submit_result result;
+  result.success.accepted = accepted;
   result.__isset.success = true;
-  protocol.writeMessageBegin("configuration", apache::thrift::protocol::T_REPLY,
-                             0);
   result.write(&protocol);
-  protocol.writeMessageEnd();
-  return Frame(buffer->getBufferAsString());
+  return bytes->getBufferAsString();
 }
 
 // Answers every call until the client closes the connection.
 void AnswerAll(RawConnection& connection) {
   while (connection.ReadFrame()) {
-    connection.Send(VoidAnswer("cancel"));
+    connection.Send(connection.VoidAnswer("cancel"));
   }
 }
 
@@ -61,7 +68,7 @@
       return;
     }
     connection.ReadFrame();
-    connection.Trickle(VoidAnswer("cancel"), kTrickleInterval);
+    connection.Trickle(connection.VoidAnswer("cancel"), kTrickleInterval);
   });
 
   SUBCASE("given an answer whose bytes come one at a time") {
@@ -93,13 +100,16 @@
 TEST_CASE("Channel: a large answer takes longer than a period") {
   constexpr int kPieces = 10;
   constexpr Milliseconds kPause{100};
-  const std::string piece(size_t{16} * 1024, 'x');
-  const std::string answer = ConfigurationAnswer(kPieces * piece.size());
+  constexpr size_t kPieceBytes = size_t{16} * 1024;
   int sent_pieces = kPieces;
   RawPeer peer([&](RawConnection& connection, int) {
     connection.ReadFrame();
+    const std::string answer =
+        EncodeAnswer("configuration", connection.Sequence("configuration"),
+                     CopyFields(kPieces * kPieceBytes));
+    // The frame is longer than the text, by a part of a piece.
     for (int i = 0; i <= sent_pieces; ++i) {
-      connection.Send(answer.substr(i * piece.size(), piece.size()));
+      connection.Send(answer.substr(i * kPieceBytes, kPieceBytes));
       std::this_thread::sleep_for(kPause);
     }
     connection.WaitForEnd();
@@ -112,7 +122,7 @@
 
   SUBCASE("a transfer goes on as long as it arrives") {
     channel.InvokeTransfer("read configuration", read);
-    CHECK(copy.text.size() == kPieces * piece.size());
+    CHECK(copy.text.size() == kPieces * kPieceBytes);
   }
   SUBCASE("a transfer that stalls ends") {
     sent_pieces = 2;
@@ -130,7 +140,7 @@
   RawPeer peer([&](RawConnection& connection, int) {
     while (connection.ReadFrame()) {
       calls += 1;
-      connection.Send(VoidAnswer("cancel"));
+      connection.Send(connection.VoidAnswer("cancel"));
     }
   });
   AgentChannel channel(peer.address(), kLongTimeout);
@@ -165,7 +175,7 @@
     RawPeer peer([&](RawConnection& connection, int number) {
       while (connection.ReadFrame()) {
         calls += 1;
-        connection.Send(VoidAnswer("cancel"));
+        connection.Send(connection.VoidAnswer("cancel"));
         if (number == 1) {
           connection.SendEnd();
           idle.set_value();
@@ -187,9 +197,9 @@
     RawPeer peer([&](RawConnection& connection, int number) {
       while (connection.ReadFrame()) {
         calls += 1;
-        connection.Send(VoidAnswer("cancel"));
+        connection.Send(connection.VoidAnswer("cancel"));
         if (number == 1) {
-          connection.Send(VoidAnswer("cancel"));
+          connection.Send(connection.VoidAnswer("cancel"));
           connection.WaitUntilDelivered();
           idle.set_value();
         }
@@ -207,6 +217,35 @@
   }
 }
 
+// Guards against a submission that counts as refused, and may be sent to
+// another agent, while it runs: the answer is that to an earlier one.
+TEST_CASE("Channel: a peer writes its earlier answer once more") {
+  RawPeer peer([](RawConnection& connection, int) {
+    std::string earlier;
+    for (bool accepted = false; connection.ReadFrame(); accepted = true) {
+      const std::string answer = EncodeAnswer(
+          "submit", connection.Sequence("submit"), FieldsOf(accepted));
+      connection.Send(earlier + answer);
+      earlier = answer;
+    }
+  });
+  AgentChannel channel(peer.address(), kLongTimeout);
+  const auto submit = [&] {
+    gen::SubmitAnswer answer;
+    channel.Invoke("submit", [&](gen::AgentClient& client) {
+      client.submit(answer, gen::Submission());
+    });
+    return answer.accepted;
+  };
+  CHECK_FALSE(submit());
+  CHECK_THROWS_AS(submit(), base::UnknownOutcomeError);
+
+  SUBCASE("and the next call opens a new connection") {
+    CHECK_FALSE(submit());
+    CHECK(peer.connections() == 2);
+  }
+}
+
 TEST_CASE("Channel: the constructor rejects invalid addresses") {
   CHECK_THROWS_AS(AgentChannel("nowhere", kLongTimeout), base::Error);
   CHECK_THROWS_AS(AgentChannel("127.0.0.1", kLongTimeout), base::Error);
--- a/wire/tests/raw_peer.h
+++ b/wire/tests/raw_peer.h
@@ -30,12 +30,14 @@
   return frame + message;
 }
 
-// Encodes the answer to a call of a void method.
-inline std::string VoidAnswer(const std::string& method) {
+// Encodes the answer to a call, by default of a void method. `sequence` is that
+// of the call.
+inline std::string EncodeAnswer(const std::string& method,
+                                const std::string& sequence,
+                                const std::string& fields = std::string(1,
+                                                                        '\0')) {
   const std::string version_and_reply("\x80\x01\x00\x02", 4);
-  const std::string sequence(4, '\0');
-  const std::string end_of_fields(1, '\0');
-  return Frame(version_and_reply + Frame(method) + sequence + end_of_fields);
+  return Frame(version_and_reply + Frame(method) + sequence + fields);
 }
 
 // One end of a TCP connection, without Thrift.
@@ -63,8 +65,19 @@
     if (!this->ReadAll(&size, sizeof(size))) {
       return false;
     }
-    std::string message(ntohl(size), '\0');
-    return this->ReadAll(message.data(), message.size());
+    this->message.assign(ntohl(size), '\0');
+    return this->ReadAll(this->message.data(), this->message.size());
+  }
+
+  // Encodes the answer of a void method to the call that was read last.
+  std::string VoidAnswer(const std::string& method) const {
+    return EncodeAnswer(method, this->Sequence(method));
+  }
+
+  // Returns the sequence number of that call, as it was encoded.
+  std::string Sequence(const std::string& method) const {
+    constexpr size_t kVersionAndSize = 8;
+    return this->message.substr(kVersionAndSize + method.size(), 4);
   }
 
   void Send(const std::string& bytes) {
@@ -114,6 +127,7 @@
   }
 
   int fd;
+  std::string message;
 };
 
 // A TCP server that runs the script for each connection, one at a time.
