Refuse unnamed streams while what is stored can't be read

What callers saw: a stream that its caller doesn't name goes on at the version noted for its content, though a lost gateway may have stored another one and the store couldn't be read.

Cause: a failed reading, or one that took too long, counted as one that found nothing.

Change: core::OriginSearch is told whether the reading was complete, and leaves the origin open if only the content speaks for a version and it wasn't.

--- a/core/include/carawayvalve/core/origin_search.h
+++ b/core/include/carawayvalve/core/origin_search.h
@@ -78,7 +78,7 @@
 // holds at the start of the search, before which the stream began: a process
 // that stood still or is cut off doesn't notice that by itself. Otherwise
 // only its content identifies the stream: all answers are awaited, and several
-// versions leave the origin open.
+// versions, or answers that are missing, leave the origin open.
 class OriginSearch {
  public:
   struct Settings {
@@ -108,8 +108,11 @@
   // has been learnt and at `wake_at`, until there is a verdict.
   std::vector<OriginRequest> Step(const OriginEvidence& evidence,
                                   base::Instant now);
-  // Records that everything stored has been read, or can't be read.
-  void NoteStoredRead() { this->awaits_stored = false; }
+  // Records that everything stored has been read, or that it can't be read.
+  void NoteStoredRead(bool is_complete) {
+    this->awaits_stored = false;
+    this->lacks_stored = !is_complete;
+  }
 
   // Returns the time until `now` within which the stream can have begun, if
   // callers take streams up within `horizon`.
@@ -137,6 +140,8 @@
   bool is_named;
   bool has_peers;
   bool awaits_stored;
+  // Processes that are gone may have stored what wasn't read.
+  bool lacks_stored;
   base::Instant started;
   Stage stage = Stage::kNew;
   bool asked_store = false;
--- a/core/src/origin_search.cc
+++ b/core/src/origin_search.cc
@@ -26,6 +26,7 @@
       is_named(is_named),
       has_peers(has_peers),
       awaits_stored(may_be_stored),
+      lacks_stored(may_be_stored),
       started(now),
       stage_end(now) {}
 
@@ -116,6 +117,9 @@
             ? "another software version may have begun the stream"
             : "it isn't known which software version began the stream"};
   }
+  if (this->lacks_stored) {
+    return OriginUnknown{"what lost gateways have stored can't be read"};
+  }
   return ContinueAtVersion{*possible.begin(), OriginProof::kContent};
 }
 
--- a/core/tests/origin_search_test.cc
+++ b/core/tests/origin_search_test.cc
@@ -66,7 +66,7 @@
     CHECK(search.Step({}, kStart + Milliseconds(39)).empty());
     CHECK(search.Step({}, kStart + Milliseconds(40)) ==
           std::vector<OriginRequest>{AskAllPeers{}});
-    search.NoteStoredRead();
+    search.NoteStoredRead(true);
     CHECK(search.Step({}, kStart + Milliseconds(119)).empty());
     CHECK_FALSE(search.verdict().has_value());
     search.Step({}, kStart + Milliseconds(120));
@@ -77,7 +77,7 @@
     search.Step({}, kStart + Milliseconds(40));
     search.Step({}, kStart + Milliseconds(120));
     CHECK_FALSE(search.verdict().has_value());
-    search.NoteStoredRead();
+    search.NoteStoredRead(true);
     search.Step({"v1", {}, {}}, kStart + Milliseconds(150));
     CHECK(search.verdict() == OriginVerdict(ContinueAtVersion{"v1"}));
   }
@@ -139,14 +139,17 @@
     const bool has_peers = *rc::gen::arbitrary<bool>();
     const bool may_be_stored = *rc::gen::arbitrary<bool>();
     OriginSearch search(kSettings, is_named, has_peers, may_be_stored, kStart);
+    bool lacks_stored = may_be_stored;
     OriginEvidence evidence;
     Instant now = kStart;
     while (!search.verdict().has_value()) {
       RC_ASSERT(now <= kStart + kSettings.stored_time);
       Learn(evidence, is_named);
       search.Step(evidence, now);
-      if (*rc::gen::inRange(0, 6) == 0) {
-        search.NoteStoredRead();
+      if (!search.verdict().has_value() && *rc::gen::inRange(0, 6) == 0) {
+        const bool is_complete = *rc::gen::arbitrary<bool>();
+        search.NoteStoredRead(is_complete);
+        lacks_stored = !is_complete;
       }
       RC_ASSERT(search.verdict().has_value() || search.wake_at() > now);
       now = *rc::gen::arbitrary<bool>()
@@ -155,6 +158,7 @@
     }
     if (const auto* end = std::get_if<ContinueAtVersion>(&*search.verdict())) {
       RC_ASSERT(Shows(evidence, is_named, end->version));
+      RC_ASSERT(end->proof != OriginProof::kContent || !lacks_stored);
     }
   }));
 }
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -165,9 +165,10 @@
   this->origin_lookup.SetConfirmRegistry([this] {
     this->feed.ConfirmRegistry([this] { this->origin_lookup.NoteLearned(); });
   });
-  this->origin_lookup.SetReadStored([this](const std::function<void()>& done) {
-    this->recent.Read([done](bool /*is_complete*/) { done(); });
-  });
+  this->origin_lookup.SetReadStored(
+      [this](const std::function<void(bool)>& done) {
+        this->recent.Read(done);
+      });
   this->recent.Start();
 }
 
--- a/gateway/src/stream_origin_lookup.cc
+++ b/gateway/src/stream_origin_lookup.cc
@@ -90,10 +90,10 @@
 void StreamOriginLookup::Perform(const std::string& key,
                                  const TakenUpStream& /*stream*/,
                                  const core::ReadStoredOrigins& /*request*/) {
-  this->read_stored([this, key] {
+  this->read_stored([this, key](bool is_complete) {
     const auto found = this->searches.find(key);
     if (found != this->searches.end()) {
-      found->second.search.NoteStoredRead();
+      found->second.search.NoteStoredRead(is_complete);
       this->Step(key);
     }
   });
--- a/gateway/src/stream_origin_lookup.h
+++ b/gateway/src/stream_origin_lookup.h
@@ -43,8 +43,9 @@
   using Handler = std::function<void(const core::OriginVerdict&)>;
   using RegistryKnownTo = std::function<std::optional<base::Instant>()>;
   using Ask = std::function<void(const OriginQuestion&)>;
-  // Calls the argument once everything stored has been read or can't be read.
-  using ReadStored = std::function<void(std::function<void()>)>;
+  // Calls the argument once everything stored has been read, with true, or
+  // can't be read, with false.
+  using ReadStored = std::function<void(std::function<void(bool)>)>;
 
   StreamOriginLookup(net::EventLoop& loop, const GatewayState& state)
       : loop(loop), state(state) {}
@@ -102,7 +103,9 @@
   RegistryKnownTo registry_known_to = [] { return std::nullopt; };
   std::function<void()> confirm_registry = [] {};
   Ask ask = [](const OriginQuestion&) {};
-  ReadStored read_stored = [](const std::function<void()>& done) { done(); };
+  ReadStored read_stored = [](const std::function<void(bool)>& done) {
+    done(true);
+  };
   std::map<std::string, Search> searches;
   // Of streams that their callers don't name.
   int64_t unnamed_searches = 0;
--- a/gateway/tests/recent_store_test.cc
+++ b/gateway/tests/recent_store_test.cc
@@ -77,8 +77,8 @@
     this->lookup.SetConfirmRegistry([this] {
       this->feed.ConfirmRegistry([this] { this->lookup.NoteLearned(); });
     });
-    this->lookup.SetReadStored([this](const std::function<void()>& done) {
-      this->recent.Read([done](bool /*is_complete*/) { done(); });
+    this->lookup.SetReadStored([this](const std::function<void(bool)>& done) {
+      this->recent.Read(done);
     });
     this->feed.Start();
     this->recent.Start();
--- a/gateway/tests/stream_version_test.cc
+++ b/gateway/tests/stream_version_test.cc
@@ -218,6 +218,12 @@
     CHECK(fixture.TakeUp("") == 503);
     CHECK(fixture.runs.empty());
   }
+  SUBCASE("while what lost gateways have stored can't be read") {
+    fixture.gateway.origin_lookup.SetReadStored(
+        [](const auto& done) { done(false); });
+    CHECK(fixture.TakeUp("") == 503);
+    CHECK(fixture.runs.empty());
+  }
 }
 
 // Guards against a search that proves the origin of a stream which began after
