Fail on a response that is cut inside a line of its head

Callers saw 503 "not run" for a request that had run: a server's copy of an earlier refusal was cut inside its status line or a field, and the answer followed at once. The head of both together had the refusal's status or X-Not-Run, and the answer's id.

A response whose reason or field holds the beginning of another status line is none; the call fails, and its outcome isn't known.

--- a/gateway/tests/attempt_outcomes_test.cc
+++ b/gateway/tests/attempt_outcomes_test.cc
@@ -189,4 +189,30 @@
   }
 }
 
+// Guards against a repeated refusal that is cut and takes the fields of the
+// answer that follows.
+TEST_CASE("a server repeats the beginning of a refusal") {
+  for (const std::string& beginning : std::vector<std::string>{
+           "HTTP/1.1 421 Mis", "HTTP/1.1 503 Full\r\nX-Not-Run: 1"}) {
+    CAPTURE(beginning);
+    AnswerServer server(
+        {{"HTTP/1.1 421 Misdirected\r\nX-Request-Id: r0\r\n"
+          "Content-Length: 0\r\n\r\n",
+          true},
+         {beginning + Answer("200 OK", "X-Response-Sig: s\r\n", "ran").bytes,
+          true}});
+    RequestFixture fixture(1);
+    fixture.gateway.state.ApplyPlan(PlanOf(RequestKind::kNonIdempotent, false));
+    fixture.gateway.state.directory.NoteRemoved({"reader"}, base::Now());
+    fixture.Add("engine", base::ParseAddress(server.Address()).port,
+                EngineRole::kDecode);
+    for (const std::string& id : std::vector<std::string>{"r0", "r1"}) {
+      fixture.SendRequest([](const std::string&) {},
+                          tests::PromptRequest("shop.example", "/notes/1", id));
+    }
+    CHECK(server.Requests().size() == 2);
+    CHECK(fixture.status == 502);
+  }
+}
+
 }  // namespace carawayvalve::gateway
--- a/net/src/message_parser.h
+++ b/net/src/message_parser.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <string>
+#include <string_view>
 
 #include "carawayvalve/net/message.h"
 
@@ -15,6 +16,19 @@
 
 inline constexpr size_t kMaxFields = 256;
 
+// Returns whether `text`, a part of a response's head, ends with the beginning
+// of a status line: then the response was cut, and another one follows.
+inline bool HasStatusLine(std::string_view text) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  const size_t at = text.rfind(kVersion);
+  if (at == std::string_view::npos) {
+    return false;
+  }
+  // After the version's last digit and a space.
+  const size_t status = at + kVersion.size() + 2;
+  return status < text.size() && text[status] >= '1' && text[status] <= '9';
+}
+
 // Parses one HTTP/1.1 message incrementally with Beast's parser.
 template <bool kIsRequest>
 class MessageParser : public boost::beast::http::basic_parser<kIsRequest> {
@@ -78,10 +92,13 @@
     this->target = ToString(target_text);
   }
   void on_response_impl(int code,
-                        View /*reason*/,
+                        View reason,
                         int /*version*/,
-                        Error& /*error*/) override {
+                        Error& error) override {
     this->status = code;
+    if (HasStatusLine({reason.data(), reason.size()})) {
+      error = boost::beast::http::error::bad_reason;
+    }
   }
   void on_field_impl(boost::beast::http::field /*field*/,
                      View name,
@@ -96,6 +113,10 @@
       error = boost::beast::http::error::header_limit;
       return;
     }
+    if (!kIsRequest && HasStatusLine({value.data(), value.size()})) {
+      error = boost::beast::http::error::bad_value;
+      return;
+    }
     this->fields.push_back({ToString(name), ToString(value)});
     this->stored_head_bytes += sizeof(HeaderField) + name.size() + value.size();
   }
