--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -66,8 +66,7 @@
   std::vector<IdleConnection>& idle_to_peer = found->second;
   // The server is least likely to have closed the most recently used one.
   for (size_t i = idle_to_peer.size(); i-- > 0;) {
-    const std::shared_ptr<ClientConnection> candidate =
-        idle_to_peer[i].connection;
+    std::shared_ptr<ClientConnection> candidate = idle_to_peer[i].connection;
     const bool usable =
         idle_to_peer[i].expires_at > now && !candidate->HasUnreadInput();
     if (usable && candidate->HasCarried(echo)) {
