--- a/gateway/tests/attempt_outcomes_test.cc
+++ b/gateway/tests/attempt_outcomes_test.cc
@@ -42,7 +42,7 @@
 }
 
 std::vector<Behaviour> Refusals() {
-  const std::string not_run = "X-Not-Run: 1\r\n";
+  const std::string not_run = tests::kNotRunLine;
   return {{"declined", false, Answer("503 Full", not_run)},
           {"declined with 429", false, Answer("429 Often", not_run)},
           {"misdirected", false, Answer("421 Misdirected", "")},
@@ -57,12 +57,13 @@
       {"cut",
        true,
        {EventsHead() + "\r\n" + tests::StreamEvent("r1", 1) + "id: 2", false}},
-      {"failed", true, Answer("500 Failed", "X-Response-Sig: s\r\n")},
+      {"failed", true, Answer("500 Failed", tests::kSignatureLine)},
       {"unsigned 503", true, Answer("503 Failed", "")},
       {"unsigned 200", true, Answer("200 OK", "", "b")},
       {"answered", true,
        Answer("200 OK",
-              "X-Response-Sig: s\r\nContent-Type: text/event-stream\r\n",
+              std::string(tests::kSignatureLine) +
+                  "Content-Type: text/event-stream\r\n",
               tests::StreamEvent("r1", 1))}};
 }
 
@@ -179,7 +180,7 @@
        std::vector<std::string>{"408 Late", "429 Often", "503 Failed"}) {
     CAPTURE(status);
     const std::vector<Behaviour> failure = {
-        {status, true, Answer(status, "X-Response-Sig: s\r\n")}};
+        {status, true, Answer(status, tests::kSignatureLine)}};
     for (const RequestKind kind :
          {RequestKind::kNonIdempotent, RequestKind::kStream}) {
       const Drill drill(failure, kind, false);
@@ -192,14 +193,16 @@
 // Guards against a repeated refusal that is cut and takes the fields of the
 // answer that follows.
 TEST_CASE("a server repeats the beginning of a refusal") {
+  const std::string line = tests::kNotRunLine;
   for (const std::string& beginning : std::vector<std::string>{
-           "HTTP/1.1 421 Mis", "HTTP/1.1 503 Full\r\nX-Not-Run: 1"}) {
+           "HTTP/1.1 421 Mis",
+           "HTTP/1.1 503 Full\r\n" + line.substr(0, line.find('\r'))}) {
     CAPTURE(beginning);
     AnswerServer server(
         {{"HTTP/1.1 421 Misdirected\r\nX-Request-Id: r0\r\n"
           "Content-Length: 0\r\n\r\n",
           true},
-         {beginning + Answer("200 OK", "X-Response-Sig: s\r\n", "ran").bytes,
+         {beginning + Answer("200 OK", tests::kSignatureLine, "ran").bytes,
           true}});
     RequestFixture fixture(1);
     fixture.gateway.state.ApplyPlan(PlanOf(RequestKind::kNonIdempotent, false));
--- a/gateway/tests/repeated_call_answer_test.cc
+++ b/gateway/tests/repeated_call_answer_test.cc
@@ -80,10 +80,7 @@
 }
 
 TEST_CASE("a server repeats a refusal before it answers a call without an id") {
-  const Reply refusal{
-      "HTTP/1.1 503 Full\r\nX-Request-Id: r1\r\nX-Not-Run: 1\r\n"
-      "Content-Length: 0\r\n\r\n",
-      true};
+  const Reply refusal{tests::RefusalHead("Content-Length: 0\r\n"), true};
   AnswerServer server([&](int /*connection*/, const std::string& request) {
     return request.find("X-Request-Id: r1") != std::string::npos
                ? refusal
--- a/net/tests/repeated_response_test.cc
+++ b/net/tests/repeated_response_test.cc
@@ -77,14 +77,14 @@
 }
 
 std::string Copy(const std::string& framing, const std::string& body) {
-  return "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Not-Run: 1\r\n" + framing +
+  return "HTTP/1.1 503 Full\r\nX-Id: 1\r\nX-Declined: 1\r\n" + framing +
          "\r\n\r\n" + body;
 }
 
 // The same with the id behind the other fields.
 std::string CopyWithLateId(const std::string& framing,
                            const std::string& body) {
-  return "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n" + framing +
+  return "HTTP/1.1 503 Full\r\nX-Declined: 1\r\n" + framing +
          "\r\nX-Id: 1\r\n\r\n" + body;
 }
 
--- a/tests/platform/backend.h
+++ b/tests/platform/backend.h
@@ -133,6 +133,10 @@
   uint16_t listening_port;
 };
 
+// The lines of an answer's head that say that the request wasn't run, and that
+// the answer is genuine.
+inline constexpr char kNotRunLine[] = "X-Not-Run: 1\r\n";
+inline constexpr char kSignatureLine[] = "X-Response-Sig: s\r\n";
 // Returns the head of a genuine 200 answer to the request r1 with `fields`, as
 // it is sent.
 std::string AnswerHead(const std::string& fields);
--- a/tests/platform/desk.cc
+++ b/tests/platform/desk.cc
@@ -21,6 +21,16 @@
           {"tenants", {{{"name", "guild"}, {"apiKeys", {"key-guild"}}}}}};
 }
 
+nlohmann::json PaymentConfiguration() {
+  nlohmann::json configuration = DeskConfiguration();
+  nlohmann::json& route = configuration["routes"][0];
+  route["name"] = "pay";
+  route["prefix"] = "/pay/";
+  route["kind"] = "mutating";
+  route["maxAttempts"] = 3;
+  return configuration;
+}
+
 nlohmann::json DeskServer(const std::string& address) {
   return {{"service", "desk"}, {"addr", address}, {"zone", "a"},
           {"version", "v1"},   {"slots", 4},      {"state", "up"},
--- a/tests/platform/desk.h
+++ b/tests/platform/desk.h
@@ -9,6 +9,10 @@
 // Returns a configuration with one plain service, "desk", and a route to it.
 nlohmann::json DeskConfiguration();
 
+// Returns a configuration whose route, "pay", may be sent to three servers of
+// that service, and runs once.
+nlohmann::json PaymentConfiguration();
+
 // Returns the entry of a backend server of that service.
 nlohmann::json DeskServer(const std::string& address);
 
--- a/tests/processes/repeated_refusal_test.cc
+++ b/tests/processes/repeated_refusal_test.cc
@@ -9,6 +9,7 @@
 #include <thread>
 #include <vector>
 
+#include "../platform/caller.h"
 #include "../platform/desk.h"
 #include "../platform/repeating_backend.h"
 #include "carawayvalve/base/address.h"
@@ -20,8 +21,6 @@
 
 namespace {
 
-using nlohmann::json;
-
 constexpr int kCallers = 4;
 constexpr int kRestarts = 6;
 constexpr std::chrono::milliseconds kLife(1000);
@@ -29,16 +28,6 @@
 constexpr std::chrono::milliseconds kLapse(700);
 constexpr std::chrono::milliseconds kPause(10);
 
-json PaymentConfiguration() {
-  json configuration = DeskConfiguration();
-  json& route = configuration["routes"][0];
-  route["name"] = "pay";
-  route["prefix"] = "/pay/";
-  route["kind"] = "mutating";
-  route["maxAttempts"] = 3;
-  return configuration;
-}
-
 // Callers with one payment at a time each. The destructor waits for them.
 class Callers {
  public:
@@ -76,7 +65,7 @@
     request.method = "POST";
     request.url = "http://127.0.0.1:" + std::to_string(this->port) + "/pay/1";
     request.headers = {{"Host", "gateway.example"},
-                       {"X-Credential", "key-guild"},
+                       {kKeyField, "key-guild"},
                        {"X-Request-Id", id}};
     request.body = "5";
     try {
