Test requests whose last attempt has no answer at their end

The deadline of a request or the stop of its gateway, after refusals or an interruption: no request that was sent without an answer is refused (33 cases at each of two ends).

--- a/gateway/tests/attempt_outcomes_test.cc
+++ b/gateway/tests/attempt_outcomes_test.cc
@@ -3,8 +3,10 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "../../systems/tests/answer_server.h"
@@ -20,6 +22,11 @@
 namespace {
 
 constexpr size_t kMaxAttempts = 3;
+// Of requests and gateways that end while an attempt waits for its answer.
+constexpr base::Milliseconds kLongDeadline(3000);
+constexpr base::Milliseconds kShortDeadline(300);
+constexpr base::Milliseconds kStopAfter(100);
+constexpr base::Milliseconds kTimeToStop(400);
 
 // What a backend server makes of a request.
 struct Behaviour {
@@ -80,7 +87,9 @@
 struct Drill {
   Drill(const std::vector<Behaviour>& behaviours,
         RequestKind kind,
-        bool resumable)
+        bool resumable,
+        base::Milliseconds deadline = kLongDeadline,
+        std::optional<base::Milliseconds> stop_after = std::nullopt)
       : behaviours(behaviours) {
     this->fixture.gateway.state.ApplyPlan(PlanOf(kind, resumable));
     this->fixture.gateway.state.directory.NoteRemoved({"reader"}, base::Now());
@@ -95,7 +104,22 @@
         base::ParseAddress(systems::Listener(systems::kNotListening).Address())
             .port,
         EngineRole::kDecode);
-    this->fixture.SendRequest([](const std::string&) {});
+    net::Timer stop(this->fixture.gateway.loop);
+    if (stop_after.has_value()) {
+      stop.Start(*stop_after, [this] {
+        this->fixture.gateway.state.stop.Begin({}, kTimeToStop, base::Now());
+        this->fixture.gateway.live_requests.NoteStop();
+      });
+    }
+    // Short enough to be answered within a short deadline.
+    net::Request request{"POST",
+                         "/notes/1",
+                         {{"Host", "shop.example"},
+                          {"X-Request-Id", "r1"},
+                          {tests::kTokenCountsField, "20,10"},
+                          {"X-Deadline-Ms", std::to_string(deadline.count())}},
+                         "prompt"};
+    this->fixture.SendRequest([](const std::string&) {}, request);
   }
 
   Reply Next() {
@@ -173,6 +197,32 @@
   }
 }
 
+TEST_CASE("a request's last attempt waits for an answer until its end") {
+  const Behaviour silent = {"silent", true, {"", true}};
+  std::vector<Behaviour> begun = Refusals();
+  begun.push_back(Runs().front());
+  const auto meet = [&](const std::vector<Behaviour>& behaviours) {
+    for (const auto& [kind, resumable] :
+         {std::pair(RequestKind::kNonIdempotent, false),
+          std::pair(RequestKind::kIdempotent, false),
+          std::pair(RequestKind::kStream, true)}) {
+      const Drill late(behaviours, kind, resumable, kShortDeadline);
+      CHECK(late.run_count > 0);
+      CHECK_FALSE(late.IsRefused());
+      const Drill stopped(behaviours, kind, resumable, kLongDeadline,
+                          kStopAfter);
+      CHECK(stopped.run_count > 0);
+      CHECK_FALSE(stopped.IsRefused());
+    }
+  };
+  meet({silent});
+  for (const Behaviour& first : begun) {
+    CAPTURE(first.name);
+    meet({first, silent});
+    meet({first, Refusals().front(), silent});
+  }
+}
+
 // Guards against the status of a refusal that is passed on though its server
 // doesn't say that the request wasn't run.
 TEST_CASE("a server's own failure bears the status of a refusal") {
