Test a service whose servers are all paused after a 421

Review of the pause: could one wrong 421 of each server take all of them out? No: the next request is served, as paused servers are used when no other can answer.

--- a/gateway/tests/attempt_outcomes_test.cc
+++ b/gateway/tests/attempt_outcomes_test.cc
@@ -268,4 +268,34 @@
   }
 }
 
+// Guards against a service whose servers are all paused after answers that
+// another one has their addresses.
+TEST_CASE("every server of a service declines one request as misdirected") {
+  std::atomic<int> arrivals = 0;
+  const auto respond = [&](int, const std::string& request) {
+    Reply reply = Answer(++arrivals <= 2 ? "421 Misdirected" : "200 OK",
+                         "X-Response-Sig: s\r\n");
+    const std::string id =
+        request.find("r2") == std::string::npos ? "r1" : "r2";
+    reply.bytes.replace(reply.bytes.find("r1"), 2, id);
+    return reply;
+  };
+  AnswerServer one(respond);
+  AnswerServer two(respond);
+  RequestFixture fixture(kMaxAttempts, kSlackOfManyRetries);
+  fixture.gateway.state.ApplyPlan(PlanOf(RequestKind::kNonIdempotent, false));
+  fixture.gateway.state.directory.NoteRemoved({"reader"}, base::Now());
+  fixture.Add("one", base::ParseAddress(one.Address()).port,
+              EngineRole::kDecode);
+  fixture.Add("two", base::ParseAddress(two.Address()).port,
+              EngineRole::kDecode);
+  const auto send = [&](const std::string& id) {
+    fixture.SendRequest([](const std::string&) {},
+                        tests::PromptRequest("shop.example", "/notes/1", id));
+    return fixture.status;
+  };
+  CHECK(send("r1") == 503);
+  CHECK(send("r2") == 200);
+}
+
 }  // namespace carawayvalve::gateway
