--- a/gateway/tests/attempt_outcomes_test.cc
+++ b/gateway/tests/attempt_outcomes_test.cc
@@ -112,13 +112,14 @@
       });
     }
     // Short enough to be answered within a short deadline.
-    net::Request request{"POST",
-                         "/notes/1",
-                         {{"Host", "shop.example"},
-                          {"X-Request-Id", "r1"},
-                          {tests::kTokenCountsField, "20,10"},
-                          {"X-Deadline-Ms", std::to_string(deadline.count())}},
-                         "prompt"};
+    net::Request request{
+        "POST",
+        "/notes/1",
+        {{"Host", "shop.example"},
+         {"X-Request-Id", "r1"},
+         {tests::kTokenCountsField, "20,10"},
+         {tests::kDeadlineField, std::to_string(deadline.count())}},
+        "prompt"};
     this->fixture.SendRequest([](const std::string&) {}, request);
   }
 
@@ -274,7 +275,7 @@
   std::atomic<int> arrivals = 0;
   const auto respond = [&](int, const std::string& request) {
     Reply reply = Answer(++arrivals <= 2 ? "421 Misdirected" : "200 OK",
-                         "X-Response-Sig: s\r\n");
+                         tests::kSignatureLine);
     const std::string id =
         request.find("r2") == std::string::npos ? "r1" : "r2";
     reply.bytes.replace(reply.bytes.find("r1"), 2, id);
--- a/gateway/tests/repeated_store_answer_test.cc
+++ b/gateway/tests/repeated_store_answer_test.cc
@@ -10,6 +10,7 @@
 
 #include "../../systems/tests/answer_server.h"
 #include "duty_holder.h"
+#include "platform/store.h"
 #include "request_fixture.h"
 
 namespace carawayvalve::gateway {
@@ -46,7 +47,7 @@
       return object.empty() ? JsonReply(404, "{}") : JsonReply(200, object);
     }
     if (request.starts_with("GET")) {
-      return JsonReply(200, R"({"items":[],"hasMore":false,"currentRev":9})");
+      return JsonReply(200, tests::EmptyList(9));
     }
     if (request.starts_with("POST") && object.empty()) {
       auto value = nlohmann::json::parse(BodyOf(request));
--- a/tests/platform/caller.h
+++ b/tests/platform/caller.h
@@ -10,6 +10,8 @@
 // The field of a request with the tokens of its prompt and the most that it
 // may generate.
 inline constexpr char kTokenCountsField[] = "X-Token-Count";
+// The field with the milliseconds that its caller waits.
+inline constexpr char kDeadlineField[] = "X-Deadline-Ms";
 // The field with a caller's key.
 inline constexpr char kKeyField[] = "X-Credential";
 
--- a/tests/platform/store.cc
+++ b/tests/platform/store.cc
@@ -31,6 +31,13 @@
 
 }  // namespace
 
+std::string EmptyList(int64_t revision) {
+  return nlohmann::json{{"items", nlohmann::json::array()},
+                        {"hasMore", false},
+                        {"currentRev", revision}}
+      .dump();
+}
+
 Store::Store(net::EventLoop& loop)
     : loop(loop), server(loop, {"127.0.0.1", 0}, [this](const auto& exchange) {
         this->OnCall(exchange);
--- a/tests/platform/store.h
+++ b/tests/platform/store.h
@@ -1,6 +1,7 @@
 #ifndef CARAWAYVALVE_TESTS_PLATFORM_STORE_H_
 #define CARAWAYVALVE_TESTS_PLATFORM_STORE_H_
 
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
@@ -15,6 +16,9 @@
 
 namespace carawayvalve::tests {
 
+// Returns the body of the store's answer to a list that has no items.
+std::string EmptyList(int64_t revision);
+
 // Stands in for the platform's store. Implements its published protocol:
 // objects with revisions, conditional writes, paged lists and watches.
 class Store {
