Bound the list of an unwell store by the memory, and drop what it brought

The pages of a list in progress are used at once, without any bound, and a list that was given up left its entries in the directory as if it had been complete.

The objects of a list may have an eighth of the process's memory (32,000 servers at 256 MB). A list that is longer is begun again from the start, after a backoff that grows with each such list. BackendDirectory knows which entries only the list in progress has shown; they go when it is given up, also when the store turns out to be of a later era. Servers that were known before, and those that changes have shown, stay. A page that fails is asked for again as before.

--- a/core/include/carawayvalve/core/backend_directory.h
+++ b/core/include/carawayvalve/core/backend_directory.h
@@ -87,6 +87,9 @@
   // Adds an entry of a list that isn't complete yet. Until the first list is
   // complete, no version counts as the only one.
   void NoteListedEntry(const BackendEntry& entry);
+  // Removes the entries that only the list in progress has shown and returns
+  // their ids, as the rest of that list won't come.
+  std::vector<base::BackendServerId> DropNewlyListed();
   // Removes the entries that aren't `listed`, in a list that is complete now.
   void KeepOnly(const std::set<base::BackendServerId>& listed,
                 base::Instant now);
@@ -169,7 +172,9 @@
   // The runs that were removed of late.
   LeavingBackends removed;
   std::optional<base::Instant> older_store_at;
-  // Those of them that an older copy of the store shows.
+  // The entries that only the list in progress has shown.
+  std::set<base::BackendServerId> newly_listed;
+  // Those of the removed runs that an older copy of the store shows.
   std::set<base::BackendServerId> held;
   // Time at which each missing entry was first noticed to be missing.
   std::map<base::BackendServerId, base::Instant> lapsed;
--- a/core/src/backend_directory.cc
+++ b/core/src/backend_directory.cc
@@ -73,13 +73,31 @@
 
 void BackendDirectory::NoteListedEntry(const BackendEntry& entry) {
   this->listing_first = !this->has_list;
+  const bool is_new =
+      !this->known.contains(entry.id) || this->newly_listed.contains(entry.id);
   this->NoteEntry(entry);
+  if (is_new) {
+    this->newly_listed.insert(entry.id);
+  }
   if (this->WasRemoved(entry)) {
     this->held.insert(entry.id);
     this->known[entry.id].draining = true;
   }
 }
 
+std::vector<base::BackendServerId> BackendDirectory::DropNewlyListed() {
+  std::vector<base::BackendServerId> dropped;
+  for (const base::BackendServerId& id :
+       std::exchange(this->newly_listed, {})) {
+    if (this->known.erase(id) > 0) {
+      dropped.push_back(id);
+    }
+    this->held.erase(id);
+    this->lapsed.erase(id);
+  }
+  return dropped;
+}
+
 void BackendDirectory::NoteOlderStore(base::Instant now) {
   this->older_store_at = now;
   this->removed.RemoveBefore(now - kRemovedTime);
@@ -116,6 +134,7 @@
 void BackendDirectory::KeepOnly(const std::set<base::BackendServerId>& listed,
                                 base::Instant now) {
   this->listing_first = false;
+  this->newly_listed.clear();
   // Backend servers may have come and gone between two lists.
   if (std::exchange(this->has_list, true)) {
     this->versions.NoteGap(now);
@@ -138,6 +157,7 @@
   kept.draining = entry.draining || this->IsLeaving(entry.id, entry.started_ms);
   this->held.erase(entry.id);
   this->lapsed.erase(entry.id);
+  this->newly_listed.erase(entry.id);
   this->NoteVersionOf(entry);
 }
 
--- a/core/tests/backend_directory_test.cc
+++ b/core/tests/backend_directory_test.cc
@@ -82,6 +82,31 @@
     directory.NoteListedEntry(Entry("a"));
     CHECK_FALSE(directory.Find({"a"})->draining);
   }
+  SUBCASE("the entries that only an abandoned list has shown are dropped") {
+    directory.NoteStoreFailure(start);
+    directory.NoteOlderStore(start);
+    directory.NoteListedEntry(Entry("a"));
+    directory.NoteListedEntry(Entry("c"));
+    directory.NoteListedEntry(Entry("c"));
+    directory.NoteListedEntry(Entry("d"));
+    directory.NoteEntry(Entry("d"));
+    CHECK(directory.DropNewlyListed() ==
+          std::vector<base::BackendServerId>{{"c"}});
+    CHECK(directory.Find({"a"}) != nullptr);
+    CHECK(directory.Find({"b"}) != nullptr);
+    CHECK(directory.Find({"c"}) == nullptr);
+    CHECK(directory.Find({"d"}) != nullptr);
+
+    SUBCASE("and get requests once another list shows them") {
+      directory.NoteListedEntry(Entry("c"));
+      CHECK_FALSE(directory.Find({"c"})->draining);
+    }
+    SUBCASE("but not those of a complete one") {
+      directory.NoteList({Entry("a"), Entry("c")}, start);
+      CHECK(directory.DropNewlyListed().empty());
+      CHECK(directory.Find({"c"}) != nullptr);
+    }
+  }
   SUBCASE("after a store failure, a missing entry is kept") {
     directory.NoteStoreFailure(start);
     directory.NoteList({Entry("b")}, start + seconds(1));
--- a/gateway/src/object_watcher.cc
+++ b/gateway/src/object_watcher.cc
@@ -24,6 +24,15 @@
 // Changes that peers know and haven't passed on for this long are fetched from
 // the store.
 constexpr base::Milliseconds kMaxLack(300);
+// The objects of a list may have this part of the memory: a new list and the
+// one before it are known at the same time.
+constexpr size_t kListDivisor = 8;
+// What a listed object takes in all tables, beside its name.
+constexpr size_t kListedBytes = 1024;
+
+size_t BytesOf(const platform::StoredObject& object) {
+  return object.name.size() + kListedBytes;
+}
 
 }  // namespace
 
@@ -43,7 +52,7 @@
   const base::Instant sent_at = base::Now();
   this->activity = Activity::kBusy;
   if (after.empty()) {
-    this->listed.clear();
+    this->AbandonList();
     this->list_sent_at = sent_at;
   }
   this->call = this->objects.List(this->kind, after, false,
@@ -52,6 +61,22 @@
                                   });
 }
 
+void ObjectWatcher::AbandonList() {
+  if (!std::exchange(this->listed, {}).empty()) {
+    this->hooks.on_list_abandoned();
+  }
+  this->listed_bytes = 0;
+}
+
+bool ObjectWatcher::FitsInList(
+    const std::vector<platform::StoredObject>& page) const {
+  size_t bytes = this->listed_bytes;
+  for (const platform::StoredObject& object : page) {
+    bytes += BytesOf(object);
+  }
+  return bytes <= this->context.state.settings.memory_bytes / kListDivisor;
+}
+
 void ObjectWatcher::OnListed(const platform::ListResult& result,
                              base::Instant sent_at) {
   const auto* page = std::get_if<platform::ObjectPage>(&result);
@@ -90,7 +115,14 @@
   if (is_first) {
     this->list_revision = at;
   }
+  if (!this->FitsInList(page->objects)) {
+    this->AbandonList();
+    ++this->long_lists;
+    this->RetryLater("the list is too long", [this] { this->List(""); });
+    return;
+  }
   for (const platform::StoredObject& object : page->objects) {
+    this->listed_bytes += BytesOf(object);
     this->listed.push_back({object.name, object.revision});
   }
   this->hooks.on_page(page->objects);
@@ -106,6 +138,8 @@
   this->revision = this->list_revision;
   this->hidden_revision = this->revision;
   this->listed_revisions.clear();
+  this->listed_bytes = 0;
+  this->long_lists = 0;
   for (const ListedObject& object : std::exchange(this->listed, {})) {
     this->newest_revision =
         std::max(this->newest_revision, {this->revision.era, object.revision});
@@ -376,7 +410,8 @@
   }
   this->context.metrics.CountStoreCall("failed");
   this->hooks.on_failure(reason);
-  const int64_t doublings = std::min(this->failures, kMaxDoublings);
+  const int64_t doublings =
+      std::min(std::max(this->failures, this->long_lists), kMaxDoublings);
   ++this->failures;
   this->failed_at = base::Now();
   this->activity = Activity::kBusy;
--- a/gateway/src/object_watcher.h
+++ b/gateway/src/object_watcher.h
@@ -23,6 +23,9 @@
   struct Hooks {
     // Receives the objects of each page of a list, as soon as it is there.
     std::function<void(const std::vector<platform::StoredObject>&)> on_page;
+    // Called when a list is given up before its last page: its pages don't
+    // count.
+    std::function<void()> on_list_abandoned;
     // Called when all pages of a list were received, whose first request was
     // sent at `sent_at`.
     std::function<void(base::Instant sent_at)> on_list;
@@ -33,7 +36,7 @@
     // Called when a call was refused or failed.
     std::function<void(const std::string& reason)> on_failure;
     // Called when the store has come back from an older copy, before the
-    // objects are listed again. What was listed so far doesn't count.
+    // objects are listed again.
     std::function<void()> on_older_store;
   };
 
@@ -145,6 +148,10 @@
   // Lists the objects again, as the store came back from an older copy.
   void ListOlderStore();
   void List(const std::string& after);
+  void AbandonList();
+  // Returns whether the list in progress and a further page fit in their part
+  // of the memory.
+  bool FitsInList(const std::vector<platform::StoredObject>& page) const;
   void OnListed(const platform::ListResult& result, base::Instant sent_at);
   // Goes on after an answer: with a watch, or idle.
   void Follow();
@@ -159,7 +166,8 @@
                  const core::StoreRevision& since);
   void SendConfirm();
   void OnConfirmed(bool is_answered, base::Instant sent_at);
-  // Calls `retry` after a backoff that grows with consecutive failures.
+  // Calls `retry` after a backoff that grows with consecutive failures or lists
+  // that are too long.
   void RetryLater(const std::string& reason, std::function<void()> retry);
   // Removes the changes that the list already included.
   void DropListedChanges(std::vector<platform::ObjectChange>& changes);
@@ -180,6 +188,10 @@
   net::Timer timer;
   // The objects of the list in progress, without their values.
   std::vector<ListedObject> listed;
+  // What they take of the memory.
+  size_t listed_bytes = 0;
+  // How many lists in a row were too long.
+  int64_t long_lists = 0;
   // When the first page was requested.
   base::Instant list_sent_at;
   // The revision of the store at the first page. Objects of that page may have
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -34,6 +34,7 @@
                this->ApplyConfiguration(object);
              }
            },
+           [] {},
            [this](base::Instant sent_at) {
              this->context.state.key_freshness.NoteStoreAnswer(sent_at);
            },
@@ -54,6 +55,7 @@
                     this->ApplyBackend(object, true);
                   }
                 },
+                [this] { this->OnListAbandoned(); },
                 [this](base::Instant) { this->OnAllBackendsListed(); },
                 [this](const auto& changes, base::Instant) {
                   for (const platform::ObjectChange& change : changes) {
@@ -158,12 +160,23 @@
 
 void StoreFeed::OnOlderStore() {
   core::BackendDirectory& directory = this->context.state.directory;
-  this->listed_backends.clear();
   directory.NoteStoreFailure(base::Now());
   directory.NoteOlderStore(base::Now());
   directory.SetCurrent(false);
 }
 
+void StoreFeed::OnListAbandoned() {
+  const auto listed = std::exchange(this->listed_backends, {});
+  const auto dropped = this->context.state.directory.DropNewlyListed();
+  for (const base::BackendServerId& id : dropped) {
+    this->ForgetBackend(id);
+  }
+  this->context.journal.Write(base::LogLevel::kWarning,
+                              "backend_list_abandoned",
+                              {{"count", static_cast<int64_t>(listed.size())},
+                               {"dropped", dropped.size()}});
+}
+
 void StoreFeed::OnAllBackendsListed() {
   const auto listed = std::exchange(this->listed_backends, {});
   this->context.state.directory.KeepOnly(listed, base::Now());
@@ -228,6 +241,14 @@
   }
 }
 
+void StoreFeed::ForgetBackend(const base::BackendServerId& id) {
+  GatewayState& state = this->context.state;
+  state.prefix_caches.Forget(id);
+  state.health.Forget(id);
+  state.reported_load.Forget(id);
+  state.rate_limits.Forget(id);
+}
+
 void StoreFeed::RemoveBackend(const base::BackendServerId& id,
                               const char* cause) {
   GatewayState& state = this->context.state;
@@ -236,10 +257,7 @@
   const bool dropped = state.directory.Find(id) == nullptr;
   if (dropped) {
     this->context.NoteBackendCrash(id, "removed");
-    state.prefix_caches.Forget(id);
-    state.health.Forget(id);
-    state.reported_load.Forget(id);
-    state.rate_limits.Forget(id);
+    this->ForgetBackend(id);
   }
   this->context.journal.Write(
       base::LogLevel::kInfo, "backend_removed",
@@ -249,10 +267,7 @@
 void StoreFeed::ExpireBackends() {
   GatewayState& state = this->context.state;
   for (const base::BackendServerId& id : state.directory.Expire(base::Now())) {
-    state.prefix_caches.Forget(id);
-    state.health.Forget(id);
-    state.reported_load.Forget(id);
-    state.rate_limits.Forget(id);
+    this->ForgetBackend(id);
     this->context.journal.Write(
         base::LogLevel::kInfo, "backend_removed",
         {{"backend", id.value}, {"cause", "lapsed"}, {"gone", true}});
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -105,8 +105,12 @@
   void ApplyBackend(const platform::StoredObject& object, bool from_list);
   // Entries that are missing from an older copy are written again soon.
   void OnOlderStore();
+  // Drops the backend servers that only this list has shown.
+  void OnListAbandoned();
   // Drops the backend servers that weren't on the pages of a list.
   void OnAllBackendsListed();
+  // Drops what is known of a backend server beside its entry.
+  void ForgetBackend(const base::BackendServerId& id);
   void RemoveBackend(const base::BackendServerId& id, const char* cause);
 
   Context& context;
--- a/gateway/tests/store_feed_test.cc
+++ b/gateway/tests/store_feed_test.cc
@@ -59,6 +59,120 @@
   CHECK(most - before < kMaxGrowth);
 }
 
+// Guards against a gateway that fills its memory and tables with a list of ever
+// new servers.
+TEST_CASE("a list of backend servers that is too long") {
+  constexpr size_t kMemoryBytes = size_t{1024} * 1024;
+  constexpr size_t kMaxListed = kMemoryBytes / 8 / 1024;
+  constexpr int kSpoilt = 400;
+  const auto spoilt = [](int number) {
+    return "n-" + std::to_string(1000 + number);
+  };
+  GatewaySettings settings = TestSettings();
+  settings.memory_bytes = kMemoryBytes;
+  TestGateway gateway(settings);
+  tests::Store store(gateway.loop);
+  platform::ObjectClient objects(
+      gateway.loop, base::ParseAddress(store.address()), Milliseconds(1000));
+  StoreFeed feed(gateway.context, objects);
+  const core::BackendDirectory& directory = gateway.state.directory;
+  size_t most = 0;
+  store.on_page = [&](const std::string&) {
+    most = std::max(most, directory.entries().size());
+  };
+  const auto spoil = [&] {
+    for (int i = 0; i < kSpoilt; ++i) {
+      store.Put("servers", spoilt(i), DeskServer());
+    }
+  };
+  const auto mend = [&] {
+    for (int i = 0; i < kSpoilt; ++i) {
+      store.Remove("servers", spoilt(i));
+    }
+  };
+
+  SUBCASE("is begun again from the start until it is short enough") {
+    store.Put("servers", "z-1", DeskServer());
+    spoil();
+    feed.Start();
+    gateway.RunFor(seconds(2));
+    const auto& pages = store.pages["servers"];
+    const auto lists = std::count(pages.begin(), pages.end(), "");
+    CHECK(lists >= 2);
+    CHECK(lists <= 10);
+    CHECK(most > 0);
+    CHECK(most <= kMaxListed);
+    CHECK_FALSE(feed.registry().confirmed().has_value());
+
+    SUBCASE("and none of its servers stays") {
+      mend();
+      gateway.RunFor(seconds(1));
+      CHECK(feed.registry().confirmed().has_value());
+      CHECK(directory.entries().size() == 1);
+      CHECK(directory.Find({"z-1"}) != nullptr);
+    }
+  }
+  SUBCASE("leaves the servers of the list before") {
+    store.Put("servers", "z-1", DeskServer());
+    feed.Start();
+    gateway.RunFor(Milliseconds(300));
+    CHECK(directory.entries().size() == 1);
+    store.refuses = true;
+    gateway.RunFor(Milliseconds(200));
+    spoil();
+    store.Compact();
+    store.refuses = false;
+    gateway.RunFor(seconds(3));
+    CHECK(most > 1);
+    CHECK(most <= kMaxListed + 1);
+    CHECK(directory.Find({"z-1"}) != nullptr);
+  }
+  SUBCASE("is dropped as the store turns out to be of a later era") {
+    spoil();
+    store.stated_era = "";
+    store.on_page = [&](const std::string& after) {
+      most = std::max(most, directory.entries().size());
+      if (!after.empty()) {
+        mend();
+        store.Put("servers", "z-1", DeskServer());
+        store.Put("servers", "z-2", DeskServer());
+        store.stated_era.reset();
+        store.on_page = [](const std::string&) {};
+      }
+    };
+    feed.Start();
+    gateway.RunFor(Milliseconds(300));
+    CHECK(most == 50);
+    CHECK(directory.entries().size() == 2);
+    CHECK(directory.Find({"z-2"}) != nullptr);
+  }
+}
+
+// Guards against a bound that leaves out servers of a large fleet.
+TEST_CASE("a list of thousands of backend servers is followed") {
+  constexpr int kServers = 10000;
+  TestGateway gateway(TestSettings());
+  tests::Store store(gateway.loop);
+  for (int i = 0; i < kServers; ++i) {
+    store.Put("servers", "i-" + std::to_string(10000 + i), DeskServer());
+  }
+  platform::ObjectClient objects(
+      gateway.loop, base::ParseAddress(store.address()), seconds(10));
+  StoreFeed feed(gateway.context, objects);
+  net::Timer look(gateway.loop);
+  std::function<void()> next = [&] {
+    if (feed.registry().confirmed().has_value()) {
+      gateway.loop.Stop();
+    } else {
+      look.Start(Milliseconds(5), next);
+    }
+  };
+  next();
+  feed.Start();
+  gateway.RunFor(seconds(60));
+  CHECK(gateway.state.directory.entries().size() == kServers);
+}
+
 TEST_CASE("StoreFeed follows the store") {
   TestGateway gateway(TestSettings());
   tests::Store store(gateway.loop);
