Take no silent peer for one that knows no stream

What callers saw: a stream that its caller doesn't name goes on at the version noted here for its content, while two versions serve and the peer where it began at the other one is silent.

Cause: after 80 ms no answer counted as the answer that nothing is known.

Change: a gateway that is asked for a content answers by the question's number also if it knows no stream, and names one stream a version, so that all versions fit into the message. core::OriginSearch goes on by content only if all live peers have answered, or all but one of several: other gateways keep the streams of one that was just killed. The rest is refused.

--- a/core/include/carawayvalve/core/origin_search.h
+++ b/core/include/carawayvalve/core/origin_search.h
@@ -24,6 +24,10 @@
   // The store or a peer has shown that this process knew all registrations at
   // this instant; nothing before the first list.
   std::optional<base::Instant> registry_known_to;
+  // The live peers, and those of them that haven't answered what they noted for
+  // the content.
+  size_t peers = 0;
+  size_t silent_peers = 0;
 
   bool operator==(const OriginEvidence&) const = default;
 };
--- a/core/src/origin_search.cc
+++ b/core/src/origin_search.cc
@@ -5,6 +5,16 @@
 
 namespace carawayvalve::core {
 
+namespace {
+
+// Several processes keep each origin, so that one of several peers may be
+// silent, as if it had just been killed.
+bool IsTooSilent(const OriginEvidence& evidence) {
+  return evidence.silent_peers > (evidence.peers > 1 ? 1 : 0);
+}
+
+}  // namespace
+
 const char* NameOf(OriginProof proof) {
   switch (proof) {
     case OriginProof::kFirstRequest:
@@ -120,6 +130,9 @@
   if (this->lacks_stored) {
     return OriginUnknown{"what lost gateways have stored can't be read"};
   }
+  if (IsTooSilent(evidence)) {
+    return OriginUnknown{"peers haven't told what they know of the stream"};
+  }
   return ContinueAtVersion{*possible.begin(), OriginProof::kContent};
 }
 
--- a/core/tests/origin_search_test.cc
+++ b/core/tests/origin_search_test.cc
@@ -122,9 +122,30 @@
   CHECK_FALSE(search.verdict().has_value());
 
   SUBCASE("goes on when all had time to answer") {
-    search.Step({{}, {"v1"}, {}}, kStart + Milliseconds(80));
-    CHECK(search.verdict() ==
-          OriginVerdict(ContinueAtVersion{"v1", OriginProof::kContent}));
+    OriginEvidence evidence{{}, {"v1"}, {}};
+    bool goes_on = true;
+    SUBCASE("and have") {
+      evidence.peers = 3;
+    }
+    SUBCASE("and one of several is silent, whose streams others keep") {
+      evidence.peers = 2;
+      evidence.silent_peers = 1;
+    }
+    SUBCASE("unless the only one is silent") {
+      evidence.peers = 1;
+      evidence.silent_peers = 1;
+      goes_on = false;
+    }
+    SUBCASE("unless several are silent") {
+      evidence.peers = 3;
+      evidence.silent_peers = 2;
+      goes_on = false;
+    }
+    search.Step(evidence, kStart + Milliseconds(80));
+    REQUIRE(search.verdict().has_value());
+    CHECK((search.verdict() == OriginVerdict(ContinueAtVersion{
+                                   "v1", OriginProof::kContent})) == goes_on);
+    CHECK(std::holds_alternative<OriginUnknown>(*search.verdict()) != goes_on);
   }
   SUBCASE("is refused if two versions began its content") {
     search.Step({{}, {"v1", "v2"}, {}}, kStart + Milliseconds(5));
--- a/gateway/src/origin_gossip.cc
+++ b/gateway/src/origin_gossip.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
+
+#include "gossip_format.h"
 
 namespace carawayvalve::gateway {
 
@@ -79,16 +82,27 @@
           ToGossipOrigin({{first}, *version, base::Duration(0)}));
     }
   }
+  bool fits = true;
   for (const std::string& content : question.wanted_contents) {
+    // One stream tells its version.
+    std::set<std::string> versions;
     for (const core::StreamOrigin& origin : known.WithContent(content, now)) {
-      if (answer.stream_origins.size() < kMaxOriginsPerMessage) {
-        answer.stream_origins.push_back(ToGossipOrigin(origin));
+      if (versions.insert(origin.software_version).second) {
+        fits = fits && answer.stream_origins.size() < kMaxOriginsPerMessage;
+        if (fits) {
+          answer.stream_origins.push_back(ToGossipOrigin(origin));
+        }
       }
     }
   }
   answer.__isset.stream_origins = !answer.stream_origins.empty();
-  return answer.stream_origins.empty() ? std::nullopt
-                                       : std::optional(std::move(answer));
+  if (question.__isset.question && fits) {
+    answer.__set_answered_question(question.question);
+    SetEcho(answer, question.boot, std::max(question.stamp, int64_t{0}));
+  }
+  return answer.__isset.stream_origins || answer.__isset.answered_question
+             ? std::optional(std::move(answer))
+             : std::nullopt;
 }
 
 std::vector<Gossip> OriginGossip::MessagesForNewPeer(const Gossip& base) const {
@@ -117,6 +131,12 @@
       this->context.state.recent_state.NoteOrigin(origin, now);
     }
   }
+  // An echo of an earlier run of this process answers its questions.
+  if (gossip.__isset.answered_question &&
+      gossip.echo_boot == this->context.state.boot.value) {
+    this->context.origin_lookup.NoteAnswered({gossip.host},
+                                             gossip.answered_question);
+  }
   if (!gossip.stream_origins.empty()) {
     this->context.origin_lookup.NoteLearned();
   }
--- a/gateway/src/peer_gossip.cc
+++ b/gateway/src/peer_gossip.cc
@@ -325,6 +325,7 @@
     message.__set_wanted_origins({question.first->value});
   } else {
     message.__set_wanted_contents({question.content});
+    message.__set_question(question.number);
   }
   for (const auto& [host, peer] : this->peers) {
     if (question.all || this->origin_gossip.IsKeeper(*question.first, host)) {
--- a/gateway/src/stream_origin_lookup.cc
+++ b/gateway/src/stream_origin_lookup.cc
@@ -4,12 +4,15 @@
 
 namespace carawayvalve::gateway {
 
-std::string StreamOriginLookup::KeyOf(const TakenUpStream& stream) {
-  return stream.first.has_value()
-             ? "request/" + stream.first->value
-             : "unnamed/" + std::to_string(++this->unnamed_searches);
+namespace {
+
+std::string KeyOf(const TakenUpStream& stream, int64_t number) {
+  return stream.first.has_value() ? "request/" + stream.first->value
+                                  : "unnamed/" + std::to_string(number);
 }
 
+}  // namespace
+
 core::OriginEvidence StreamOriginLookup::EvidenceOf(
     const Search& search) const {
   const TakenUpStream& stream = search.stream;
@@ -23,6 +26,12 @@
   evidence.only_version = this->state.directory.OnlyVersion(
       stream.service, search.search.TimeToCover(stream.horizon, now), now);
   evidence.registry_known_to = this->registry_known_to();
+  for (const base::HostId& host : this->state.live_hosts) {
+    if (host != this->state.settings.host) {
+      ++evidence.peers;
+      evidence.silent_peers += search.peers.contains(host) ? 0 : 1;
+    }
+  }
   return evidence;
 }
 
@@ -33,7 +42,7 @@
 }
 
 void StreamOriginLookup::Find(const TakenUpStream& stream, Handler handler) {
-  const std::string key = this->KeyOf(stream);
+  const std::string key = KeyOf(stream, ++this->last_number);
   const auto found = this->searches.find(key);
   if (found != this->searches.end()) {
     found->second.handlers.push_back(std::move(handler));
@@ -44,6 +53,8 @@
       {}, stream.first.has_value(), this->state.MayHavePeers(now),
       this->state.MayBeStored(stream.horizon, now), now);
   this->searches.emplace(key, Search{stream,
+                                     this->last_number,
+                                     {},
                                      search,
                                      std::make_unique<net::Timer>(this->loop),
                                      {std::move(handler)}});
@@ -68,27 +79,30 @@
   search.timer->Start(search.search.wake_at() - now,
                       [this, key] { this->Step(key); });
   // Performing may end the search.
-  const TakenUpStream stream = search.stream;
+  const OriginQuestion question{search.stream.first, search.stream.content,
+                                false, search.number};
   for (const core::OriginRequest& request : requests) {
-    std::visit([&](const auto& kind) { this->Perform(key, stream, kind); },
+    std::visit([&](const auto& kind) { this->Perform(key, question, kind); },
                request);
   }
 }
 
 void StreamOriginLookup::Perform(const std::string& /*key*/,
-                                 const TakenUpStream& stream,
+                                 const OriginQuestion& question,
                                  const core::AskOriginKeepers& /*request*/) {
-  this->ask({stream.first, stream.content, false});
+  this->ask(question);
 }
 
 void StreamOriginLookup::Perform(const std::string& /*key*/,
-                                 const TakenUpStream& stream,
+                                 const OriginQuestion& question,
                                  const core::AskAllPeers& /*request*/) {
-  this->ask({stream.first, stream.content, true});
+  OriginQuestion to_all = question;
+  to_all.all = true;
+  this->ask(to_all);
 }
 
 void StreamOriginLookup::Perform(const std::string& key,
-                                 const TakenUpStream& /*stream*/,
+                                 const OriginQuestion& /*question*/,
                                  const core::ReadStoredOrigins& /*request*/) {
   this->read_stored([this, key](bool is_complete) {
     const auto found = this->searches.find(key);
@@ -100,7 +114,7 @@
 }
 
 void StreamOriginLookup::Perform(const std::string& /*key*/,
-                                 const TakenUpStream& /*stream*/,
+                                 const OriginQuestion& /*question*/,
                                  const core::ConfirmRegistry& /*request*/) {
   this->confirm_registry();
 }
@@ -116,4 +130,13 @@
   }
 }
 
+void StreamOriginLookup::NoteAnswered(const base::HostId& peer,
+                                      int64_t question) {
+  for (auto& [key, search] : this->searches) {
+    if (search.number == question) {
+      search.peers.insert(peer);
+    }
+  }
+}
+
 }  // namespace carawayvalve::gateway
--- a/gateway/src/stream_origin_lookup.h
+++ b/gateway/src/stream_origin_lookup.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
   std::string content;
   // Asks all peers, not only those that keep the origin.
   bool all = false;
+  // Unique among the questions of this process about contents.
+  int64_t number = 0;
 };
 
 // Finds out which software version began a stream that a caller takes up, for
@@ -72,30 +75,33 @@
   void Find(const TakenUpStream& stream, Handler handler);
   // Must be called when origins have been learnt.
   void NoteLearned();
+  // Records that the peer has told all that it knows about a content.
+  void NoteAnswered(const base::HostId& peer, int64_t question);
 
  private:
   struct Search {
     TakenUpStream stream;
+    int64_t number = 0;
+    // Those that have answered.
+    std::set<base::HostId> peers;
     core::OriginSearch search;
     std::unique_ptr<net::Timer> timer;
     std::vector<Handler> handlers;
   };
 
-  // Returns the key of its search.
-  std::string KeyOf(const TakenUpStream& stream);
   core::OriginEvidence EvidenceOf(const Search& search) const;
   void Step(const std::string& key);
   void Perform(const std::string& key,
-               const TakenUpStream& stream,
+               const OriginQuestion& question,
                const core::AskOriginKeepers& request);
   void Perform(const std::string& key,
-               const TakenUpStream& stream,
+               const OriginQuestion& question,
                const core::AskAllPeers& request);
   void Perform(const std::string& key,
-               const TakenUpStream& stream,
+               const OriginQuestion& question,
                const core::ReadStoredOrigins& request);
   void Perform(const std::string& key,
-               const TakenUpStream& stream,
+               const OriginQuestion& question,
                const core::ConfirmRegistry& request);
 
   net::EventLoop& loop;
@@ -107,8 +113,7 @@
     done(true);
   };
   std::map<std::string, Search> searches;
-  // Of streams that their callers don't name.
-  int64_t unnamed_searches = 0;
+  int64_t last_number = 0;
 };
 
 }  // namespace carawayvalve::gateway
--- a/gateway/tests/peer_gossip_test.cc
+++ b/gateway/tests/peer_gossip_test.cc
@@ -212,6 +212,40 @@
   CHECK(absence_left_ms <= 4000);
 }
 
+// Guards against a silent peer that is taken for one that knows no stream.
+TEST_CASE("a gateway answers which versions began streams with a content") {
+  GossipTest test(kWithoutStore);
+  test.Start();
+  std::optional<wire::gen::Gossip> answer;
+  net::DatagramSocket peer(test.gateway.loop, {"127.0.0.1", 0},
+                           [&](const std::string& data, const base::Address&) {
+                             auto message = ParseGossip(data);
+                             if (message->__isset.answered_question) {
+                               answer = std::move(message);
+                             }
+                           });
+  wire::gen::Gossip question = FirstMessage("peer", "first");
+  question.stamp = 5;
+  question.__set_wanted_contents({"content"});
+  question.__set_question(7);
+  size_t versions = 0;
+  SUBCASE("if it knows none") {}
+  SUBCASE("if it knows more streams than a message holds") {
+    versions = 2;
+    for (int i = 0; i < 100; ++i) {
+      test.gateway.state.stream_origins.Note(
+          {{"r" + std::to_string(i)}, i == 99 ? "v2" : "v1", {}, "content"},
+          base::Now());
+    }
+  }
+  test.SendToGateway(peer, question);
+  test.gateway.RunFor(kFewRounds);
+  REQUIRE(answer.has_value());
+  CHECK(answer->answered_question == 7);
+  CHECK(answer->echo_boot == "first");
+  CHECK(answer->stream_origins.size() == versions);
+}
+
 TEST_CASE("gateways tell each other which backend servers leave") {
   GossipTest test(kWithoutStore);
   test.Start();
--- a/gateway/tests/stream_version_test.cc
+++ b/gateway/tests/stream_version_test.cc
@@ -218,6 +218,19 @@
     CHECK(fixture.TakeUp("") == 503);
     CHECK(fixture.runs.empty());
   }
+  SUBCASE("whose content may have begun at a peer that is silent") {
+    fixture.gateway.state.SetLiveHosts({{"peer"}, {"self"}}, base::Now());
+    CHECK(fixture.TakeUp("") == 503);
+    CHECK(fixture.runs.empty());
+  }
+  SUBCASE("whose content may have begun at a peer that answers") {
+    fixture.gateway.state.SetLiveHosts({{"peer"}, {"self"}}, base::Now());
+    fixture.gateway.origin_lookup.SetAsk([&](const OriginQuestion& question) {
+      fixture.gateway.origin_lookup.NoteAnswered({"peer"}, question.number);
+    });
+    CHECK(fixture.TakeUp("") == 200);
+    CHECK(fixture.runs.size() == 1);
+  }
   SUBCASE("while what lost gateways have stored can't be read") {
     fixture.gateway.origin_lookup.SetReadStored(
         [](const auto& done) { done(false); });
--- a/wire/gen/gossip_types.cpp
+++ b/wire/gen/gossip_types.cpp
@@ -3194,6 +3194,16 @@
   this->plan_revision = val;
 __isset.plan_revision = true;
 }
+
+void Gossip::__set_question(const int64_t val) {
+  this->question = val;
+__isset.question = true;
+}
+
+void Gossip::__set_answered_question(const int64_t val) {
+  this->answered_question = val;
+__isset.answered_question = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -3635,6 +3645,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 32:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->question);
+          this->__isset.question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 33:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->answered_question);
+          this->__isset.answered_question = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3922,6 +3948,16 @@
     xfer += oprot->writeI64(this->plan_revision);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.question) {
+    xfer += oprot->writeFieldBegin("question", ::apache::thrift::protocol::T_I64, 32);
+    xfer += oprot->writeI64(this->question);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.answered_question) {
+    xfer += oprot->writeFieldBegin("answered_question", ::apache::thrift::protocol::T_I64, 33);
+    xfer += oprot->writeI64(this->answered_question);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3958,6 +3994,8 @@
   swap(a.store_era, b.store_era);
   swap(a.echo_boot, b.echo_boot);
   swap(a.plan_revision, b.plan_revision);
+  swap(a.question, b.question);
+  swap(a.answered_question, b.answered_question);
   swap(a.__isset, b.__isset);
 }
 
@@ -3991,6 +4029,8 @@
   store_era = other196.store_era;
   echo_boot = other196.echo_boot;
   plan_revision = other196.plan_revision;
+  question = other196.question;
+  answered_question = other196.answered_question;
   __isset = other196.__isset;
 }
 Gossip::Gossip(Gossip&& other197) noexcept {
@@ -4023,6 +4063,8 @@
   store_era = other197.store_era;
   echo_boot = std::move(other197.echo_boot);
   plan_revision = other197.plan_revision;
+  question = other197.question;
+  answered_question = other197.answered_question;
   __isset = other197.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other198) {
@@ -4055,6 +4097,8 @@
   store_era = other198.store_era;
   echo_boot = other198.echo_boot;
   plan_revision = other198.plan_revision;
+  question = other198.question;
+  answered_question = other198.answered_question;
   __isset = other198.__isset;
   return *this;
 }
@@ -4088,6 +4132,8 @@
   store_era = other199.store_era;
   echo_boot = std::move(other199.echo_boot);
   plan_revision = other199.plan_revision;
+  question = other199.question;
+  answered_question = other199.answered_question;
   __isset = other199.__isset;
   return *this;
 }
@@ -4123,6 +4169,8 @@
   out << ", " << "store_era="; (__isset.store_era ? (out << to_string(store_era)) : (out << "<null>"));
   out << ", " << "echo_boot="; (__isset.echo_boot ? (out << to_string(echo_boot)) : (out << "<null>"));
   out << ", " << "plan_revision="; (__isset.plan_revision ? (out << to_string(plan_revision)) : (out << "<null>"));
+  out << ", " << "question="; (__isset.question ? (out << to_string(question)) : (out << "<null>"));
+  out << ", " << "answered_question="; (__isset.answered_question ? (out << to_string(answered_question)) : (out << "<null>"));
   out << ")";
 }
 
--- a/wire/gen/gossip_types.h
+++ b/wire/gen/gossip_types.h
@@ -1068,7 +1068,7 @@
 std::ostream& operator<<(std::ostream& out, const GossipServiceSpeeds& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), account_rates(false), wanted_contents(false), registry_proof(false), speed_observations(false), service_speeds(false), store_era(false), echo_boot(false), plan_revision(false) {}
+  _Gossip__isset() : absences(false), departures(false), served_parts(false), reports_usage(false), rate_limits(false), stream_origins(false), wanted_origins(false), poison_parts(false), account_rates(false), wanted_contents(false), registry_proof(false), speed_observations(false), service_speeds(false), store_era(false), echo_boot(false), plan_revision(false), question(false), answered_question(false) {}
   bool absences :1;
   bool departures :1;
   bool served_parts :1;
@@ -1085,6 +1085,8 @@
   bool store_era :1;
   bool echo_boot :1;
   bool plan_revision :1;
+  bool question :1;
+  bool answered_question :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -1107,7 +1109,9 @@
            reports_usage(0),
            store_era(0),
            echo_boot(),
-           plan_revision(0) {
+           plan_revision(0),
+           question(0),
+           answered_question(0) {
   }
 
   virtual ~Gossip() noexcept;
@@ -1140,6 +1144,8 @@
   int64_t store_era;
   std::string echo_boot;
   int64_t plan_revision;
+  int64_t question;
+  int64_t answered_question;
 
   _Gossip__isset __isset;
 
@@ -1201,6 +1207,10 @@
 
   void __set_plan_revision(const int64_t val);
 
+  void __set_question(const int64_t val);
+
+  void __set_answered_question(const int64_t val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(host == rhs.host))
@@ -1293,6 +1303,14 @@
       return false;
     else if (__isset.plan_revision && !(plan_revision == rhs.plan_revision))
       return false;
+    if (__isset.question != rhs.__isset.question)
+      return false;
+    else if (__isset.question && !(question == rhs.question))
+      return false;
+    if (__isset.answered_question != rhs.__isset.answered_question)
+      return false;
+    else if (__isset.answered_question && !(answered_question == rhs.answered_question))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -217,4 +217,9 @@
   // The store's revision, of `store_era`, up to which `plan_version` is the
   // configuration; absent if the sender doesn't know it.
   31: optional i64 plan_revision,
+  // Of a message with `wanted_contents`: its number, unique in the sender's run.
+  32: optional i64 question,
+  // The receiver's question whose answer this is, with all versions that the
+  // sender has noted.
+  33: optional i64 answered_question,
 }
