Shorten no pause of a failing server by a 421

A 421 set the pause anew, so that a server that had failed for long was tried again after 500 ms, and a change of role ended pauses after failures too.

The later end of two pauses holds; a change of role ends one that a 421 alone began. backend_health_test.cc: 2 of 48 assertions failed before, none after.

--- a/core/src/backend_health.cc
+++ b/core/src/backend_health.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace carawayvalve::core {
 
@@ -38,7 +39,8 @@
   const base::Duration pause =
       this->settings.pause *
       (int64_t{1} << std::clamp<int64_t>(doublings, 0, kMaxDoublings));
-  record.paused_until = now + std::min(pause, this->settings.max_pause);
+  record.paused_until = std::max(
+      record.paused_until, now + std::min(pause, this->settings.max_pause));
 }
 
 void BackendHealth::NoteAnswer(const base::BackendServerId& id,
@@ -108,8 +110,10 @@
   const auto found = this->records.find(id);
   if (found != this->records.end()) {
     found->second.role_change_until = {};
-    if (found->second.consecutive_misdirected > 0) {
-      found->second.consecutive_misdirected = 0;
+    const bool was_misdirected =
+        std::exchange(found->second.consecutive_misdirected, 0) > 0;
+    if (was_misdirected &&
+        found->second.consecutive_failures < this->settings.failure_threshold) {
       found->second.paused_until = {};
     }
   }
--- a/core/tests/backend_health_test.cc
+++ b/core/tests/backend_health_test.cc
@@ -73,6 +73,19 @@
       CHECK(health.Usable(id, 7, start));
     }
   }
+  SUBCASE("a pause after failures goes on") {
+    for (int i = 0; i < 3; ++i) {
+      health.NoteUnreachable(id, start);
+    }
+    health.NoteMisdirected(id, start);
+    CHECK_FALSE(health.Usable(id, 0, start + Milliseconds(1999)));
+
+    SUBCASE("though the role changes") {
+      health.NoteRoleChangeDone(id);
+      CHECK_FALSE(health.Usable(id, 0, start + Milliseconds(1999)));
+      CHECK(health.Usable(id, 0, start + seconds(2)));
+    }
+  }
   SUBCASE("an unreachable backend server is paused at once") {
     health.NoteUnreachable(id, start);
     CHECK_FALSE(health.Usable(id, 0, start));
