--- a/tests/processes/repeated_refusal_test.cc
+++ b/tests/processes/repeated_refusal_test.cc
@@ -120,7 +120,9 @@
     unregister("start-" + std::to_string(start - 1));
   }
   int served = 0;
-  for (const auto& [id, status] : callers.Stop()) {
+  for (const auto& payment : callers.Stop()) {
+    const std::string& id = payment.first;
+    const int status = payment.second;
     CAPTURE(id);
     CAPTURE(status);
     const int runs = server.RunsOf(id);
