--- a/gateway/tests/repeated_store_answer_test.cc
+++ b/gateway/tests/repeated_store_answer_test.cc
@@ -92,4 +92,53 @@
   CHECK(refused > 1);
 }
 
+// Guards against backend servers that are dropped, and changes that are missed.
+TEST_CASE("the store repeats its answer to a read before that to another") {
+  std::mutex mutex;
+  std::map<int, std::string> answers;
+  int changes = 0;
+  AnswerServer store([&](int connection, const std::string& request) -> Reply {
+    const std::lock_guard lock(mutex);
+    std::string body =
+        R"({"items":[{"meta":{"name":"c","rev":3},"spec":{}}],"currentRev":9})";
+    if (request.find("watch=") != std::string::npos) {
+      const int64_t revision = 9 + changes++;
+      body = R"({"events":[],"currentRev":)" + std::to_string(revision) + "}";
+    } else if (request.find("/servers") != std::string::npos) {
+      body.replace(body.find("\"c\""), 3, "\"s\"");
+    }
+    const std::string bytes = JsonReply(200, body).bytes;
+    return {std::exchange(answers[connection], bytes) + bytes, true};
+  });
+  TestGateway gateway(RequestSettings(kSlackOfOneRetry));
+  platform::ObjectClient objects(
+      gateway.loop, base::ParseAddress(store.Address()), seconds(1));
+
+  SUBCASE("a list of another kind") {
+    std::string names;
+    const auto on_listed = [&](const platform::ListResult& result) {
+      const auto& page = std::get<platform::ObjectPage>(result);
+      names += page.objects.front().name;
+    };
+    const auto config = objects.List("config", "", false, on_listed);
+    gateway.RunFor(Milliseconds(100));
+    const auto servers = objects.List("servers", "", false, on_listed);
+    gateway.RunFor(Milliseconds(100));
+    CHECK(names == "cs");
+  }
+  SUBCASE("a later watch") {
+    int64_t revision = 0;
+    const auto on_watched = [&](const platform::WatchResult& result) {
+      revision = std::get<platform::ObjectChanges>(result).revision;
+    };
+    const auto first =
+        objects.Watch("servers", 9, Milliseconds(50), on_watched);
+    gateway.RunFor(Milliseconds(100));
+    const auto second =
+        objects.Watch("servers", 9, Milliseconds(50), on_watched);
+    gateway.RunFor(Milliseconds(100));
+    CHECK(revision == 10);
+  }
+}
+
 }  // namespace carawayvalve::gateway
