Count the texts of listed servers against the bound of a list

A list of servers with long texts takes several times the part of the memory that lists may have: an entry keeps texts of up to 1 KB each, and the bound counted each entry as its name and 1 KB.

The strings of a value count too, up to 8 KB: longer ones aren't kept.

"has the texts of its servers counted" in store_feed_test.cc: 500,000 bytes of texts kept, 262,144 allowed, before; passes now.

--- a/gateway/src/object_watcher.cc
+++ b/gateway/src/object_watcher.cc
@@ -27,11 +27,23 @@
 // The objects of a list may have this part of the memory: a new list and the
 // one before it are known at the same time.
 constexpr size_t kListDivisor = 8;
-// What a listed object takes in all tables, beside its name.
+// What a listed object takes in all tables, beside its texts.
 constexpr size_t kListedBytes = 1024;
+// Longer texts of a value aren't kept.
+constexpr size_t kMaxTextBytes = size_t{8} * 1024;
+
+size_t TextBytesOf(const nlohmann::json& value) {
+  size_t bytes = 0;
+  for (const nlohmann::json& member : value) {
+    if (const auto* text = member.get_ptr<const std::string*>()) {
+      bytes += text->size();
+    }
+  }
+  return std::min(bytes, kMaxTextBytes);
+}
 
 size_t BytesOf(const platform::StoredObject& object) {
-  return object.name.size() + kListedBytes;
+  return object.name.size() + TextBytesOf(*object.value) + kListedBytes;
 }
 
 }  // namespace
