Avoid prefill engines whose complete answers are no prompts

What callers saw: their prompts went to an engine that answered garbage under a complete 200, one after the other; each then cost a further attempt. All were served.

Cause: any complete answer counted as a fast one and ended the engine's failures, before it was read.

Change: the answer to a prefill counts once its handle has been read; without one it is a failure of the engine.

Measured: spoilt_answer_test.cc, "a prefill engine that answers garbage soon gets no further prompt": before, 5 of 6 prompts reached it in each of three cases; after, at most 2, and the case passes (42 assertions). The rest of the gateway's tests wasn't run on this change.

--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -195,7 +195,7 @@
   state.silence.SetTimeout(this->call_plan.backend.id, this->silence_ticket,
                            NextDataTimeout());
   // Whether any other body is an answer shows only at its end.
-  if (this->completeness.is_event_stream()) {
+  if (this->completeness.is_event_stream() && !this->call_plan.IsPrefill()) {
     this->NoteAnswer();
   }
 }
@@ -292,7 +292,7 @@
   } else {
     this->NoteReceived();
     this->NoteSlotTime();
-    if (!this->completeness.is_event_stream()) {
+    if (!this->completeness.is_event_stream() && !this->call_plan.IsPrefill()) {
       this->NoteAnswer();
     }
   }
--- a/gateway/src/backend_call.h
+++ b/gateway/src/backend_call.h
@@ -126,6 +126,11 @@
   void Pause() { this->call->Pause(); }
   void Resume() { this->call->Resume(); }
 
+  // Records the speed of an answer, which ends the backend server's failures.
+  // Only who reads the answer to a PrefillOnly sees whether it is one, and
+  // calls this.
+  void NoteAnswer();
+
  private:
   void On(const net::CallSent& event);
   void On(const net::CallSkipped& event);
@@ -143,8 +148,6 @@
   void NoteReceived();
   // Records that the answer has come on.
   void NoteProgress();
-  // Records the speed of an answer, which ends the backend server's failures.
-  void NoteAnswer();
   // Returns what the time to the first data tells of the service's speed.
   std::optional<core::SpeedObservation> ObserveFirstData(
       base::Duration time) const;
--- a/gateway/src/request_prefill.cc
+++ b/gateway/src/request_prefill.cc
@@ -90,9 +90,11 @@
 void RequestHandler::OnPrefilled(const core::Placement& placement) {
   const auto prefilled = platform::DecodePrefilled(this->prefill_answer);
   if (!prefilled.has_value()) {
+    this->context.state.health.NoteFailure(placement.target.id, base::Now());
     this->OnPrefillFailed(placement, "the answer names no handle");
     return;
   }
+  this->call->NoteAnswer();
   this->LogAttemptEnd("prompt_read", prefilled->handle);
   this->NotePrefix(placement.target.id, true);
   this->prefilled_prompt =
--- a/gateway/tests/spoilt_answer_test.cc
+++ b/gateway/tests/spoilt_answer_test.cc
@@ -105,6 +105,40 @@
   }
 }
 
+// Guards against a prefill engine that seems to be the fastest one, as each of
+// its answers is complete, and none is the prompt's.
+TEST_CASE("a prefill engine that answers garbage soon gets no further prompt") {
+  std::string type;
+  std::string body;
+  SUBCASE("that is no JSON") {
+    body = "garbage";
+  }
+  SUBCASE("without a handle") {
+    body = "{\"tokens\":1460}";
+  }
+  SUBCASE("of events") {
+    type = "Content-Type: text/event-stream\r\n";
+    body = "data: x\n\n";
+  }
+  const std::string length =
+      "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  systems::AnswerServer garbling(std::vector<systems::Reply>(
+      kRequests, {tests::AnswerHead(type + length) + body, true}));
+  RequestFixture fixture(3, kSlackOfManyRetries);
+  fixture.Add("garbling", base::ParseAddress(garbling.Address()).port,
+              EngineRole::kPrefill);
+  tests::Backend sound(fixture.gateway.loop, {.id = "sound"}, fixture.runs);
+  fixture.Add("sound", sound.port(), EngineRole::kDecode);
+  fixture.gateway.state.load.NoteSent({"reader"}, {5, 5000, 1000});
+  for (int sent = 0; sent < kRequests; ++sent) {
+    fixture.SendRequest([](const std::string&) {});
+    CHECK(fixture.status == 200);
+    CHECK(fixture.complete);
+  }
+  CHECK(!garbling.Requests().empty());
+  CHECK(garbling.Requests().size() <= kMaxSpoilt);
+}
+
 // Guards against answers that keep the gateway busy until they have used up the
 // memory of all answers, while those of other servers wait.
 TEST_CASE("an answer is given up long before it takes all memory") {
