Have the test of cut copies send one id an answer

The test wrote two ids into each head, the first of them r1, so that the next answer was skipped too and its second case showed nothing.

--- a/gateway/tests/cut_refusal_test.cc
+++ b/gateway/tests/cut_refusal_test.cc
@@ -17,16 +17,17 @@
 constexpr char kBody[] = "refused for now";
 
 std::string Refusal(const std::string& id) {
-  return tests::RefusalHead("X-Request-Id: " + id + "\r\nContent-Length: " +
-                            std::to_string(sizeof(kBody) - 1) + "\r\n") +
-         kBody;
+  return std::string("HTTP/1.1 503 Full\r\n") + tests::kNotRunLine +
+         "X-Request-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(sizeof(kBody) - 1) +
+         "\r\n\r\n" + kBody;
 }
 
 std::string Events(const std::string& id) {
   const std::string body = tests::StreamEvent(id, 1);
-  return tests::AnswerHead(
-             "Content-Type: text/event-stream\r\nX-Request-Id: " + id +
-             "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n") +
+  return std::string("HTTP/1.1 200 OK\r\n") + tests::kSignatureLine +
+         "Content-Type: text/event-stream\r\nX-Request-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
          body;
 }
 
