--- a/gateway/tests/repeated_store_answer_test.cc
+++ b/gateway/tests/repeated_store_answer_test.cc
@@ -47,7 +47,7 @@
       return object.empty() ? JsonReply(404, "{}") : JsonReply(200, object);
     }
     if (request.starts_with("GET")) {
-      return JsonReply(200, tests::EmptyList(9));
+      return JsonReply(200, tests::ListOf({}, 9));
     }
     if (request.starts_with("POST") && object.empty()) {
       auto value = nlohmann::json::parse(BodyOf(request));
@@ -99,13 +99,10 @@
   int changes = 0;
   AnswerServer store([&](int connection, const std::string& request) -> Reply {
     const std::lock_guard lock(mutex);
-    std::string body =
-        R"({"items":[{"meta":{"name":"c","rev":3},"spec":{}}],"currentRev":9})";
+    const bool of_servers = request.find("/servers") != std::string::npos;
+    std::string body = tests::ListOf({of_servers ? "s" : "c"}, 9);
     if (request.find("watch=") != std::string::npos) {
-      const int64_t revision = 9 + changes++;
-      body = R"({"events":[],"currentRev":)" + std::to_string(revision) + "}";
-    } else if (request.find("/servers") != std::string::npos) {
-      body.replace(body.find("\"c\""), 3, "\"s\"");
+      body = tests::NoChanges(9 + changes++);
     }
     const std::string bytes = JsonReply(200, body).bytes;
     return {std::exchange(answers[connection], bytes) + bytes, true};
--- a/tests/platform/store.cc
+++ b/tests/platform/store.cc
@@ -31,9 +31,19 @@
 
 }  // namespace
 
-std::string EmptyList(int64_t revision) {
-  return nlohmann::json{{"items", nlohmann::json::array()},
-                        {"hasMore", false},
+std::string ListOf(const std::vector<std::string>& names, int64_t revision) {
+  nlohmann::json items = nlohmann::json::array();
+  for (const std::string& name : names) {
+    items.push_back({{"meta", {{"name", name}, {"rev", revision}}},
+                     {"spec", nlohmann::json::object()}});
+  }
+  return nlohmann::json{
+      {"items", items}, {"hasMore", false}, {"currentRev", revision}}
+      .dump();
+}
+
+std::string NoChanges(int64_t revision) {
+  return nlohmann::json{{"events", nlohmann::json::array()},
                         {"currentRev", revision}}
       .dump();
 }
--- a/tests/platform/store.h
+++ b/tests/platform/store.h
@@ -16,8 +16,10 @@
 
 namespace carawayvalve::tests {
 
-// Returns the body of the store's answer to a list that has no items.
-std::string EmptyList(int64_t revision);
+// Returns the body of the store's answer to a list of objects with these names.
+std::string ListOf(const std::vector<std::string>& names, int64_t revision);
+// Returns the body of its answer to a watch that brings no change.
+std::string NoChanges(int64_t revision);
 
 // Stands in for the platform's store. Implements its published protocol:
 // objects with revisions, conditional writes, paged lists and watches.
