--- a/net/include/carawayvalve/net/http_client.h
+++ b/net/include/carawayvalve/net/http_client.h
@@ -123,7 +123,8 @@
   using Handler = std::function<void(const CallEvent&)>;
 
   // `default_keep_alive` is how long an idle connection is kept when its server
-  // sends no keep-alive timeout.
+  // sends no keep-alive timeout; with 0 none is kept, whatever its server
+  // sends.
   HttpClient(EventLoop& loop, base::Duration default_keep_alive);
   ~HttpClient();
 
--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -459,10 +459,11 @@
 void ClientConnection::Finish() {
   this->counted.reset();
   const auto on_event = std::exchange(this->handler, nullptr);
-  const bool reusable = this->parser->keep_alive() &&
-                        !this->parser->need_eof() && this->input.empty() &&
-                        this->output.empty() && !this->writing &&
-                        this->carried.size() < kMaxCarried;
+  const bool reusable =
+      this->parser->keep_alive() && !this->parser->need_eof() &&
+      this->input.empty() && this->output.empty() && !this->writing &&
+      this->carried.size()<kMaxCarried&& this->client->default_keep_alive>
+          base::Duration(0);
   this->parser.reset();
   if (reusable) {
     const base::Duration keep_alive_time =
--- a/net/tests/http_client_test.cc
+++ b/net/tests/http_client_test.cc
@@ -219,6 +219,22 @@
   }
 }
 
+// Guards against idle connections that nobody uses.
+TEST_CASE("HttpClient that keeps no connections") {
+  AnswerServer server({Answer("Keep-Alive: timeout=9\r\n", "one")});
+  EventLoop loop;
+  HttpClient client(loop, base::Duration(0));
+  const auto call =
+      client.Start(base::ParseAddress(server.Address()), {"GET", "/", {}, {}},
+                   {}, [&](const CallEvent& event) {
+                     if (std::holds_alternative<CallDone>(event)) {
+                       loop.Stop();
+                     }
+                   });
+  loop.Run();
+  CHECK(client.idle_connections() == 0);
+}
+
 TEST_CASE("HttpClient connecting without a call") {
   Client client;
   const auto connect = [&](const std::string& address) {
