--- a/gateway/src/backend_call.cc
+++ b/gateway/src/backend_call.cc
@@ -95,17 +95,17 @@
 
 void BackendCall::On(const net::CallSent& event) {
   this->sent = base::Now();
-  this->used.number = event.connection;
-  this->used.kept = event.kept_connection;
+  this->used_connection.number = event.connection;
+  this->used_connection.kept = event.kept_connection;
   this->Notify(BackendRequestSent{event.kept_connection});
 }
 
 void BackendCall::On(const net::CallSkipped& event) {
-  ++this->used.skipped_answers;
+  ++this->used_connection.skipped_answers;
   this->context.NoteSkippedAnswer(
       this->call_plan.backend,
       this->call_plan.IsPrefill() ? "prefill" : "attempt", this->request,
-      this->used.number, event);
+      this->used_connection.number, event);
 }
 
 void BackendCall::On(const net::CallHead& event) {
--- a/gateway/src/backend_call.h
+++ b/gateway/src/backend_call.h
@@ -116,7 +116,7 @@
   BackendAnswerProgress answer() const {
     return {this->status, this->received_bytes};
   }
-  const BackendConnection& connection() const { return this->used; }
+  const BackendConnection& connection() const { return this->used_connection; }
   // Returns the time after which a backend server that hasn't sent any data
   // counts as silent.
   static base::Duration FirstDataTimeout(base::Duration expected);
@@ -164,7 +164,7 @@
   Context& context;
   BackendCallPlan call_plan;
   base::RequestId request;
-  BackendConnection used;
+  BackendConnection used_connection;
   Handler handler;
   std::unique_ptr<net::Call> call;
   core::FleetLoad::Ticket ticket = 0;
