--- a/net/src/message_parser.h
+++ b/net/src/message_parser.h
@@ -16,8 +16,8 @@
 
 inline constexpr size_t kMaxFields = 256;
 
-// Returns whether `text`, a part of a response's head, ends with the beginning
-// of a status line: then the response was cut, and another one follows.
+// Returns whether `text`, a part of a response's head, holds the beginning of a
+// status line: then the response was cut, and another one follows.
 inline bool HasStatusLine(std::string_view text) {
   constexpr std::string_view kVersion = "HTTP/1.";
   const size_t at = text.rfind(kVersion);
