--- a/review/standin-2/platform.hpp
+++ b/review/standin-2/platform.hpp
@@ -547,7 +547,8 @@
   Gateway(const std::string& folder,
           const std::string& name,
           const std::string& store,
-          const std::string& cloud)
+          const std::string& cloud,
+          const std::string& zone = "scot-central-a")
       : folder(folder),
         name(name),
         callers(FreePort()),
@@ -560,7 +561,7 @@
     // deploy/gateway.json.in, filled in like on a small deployment.
     std::ofstream(this->SettingsPath())
         << "{\"host\":" << Quote(name)
-        << ",\"data_centre\":\"scot-central-a\",\"listen\":{\"callers\":"
+        << ",\"data_centre\":" << Quote(zone) << ",\"listen\":{\"callers\":"
         << at(this->callers) << ",\"readiness\":" << at(this->ready)
         << ",\"metrics\":" << at(this->metrics)
         << ",\"peers\":" << at(this->peers)
@@ -654,9 +655,10 @@
                                const std::string& address,
                                int slots,
                                const std::string& version = "v1",
-                               int64_t born = 1) {
+                               int64_t born = 1,
+                               const std::string& zone = "scot-central-a") {
   return "{\"service\":" + Quote(service) + ",\"addr\":" + Quote(address) +
-         ",\"zone\":\"scot-central-a\",\"version\":" + Quote(version) +
+         ",\"zone\":" + Quote(zone) + ",\"version\":" + Quote(version) +
          ",\"slots\":" + std::to_string(slots) +
          ",\"state\":\"up\",\"coldLeftMs\":0,\"seq\":1,\"born\":" +
          std::to_string(born) + "}";
--- a/review/standin-2/repeated_then_killed.cpp
+++ b/review/standin-2/repeated_then_killed.cpp
@@ -1,9 +1,10 @@
 // Case 6: clients repeat at once while two versions serve; all gateways are
 // killed; the clients take their streams up again.
 //
-// Two gateways, two workers of each of two versions. A share of 0.3 of the
-// clients repeats its request 3 more times, 60 ms apart. Both gateways are
-// killed at once, five times, and come back. A client whose stream broke off
+// Two zones with a gateway and two workers each; the release of version v2 has
+// come to the second one. A share of 0.3 of the clients repeats its request 3
+// more times, 0.1 s apart, and each reaches the other gateway. Both gateways are
+// killed at once and come back, several times. A client whose stream broke
 // takes it up with Last-Event-Id. TROUBLE=0: no gateway is killed.
 //
 // usage: repeated_then_killed FOLDER RECORD
@@ -21,24 +22,30 @@
 constexpr double kClientInterval = 0.04;
 constexpr double kRepeatShare = 0.3;
 constexpr int kRepeats = 3;
-constexpr double kRepeatInterval = 0.06;
-constexpr int kKills = 5;
+constexpr double kRepeatInterval = 0.1;
+constexpr int kKills = 11;
 constexpr double kDownTime = 0.5;
-constexpr double kBetweenKills = 9;
+// The time from a start to the next kill is drawn from this range.
+constexpr double kMinBetweenKills = 6.5;
+constexpr double kMaxBetweenKills = 7.5;
 constexpr double kDeadline = 5;
 
 // A worker that streams pieces with its version.
 class Worker {
  public:
-  Worker(const std::string& id, const std::string& version, Record& record)
+  Worker(const std::string& id,
+         const std::string& version,
+         const std::string& zone,
+         Record& record)
       : id(id),
         version(version),
+        zone(zone),
         record(record),
         server([this](const auto& connection) { this->Serve(connection); }) {}
 
   std::string Entry() const {
     return WorkerEntry("bench-models", this->server.address(), 64,
-                       this->version);
+                       this->version, 1, this->zone);
   }
 
  private:
@@ -83,6 +90,7 @@
 
   std::string id;
   std::string version;
+  std::string zone;
   Record& record;
   Server server;
 };
@@ -160,14 +168,16 @@
   std::vector<std::unique_ptr<Worker>> workers;
   for (int i = 1; i <= 4; ++i) {
     const std::string id = "i-model-" + std::to_string(i);
-    workers.push_back(
-        std::make_unique<Worker>(id, i % 2 == 0 ? "v2" : "v1", record));
+    workers.push_back(std::make_unique<Worker>(
+        id, i > 2 ? "v2" : "v1", i > 2 ? "scot-central-b" : "scot-central-a",
+        record));
     store.Put("servers", id, workers.back()->Entry());
   }
   std::vector<std::unique_ptr<Gateway>> gateways;
-  for (const char* name : {"edge-scot-central-a-1", "edge-scot-central-a-2"}) {
-    gateways.push_back(std::make_unique<Gateway>(argv[1], name, store.address(),
-                                                 cloud.address()));
+  for (const std::string zone : {"scot-central-a", "scot-central-b"}) {
+    gateways.push_back(std::make_unique<Gateway>(
+        argv[1], "edge-" + zone + "-1", store.address(), cloud.address(),
+        zone));
     gateways.back()->Start();
   }
   for (const auto& gateway : gateways) {
@@ -225,7 +235,8 @@
         for (int copy = 0; copy < copies; ++copy) {
           repeats.emplace_back(client, content + "-" + std::to_string(copy),
                                content,
-                               static_cast<size_t>(number) % gateways.size());
+                               static_cast<size_t>(number + copy) %
+                                   gateways.size());
           Sleep(kRepeatInterval);
         }
         for (std::thread& repeat : repeats) {
@@ -235,8 +246,11 @@
       Sleep(kClientInterval);
     }
   });
+  std::mt19937 moments(std::random_device{}());
+  std::uniform_real_distribution<double> between(kMinBetweenKills,
+                                                 kMaxBetweenKills);
   for (int i = 0; i < kKills; ++i) {
-    Sleep(kBetweenKills);
+    Sleep(between(moments));
     if (Trouble()) {
       record.Line("all gateways are killed");
       for (const auto& gateway : gateways) {
