--- a/review/standin-2/platform.hpp
+++ b/review/standin-2/platform.hpp
@@ -345,6 +345,19 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->Write(kind, name, spec);
   }
+  // A drill: comes back as it was at the call of Backup, in a new era.
+  void Backup() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->copy = {this->objects, this->history, this->revision};
+  }
+  void ReturnToBackup() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->objects = this->copy.objects;
+    this->history = this->copy.history;
+    this->revision = this->copy.revision;
+    ++this->era;
+    this->changed.notify_all();
+  }
   void Remove(const std::string& kind, const std::string& name) {
     const std::lock_guard<std::mutex> lock(this->mutex);
     const auto found = this->objects.find({kind, name});
@@ -446,7 +459,8 @@
       }
       const auto [status, body] = this->Handle(request);
       const std::string fields =
-          "Content-Type: application/json\r\nStore-Era: 1\r\n";
+          "Content-Type: application/json\r\nStore-Era: " +
+          std::to_string(this->era) + "\r\n";
       if (!connection->Send(Answer(status, fields, body))) {
         return;
       }
@@ -479,10 +493,17 @@
       return {200, this->List(kind, Query(target, "after"))};
     }
     const int64_t since = std::atoll(watch.c_str());
+    const int64_t began_in = this->era;
+    if (since > this->revision) {
+      return {410, "{}"};
+    }
     const auto until =
         Clock::now() +
         std::chrono::milliseconds(std::atoll(Query(target, "waitMs").c_str()));
     while (true) {
+      if (this->era != began_in) {
+        return {410, "{}"};
+      }
       std::string events;
       for (const Change& change : this->history) {
         if (change.kind == kind && change.revision > since) {
@@ -537,7 +558,15 @@
   std::condition_variable changed;
   std::map<std::pair<std::string, std::string>, Object> objects;
   std::vector<Change> history;
+  struct Copy {
+    std::map<std::pair<std::string, std::string>, Object> objects;
+    std::vector<Change> history;
+    int64_t revision = 0;
+  };
+
   int64_t revision = 10;
+  Copy copy;
+  std::atomic<int64_t> era = 1;
   Server server;
 };
 
