--- a/review/standin-2/repeated_then_killed.cpp
+++ b/review/standin-2/repeated_then_killed.cpp
@@ -23,11 +23,11 @@
 constexpr double kRepeatShare = 0.3;
 constexpr int kRepeats = 3;
 constexpr double kRepeatInterval = 0.1;
-constexpr int kKills = 11;
+constexpr int kKills = 14;
 constexpr double kDownTime = 0.5;
 // The time from a start to the next kill is drawn from this range.
-constexpr double kMinBetweenKills = 6.5;
-constexpr double kMaxBetweenKills = 7.5;
+constexpr double kMinBetweenKills = 4.8;
+constexpr double kMaxBetweenKills = 5.6;
 constexpr double kDeadline = 5;
 
 // A worker that streams pieces with its version.
