--- a/review/standin-2/repeated_then_killed.cpp
+++ b/review/standin-2/repeated_then_killed.cpp
@@ -1,7 +1,7 @@
 // Case 6: clients repeat at once while two versions serve; all gateways are
 // killed; the clients take their streams up again.
 //
-// Two zones with a gateway and two workers each; the release of version v2 has
+// Two zones with a gateway and six workers each; the release of version v2 has
 // come to the second one. A share of 0.3 of the clients repeats its request 3
 // more times, 0.1 s apart, and each reaches the other gateway. Both gateways are
 // killed at once and come back, several times. A client whose stream broke
@@ -23,6 +23,7 @@
 constexpr double kRepeatShare = 0.3;
 constexpr int kRepeats = 3;
 constexpr double kRepeatInterval = 0.1;
+constexpr int kWorkersPerZone = 6;
 constexpr int kKills = 14;
 constexpr double kDownTime = 0.5;
 // The time from a start to the next kill is drawn from this range.
@@ -166,11 +167,12 @@
             "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":[{"
             "\"name\":\"guild\",\"apiKeys\":[\"key-1\"]}]}");
   std::vector<std::unique_ptr<Worker>> workers;
-  for (int i = 1; i <= 4; ++i) {
+  for (int i = 0; i < 2 * kWorkersPerZone; ++i) {
     const std::string id = "i-model-" + std::to_string(i);
+    const bool is_second = i >= kWorkersPerZone;
     workers.push_back(std::make_unique<Worker>(
-        id, i > 2 ? "v2" : "v1", i > 2 ? "scot-central-b" : "scot-central-a",
-        record));
+        id, is_second ? "v2" : "v1",
+        is_second ? "scot-central-b" : "scot-central-a", record));
     store.Put("servers", id, workers.back()->Entry());
   }
   std::vector<std::unique_ptr<Gateway>> gateways;
