--- a/review/standin-2/release_in_place.cpp
+++ b/review/standin-2/release_in_place.cpp
@@ -1,6 +1,6 @@
 // Case 8: a worker starts again under its id with a newer version and crashes.
 //
-// Three workers stream pieces 0.2 s apart. One is released in place: it starts
+// Four workers stream pieces 0.2 s apart. One is released in place: it starts
 // again under its id with version v2, serves at once and writes its entry with
 // its next heartbeat, 0.6 s later. It crashes 0.8 s after that. Streams that it
 // began before its entry was written go on at workers of version v1.
@@ -147,14 +147,14 @@
             "{\"version\":3,\"routes\":[{\"name\":\"code\",\"host\":"
             "\"models.example\",\"prefix\":\"/code/\",\"service\":"
             "\"bench-models\",\"kind\":\"stream\",\"resumable\":true,"
-            "\"timeoutMs\":5000,\"sloMs\":800,\"gapAimMs\":400,"
+            "\"timeoutMs\":3000,\"sloMs\":600,\"gapAimMs\":400,"
             "\"maxAttempts\":2,\"priority\":1}],\"services\":[{\"name\":"
             "\"bench-models\",\"healthPath\":\"/health\",\"maxConns\":360}],"
             "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
             "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":[{"
             "\"name\":\"guild\",\"apiKeys\":[\"key-1\"]}]}");
   std::vector<std::unique_ptr<Worker>> workers;
-  for (const char* id : {"i-model-1", "i-model-2", "i-model-3"}) {
+  for (const char* id : {"i-model-1", "i-model-2", "i-model-3", "i-model-4"}) {
     workers.push_back(std::make_unique<Worker>(id, record));
     workers.back()->Register(store);
   }
@@ -195,7 +195,7 @@
       connection->Send(
           "POST /code/" + id +
           " HTTP/1.1\r\nHost: models.example\r\nX-Request-Id: " + id +
-          "\r\nX-Deadline-Ms: 5000\r\nX-Credential: key-1\r\n"
+          "\r\nX-Deadline-Ms: 3000\r\nX-Credential: key-1\r\n"
           "Content-Length: 4\r\n\r\ntext");
       Message answer;
       const bool complete =
