Log answers that callers don't receive completely

No line said that a caller's connection ended before its answer was out, so that a caller that reads slowly couldn't be told from one that left: request_ended is written once the answer is handed to the connection. answer_undelivered now names the request, the reason and the bytes that the caller's host hasn't acknowledged, and carawayvalve_undelivered_answers_total counts by the reason. A stop closes the connections before the log is flushed, so that its own are told too.

--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -426,6 +426,8 @@
     this->journal.Write(base::LogLevel::kWarning, "stop_closes",
                         {{"phase", phase}, {"requests", count}});
   }
+  // Records the answers that are cut off.
+  this->callers.reset();
   if (this->joined) {
     this->peers.Leave();
   }
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -40,6 +40,11 @@
           .Name("carawayvalve_backend_answers_total")
           .Help("Backend servers' answers by framing and how they ended")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& undelivered_answers =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_undelivered_answers_total")
+          .Help("Answers that callers didn't receive completely, by why")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& skipped_answers =
       prometheus::BuildCounter()
           .Name("carawayvalve_skipped_answers_total")
@@ -153,6 +158,10 @@
       .Increment();
 }
 
+void GatewayMetrics::CountUndeliveredAnswer(const std::string& end) {
+  this->families->undelivered_answers.Add({{"end", end}}).Increment();
+}
+
 void GatewayMetrics::CountSkippedAnswer(const std::string& kind) {
   this->families->skipped_answers.Add({{"kind", kind}}).Increment();
 }
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -27,6 +27,9 @@
   // Counts an answer whose head was received, by how the end of its body is
   // marked and by whether the body was "complete" or "broken".
   void CountBackendAnswer(const std::string& framing, const std::string& end);
+  // Counts an answer that its caller didn't receive completely, by
+  // net::DeliveryEnd.
+  void CountUndeliveredAnswer(const std::string& end);
   // Counts an answer that isn't the one to the request on its connection, by
   // the kind of that request.
   void CountSkippedAnswer(const std::string& kind);
--- a/gateway/src/request_answer.cc
+++ b/gateway/src/request_answer.cc
@@ -59,6 +59,22 @@
   this->End(kNoStatus, "caller_left");
 }
 
+void RequestHandler::WatchDelivery() {
+  // The request usually ends before its caller has received the answer.
+  this->exchange->OnUndelivered(
+      [&context = this->context, id = this->caller.id,
+       arrived = this->arrived](const net::UndeliveredAnswer& answer) {
+        const char* end = net::NameOf(answer.end);
+        context.metrics.CountUndeliveredAnswer(end);
+        context.journal.Write(
+            base::LogLevel::kInfo, "answer_undelivered",
+            {{"request", id.value},
+             {"reason", end},
+             {"bytes_left", static_cast<int64_t>(answer.bytes_left)},
+             {"age_ms", base::ToMilliseconds(base::Now() - arrived)}});
+      });
+}
+
 void RequestHandler::Refuse(int status,
                             const std::string& reason,
                             bool send_retry_after) {
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -88,6 +88,7 @@
   }
   const auto self = this->shared_from_this();
   this->exchange->OnDisconnect([self] { self->OnCallerDisconnected(); });
+  this->WatchDelivery();
   this->StartDeadlineTimer(this->context.state.stop.AnswerBy(this->deadline));
   this->context.live_requests.Add(self);
   this->ChargeAccount();
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -126,6 +126,8 @@
   void Perform(const core::ForwardFailure& step);
   void Perform(const core::BreakAnswerOff& step);
 
+  // Records if the caller doesn't receive the whole answer.
+  void WatchDelivery();
   // Makes the request end at this time, or a little later.
   void StartDeadlineTimer(base::Instant at);
   void OnDeadline();
--- a/net/include/carawayvalve/net/http_server.h
+++ b/net/include/carawayvalve/net/http_server.h
@@ -20,6 +20,33 @@
 class ServerState;
 }  // namespace detail
 
+// Why a connection ended before its caller had received the whole answer.
+enum class DeliveryEnd {
+  // The caller closed or reset the connection.
+  kGone,
+  // The caller's host acknowledged nothing for some seconds.
+  kSilent,
+  // The memory was needed for other requests.
+  kMemory,
+  // The server broke the answer off.
+  kAborted,
+  // The server was closed.
+  kStop,
+};
+
+// Returns the name of the reason in logs and metrics.
+const char* NameOf(DeliveryEnd end);
+
+// An answer, or its beginning, that its caller hasn't received completely.
+struct UndeliveredAnswer {
+  DeliveryEnd end = DeliveryEnd::kGone;
+  // Bytes that were written and not acknowledged by the caller's host, as far
+  // as the system keeps account of them.
+  size_t bytes_left = 0;
+
+  bool operator==(const UndeliveredAnswer&) const = default;
+};
+
 // A completely read request and the means to answer it. Destroying it before
 // the answer has ended closes the connection, so that the caller can tell that
 // the answer is incomplete.
@@ -55,6 +82,9 @@
 
   // Calls `handler` once if the connection closes before the answer has ended.
   void OnDisconnect(std::function<void()> handler);
+  // Calls `handler` once if the connection closes before the caller has
+  // received the whole answer, also after the end of this exchange.
+  void OnUndelivered(std::function<void(const UndeliveredAnswer&)> handler);
   bool disconnected() const { return this->caller_disconnected; }
   bool answer_started() const { return this->started; }
   // Returns the bytes of the answer not yet written to the connection.
--- a/net/src/http_server.cc
+++ b/net/src/http_server.cc
@@ -31,6 +31,22 @@
 
 }  // namespace
 
+const char* NameOf(DeliveryEnd end) {
+  switch (end) {
+    case DeliveryEnd::kGone:
+      return "gone";
+    case DeliveryEnd::kSilent:
+      return "silent";
+    case DeliveryEnd::kMemory:
+      return "memory";
+    case DeliveryEnd::kAborted:
+      return "aborted";
+    case DeliveryEnd::kStop:
+      return "stop";
+  }
+  return "";
+}
+
 Exchange::Exchange(std::shared_ptr<detail::ServerConnection> connection,
                    Request request,
                    base::Instant first_byte_at)
@@ -116,13 +132,18 @@
 
 void Exchange::Abort() {
   this->ended = true;
-  this->connection->Close();
+  this->connection->Close(DeliveryEnd::kAborted);
 }
 
 void Exchange::OnDisconnect(std::function<void()> handler) {
   this->on_disconnect = std::move(handler);
 }
 
+void Exchange::OnUndelivered(
+    std::function<void(const UndeliveredAnswer&)> handler) {
+  this->connection->OnUndelivered(std::move(handler));
+}
+
 size_t Exchange::unsent_bytes() const {
   return this->connection->unsent_bytes();
 }
--- a/net/src/server_connection.cc
+++ b/net/src/server_connection.cc
@@ -35,6 +35,13 @@
   return 400;
 }
 
+// The system fails a connection with a timeout when its peer acknowledges
+// nothing.
+DeliveryEnd EndOf(const error_code& error) {
+  return error == asio::error::timed_out ? DeliveryEnd::kSilent
+                                         : DeliveryEnd::kGone;
+}
+
 // Rejects framing that two parsers may interpret differently, which would allow
 // request smuggling: a second request hidden in the body of the first.
 bool HasAmbiguousFraming(const RequestParser& parser) {
@@ -82,7 +89,7 @@
   this->accept_timer.Cancel();
   const auto connections = this->open;
   for (const auto& connection : connections) {
-    connection->Close();
+    connection->Close(DeliveryEnd::kStop);
   }
 }
 
@@ -100,7 +107,7 @@
   const auto connections = this->open;
   for (const auto& connection : connections) {
     if (connection->IdleSince(since)) {
-      connection->Close();
+      connection->Close(DeliveryEnd::kStop);
     }
   }
 }
@@ -180,15 +187,18 @@
     case Phase::kClosed:
       break;
   }
-  this->Close();
+  this->Close(DeliveryEnd::kMemory);
 }
 
-void ServerConnection::Close() {
+void ServerConnection::Close(DeliveryEnd end) {
   if (this->phase == Phase::kClosed) {
     return;
   }
-  this->phase = Phase::kClosed;
   const auto self = this->shared_from_this();
+  const auto state = this->UpdateDelivery();
+  const bool complete = this->phase != Phase::kAnswering && !this->undelivered;
+  const auto notify = std::exchange(this->on_undelivered, nullptr);
+  this->phase = Phase::kClosed;
   this->counted.reset();
   error_code ignored;
   this->socket.close(ignored);
@@ -196,14 +206,36 @@
   if (const auto current = this->exchange.lock()) {
     current->NotifyDisconnect();
   }
+  if (!complete && notify != nullptr) {
+    const size_t queued = state.has_value() ? state->queued_bytes : 0;
+    notify({end, this->output.size() + queued});
+  }
+}
+
+std::optional<SendState> ServerConnection::UpdateDelivery() {
+  if (!this->undelivered) {
+    return std::nullopt;
+  }
+  const auto state = ReadSendState(this->socket.native_handle());
+  if (this->output.empty() &&
+      (!state.has_value() || state->queued_bytes == 0)) {
+    this->undelivered = false;
+    if (this->phase != Phase::kAnswering) {
+      this->on_undelivered = nullptr;
+    }
+  }
+  return state;
 }
 
 void ServerConnection::CheckTimeouts(base::Instant now) {
+  if (this->undelivered) {
+    this->UpdateDelivery();
+  }
   const base::Duration silence = now - this->last_activity;
   switch (this->phase) {
     case Phase::kIdle:
       if (silence > this->server->limits.idle_timeout) {
-        this->Close();
+        this->Close(DeliveryEnd::kStop);
       }
       return;
     case Phase::kReadingHead:
@@ -218,7 +250,7 @@
       return;
     case Phase::kLingering:
       if (silence > kMaxLingerSilence) {
-        this->Close();
+        this->Close(DeliveryEnd::kStop);
       }
       return;
     case Phase::kAnswering:
@@ -245,13 +277,13 @@
     return;
   }
   if (error) {
-    this->Close();
+    this->Close(EndOf(error));
     return;
   }
   if (this->phase == Phase::kLingering) {
     this->discarded_bytes += size;
     if (this->discarded_bytes > kMaxDiscardedBytes) {
-      this->Close();
+      this->Close(DeliveryEnd::kAborted);
       return;
     }
     this->Receive();
@@ -312,6 +344,7 @@
 
 void ServerConnection::OnRequest() {
   this->phase = Phase::kAnswering;
+  this->on_undelivered = nullptr;
   this->keep_alive = this->parser->keep_alive();
   this->request_bytes = this->parser->head_bytes() + this->parser->body.size();
   Request request{
@@ -342,6 +375,7 @@
   if (this->phase == Phase::kClosed) {
     return;
   }
+  this->undelivered = true;
   this->output.append(data);
   if (!this->writing) {
     this->Flush();
@@ -354,7 +388,7 @@
       this->socket.write_some(asio::buffer(this->output), error);
   EraseFront(this->output, sent);
   if (error && error != asio::error::would_block) {
-    this->Close();
+    this->Close(EndOf(error));
     return;
   }
   this->CountBytes();
@@ -378,7 +412,7 @@
     return;
   }
   if (error) {
-    this->Close();
+    this->Close(EndOf(error));
     return;
   }
   this->Flush();
--- a/net/src/server_connection.h
+++ b/net/src/server_connection.h
@@ -10,6 +10,7 @@
 #include "carawayvalve/net/http_server.h"
 #include "loop_state.h"
 #include "message_parser.h"
+#include "send_state.h"
 
 namespace carawayvalve::net::detail {
 
@@ -52,8 +53,9 @@
   ServerConnection(std::shared_ptr<ServerState> server, tcp::socket socket);
 
   void Start();
-  // Closes immediately and notifies the exchange in progress.
-  void Close();
+  // Closes immediately and notifies the exchange in progress and, if its caller
+  // hasn't received the whole answer, the handler of OnUndelivered.
+  void Close(DeliveryEnd end);
   // Closes the connection, or rejects its request with 408, if a timeout has
   // passed at `now`.
   void CheckTimeouts(base::Instant now);
@@ -75,6 +77,10 @@
   // Closes the connection after the current answer.
   void CloseAfterAnswer() { this->keep_alive = false; }
   size_t unsent_bytes() const { return this->output.size(); }
+  // See Exchange.
+  void OnUndelivered(std::function<void(const UndeliveredAnswer&)> handler) {
+    this->on_undelivered = std::move(handler);
+  }
 
  private:
   enum class Phase {
@@ -101,6 +107,9 @@
   void Flush();
   void OnWritable(const error_code& error);
   void Linger();
+  // Notes what the caller has received. Returns the state of what was written,
+  // if the system tells it.
+  std::optional<SendState> UpdateDelivery();
 
   std::shared_ptr<ServerState> server;
   tcp::socket socket;
@@ -118,6 +127,9 @@
   bool writing = false;
   bool linger_when_written = false;
   size_t discarded_bytes = 0;
+  // The caller may not have received all that was written.
+  bool undelivered = false;
+  std::function<void(const UndeliveredAnswer&)> on_undelivered;
   std::weak_ptr<Exchange> exchange;
   // The size of the request that is being answered, which its exchange holds.
   size_t request_bytes = 0;
