Tell a peer that reads slowly from one that is gone

So did callers of 30 KB who read 1 KB each 0.2 s without any pause, and a backend server that read a body of 3 MB after 3.4 s got none of it, while its caller got 502.

Cause: TCP_USER_TIMEOUT. Linux applies it to a closed receive window too, whether or not the peer acknowledges the window probes, and forgets when probing began only once the next segment fits the window. A loopback socket with it failed with ETIMEDOUT 3.0 s after the first probe, 104 ms after an acknowledgement and with 15 of 30 KB read; without it, all was delivered.

Change: where the system keeps account of a connection (TCP_INFO), that account decides. A connection fails once data or a window probe has waited 2.5 s for an acknowledgement and none of anything has come; TCP_RTO_MAX_MS keeps probes frequent enough to notice a peer that vanishes while its window is closed. As nothing else ended answers to callers that never read, their connections are now closed after the request's deadline once nothing has been read for 2.5 s, or after the idle timeout where there is no deadline.

--- a/gateway/src/request_answer.cc
+++ b/gateway/src/request_answer.cc
@@ -60,6 +60,7 @@
 }
 
 void RequestHandler::WatchDelivery() {
+  this->exchange->KeepUntil(this->deadline);
   // The request usually ends before its caller has received the answer.
   this->exchange->OnUndelivered(
       [&context = this->context, id = this->caller.id,
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -126,7 +126,8 @@
   void Perform(const core::ForwardFailure& step);
   void Perform(const core::BreakAnswerOff& step);
 
-  // Records if the caller doesn't receive the whole answer.
+  // Keeps the answer for a caller that reads slowly, and records if the caller
+  // doesn't receive all of it.
   void WatchDelivery();
   // Makes the request end at this time, or a little later.
   void StartDeadlineTimer(base::Instant at);
--- a/net/include/carawayvalve/net/http_server.h
+++ b/net/include/carawayvalve/net/http_server.h
@@ -26,6 +26,8 @@
   kGone,
   // The caller's host acknowledged nothing for some seconds.
   kSilent,
+  // The caller read nothing for too long.
+  kUnread,
   // The memory was needed for other requests.
   kMemory,
   // The server broke the answer off.
@@ -85,6 +87,10 @@
   // Calls `handler` once if the connection closes before the caller has
   // received the whole answer, also after the end of this exchange.
   void OnUndelivered(std::function<void(const UndeliveredAnswer&)> handler);
+  // Keeps the answer until `deadline` for a caller that reads nothing, and for
+  // some seconds after it last read. Without a deadline,
+  // HttpServer::Limits::idle_timeout applies.
+  void KeepUntil(base::Instant deadline);
   bool disconnected() const { return this->caller_disconnected; }
   bool answer_started() const { return this->started; }
   // Returns the bytes of the answer not yet written to the connection.
--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::chrono::seconds kSweepInterval(1);
+// How often connections with unacknowledged data are checked.
+constexpr base::Milliseconds kPeerCheckInterval(250);
 // A server starts to count a connection's idle time earlier than its client.
 constexpr base::Milliseconds kKeepAliveMargin(1000);
 constexpr size_t kMaxHeaderBytes = size_t{64} * 1024;
@@ -53,7 +55,10 @@
 }  // namespace
 
 ClientState::ClientState(EventLoop& loop, base::Duration default_keep_alive)
-    : loop(loop), default_keep_alive(default_keep_alive), sweep_timer(loop) {}
+    : loop(loop),
+      default_keep_alive(default_keep_alive),
+      sweep_timer(loop),
+      peer_timer(loop) {}
 
 std::shared_ptr<ClientConnection> ClientState::TakeIdle(
     const Endpoint& endpoint,
@@ -133,6 +138,24 @@
   }
 }
 
+void ClientState::WatchPeers() {
+  if (!std::exchange(this->watching_peers, true)) {
+    this->peer_timer.Start(kPeerCheckInterval, [this] { this->CheckPeers(); });
+  }
+}
+
+void ClientState::CheckPeers() {
+  const base::Instant now = base::Now();
+  // Copied because connections that fail are removed.
+  const auto connections = this->open;
+  this->watching_peers = false;
+  for (const auto& connection : connections) {
+    if (connection->CheckPeer(now)) {
+      this->WatchPeers();
+    }
+  }
+}
+
 int64_t ClientState::idle_connections() const {
   int64_t count = 0;
   for (const auto& [endpoint, idle_to_peer] : this->idle) {
@@ -254,7 +277,7 @@
                error == asio::error::connection_refused);
     return;
   }
-  SetUpSocket(this->socket);
+  this->has_send_state = SetUpSocket(this->socket);
   error_code ignored;
   this->socket.non_blocking(true, ignored);
   this->connected = true;
@@ -285,6 +308,10 @@
   const size_t written =
       this->socket.write_some(asio::buffer(this->output), error);
   EraseFront(this->output, written);
+  if (this->has_send_state) {
+    this->unacknowledged = true;
+    this->client->WatchPeers();
+  }
   if (error && error != asio::error::would_block) {
     // The connection stays open to read what the peer sent before the error.
     this->output.clear();
@@ -304,6 +331,20 @@
       });
 }
 
+bool ClientConnection::CheckPeer(base::Instant now) {
+  if (!this->unacknowledged || this->closed) {
+    return false;
+  }
+  const auto state = ReadSendState(this->socket.native_handle());
+  if (state.has_value() && this->silence.IsSilent(*state, now)) {
+    this->Fail("the peer acknowledges nothing", false);
+    return false;
+  }
+  this->unacknowledged =
+      !this->output.empty() || (state.has_value() && state->queued_bytes > 0);
+  return this->unacknowledged;
+}
+
 void ClientConnection::SetPaused(bool now_paused) {
   this->paused = now_paused;
   if (!now_paused) {
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -13,6 +13,7 @@
 #include "carawayvalve/net/http_client.h"
 #include "loop_state.h"
 #include "message_parser.h"
+#include "send_state.h"
 
 namespace carawayvalve::net::detail {
 
@@ -32,6 +33,9 @@
   void Remove(const std::shared_ptr<ClientConnection>& connection);
   void CloseAll();
   void Sweep();
+  // Checks periodically for peers that acknowledge nothing, while there is
+  // unacknowledged data.
+  void WatchPeers();
   int64_t idle_connections() const;
 
   EventLoop& loop;
@@ -48,8 +52,12 @@
   };
 
   std::map<Endpoint, std::vector<IdleConnection>> idle;
+  void CheckPeers();
+
   Timer sweep_timer;
   bool sweeping = false;
+  Timer peer_timer;
+  bool watching_peers = false;
 };
 
 // One connection to a server, for one call at a time.
@@ -74,6 +82,9 @@
   // Returns whether bytes have arrived that the loop hasn't handled yet. While
   // the connection is idle, they answer no request of it.
   bool HasUnreadInput() const;
+  // Fails the connection if its peer acknowledges nothing. Returns whether
+  // written data is still unacknowledged.
+  bool CheckPeer(base::Instant now);
   const Endpoint& endpoint() const { return this->peer; }
   // Returns how many bytes have arrived since the call began, handled or not.
   size_t received_bytes() const;
@@ -118,6 +129,10 @@
   bool paused = false;
   bool sent = false;
   bool writing = false;
+  // The system's account of the written data can be read.
+  bool has_send_state = false;
+  bool unacknowledged = false;
+  SilenceDetector silence;
   std::string output;
   std::array<char, 8192> buffer{};
   std::string input;
--- a/net/src/event_loop.cc
+++ b/net/src/event_loop.cc
@@ -1,22 +1,12 @@
 #include "carawayvalve/net/event_loop.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-
 #include "loop_state.h"
+#include "send_state.h"
 
 namespace carawayvalve::net {
 
 namespace detail {
 
-namespace {
-
-// A peer that acknowledges nothing for this long counts as disconnected. Lost
-// packets are retransmitted several times within it.
-constexpr int kUserTimeoutMs = 2500;
-
-}  // namespace
-
 struct TimerState {
   explicit TimerState(asio::io_context& context) : timer(context) {}
 
@@ -26,12 +16,16 @@
   int64_t generation = 0;
 };
 
-void SetUpSocket(tcp::socket& socket) {
+bool SetUpSocket(tcp::socket& socket) {
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
-  const int timeout_ms = kUserTimeoutMs;
-  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-             sizeof(timeout_ms));
+  const int descriptor = socket.native_handle();
+  if (!ReadSendState(descriptor).has_value()) {
+    SetUserTimeout(descriptor);
+    return false;
+  }
+  LimitProbeInterval(descriptor);
+  return true;
 }
 
 }  // namespace detail
--- a/net/src/http_server.cc
+++ b/net/src/http_server.cc
@@ -37,6 +37,8 @@
       return "gone";
     case DeliveryEnd::kSilent:
       return "silent";
+    case DeliveryEnd::kUnread:
+      return "unread";
     case DeliveryEnd::kMemory:
       return "memory";
     case DeliveryEnd::kAborted:
@@ -144,6 +146,10 @@
   this->connection->OnUndelivered(std::move(handler));
 }
 
+void Exchange::KeepUntil(base::Instant deadline) {
+  this->connection->KeepUntil(deadline);
+}
+
 size_t Exchange::unsent_bytes() const {
   return this->connection->unsent_bytes();
 }
--- a/net/src/loop_state.h
+++ b/net/src/loop_state.h
@@ -56,9 +56,11 @@
   }
 }
 
-// Disables Nagle's algorithm and sets the time without acknowledgements after
-// which the connection fails. Ignores errors: the socket works without.
-void SetUpSocket(tcp::socket& socket);
+// Disables Nagle's algorithm. Returns whether ReadSendState works for the
+// connection, whose owner then has to notice a peer that acknowledges nothing;
+// if not, the system fails the connection to it. Ignores errors: the socket
+// works without.
+bool SetUpSocket(tcp::socket& socket);
 
 }  // namespace carawayvalve::net::detail
 
--- a/net/src/server_connection.cc
+++ b/net/src/server_connection.cc
@@ -1,5 +1,6 @@
 #include "server_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "carawayvalve/base/listen.h"
@@ -19,6 +20,9 @@
 // been buffered.
 constexpr size_t kMaxPipelinedBytes = size_t{64} * 1024;
 constexpr base::Milliseconds kAcceptRetryInterval(50);
+// After its deadline, an answer is kept for this long after its caller last
+// read some of it.
+constexpr base::Milliseconds kMaxUnreadTime(2500);
 // When a caller whose request found no memory may come back.
 constexpr int kRetryAfterSeconds = 1;
 constexpr int kBacklog = 512;
@@ -139,7 +143,7 @@
       last_activity(base::Now()) {}
 
 void ServerConnection::Start() {
-  SetUpSocket(this->socket);
+  this->has_send_state = SetUpSocket(this->socket);
   error_code ignored;
   this->socket.non_blocking(true, ignored);
   if (this->server->budget != nullptr) {
@@ -195,7 +199,7 @@
     return;
   }
   const auto self = this->shared_from_this();
-  const auto state = this->UpdateDelivery();
+  const auto state = this->UpdateDelivery(base::Now());
   const bool complete = this->phase != Phase::kAnswering && !this->undelivered;
   const auto notify = std::exchange(this->on_undelivered, nullptr);
   this->phase = Phase::kClosed;
@@ -212,11 +216,18 @@
   }
 }
 
-std::optional<SendState> ServerConnection::UpdateDelivery() {
+std::optional<SendState> ServerConnection::UpdateDelivery(base::Instant now) {
   if (!this->undelivered) {
     return std::nullopt;
   }
-  const auto state = ReadSendState(this->socket.native_handle());
+  const auto state = this->has_send_state
+                         ? ReadSendState(this->socket.native_handle())
+                         : std::nullopt;
+  if (state.has_value() &&
+      std::exchange(this->acknowledged_bytes, state->acknowledged_bytes) !=
+          state->acknowledged_bytes) {
+    this->last_progress = now;
+  }
   if (this->output.empty() &&
       (!state.has_value() || state->queued_bytes == 0)) {
     this->undelivered = false;
@@ -227,15 +238,33 @@
   return state;
 }
 
+base::Instant ServerConnection::GiveUpUnreadAt() const {
+  if (!this->kept_until.has_value()) {
+    return this->last_progress + this->server->limits.idle_timeout;
+  }
+  return std::max(*this->kept_until, this->last_progress + kMaxUnreadTime);
+}
+
+void ServerConnection::CheckDelivery(base::Instant now) {
+  const auto state = this->UpdateDelivery(now);
+  if (state.has_value() && this->silence.IsSilent(*state, now)) {
+    this->Close(DeliveryEnd::kSilent);
+    return;
+  }
+  if (this->undelivered && now > this->GiveUpUnreadAt()) {
+    this->Close(DeliveryEnd::kUnread);
+  }
+}
+
 void ServerConnection::CheckTimeouts(base::Instant now) {
   if (this->undelivered) {
-    this->UpdateDelivery();
+    this->CheckDelivery(now);
   }
-  const base::Duration silence = now - this->last_activity;
+  const base::Duration idle_time = now - this->last_activity;
   switch (this->phase) {
     case Phase::kIdle:
-      if (silence > this->server->limits.idle_timeout) {
-        this->Close(DeliveryEnd::kStop);
+      if (idle_time > this->server->limits.idle_timeout) {
+        this->Close(DeliveryEnd::kUnread);
       }
       return;
     case Phase::kReadingHead:
@@ -244,13 +273,13 @@
       }
       return;
     case Phase::kReadingBody:
-      if (silence > this->server->limits.idle_timeout) {
+      if (idle_time > this->server->limits.idle_timeout) {
         this->Reject(408);
       }
       return;
     case Phase::kLingering:
-      if (silence > kMaxLingerSilence) {
-        this->Close(DeliveryEnd::kStop);
+      if (idle_time > kMaxLingerSilence) {
+        this->Close(DeliveryEnd::kUnread);
       }
       return;
     case Phase::kAnswering:
@@ -344,6 +373,7 @@
 
 void ServerConnection::OnRequest() {
   this->phase = Phase::kAnswering;
+  this->kept_until.reset();
   this->on_undelivered = nullptr;
   this->keep_alive = this->parser->keep_alive();
   this->request_bytes = this->parser->head_bytes() + this->parser->body.size();
@@ -375,7 +405,9 @@
   if (this->phase == Phase::kClosed) {
     return;
   }
-  this->undelivered = true;
+  if (!std::exchange(this->undelivered, true)) {
+    this->last_progress = base::Now();
+  }
   this->output.append(data);
   if (!this->writing) {
     this->Flush();
@@ -387,6 +419,9 @@
   const size_t sent =
       this->socket.write_some(asio::buffer(this->output), error);
   EraseFront(this->output, sent);
+  if (sent > 0) {
+    this->last_progress = base::Now();
+  }
   if (error && error != asio::error::would_block) {
     this->Close(EndOf(error));
     return;
--- a/net/src/server_connection.h
+++ b/net/src/server_connection.h
@@ -81,6 +81,7 @@
   void OnUndelivered(std::function<void(const UndeliveredAnswer&)> handler) {
     this->on_undelivered = std::move(handler);
   }
+  void KeepUntil(base::Instant deadline) { this->kept_until = deadline; }
 
  private:
   enum class Phase {
@@ -109,7 +110,11 @@
   void Linger();
   // Notes what the caller has received. Returns the state of what was written,
   // if the system tells it.
-  std::optional<SendState> UpdateDelivery();
+  std::optional<SendState> UpdateDelivery(base::Instant now);
+  // Closes the connection if the caller is silent or leaves the answer unread.
+  void CheckDelivery(base::Instant now);
+  // Returns when an answer that nothing more is read of is given up.
+  base::Instant GiveUpUnreadAt() const;
 
   std::shared_ptr<ServerState> server;
   tcp::socket socket;
@@ -127,8 +132,15 @@
   bool writing = false;
   bool linger_when_written = false;
   size_t discarded_bytes = 0;
+  // The system's account of the written data can be read.
+  bool has_send_state = false;
   // The caller may not have received all that was written.
   bool undelivered = false;
+  uint64_t acknowledged_bytes = 0;
+  // When the caller last received something.
+  base::Instant last_progress;
+  SilenceDetector silence;
+  std::optional<base::Instant> kept_until;
   std::function<void(const UndeliveredAnswer&)> on_undelivered;
   std::weak_ptr<Exchange> exchange;
   // The size of the request that is being answered, which its exchange holds.
--- a/net/tests/undelivered_answer_test.cc
+++ b/net/tests/undelivered_answer_test.cc
@@ -32,14 +32,23 @@
     }
   }
 
+  // How long a caller that reads nothing has; none for no deadline.
+  std::optional<base::Duration> time;
   std::optional<UndeliveredAnswer> undelivered;
   std::atomic<bool> ended = false;
+  base::Instant begun_at;
+  base::Instant ended_at;
   EventLoop loop;
   std::optional<HttpServer> server{
       std::in_place, this->loop, base::Address{"127.0.0.1", 0},
       [this](const auto& exchange) {
+        this->begun_at = base::Now();
+        if (this->time.has_value()) {
+          exchange->KeepUntil(this->begun_at + *this->time);
+        }
         exchange->OnUndelivered([this](const UndeliveredAnswer& answer) {
           this->undelivered = answer;
+          this->ended_at = base::Now();
           this->ended = true;
         });
         exchange->Respond({{200, {}}, std::string(kAnswerBytes, 'x')});
@@ -71,6 +80,25 @@
     run([&](SlowPeer&) { large.loop.Post([&] { large.server.reset(); }); });
     CHECK(large.undelivered->end == DeliveryEnd::kStop);
   }
+  SUBCASE("as its host acknowledges nothing") {
+    run([](SlowPeer& caller) { caller.FallSilent(); });
+    CHECK(large.undelivered->end == DeliveryEnd::kSilent);
+  }
+  SUBCASE("as it has read nothing by the deadline") {
+    large.time = milliseconds(4000);
+    run([](SlowPeer&) {});
+    CHECK(large.undelivered->end == DeliveryEnd::kUnread);
+    CHECK(large.ended_at - large.begun_at >= *large.time);
+    CHECK(large.ended_at - large.begun_at < *large.time + milliseconds(1000));
+    CHECK(large.server->connections() == 0);
+  }
+  SUBCASE("as it reads nothing and there is no deadline") {
+    const base::Duration limit = milliseconds(1000);
+    large.server->SetLimits({.idle_timeout = limit});
+    run([](SlowPeer&) {});
+    CHECK(large.undelivered->end == DeliveryEnd::kUnread);
+    CHECK(large.ended_at - large.begun_at >= limit);
+  }
 }
 
 TEST_CASE("a caller that receives the whole answer closes its connection") {
