Don't count a connection as idle while its caller reads

Answers that were handed to their connection were cut off by a stop, by the idle timeout, and a second after the last answer of a connection, while their callers still read them: a connection counted as idle once the last byte was written, be it to the gateway's own buffer or to the system's.

A connection is idle now once its caller's host has acknowledged all of the answer, as far as the system tells. A stop waits for it until its end.

--- a/net/include/carawayvalve/net/http_server.h
+++ b/net/include/carawayvalve/net/http_server.h
@@ -121,7 +121,8 @@
     int64_t max_body_bytes = 4 * 1024 * 1024;
     // From the first byte of a request to the end of its head.
     base::Duration header_timeout = std::chrono::seconds(3);
-    // Without a byte from the caller, except while an answer is in progress.
+    // Without a byte from the caller, except while an answer is in progress or
+    // the caller reads it.
     base::Duration idle_timeout = std::chrono::seconds(15);
 
     bool operator==(const Limits&) const = default;
@@ -143,8 +144,9 @@
 
   // Closes each connection after its next answer, from now on.
   void CloseAfterAnswers();
-  // Closes the connections on which no request is being read or answered and
-  // that have been silent for this long, also since they were opened.
+  // Closes the connections on which no request is being read or answered, whose
+  // callers have received all answers and that have been silent for this long,
+  // also since they were opened.
   void CloseIdle(base::Duration silence);
 
   size_t connections() const;
--- a/net/src/server_connection.cc
+++ b/net/src/server_connection.cc
@@ -216,6 +216,14 @@
   }
 }
 
+bool ServerConnection::IdleSince(base::Instant since) {
+  if (this->phase != Phase::kIdle || this->last_activity > since) {
+    return false;
+  }
+  this->UpdateDelivery(base::Now());
+  return !this->undelivered;
+}
+
 std::optional<SendState> ServerConnection::UpdateDelivery(base::Instant now) {
   if (!this->undelivered) {
     return std::nullopt;
@@ -251,7 +259,9 @@
     this->Close(DeliveryEnd::kSilent);
     return;
   }
-  if (this->undelivered && now > this->GiveUpUnreadAt()) {
+  if (!this->undelivered) {
+    this->last_activity = std::max(this->last_activity, this->last_progress);
+  } else if (now > this->GiveUpUnreadAt()) {
     this->Close(DeliveryEnd::kUnread);
   }
 }
@@ -263,7 +273,7 @@
   const base::Duration idle_time = now - this->last_activity;
   switch (this->phase) {
     case Phase::kIdle:
-      if (idle_time > this->server->limits.idle_timeout) {
+      if (idle_time > this->server->limits.idle_timeout && !this->undelivered) {
         this->Close(DeliveryEnd::kUnread);
       }
       return;
@@ -278,7 +288,7 @@
       }
       return;
     case Phase::kLingering:
-      if (idle_time > kMaxLingerSilence) {
+      if (idle_time > kMaxLingerSilence && !this->undelivered) {
         this->Close(DeliveryEnd::kUnread);
       }
       return;
--- a/net/src/server_connection.h
+++ b/net/src/server_connection.h
@@ -59,11 +59,9 @@
   // Closes the connection, or rejects its request with 408, if a timeout has
   // passed at `now`.
   void CheckTimeouts(base::Instant now);
-  // Returns whether no request is being read or answered and nothing has been
-  // received or sent since `since`.
-  bool IdleSince(base::Instant since) const {
-    return this->phase == Phase::kIdle && this->last_activity <= since;
-  }
+  // Returns whether no request is being read or answered, the caller has
+  // received all answers and nothing has been received or sent since `since`.
+  bool IdleSince(base::Instant since);
 
   void Write(std::string_view data);
   // Ends the answer to the current request: continues with the next request, or
--- a/net/tests/slow_peer_test.cc
+++ b/net/tests/slow_peer_test.cc
@@ -107,6 +107,45 @@
   }
 }
 
+// Guards against answers that are cut off by a stop, or as their connection
+// counts as idle, while their callers still read them.
+TEST_CASE("a connection isn't idle while its caller reads the answer") {
+  SizeServer sizes;
+  bool whole = false;
+
+  SUBCASE("so that a stop doesn't close it") {
+    RunWhile(sizes.loop, [&] {
+      whole = ReceivesWhole(sizes.server.port(),
+                            {"is paused by a stop", 8000000, [&](SlowPeer&) {
+                               std::this_thread::sleep_for(milliseconds(500));
+                               sizes.loop.Post([&] {
+                                 sizes.server.CloseIdle(milliseconds(200));
+                               });
+                               std::this_thread::sleep_for(milliseconds(500));
+                             }});
+    });
+  }
+  SUBCASE("however long it takes") {
+    sizes.server.SetLimits({.idle_timeout = milliseconds(1500)});
+    RunWhile(sizes.loop, [&] {
+      whole = ReceivesWhole(sizes.server.port(),
+                            {"reads for long", 8000000, [](SlowPeer& caller) {
+                               ReadSteadily(caller, 20, milliseconds(200));
+                             }});
+    });
+  }
+  SUBCASE("so that it isn't closed after the last answer") {
+    RunWhile(sizes.loop, [&] {
+      whole = ReceivesWhole(
+          sizes.server.port(),
+          {"pauses before the end", 6000,
+           [](SlowPeer&) { std::this_thread::sleep_for(kPause * 2); },
+           "Connection: close\r\n"});
+    });
+  }
+  CHECK(whole);
+}
+
 namespace {
 
 // A call with a body of 3 MB to a server that a test plays.
--- a/tests/processes/slow_callers_test.cc
+++ b/tests/processes/slow_callers_test.cc
@@ -1,5 +1,5 @@
 // Guards against answers that a gateway cuts off because their callers read
-// slowly, also while it reloads its settings.
+// slowly, also while it reloads its settings or stops.
 
 #include <doctest/doctest.h>
 
@@ -159,6 +159,10 @@
   SUBCASE("while the gateway reloads its settings") {
     run([&] { signal_later(SIGHUP); });
   }
+  SUBCASE("while the gateway stops") {
+    run([&] { signal_later(SIGTERM); });
+    CHECK(callers.gateway->WaitForEnd() == 0);
+  }
 }
 
 }  // namespace carawayvalve::tests
