--- a/net/tests/undelivered_answer_test.cc
+++ b/net/tests/undelivered_answer_test.cc
@@ -25,9 +25,10 @@
 
 // A server that answers with 16 MB.
 struct LargeServer {
-  // Waits until an answer is known to be undelivered.
+  // Waits until an answer is known to be undelivered, for 20 seconds at most.
   void AwaitEnd() const {
-    while (!this->ended) {
+    const base::Instant last = base::Now() + std::chrono::seconds(20);
+    while (!this->ended && base::Now() < last) {
       std::this_thread::sleep_for(milliseconds(10));
     }
   }
--- a/tests/processes/slow_callers_test.cc
+++ b/tests/processes/slow_callers_test.cc
@@ -10,8 +10,8 @@
 #include "../../net/tests/slow_peer.h"
 #include "../platform/caller.h"
 #include "../platform/desk.h"
-#include "carawayvalve/net/http_server.h"
 #include "gateway_process.h"
+#include "size_backend.h"
 
 namespace carawayvalve::tests {
 
@@ -23,52 +23,6 @@
 constexpr char kEndOfHead[] = "\r\n\r\n";
 constexpr char kEndOfChunks[] = "\r\n0\r\n\r\n";
 constexpr milliseconds kTimeout(8000);
-constexpr size_t kEventBytes = 1000;
-
-// Answers "/look/N" with N bytes and "/tell/N" with N events of 1,000 bytes.
-class SizeBackend {
- public:
-  SizeBackend() : thread([this] { this->loop.Run(); }) {}
-  ~SizeBackend() {
-    this->loop.Post([this] { this->loop.Stop(); });
-    this->thread.join();
-  }
-  SizeBackend(const SizeBackend&) = delete;
-  SizeBackend& operator=(const SizeBackend&) = delete;
-
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(this->server.port());
-  }
-
- private:
-  static void Answer(net::Exchange& exchange) {
-    const net::Request& request = exchange.request();
-    const int number = std::stoi(request.target.substr(6));
-    net::HeaderFields fields = {{"X-Response-Sig", "s"}};
-    const std::string* id = net::FindField(request.fields, "X-Request-Id");
-    if (id != nullptr) {
-      fields.push_back({"X-Request-Id", *id});
-    }
-    if (request.target.find("/look/") == 0) {
-      exchange.Respond(
-          {{200, fields}, std::string(static_cast<size_t>(number), 'x')});
-      return;
-    }
-    fields.push_back({"Content-Type", "text/event-stream"});
-    exchange.Begin({200, fields});
-    for (int event = 1; event <= number; ++event) {
-      exchange.Send("id: " + std::to_string(event) +
-                    "\ndata: " + std::string(kEventBytes, 'x') + "\n\n");
-    }
-    exchange.Finish();
-  }
-
-  net::EventLoop loop;
-  net::HttpServer server{this->loop,
-                         {"127.0.0.1", 0},
-                         [](const auto& exchange) { Answer(*exchange); }};
-  std::thread thread;
-};
 
 nlohmann::json Configuration() {
   nlohmann::json configuration = DeskConfiguration();
@@ -82,12 +36,20 @@
   return configuration;
 }
 
+struct Call {
+  std::string path;
+  milliseconds pause_after_head{0};
+  milliseconds pause_before_head{0};
+};
+
 // A gateway in front of a SizeBackend.
 struct SlowCallers {
   SlowCallers() {
-    this->platform.ChangeStore([this](Store& store) {
+    const std::string address =
+        "127.0.0.1:" + std::to_string(this->backend.port());
+    this->platform.ChangeStore([&](Store& store) {
       store.Put("config", "main", Configuration());
-      store.Put("servers", "i-1", DeskServer(this->backend.address()));
+      store.Put("servers", "i-1", DeskServer(address));
     });
     this->gateway = this->platform.Start("gateway");
     Await("the gateway to be ready",
@@ -102,18 +64,19 @@
     return caller;
   }
 
-  // Returns whether a caller that pauses after the head receives all.
-  bool ReceivesWhole(const std::string& path, milliseconds pause) const {
-    SlowPeer caller = this->Ask(path);
+  // Returns whether a caller that pauses receives all.
+  bool ReceivesWhole(const Call& call) const {
+    SlowPeer caller = this->Ask(call.path);
+    std::this_thread::sleep_for(call.pause_before_head);
     if (!caller.ReadUntil(kEndOfHead)) {
       return false;
     }
-    std::this_thread::sleep_for(pause);
-    if (path.find("/tell/") == 0) {
+    std::this_thread::sleep_for(call.pause_after_head);
+    if (call.path.find("/tell/") == 0) {
       return caller.ReadUntil(kEndOfChunks);
     }
     return caller.ReadTotal(caller.received().find(kEndOfHead) + 4 +
-                            std::stoul(path.substr(6)));
+                            std::stoul(call.path.substr(6)));
   }
 
   GatewayPlatform platform;
@@ -124,23 +87,20 @@
 }  // namespace
 
 TEST_CASE("callers read their answers slowly and receive all of them") {
-  struct Call {
-    std::string path;
-    milliseconds pause;
-  };
-  const std::vector<Call> calls = {{"/look/400000", milliseconds(6000)},
-                                   {"/look/3000000", milliseconds(4000)},
-                                   {"/look/3000001", milliseconds(5000)},
-                                   {"/tell/6", milliseconds(6000)},
-                                   {"/tell/1200", milliseconds(3400)}};
+  const std::vector<Call> calls = {
+      {"/look/400000", milliseconds(6000)},
+      {"/look/400001", milliseconds(0), milliseconds(4200)},
+      {"/look/3000000", milliseconds(4000)},
+      {"/look/3000001", milliseconds(5000)},
+      {"/tell/6", milliseconds(6000)},
+      {"/tell/1200", milliseconds(3400)}};
   SlowCallers callers;
   std::vector<int> whole(calls.size());
   const auto run = [&](const std::function<void()>& meanwhile) {
     std::vector<std::function<void()>> actions = {meanwhile};
     for (size_t i = 0; i < calls.size(); ++i) {
-      actions.emplace_back([&, i] {
-        whole[i] = callers.ReceivesWhole(calls[i].path, calls[i].pause) ? 1 : 0;
-      });
+      actions.emplace_back(
+          [&, i] { whole[i] = callers.ReceivesWhole(calls[i]) ? 1 : 0; });
     }
     net::RunTogether(actions);
     for (size_t i = 0; i < calls.size(); ++i) {
@@ -159,6 +119,11 @@
   SUBCASE("while the gateway reloads its settings") {
     run([&] { signal_later(SIGHUP); });
   }
+  SUBCASE("that they asked for once the gateway stops") {
+    callers.gateway->Signal(SIGTERM);
+    run([] {});
+    CHECK(callers.gateway->WaitForEnd() == 0);
+  }
   SUBCASE("while the gateway stops") {
     run([&] { signal_later(SIGTERM); });
     CHECK(callers.gateway->WaitForEnd() == 0);
