Name the check for acknowledgements apart from the silence of servers

core::SilenceDetector is about answers that a backend server doesn't send; the one in net was about acknowledgements of its host. net_tests passes.

--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -336,7 +336,7 @@
     return false;
   }
   const auto state = ReadSendState(this->socket.native_handle());
-  if (state.has_value() && this->silence.IsSilent(*state, now)) {
+  if (state.has_value() && this->ack_timer.IsOverdue(*state, now)) {
     this->Fail("the peer acknowledges nothing", false);
     return false;
   }
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -132,7 +132,7 @@
   // The system's account of the written data can be read.
   bool has_send_state = false;
   bool unacknowledged = false;
-  SilenceDetector silence;
+  AcknowledgementTimer ack_timer;
   std::string output;
   std::array<char, 8192> buffer{};
   std::string input;
--- a/net/src/send_state.cc
+++ b/net/src/send_state.cc
@@ -40,7 +40,8 @@
 }
 
 void LimitProbeInterval(int socket) {
-  // The system gives up on a closed window after two of these.
+  // Linux also fails a connection with a closed window that acknowledges
+  // nothing for two of these.
   const int limit_ms = static_cast<int>(kMaxSilence.count() / 2);
   setsockopt(socket, IPPROTO_TCP, kMaxRetransmissionTimeoutOption, &limit_ms,
              sizeof(limit_ms));
@@ -52,7 +53,8 @@
              sizeof(timeout_ms));
 }
 
-bool SilenceDetector::IsSilent(const SendState& state, base::Instant now) {
+bool AcknowledgementTimer::IsOverdue(const SendState& state,
+                                     base::Instant now) {
   const bool interrupted = now - this->last_state_at > kMaxStateInterval;
   this->last_state_at = now;
   if (!state.awaits_ack) {
--- a/net/src/send_state.h
+++ b/net/src/send_state.h
@@ -43,11 +43,12 @@
 
 // Tells a peer that acknowledges nothing from one that reads slowly, from
 // successive states of its connection.
-class SilenceDetector {
+class AcknowledgementTimer {
  public:
   // Returns whether the peer has acknowledged nothing for kMaxSilence although
-  // it was due to.
-  bool IsSilent(const SendState& state, base::Instant now);
+  // it was due to. Called at least once a second while data is unacknowledged;
+  // a longer pause of the caller starts the time anew.
+  bool IsOverdue(const SendState& state, base::Instant now);
 
  private:
   // Since when an acknowledgement has been due in all states.
--- a/net/src/server_connection.cc
+++ b/net/src/server_connection.cc
@@ -255,7 +255,7 @@
 
 void ServerConnection::CheckDelivery(base::Instant now) {
   const auto state = this->UpdateDelivery(now);
-  if (state.has_value() && this->silence.IsSilent(*state, now)) {
+  if (state.has_value() && this->ack_timer.IsOverdue(*state, now)) {
     this->Close(DeliveryEnd::kSilent);
     return;
   }
--- a/net/src/server_connection.h
+++ b/net/src/server_connection.h
@@ -137,7 +137,7 @@
   uint64_t acknowledged_bytes = 0;
   // When the caller last received something.
   base::Instant last_progress;
-  SilenceDetector silence;
+  AcknowledgementTimer ack_timer;
   std::optional<base::Instant> kept_until;
   std::function<void(const UndeliveredAnswer&)> on_undelivered;
   std::weak_ptr<Exchange> exchange;
--- a/net/tests/send_state_test.cc
+++ b/net/tests/send_state_test.cc
@@ -18,12 +18,12 @@
          left -= kInterval) {
       this->now += kInterval;
       const base::Duration age = since_ack - left + kInterval;
-      silent = this->detector.IsSilent({1, awaits_ack, age, 0}, this->now);
+      silent = this->timer.IsOverdue({1, awaits_ack, age, 0}, this->now);
     }
     return silent;
   }
 
-  SilenceDetector detector;
+  AcknowledgementTimer timer;
   base::Instant now = base::Now();
 };
 
