--- a/tests/processes/silent_peers_test.cc
+++ b/tests/processes/silent_peers_test.cc
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <csignal>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -129,12 +130,12 @@
 }
 
 TEST_CASE("callers never read their answers") {
-  constexpr int kSilentCallers = 30;
+  constexpr int kCallers = 30;
   constexpr int kOthers = 45;
   SizeBackend backend;
   const OneGateway one(backend.port(), DeskConfiguration());
   std::vector<SlowPeer> callers;
-  for (int i = 0; i < kSilentCallers; ++i) {
+  for (int i = 0; i < kCallers; ++i) {
     callers.push_back(one.Connect());
     callers.back().Send(Head("GET", "/look/1000000"));
   }
@@ -151,10 +152,17 @@
     CHECK(base::Now() - begun < kTimeout);
     CHECK(one.UndeliveredReasons().empty());
     Await("the answers to be given up",
-          [&] { return one.UndeliveredReasons().size() == kSilentCallers; });
+          [&] { return one.UndeliveredReasons().size() == kCallers; });
     CHECK(base::Now() - begun < kTimeout + milliseconds(1500));
     CHECK(one.UndeliveredReasons() ==
-          std::vector<std::string>(kSilentCallers, "unread"));
+          std::vector<std::string>(kCallers, "unread"));
+  }
+  SUBCASE("and a stop that ends before the deadline says whom it cut off") {
+    one.gateway->Signal(SIGTERM);
+    CHECK(one.gateway->WaitForEnd() == 0);
+    CHECK(base::Now() - begun < kTimeout);
+    CHECK(one.UndeliveredReasons() ==
+          std::vector<std::string>(kCallers, "stop"));
   }
 }
 
