--- a/net/include/carawayvalve/net/message.h
+++ b/net/include/carawayvalve/net/message.h
@@ -32,6 +32,10 @@
 // manage the connection, and those that the Connection field lists.
 HeaderFields EndToEndFields(const HeaderFields& fields);
 
+// Returns `text` as a segment of a target's path or a value of its query:
+// percent-encoded, but for the letters, digits and "-._~".
+std::string EncodeTargetPart(std::string_view text);
+
 // A complete request.
 struct Request {
   std::string method;
--- a/net/src/message.cc
+++ b/net/src/message.cc
@@ -95,6 +95,22 @@
   return end_to_end;
 }
 
+std::string EncodeTargetPart(std::string_view text) {
+  constexpr std::string_view kUnreserved =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char byte : text) {
+    if (kUnreserved.find(byte) != std::string_view::npos) {
+      encoded += byte;
+    } else {
+      const auto value = static_cast<unsigned char>(byte);
+      encoded += {'%', kDigits[value / 16], kDigits[value % 16]};
+    }
+  }
+  return encoded;
+}
+
 std::string PrintRequest(const Request& request, const std::string& host) {
   std::string text;
   text.reserve(1024 + request.body.size());
--- a/net/tests/message_test.cc
+++ b/net/tests/message_test.cc
@@ -21,6 +21,15 @@
   }
 }
 
+TEST_CASE("a part of a target is encoded") {
+  CHECK(EncodeTargetPart("i-7f.3_a~9") == "i-7f.3_a~9");
+  CHECK(EncodeTargetPart("a b&c+d#e%f/g?h=i") ==
+        "a%20b%26c%2Bd%23e%25f%2Fg%3Fh%3Di");
+  CHECK(EncodeTargetPart("\r\n\x7f\xc3\xa9\xff") == "%0D%0A%7F%C3%A9%FF");
+  CHECK(EncodeTargetPart(std::string(1, '\0')) == "%00");
+  CHECK(EncodeTargetPart("").empty());
+}
+
 TEST_CASE("printing a message") {
   SUBCASE("a request gets Host and Content-Length") {
     CHECK(PrintRequest({"POST", "/x?y", {{"A", "b"}}, "body"}, "1.2.3.4:5") ==
--- a/tests/platform/store.cc
+++ b/tests/platform/store.cc
@@ -1,7 +1,11 @@
 #include "store.h"
 
 #include <algorithm>
+#include <charconv>
 #include <optional>
+#include <string_view>
+
+#include "carawayvalve/base/foreign_json.h"
 
 namespace carawayvalve::tests {
 
@@ -9,20 +13,39 @@
 
 namespace {
 
-constexpr size_t kPageSize = 50;
 // A page that has reached this size ends.
 constexpr size_t kPageBytes = size_t{1024} * 1024;
 constexpr char kPrefix[] = "/api/objects/";
 // How the stand-ins of malformed values begin, as they are printed.
 constexpr char kTextMark[] = "\"text ";
 
+// Decodes a part of a target: %41 is A and, in the query, + a blank. A percent
+// sign without two digits stands for itself.
+std::string Decode(std::string_view text, bool is_query) {
+  std::string decoded;
+  for (size_t i = 0; i < text.size(); ++i) {
+    unsigned char byte = 0;
+    const bool is_escape =
+        text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(&text[i + 1], &text[i + 3], byte, 16).ptr ==
+            &text[i + 3];
+    if (is_escape) {
+      decoded += static_cast<char>(byte);
+      i += 2;
+    } else {
+      decoded += is_query && text[i] == '+' ? ' ' : text[i];
+    }
+  }
+  return decoded;
+}
+
 std::string QueryValue(const std::string& target, const std::string& name) {
   size_t at = target.find('?');
   while (at != std::string::npos) {
     const size_t next = target.find('&', at + 1);
     const std::string item = target.substr(at + 1, next - at - 1);
     if (item.starts_with(name + "=")) {
-      return item.substr(name.size() + 1);
+      return Decode(std::string_view(item).substr(name.size() + 1), true);
     }
     at = next;
   }
@@ -98,6 +121,16 @@
   this->Put(kind, name, stand_in);
 }
 
+std::string Store::PrintableName(const std::string& name) {
+  if (base::SurvivesJson(name)) {
+    return name;
+  }
+  const std::string stand_in =
+      "text " + std::to_string(this->texts.size()) + " of a name";
+  this->texts[json(stand_in).dump()] = '"' + name + '"';
+  return stand_in;
+}
+
 std::string Store::WithTexts(const std::string& printed) const {
   if (this->texts.empty()) {
     return printed;
@@ -150,8 +183,9 @@
   }
   ++this->revision;
   if (object.is_null()) {
-    object = {
-        {"meta", {{"name", key.second}, {"createRevision", this->revision}}}};
+    object = {{"meta",
+               {{"name", this->PrintableName(key.second)},
+                {"createRevision", this->revision}}}};
   }
   object["meta"]["rev"] = this->revision;
   object["spec"] = spec;
@@ -206,6 +240,10 @@
     this->Respond(*exchange, *this->status, json::object());
     return;
   }
+  if (request.target.find('#') != std::string::npos) {
+    this->Respond(*exchange, 400, json::object());
+    return;
+  }
   if (this->refuses || !request.target.starts_with(kPrefix)) {
     this->Respond(*exchange, this->refuses ? 503 : 404, json::object());
     return;
@@ -215,7 +253,7 @@
   const size_t slash = path.find('/');
   const std::string kind = path.substr(0, slash);
   const std::string name =
-      slash == std::string::npos ? "" : path.substr(slash + 1);
+      slash == std::string::npos ? "" : Decode(path.substr(slash + 1), false);
   if (request.method != "GET") {
     const Answer answer = this->OnWrite(request, kind, name);
     if (this->lost_writes > 0) {
@@ -262,7 +300,7 @@
     if (key.first != kind || key.second <= after) {
       continue;
     }
-    more = items.size() == kPageSize || bytes >= kPageBytes;
+    more = items.size() == this->page_size || bytes >= kPageBytes;
     if (more) {
       break;
     }
--- a/tests/platform/store.h
+++ b/tests/platform/store.h
@@ -32,6 +32,8 @@
   }
 
   // Writes an object unconditionally, as the operator or a backend server does.
+  // A name may be any bytes without quotes and backslashes; one that isn't
+  // UTF-8 is sent as it is.
   void Put(const std::string& kind,
            const std::string& name,
            const nlohmann::json& spec);
@@ -52,6 +54,8 @@
   // Writes again what the operator and the backend servers have written since.
   void WriteAgain();
 
+  // The number of objects on a page of a list.
+  size_t page_size = 50;
   // Answers every call with 503.
   bool refuses = false;
   // Closes connections without an answer.
@@ -91,6 +95,8 @@
   };
   using Answer = std::pair<int, nlohmann::json>;
 
+  // Returns the name, or what stands for one that isn't UTF-8.
+  std::string PrintableName(const std::string& name);
   // Puts the malformed values in the places of their stand-ins.
   std::string WithTexts(const std::string& printed) const;
   void Respond(net::Exchange& exchange, int status, const nlohmann::json& body);
