--- a/gateway/tests/odd_names_test.cc
+++ b/gateway/tests/odd_names_test.cc
@@ -2,7 +2,9 @@
 // servers: they stop no list, and name no server.
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "carawayvalve/platform/objects.h"
 #include "platform/desk.h"
@@ -86,4 +88,66 @@
   }
 }
 
+TEST_CASE("an entry whose name is odd names no server") {
+  OddNamesTest test;
+  std::vector<std::string> odd_names;
+  for (const std::string& bytes : tests::OddBytes()) {
+    odd_names.push_back("w03" + bytes);
+  }
+  const auto put_all = [&] {
+    for (const std::string& name : odd_names) {
+      // Some other server is at this address.
+      test.store.Put("servers", name, tests::DeskServer("127.0.0.1:5"));
+    }
+  };
+  const auto check_names = [&] {
+    for (const std::string& name : odd_names) {
+      CAPTURE(name);
+      CHECK_FALSE(test.Knows(name));
+    }
+    CHECK(test.KnownServers() == kServers);
+  };
+
+  SUBCASE("in a list") {
+    put_all();
+    test.feed.Start();
+    test.ReadList();
+    check_names();
+  }
+  SUBCASE("in changes of the store, nor does its removal concern one") {
+    test.feed.Start();
+    test.ReadList();
+    put_all();
+    test.store.Put("servers", "w12", tests::DeskServer("127.0.0.1:13"));
+    test.gateway.RunFor(Milliseconds(1200));
+    check_names();
+    CHECK(test.Knows("w12"));
+    for (const std::string& name : odd_names) {
+      test.store.Remove("servers", name);
+    }
+    test.store.Remove("servers", "w12");
+    test.gateway.RunFor(Milliseconds(1200));
+    check_names();
+    CHECK_FALSE(test.Knows("w12"));
+  }
+  SUBCASE("in changes that a peer returns") {
+    test.feed.SetWatchWaits(
+        {{std::nullopt, std::nullopt}, {std::nullopt, std::chrono::hours(1)}});
+    test.feed.Start();
+    test.gateway.RunFor(Milliseconds(500));
+    const core::StoreRevision known = test.feed.registry().received_revision();
+    platform::ObjectChanges changes{{}, known.revision, known.era};
+    const auto value = std::make_shared<const nlohmann::json>(
+        tests::DeskServer("127.0.0.1:5"));
+    odd_names.push_back("w12");
+    for (const std::string& name : odd_names) {
+      changes.changes.push_back({{name, ++changes.revision, value, ""}, false});
+    }
+    odd_names.pop_back();
+    test.feed.ApplyPeerChanges(changes);
+    check_names();
+    CHECK(test.Knows("w12"));
+  }
+}
+
 }  // namespace carawayvalve::gateway
