Fail an answer without a length whose connection breaks during the upload

Cause: the system reports a reset once, to whichever call comes first. When the write of the request got it, ClientConnection dropped the error so as to read what had arrived, and the read behind that data found an orderly end, which completes such a body.

Change: the write's error is kept, and the end after it fails the call. EPIPE is no such error: Linux reports it where the peer's end arrived before its reset, so that an answer that ends with a plain close stays whole.

--- a/net/src/client_connection.cc
+++ b/net/src/client_connection.cc
@@ -313,7 +313,10 @@
     this->client->WatchPeers();
   }
   if (error && error != asio::error::would_block) {
-    // The connection stays open to read what the peer sent before the error.
+    // The connection stays open to read what the peer sent before the error,
+    // which the system reports only once: what follows reads as an orderly end.
+    // A broken pipe means that there was such an end before.
+    this->is_broken = error != asio::error::broken_pipe;
     this->output.clear();
     return;
   }
@@ -483,6 +486,10 @@
 }
 
 void ClientConnection::OnEnd() {
+  if (this->is_broken) {
+    this->Fail("the connection broke while the request was written", true);
+    return;
+  }
   if (this->handler != nullptr && this->head_emitted &&
       this->parser->need_eof()) {
     boost::beast::error_code error;
@@ -503,6 +510,7 @@
   const bool reusable =
       this->parser->keep_alive() && !this->parser->need_eof() &&
       this->input.empty() && this->output.empty() && !this->writing &&
+      !this->is_broken &&
       this->carried.size()<kMaxCarried&& this->client->default_keep_alive>
           base::Duration(0);
   this->parser.reset();
--- a/net/src/client_connection.h
+++ b/net/src/client_connection.h
@@ -129,6 +129,8 @@
   bool paused = false;
   bool sent = false;
   bool writing = false;
+  // A write failed, and not because the peer had sent its end.
+  bool is_broken = false;
   // The system's account of the written data can be read.
   bool has_send_state = false;
   bool unacknowledged = false;
