--- a/tests/processes/gateway_process.cc
+++ b/tests/processes/gateway_process.cc
@@ -26,11 +26,7 @@
 GatewayPlatform::GatewayPlatform() : folder(MakeFolder()), store(this->loop) {
   this->settings = {{"host", "edge-0"},
                     {"data_centre", "a"},
-                    {"listen",
-                     {{"callers", Loopback(FreePort())},
-                      {"readiness", Loopback(FreePort())},
-                      {"metrics", Loopback(FreePort())},
-                      {"peers", Loopback(FreePort())}}},
+                    {"listen", FreePorts()},
                     {"store", {{"address", this->store.address()}}},
                     {"memory_mb", 260},
                     {"duties",
@@ -57,6 +53,27 @@
       this->folder + "/" + name + ".log");
 }
 
+json GatewayPlatform::FreePorts() {
+  return {{"callers", Loopback(FreePort())},
+          {"readiness", Loopback(FreePort())},
+          {"metrics", Loopback(FreePort())},
+          {"peers", Loopback(FreePort())}};
+}
+
+std::unique_ptr<Process> GatewayPlatform::StartBeside(
+    const std::string& host,
+    const json& listen) const {
+  json changed = this->settings;
+  changed["host"] = host;
+  changed["listen"] = listen;
+  const std::string path = this->folder + "/" + host + ".json";
+  std::ofstream(path) << changed.dump();
+  return std::make_unique<Process>(
+      std::vector<std::string>{CARAWAYVALVE_ENTRY, "gateway",
+                               "--settings=" + path},
+      this->folder + "/" + host + ".log");
+}
+
 void GatewayPlatform::WriteSettings() const {
   this->WriteSettingsText(this->settings.dump());
 }
--- a/tests/processes/gateway_process.h
+++ b/tests/processes/gateway_process.h
@@ -25,6 +25,11 @@
 
   // Starts a gateway with these settings; `name` identifies its log.
   std::unique_ptr<Process> Start(const std::string& name) const;
+  // Starts a gateway beside that of Start, with `listen`, from FreePorts, as
+  // its addresses. `host` names it and its log.
+  std::unique_ptr<Process> StartBeside(const std::string& host,
+                                       const nlohmann::json& listen) const;
+  static nlohmann::json FreePorts();
   // Replaces the settings, which Start uses.
   void WriteSettings() const;
   void WriteSettingsText(const std::string& text) const;
