Read names that aren't UTF-8 in the store's answers

What callers saw: while a page of the list holds only entries whose names aren't UTF-8, the servers behind it aren't known and no change is followed; each change of one such entry has the whole list read again.

Cause: a name that isn't UTF-8 was no name, so that its entry was dropped. The next page begins after the last name that was read; a page without one failed the list for good, and a change without one counted as a gap.

Change: base::ReadForeignString returns the bytes of a JSON string, whatever they are. The list goes on after them, and the entry names no server, as with any odd name.

--- a/base/include/carawayvalve/base/foreign_json.h
+++ b/base/include/carawayvalve/base/foreign_json.h
@@ -32,6 +32,11 @@
 // Never throws for what the text holds.
 ForeignJson ParseForeignJson(std::string_view text);
 
+// Returns the bytes of the JSON string that `text` holds, which may be none of
+// UTF-8 and may have control bytes that JSON doesn't allow; nothing if it isn't
+// a string.
+std::optional<std::string> ReadForeignString(std::string_view text);
+
 // Parses several texts, which are to have kMaxForeignValues together. If they
 // have more, those with the most values aren't read.
 std::vector<ForeignJson> ParseForeignTexts(
--- a/base/src/foreign_json.cc
+++ b/base/src/foreign_json.cc
@@ -24,6 +24,10 @@
   return byte == '}' || byte == ']';
 }
 
+bool IsPrintable(char byte) {
+  return byte >= ' ' && byte <= '~';
+}
+
 // What a text becomes when it is parsed, at most.
 struct Extent {
   int max_depth = 0;
@@ -135,6 +139,33 @@
   }
 }
 
+std::optional<std::string> ReadForeignString(std::string_view text) {
+  const bool is_quoted =
+      text.size() >= 2 && text.front() == '"' && text.back() == '"';
+  if (!is_quoted) {
+    return std::nullopt;
+  }
+  text = text.substr(1, text.size() - 2);
+  std::string read;
+  while (!text.empty()) {
+    const auto end = std::find_if_not(text.begin(), text.end(), IsPrintable);
+    const auto size = static_cast<size_t>(end - text.begin());
+    if (size == 0) {
+      read += text.front();
+      text.remove_prefix(1);
+      continue;
+    }
+    const std::string part = '"' + std::string(text.substr(0, size)) + '"';
+    const json parsed = ParseForeignJson(part).value;
+    if (!parsed.is_string()) {
+      return std::nullopt;
+    }
+    read += parsed.get_ref<const std::string&>();
+    text.remove_prefix(size);
+  }
+  return read;
+}
+
 std::vector<ForeignJson> ParseForeignTexts(
     const std::vector<std::string_view>& texts) {
   std::vector<std::pair<size_t, size_t>> by_values;
--- a/base/tests/foreign_json_test.cc
+++ b/base/tests/foreign_json_test.cc
@@ -145,6 +145,24 @@
   }));
 }
 
+TEST_CASE("a JSON string of another process is read whatever its bytes") {
+  CHECK(ReadForeignString(R"("")") == "");
+  CHECK(ReadForeignString(R"("a\"\\\n\u00e9\ud83d\ude00")") ==
+        "a\"\\\n\xc3\xa9\xf0\x9f\x98\x80");
+  CHECK(ReadForeignString("\"a\xff\xc3\xa9\x01\n\x7f\"") ==
+        "a\xff\xc3\xa9\x01\n\x7f");
+  for (const char* text : {"", "\"", "1", "null", "[]", "a\"", R"("\ud800")",
+                           R"("\x")", R"("a"b")", "\"\\\xff\""}) {
+    CAPTURE(text);
+    CHECK_FALSE(ReadForeignString(text).has_value());
+  }
+  CHECK(rc::check("it agrees with the parser", [](const std::string& text) {
+    const std::string printed = PrintJson(text);
+    RC_ASSERT(ReadForeignString(printed) ==
+              ParseForeignJson(printed).value.get<std::string>());
+  }));
+}
+
 TEST_CASE("splitting JSON loses nothing") {
   CHECK(rc::check("well-formed elements are all there, in order", [] {
     const auto texts =
--- a/gateway/tests/odd_names_test.cc
+++ b/gateway/tests/odd_names_test.cc
@@ -88,6 +88,22 @@
   }
 }
 
+TEST_CASE("a change of an entry with an odd name needs no new list") {
+  for (const char* name : {"w03 &", "w03\xff"}) {
+    CAPTURE(name);
+    OddNamesTest test;
+    test.feed.Start();
+    test.ReadList();
+    const size_t pages = test.store.pages["servers"].size();
+    test.store.Put("servers", name, tests::DeskServer("127.0.0.1:5"));
+    test.gateway.RunFor(Milliseconds(300));
+    test.store.Remove("servers", name);
+    test.gateway.RunFor(Milliseconds(1200));
+    CHECK(test.store.pages["servers"].size() == pages);
+    CHECK(test.KnownServers() == kServers);
+  }
+}
+
 TEST_CASE("an entry whose name is odd names no server") {
   OddNamesTest test;
   std::vector<std::string> odd_names;
--- a/tests/platform/odd_names.h
+++ b/tests/platform/odd_names.h
@@ -8,9 +8,9 @@
 
 // Returns bytes that the name of no backend server and no gateway holds.
 inline std::vector<std::string> OddBytes() {
-  return {"&",  "+",    "#", "%",    "%41", " ",        "\t",
-          "\n", "\r\n", "/", "?",    "\"",  "\\",       "'",
-          "=",  ";",    "<", "\x01", ":",   "\xc3\xa9", "\x7f"};
+  return {"&",    "+",    "#", "%",        "%41",  " ",   "\t", "\n",
+          "\r\n", "/",    "?", "\"",       "\\",   "'",   "=",  ";",
+          "<",    "\x01", ":", "\xc3\xa9", "\x7f", "\xff"};
 }
 
 // Returns the name of a sound server; they sort by number, up to 99.
