Fail an answer in a transfer coding that isn't undone

Cause: the field concerns one connection and isn't passed on, and only its last coding, chunks, is undone.

Change: a response's Transfer-Encoding must be chunked or identity, which changes nothing. No request of a gateway asks for another one.

--- a/net/src/message_parser.h
+++ b/net/src/message_parser.h
@@ -31,6 +31,13 @@
   return status < text.size() && text[status] >= '1' && text[status] <= '9';
 }
 
+// Returns whether a body with this Transfer-Encoding can be read: any coding
+// but chunks would have to be undone before the body is what the server meant.
+inline bool IsReadCoding(std::string_view codings) {
+  return SameFieldName(codings, "chunked") ||
+         SameFieldName(codings, "identity");
+}
+
 // Parses one HTTP/1.1 message incrementally with Beast's parser.
 template <bool kIsRequest>
 class MessageParser : public boost::beast::http::basic_parser<kIsRequest> {
@@ -123,6 +130,12 @@
       error = boost::beast::http::error::bad_value;
       return;
     }
+    if (!kIsRequest &&
+        SameFieldName({name.data(), name.size()}, "Transfer-Encoding") &&
+        !IsReadCoding({value.data(), value.size()})) {
+      error = boost::beast::http::error::bad_transfer_encoding;
+      return;
+    }
     this->fields.push_back({ToString(name), ToString(value)});
     this->stored_head_bytes += sizeof(HeaderField) + name.size() + value.size();
   }
--- a/net/tests/odd_answer_test.cc
+++ b/net/tests/odd_answer_test.cc
@@ -52,6 +52,9 @@
   SUBCASE("with a line in its head that is no field") {
     CheckThatAllFail(systems::OddFields());
   }
+  SUBCASE("with a transfer coding that isn't undone here") {
+    CheckThatAllFail(systems::OddCodings());
+  }
   SUBCASE("with an end that can't be told") {
     CheckThatAllFail(systems::OddLengths());
   }
@@ -67,4 +70,15 @@
   }
 }
 
+TEST_CASE("a body in the codings that need no undoing is an answer") {
+  for (const char* coding : {"chunked", "Chunked", " chunked "}) {
+    CAPTURE(coding);
+    CHECK(AnswerTo(
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) +
+              "\r\n\r\n2\r\nok\r\n0\r\n\r\n") == "200 ok");
+  }
+  CHECK(AnswerTo("HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nok") ==
+        "200 ok");
+}
+
 }  // namespace carawayvalve::net
