Fail an answer whose head has a line that is no header, in serve

What callers saw: none of it on record.

Change: a line of a head must have a token before its colon; the lines of a folded header, which were lost before, are joined.

--- a/systems/src/http_client.cc
+++ b/systems/src/http_client.cc
@@ -36,6 +36,7 @@
   // A connection is established; the peer may have received the request.
   bool is_connected = false;
   bool is_head_complete = false;
+  bool has_invalid_header = false;
   size_t header_bytes = 0;
   bool ended_by_sink = false;
   // Empty for a call whose whole time is limited.
@@ -94,10 +95,21 @@
   if (line == "\r\n" || line == "\n") {
     return CompleteHead(transfer) ? length : 0;
   }
+  // The status line comes first, and begins anew after an interim response.
+  if (line.starts_with("HTTP/")) {
+    return length;
+  }
+  const bool is_continued = line.front() == ' ' || line.front() == '\t';
+  if (is_continued && !transfer.headers.empty()) {
+    transfer.headers.back().second += ' ' + detail::Trim(line);
+    return length;
+  }
   HttpHeader header = detail::ParseHeaderLine(line);
-  if (!header.first.empty()) {
-    transfer.headers.push_back(std::move(header));
+  transfer.has_invalid_header = !detail::IsToken(header.first);
+  if (transfer.has_invalid_header) {
+    return 0;
   }
+  transfer.headers.push_back(std::move(header));
   return length;
 }
 
@@ -260,6 +272,10 @@
   if (code == CURLE_OK && transfer.is_head_complete) {
     return true;
   }
+  if (transfer.has_invalid_header) {
+    throw base::UnreadableAnswerError(step, HostAndPort(request.url),
+                                      "a line of its head is no header");
+  }
   if (transfer.header_bytes > kMaxHeaderBytes || IsHeaderTooLong(code)) {
     throw base::UnreadableAnswerError(step, HostAndPort(request.url),
                                       "its headers are too long");
--- a/systems/src/http_headers.cc
+++ b/systems/src/http_headers.cc
@@ -31,15 +31,6 @@
                     [](char a, char b) { return ToLower(a) == ToLower(b); });
 }
 
-std::string Trim(std::string_view text) {
-  const size_t begin = text.find_first_not_of(kBlanks);
-  if (begin == std::string_view::npos) {
-    return "";
-  }
-  const size_t end = text.find_last_not_of(kBlanks);
-  return std::string(text.substr(begin, end - begin + 1));
-}
-
 bool IsFraming(const std::string& name) {
   return std::any_of(
       kFramingHeaders.begin(), kFramingHeaders.end(),
@@ -66,6 +57,15 @@
 
 namespace detail {
 
+std::string Trim(std::string_view text) {
+  const size_t begin = text.find_first_not_of(kBlanks);
+  if (begin == std::string_view::npos) {
+    return "";
+  }
+  const size_t end = text.find_last_not_of(kBlanks);
+  return std::string(text.substr(begin, end - begin + 1));
+}
+
 bool IsToken(const std::string& text) {
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
     const char lower = ToLower(c);
--- a/systems/src/http_headers.h
+++ b/systems/src/http_headers.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "carawayvalve/systems/http_client.h"
@@ -17,6 +18,9 @@
 
 using HeaderLines = std::unique_ptr<curl_slist, FreeHeaderLines>;
 
+// Returns `text` without the white space and line ends around it.
+std::string Trim(std::string_view text);
+
 // Returns whether `text` is valid as a method or a header name.
 bool IsToken(const std::string& text);
 
