--- a/gateway/tests/odd_names_test.cc
+++ b/gateway/tests/odd_names_test.cc
@@ -2,14 +2,18 @@
 // servers: they stop no list, and name no server.
 #include <doctest/doctest.h>
 
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "carawayvalve/platform/objects.h"
+#include "host_registry.h"
 #include "platform/desk.h"
 #include "platform/odd_names.h"
 #include "platform/store.h"
+#include "recent_store.h"
 #include "store_feed.h"
 #include "test_gateway.h"
 
@@ -166,4 +170,36 @@
   }
 }
 
+// Guards against a store that lists a kind without end, for which the bytes of
+// its names would have to be mistaken.
+TEST_CASE("a list that doesn't go on is asked for with pauses") {
+  constexpr int kMostCalls = 12;
+  TestGateway gateway(TestSettings());
+  std::map<std::string, int> lists;
+  net::HttpServer store(
+      gateway.loop, {"127.0.0.1", 0}, [&](const auto& exchange) {
+        const std::string& target = exchange->request().target;
+        const std::string kind = target.substr(0, target.find('?'));
+        ++lists[kind];
+        exchange->Respond({{200, {}},
+                           R"({"currentRev":1,"hasMore":true,"items":[{"meta":)"
+                           R"({"name":"w03","rev":1},"spec":{}}]})"});
+      });
+  platform::ObjectClient objects(gateway.loop, {"127.0.0.1", store.port()},
+                                 Milliseconds(1000));
+  StoreFeed feed(gateway.context, objects);
+  HostRegistry hosts(gateway.context, objects,
+                     [](const base::HostId&, const base::Address&) {});
+  RecentStore recent(gateway.context, objects, feed);
+  feed.Start();
+  hosts.Start();
+  recent.Read([](bool /*is_complete*/) {});
+  gateway.RunFor(Milliseconds(1500));
+  CHECK(lists.size() >= 4);
+  for (const auto& [kind, count] : lists) {
+    CAPTURE(kind);
+    CHECK(count <= kMostCalls);
+  }
+}
+
 }  // namespace carawayvalve::gateway
