Report an entry that can't be read once while it stands

What operators saw: a line and a count for an odd entry each time that it is read, by a list, a change or the list of gateways; its name, the bytes of another writer, as they are; and a line that a server was removed when such an entry goes.

The removal of an entry that names no server isn't one of a server.

--- a/gateway/src/context.cc
+++ b/gateway/src/context.cc
@@ -2,6 +2,8 @@
 
 #include <cmath>
 
+#include "carawayvalve/core/entry_name.h"
+
 namespace carawayvalve::gateway {
 
 namespace {
@@ -31,14 +33,31 @@
 
 void Context::NoteUnreadable(const std::string& kind,
                              const platform::StoredObject& object) {
+  if (!this->state.unreadable_entries.Note(kind, object.name)) {
+    return;
+  }
   this->metrics.CountUnreadable(kind, "value");
   this->journal.Write(base::LogLevel::kWarning, "stored_value_unreadable",
                       {{"kind", kind},
-                       {"name", object.name},
+                       {"name", core::PrintableName(object.name)},
                        {"revision", object.revision},
                        {"reason", object.fault}});
 }
 
+void Context::NoteOddEntry(const char* event,
+                           const std::string& kind,
+                           const std::string& name,
+                           const std::string& reason) {
+  if (!this->state.unreadable_entries.Note(kind, name)) {
+    return;
+  }
+  this->metrics.CountUnreadable(kind, "entry");
+  this->journal.Write(base::LogLevel::kWarning, event,
+                      {{"kind", kind},
+                       {"name", core::PrintableName(name)},
+                       {"reason", reason}});
+}
+
 void Context::NoteBackendRequest(const base::BackendServerId& id,
                                  const char* kind) {
   this->state.rate_limits.NoteSent(id, base::Now());
--- a/gateway/src/context.h
+++ b/gateway/src/context.h
@@ -58,6 +58,17 @@
   // Records that the store's object of a kind has a value that can't be read.
   void NoteUnreadable(const std::string& kind,
                       const platform::StoredObject& object);
+  // Records that an object of a kind, from the store or a peer, isn't an entry
+  // of it. Each is logged once, as `event`, until NoteReadable, and with
+  // NoteUnreadable in common.
+  void NoteOddEntry(const char* event,
+                    const std::string& kind,
+                    const std::string& name,
+                    const std::string& reason);
+  // Records that an object can be read, or is gone.
+  void NoteReadable(const std::string& kind, const std::string& name) {
+    this->state.unreadable_entries.Forget(kind, name);
+  }
   // Records that a request of this kind, such as "attempt", is sent to a
   // backend server.
   void NoteBackendRequest(const base::BackendServerId& id, const char* kind);
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -27,6 +27,7 @@
 #include "carawayvalve/core/speed_estimator.h"
 #include "carawayvalve/core/stop_schedule.h"
 #include "carawayvalve/core/stream_origins.h"
+#include "carawayvalve/core/unreadable_entries.h"
 #include "carawayvalve/core/wall_clock_estimator.h"
 #include "carawayvalve/core/window_counts.h"
 #include "carawayvalve/gateway/settings.h"
@@ -116,6 +117,8 @@
   // When each backend server was last connected to, to find out whether it has
   // crashed.
   std::map<base::BackendServerId, base::Instant> probed;
+  // The entries of the store that were logged.
+  core::UnreadableEntries unreadable_entries;
   // The poison parts that were logged.
   std::set<std::string> logged_poison_parts;
   // This gateway and the live peers.
--- a/gateway/src/host_registry.cc
+++ b/gateway/src/host_registry.cc
@@ -117,11 +117,11 @@
         base::ParseAddress((*object.value)["address"].get<std::string>());
     // Throws for a host name; datagrams go to IP addresses only.
     base::ToSocketAddress(address);
+    this->context.NoteReadable(kHostKind, object.name);
     this->on_host({object.name}, address);
   } catch (const std::exception& error) {
-    this->context.journal.Write(
-        base::LogLevel::kWarning, "peer_unreadable",
-        {{"peer", object.name}, {"reason", error.what()}});
+    this->context.NoteOddEntry("peer_unreadable", kHostKind, object.name,
+                               error.what());
   }
 }
 
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -7,6 +7,7 @@
 #include "carawayvalve/base/error.h"
 #include "carawayvalve/base/foreign_json.h"
 #include "carawayvalve/base/json_difference.h"
+#include "carawayvalve/core/entry_name.h"
 #include "carawayvalve/platform/object_decoding.h"
 
 namespace carawayvalve::gateway {
@@ -60,7 +61,7 @@
                 [this](const auto& changes, base::Instant) {
                   for (const platform::ObjectChange& change : changes) {
                     if (change.removed) {
-                      this->RemoveBackend({change.object.name}, "removed");
+                      this->OnRemoved(change.object.name);
                     } else {
                       this->ApplyBackend(change.object, false);
                     }
@@ -107,6 +108,8 @@
         !object.fault.empty() || !this->ApplyPlan(object.value, "store");
     if (this->plan_unreadable) {
       this->configuration.ListAgain();
+    } else {
+      this->context.NoteReadable(platform::kConfigurationKind, object.name);
     }
   }
 }
@@ -193,15 +196,15 @@
   const auto entry = platform::DecodeBackendEntry(object, reason);
   GatewayState& state = this->context.state;
   if (!entry.has_value()) {
-    this->context.journal.Write(base::LogLevel::kWarning, "backend_unreadable",
-                                {{"backend", object.name}, {"reason", reason}});
-    this->context.metrics.CountUnreadable(platform::kBackendServerKind,
-                                          "entry");
+    this->context.NoteOddEntry("backend_unreadable",
+                               platform::kBackendServerKind, object.name,
+                               reason);
     if (state.directory.Find({object.name}) != nullptr) {
       this->RemoveBackend({object.name}, "unreadable");
     }
     return;
   }
+  this->context.NoteReadable(platform::kBackendServerKind, object.name);
   if (from_list) {
     this->listed_backends.insert(entry->id);
   }
@@ -241,6 +244,13 @@
   }
 }
 
+void StoreFeed::OnRemoved(const std::string& name) {
+  this->context.NoteReadable(platform::kBackendServerKind, name);
+  if (core::IsEntryName(name)) {
+    this->RemoveBackend({name}, "removed");
+  }
+}
+
 void StoreFeed::ForgetBackend(const base::BackendServerId& id) {
   GatewayState& state = this->context.state;
   state.prefix_caches.Forget(id);
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -109,6 +109,8 @@
   void OnListAbandoned();
   // Drops the backend servers that weren't on the pages of a list.
   void OnAllBackendsListed();
+  // Handles the removal of an entry, whose name may be none of a server.
+  void OnRemoved(const std::string& name);
   // Drops what is known of a backend server beside its entry.
   void ForgetBackend(const base::BackendServerId& id);
   void RemoveBackend(const base::BackendServerId& id, const char* cause);
--- a/gateway/tests/odd_names_test.cc
+++ b/gateway/tests/odd_names_test.cc
@@ -170,6 +170,44 @@
   }
 }
 
+TEST_CASE("an entry that can't be read is told once while it stands") {
+  OddNamesTest test;
+  const auto write_again = [&](const nlohmann::json& value) {
+    test.store.Put("servers", "w03 #", value);
+    test.gateway.RunFor(Milliseconds(1000));
+  };
+  const auto is_told = [&](int times) {
+    return test.gateway.metrics.Print().find(
+               "carawayvalve_unreadable_objects_total{kind=\"servers\","
+               "what=\"entry\"} " +
+               std::to_string(times) + "\n") != std::string::npos;
+  };
+  nlohmann::json value = tests::DeskServer("127.0.0.1:5");
+  test.store.Put("servers", "w03 #", value);
+  test.feed.Start();
+  test.ReadList();
+  CHECK(is_told(1));
+  for (int slots = 5; slots < 7; ++slots) {
+    value["slots"] = slots;
+    write_again(value);
+  }
+  CHECK(is_told(1));
+
+  SUBCASE("also when the list is read again") {
+    test.store.Put("servers", "w12", tests::DeskServer("127.0.0.1:13"));
+    test.store.Compact();
+    test.gateway.RunFor(Milliseconds(1500));
+    CHECK(test.Knows("w12"));
+    CHECK(is_told(1));
+  }
+  SUBCASE("and again once it was gone") {
+    test.store.Remove("servers", "w03 #");
+    test.gateway.RunFor(Milliseconds(1000));
+    write_again(value);
+    CHECK(is_told(2));
+  }
+}
+
 // Guards against a store that lists a kind without end, for which the bytes of
 // its names would have to be mistaken.
 TEST_CASE("a list that doesn't go on is asked for with pauses") {
