Take a gateway's entry with an odd name for no peer

Change: HostRegistry skips names that aren't entry names, and reports them once. Gateways are named in their settings; the names in the site files are entry names.

--- a/gateway/src/host_registry.cc
+++ b/gateway/src/host_registry.cc
@@ -4,6 +4,8 @@
 #include <optional>
 #include <utility>
 
+#include "carawayvalve/core/entry_name.h"
+
 namespace carawayvalve::gateway {
 
 namespace {
@@ -96,8 +98,13 @@
     return;
   }
   for (const platform::StoredObject& object : page->objects) {
-    this->listed.insert({object.name});
-    this->ApplyEntry(object);
+    if (core::IsEntryName(object.name)) {
+      this->listed.insert({object.name});
+      this->ApplyEntry(object);
+    } else {
+      this->context.NoteOddEntry("peer_unreadable", kHostKind, object.name,
+                                 "no gateway has such a name");
+    }
   }
   if (page->after.has_value()) {
     this->List(*page->after);
--- a/gateway/tests/odd_names_test.cc
+++ b/gateway/tests/odd_names_test.cc
@@ -208,6 +208,24 @@
   }
 }
 
+TEST_CASE("a gateway's entry with an odd name names no peer") {
+  OddNamesTest test;
+  test.store.page_size = 1;
+  for (const std::string& bytes : tests::OddBytes()) {
+    test.store.Put("carawayvalve-hosts", "edge-1" + bytes,
+                   {{"address", "127.0.0.1:8"}});
+  }
+  test.store.Put("carawayvalve-hosts", "edge-2", {{"address", "127.0.0.1:9"}});
+  std::set<std::string> peers;
+  HostRegistry registry(test.gateway.context, test.objects,
+                        [&](const base::HostId& host, const base::Address&) {
+                          peers.insert(host.value);
+                        });
+  registry.Start();
+  test.gateway.RunFor(Milliseconds(500));
+  CHECK(peers == std::set<std::string>{"edge-2"});
+}
+
 // Guards against a store that lists a kind without end, for which the bytes of
 // its names would have to be mistaken.
 TEST_CASE("a list that doesn't go on is asked for with pauses") {
