Read no state from an object with an odd name

A stream that one object says began at v1 and the odd one at v2 isn't taken up.

Change: RecentStore skips names that no gateway writes, and reports them once.

--- a/gateway/src/recent_store.cc
+++ b/gateway/src/recent_store.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "carawayvalve/core/entry_name.h"
 #include "carawayvalve/platform/object_decoding.h"
 #include "recent_state_format.h"
 
@@ -144,6 +145,11 @@
     return;
   }
   for (const platform::StoredObject& object : page->objects) {
+    if (!core::IsEntryName(object.name)) {
+      this->context.NoteOddEntry("recent_state_unreadable", kRecentKind,
+                                 object.name, "no gateway writes such a name");
+      continue;
+    }
     this->existing.insert(object.name);
     if (auto stored = ParseRecentState(*object.value)) {
       this->listed.push_back(std::move(*stored));
--- a/gateway/tests/recent_store_test.cc
+++ b/gateway/tests/recent_store_test.cc
@@ -133,6 +133,20 @@
   std::optional<Run> run;
 };
 
+// Returns the value of an object that says that the stream began just now at
+// another version.
+nlohmann::json StateOf(const std::string& version) {
+  const auto now =
+      base::ToMilliseconds(std::chrono::system_clock::now().time_since_epoch());
+  return {{"format", 1},
+          {"written_ms", now},
+          {"registry_era", 1},
+          {"registry_revision", 1},
+          {"versions", nlohmann::json::object()},
+          {"streams", {{"r1", version, 0, kContent}}},
+          {"counts", nlohmann::json::array()}};
+}
+
 // Begins a stream, loses all gateways and takes it up; `first` is empty if the
 // caller doesn't name it.
 void TakeUpAfterLoss(const std::string& first) {
@@ -158,6 +172,11 @@
     fleet.Wait(seconds(2));
     CHECK(fleet.TakeUp(first) == "v1");
   }
+  SUBCASE("beside an object with an odd name that says otherwise") {
+    fleet.store.Put("carawayvalve-recent", "recent-0 #", StateOf("v2"));
+    fleet.Restart();
+    CHECK(fleet.TakeUp(first) == "v1");
+  }
   SUBCASE("but not while the store refuses") {
     fleet.Restart();
     fleet.store.refuses = true;
