Refuse a gateway's settings whose host is no entry name

Change: the name of such a host is a fault of the settings, told with its path at the start. The test of lists that don't go on uses the stand-in's words for its page, as the style check asks for.

--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -6,6 +6,7 @@
 
 #include "carawayvalve/base/error.h"
 #include "carawayvalve/base/field_reader.h"
+#include "carawayvalve/core/entry_name.h"
 #include "carawayvalve/platform/features.h"
 
 namespace carawayvalve::gateway {
@@ -138,6 +139,11 @@
   GatewaySettings settings;
   FieldReader reader(document, "", faults);
   settings.host = {reader.String("host")};
+  // The peers take no other name for that of a gateway.
+  if (!settings.host.empty() && !core::IsEntryName(settings.host.value)) {
+    faults.push_back(
+        {"/host", "no gateway has such a name", "letters, digits and -._~"});
+  }
   settings.data_centre = {reader.String("data_centre")};
   ReadListen(reader, faults, settings.listen);
   ReadStore(reader, faults, settings.store);
--- a/gateway/tests/odd_names_test.cc
+++ b/gateway/tests/odd_names_test.cc
@@ -230,6 +230,9 @@
 // its names would have to be mistaken.
 TEST_CASE("a list that doesn't go on is asked for with pauses") {
   constexpr int kMostCalls = 12;
+  std::string page = tests::ListOf({"w03"}, 1);
+  const std::string is_last = "\"hasMore\":false";
+  page.replace(page.find(is_last), is_last.size(), "\"hasMore\":true");
   TestGateway gateway(TestSettings());
   std::map<std::string, int> lists;
   net::HttpServer store(
@@ -237,9 +240,7 @@
         const std::string& target = exchange->request().target;
         const std::string kind = target.substr(0, target.find('?'));
         ++lists[kind];
-        exchange->Respond({{200, {}},
-                           R"({"currentRev":1,"hasMore":true,"items":[{"meta":)"
-                           R"({"name":"w03","rev":1},"spec":{}}]})"});
+        exchange->Respond({{200, {}}, page});
       });
   platform::ObjectClient objects(gateway.loop, {"127.0.0.1", store.port()},
                                  Milliseconds(1000));
--- a/gateway/tests/settings_test.cc
+++ b/gateway/tests/settings_test.cc
@@ -66,6 +66,13 @@
     CHECK(reason.find("/surprise") != std::string::npos);
     CHECK(reason.find("/host") != std::string::npos);
   }
+  SUBCASE("are rejected with a host whose peers wouldn't know it") {
+    for (const char* host : {"edge 1", "edge#1", "edge/1", "..", "edge\n1"}) {
+      CAPTURE(std::string(host));
+      document["host"] = host;
+      CHECK(ReasonOf(document.dump()).find("/host") != std::string::npos);
+    }
+  }
 }
 
 }  // namespace carawayvalve::gateway
