--- a/tests/processes/odd_entries_test.cc
+++ b/tests/processes/odd_entries_test.cc
@@ -69,7 +69,8 @@
   std::thread thread;
 };
 
-int StatusOf(const std::string& address, const std::string& path) {
+// Returns an answer with the status 0 if there is none.
+systems::HttpResponse Get(const std::string& address, const std::string& path) {
   systems::HttpRequest request;
   request.method = "GET";
   request.url = "http://" + address + path;
@@ -77,12 +78,16 @@
                      {kKeyField, "key-guild"},
                      {"X-Request-Id", path}};
   try {
-    return systems::HttpCall("call gateway", request).status;
+    return systems::HttpCall("call gateway", request);
   } catch (const base::Error&) {
-    return 0;
+    return {};
   }
 }
 
+int StatusOf(const std::string& address, const std::string& path) {
+  return Get(address, path).status;
+}
+
 // Two gateways that start while the entries stand.
 struct OddEntriesTest {
   explicit OddEntriesTest(const std::vector<std::string>& odd_names,
@@ -147,6 +152,35 @@
     CHECK(this->desk.Stop().size() == kServers);
   }
 
+  // Checks that each gateway has told of each odd entry once, on one line and
+  // in printable ASCII, and names none of them elsewhere.
+  void CheckThatEachIsToldOnce(const std::vector<std::string>& odd_names) {
+    for (size_t i = 0; i < this->gateways.size(); ++i) {
+      const std::string metrics = this->listen.at(i).second.at("metrics");
+      const std::string output = this->gateways[i]->Output();
+      const auto lines = LogLines(output, "backend_unreadable");
+      CHECK(lines.size() == odd_names.size());
+      for (const auto& line : lines) {
+        const std::string name = line.at("name");
+        CHECK(std::all_of(name.begin(), name.end(), [](char byte) {
+          return byte >= ' ' && byte <= '~';
+        }));
+      }
+      const std::string counted =
+          "carawayvalve_unreadable_objects_total{kind=\"servers\",what="
+          "\"entry\"} " +
+          std::to_string(odd_names.size()) + "\n";
+      CHECK((odd_names.empty() ||
+             Get(metrics, "/metrics").body.find(counted) != std::string::npos));
+      for (const char* page : {"/metrics", "/dump"}) {
+        const std::string text = Get(metrics, page).body;
+        for (const std::string& name : odd_names) {
+          CHECK(text.find(name) == std::string::npos);
+        }
+      }
+    }
+  }
+
   Desk desk;
   GatewayPlatform platform;
   std::vector<std::pair<std::string, nlohmann::json>> listen = {
@@ -203,6 +237,7 @@
         [&] { return test.ListsOfServers() >= 2 * pages; });
   test.CheckThatAllServe();
   CHECK(test.ListsOfServers() == 2 * pages);
+  test.CheckThatEachIsToldOnce(names);
 }
 
 TEST_CASE("two gateways that were stopped start again beside an odd entry") {
