--- a/gateway/tests/odd_names_test.cc
+++ b/gateway/tests/odd_names_test.cc
@@ -253,9 +253,9 @@
   recent.Read([](bool /*is_complete*/) {});
   gateway.RunFor(Milliseconds(1500));
   CHECK(lists.size() >= 4);
-  for (const auto& [kind, count] : lists) {
-    CAPTURE(kind);
-    CHECK(count <= kMostCalls);
+  for (const auto& list : lists) {
+    CAPTURE(list.first);
+    CHECK(list.second <= kMostCalls);
   }
 }
 
--- a/net/tests/odd_answer_test.cc
+++ b/net/tests/odd_answer_test.cc
@@ -37,9 +37,9 @@
 }
 
 void CheckThatAllFail(const std::vector<systems::OddAnswer>& answers) {
-  for (const auto& [name, bytes] : answers) {
-    CAPTURE(name);
-    CHECK_FALSE(AnswerTo(bytes).has_value());
+  for (const auto& answer : answers) {
+    CAPTURE(answer.first);
+    CHECK_FALSE(AnswerTo(answer.second).has_value());
   }
 }
 
--- a/systems/tests/odd_answer_test.cc
+++ b/systems/tests/odd_answer_test.cc
@@ -39,9 +39,9 @@
 }
 
 void CheckThatAllFail(const std::vector<OddAnswer>& answers) {
-  for (const auto& [name, bytes] : answers) {
-    CAPTURE(name);
-    const AnswerServer server({{.bytes = bytes, .keep_open = false}});
+  for (const auto& answer : answers) {
+    CAPTURE(answer.first);
+    const AnswerServer server({{.bytes = answer.second, .keep_open = false}});
     CHECK_FALSE(Call(server.Address(), "body").has_value());
   }
 }
--- a/tests/platform/store.cc
+++ b/tests/platform/store.cc
@@ -125,7 +125,7 @@
   if (base::SurvivesJson(name)) {
     return name;
   }
-  const std::string stand_in =
+  std::string stand_in =
       "text " + std::to_string(this->texts.size()) + " of a name";
   this->texts[json(stand_in).dump()] = '"' + name + '"';
   return stand_in;
--- a/tests/processes/odd_entries_test.cc
+++ b/tests/processes/odd_entries_test.cc
@@ -122,6 +122,7 @@
   int Serve() {
     std::atomic<int> served = 0;
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([&, caller] {
         const auto& gateway = this->listen.at(caller % this->listen.size());
@@ -192,6 +193,7 @@
 // Returns ten names that stand in a row behind the server w03.
 std::vector<std::string> TenNames(const std::string& bytes) {
   std::vector<std::string> names;
+  names.reserve(10);
   for (int i = 0; i < 10; ++i) {
     names.push_back(ServerName(3) + bytes + std::to_string(i));
   }
