--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -9,7 +9,7 @@
 [ -x "$program" ] && [ -x "$standin" ] || exit 2
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
-"$standin" "$program" "$folder" "$here/record.txt"
+timeout --kill-after=3 115 "$standin" "$program" "$folder" "$here/record.txt"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/standin-3/world.hpp
+++ b/review/standin-3/world.hpp
@@ -690,6 +690,7 @@
           fields.emplace_back("Retry-After",
                               std::to_string(this->retry_after_s));
           lock.unlock();
+          this->record.Line("worker " + this->id() + " turns " + id + " away");
           if (!connection->Write(PrintAnswer(503, "", fields))) return;
           continue;
         }
@@ -705,6 +706,7 @@
         SleepMs(200);
         return;
       }
+      this->record.Line("worker " + this->id() + " runs " + id);
       SleepMs(this->settings.work_ms);
       auto fields = echo;
       fields.emplace_back("X-Response-Sig", this->id() + "." + id);
