Tell an outage of the store from watches that are cut off

Cause: any call for the list of servers that failed counted as an outage of the store. After a cut the next call waited as well, so that nothing showed whether the store was there; the list stayed in doubt as long, and a stream that is taken up is refused meanwhile.

Change: core::StoreOutage takes calls that go unanswered for a second for an outage, as an entry lasts for three reports of its owner. A watch that is cut off shows that the store was there until then. After a failure the next call asks for an answer at once. The grace period counts from the return of the store.

backend_directory_test.cc says by outages what it said by failures, with the same bounds. store_drill_test.cc: the stand-in of a peer's message lacked the revision of the newest change, which real messages have; by it the other gateway asks the store when it has listed before the watching one.

--- a/core/include/carawayvalve/core/backend_directory.h
+++ b/core/include/carawayvalve/core/backend_directory.h
@@ -13,6 +13,7 @@
 #include "carawayvalve/base/ids.h"
 #include "carawayvalve/base/time.h"
 #include "carawayvalve/config/configuration.h"
+#include "carawayvalve/core/store_outage.h"
 #include "carawayvalve/core/version_history.h"
 
 namespace carawayvalve::core {
@@ -72,15 +73,15 @@
 // The registered backend servers, built from the store's listings and change
 // events, and from what they say of themselves: one that says it leaves counts
 // as draining whatever its entry says, until it has restarted. An entry may
-// lapse while the store is failing although its backend server is alive; such
-// an entry is kept for a grace period, since it is registered again soon after
-// the store recovers.
+// lapse in an outage of the store although its backend server is alive; such an
+// entry is kept for a grace period, since it is registered again soon after the
+// store has come back.
 class BackendDirectory {
  public:
-  // `grace_period` is the time after a store failure within which a lapsed
-  // entry may be registered again.
+  // `grace_period` is the time after an outage of the store within which a
+  // lapsed entry may be registered again.
   explicit BackendDirectory(base::Duration grace_period)
-      : grace_period(grace_period) {}
+      : outage(grace_period) {}
 
   // Replaces all entries by a complete listing of the store.
   void NoteList(const std::vector<BackendEntry>& entries, base::Instant now);
@@ -105,8 +106,8 @@
   // Returns what NoteLeaving has recorded since, the newest first.
   std::vector<LeavingBackend> LeavingSince(base::Instant since) const;
 
-  // Records that the store didn't answer or refused a call.
-  void NoteStoreFailure(base::Instant now) { this->store_failed_at = now; }
+  // Tells whether a missing entry may have lapsed.
+  StoreOutage& store_outage() { return this->outage; }
   // Records that the store came back from an older copy. A run that was removed
   // before and that the copy shows gets no requests until it is registered
   // again, or its entry has stayed for longer than that of a run that is gone.
@@ -144,7 +145,6 @@
   const BackendEntry* Find(const base::BackendServerId& id) const;
 
  private:
-  bool InGracePeriod(base::Instant now) const;
   // Records the versions that are registered or were since the last call.
   void NoteVersions(base::Instant now);
 
@@ -164,7 +164,7 @@
   std::optional<std::string> OnlyVersionPresent(
       const base::ServiceId& service) const;
 
-  base::Duration grace_period;
+  StoreOutage outage;
   std::map<base::BackendServerId, BackendEntry> known;
   // Kept when the entry is removed: an older copy of the store may bring it
   // back.
@@ -178,7 +178,6 @@
   std::set<base::BackendServerId> held;
   // Time at which each missing entry was first noticed to be missing.
   std::map<base::BackendServerId, base::Instant> lapsed;
-  std::optional<base::Instant> store_failed_at;
   // Versions up to the last call of Expire.
   VersionHistory versions;
   // Services and versions that were registered since.
--- a/core/src/backend_directory.cc
+++ b/core/src/backend_directory.cc
@@ -56,11 +56,6 @@
   return recent;
 }
 
-bool BackendDirectory::InGracePeriod(base::Instant now) const {
-  return this->store_failed_at.has_value() &&
-         now - *this->store_failed_at < this->grace_period;
-}
-
 void BackendDirectory::NoteList(const std::vector<BackendEntry>& entries,
                                 base::Instant now) {
   std::set<base::BackendServerId> listed;
@@ -201,7 +196,7 @@
   }
   // A draining backend server is expected to leave, so its removal isn't
   // treated as a lapse.
-  if (this->InGracePeriod(now) && !found->second.draining) {
+  if (this->outage.MayHaveExpired(now) && !found->second.draining) {
     this->lapsed.emplace(id, now);
     return;
   }
@@ -231,7 +226,7 @@
   std::vector<base::BackendServerId> expired;
   this->NoteVersions(now);
   this->ReleaseHeld(now);
-  if (this->InGracePeriod(now)) {
+  if (this->outage.MayHaveExpired(now)) {
     return expired;
   }
   for (const auto& [id, since] : this->lapsed) {
--- a/core/tests/backend_directory_test.cc
+++ b/core/tests/backend_directory_test.cc
@@ -12,6 +12,13 @@
 
 namespace {
 
+// Records that the store was away until `end`, for longer than an entry needs
+// to expire.
+void NoteOutage(BackendDirectory& directory, Instant end) {
+  directory.store_outage().NoteCutOff(end - seconds(4));
+  directory.store_outage().NoteAnswer(end);
+}
+
 BackendEntry Entry(const std::string& id, bool draining = false) {
   BackendEntry entry;
   entry.id = {id};
@@ -83,7 +90,7 @@
     CHECK_FALSE(directory.Find({"a"})->draining);
   }
   SUBCASE("the entries that only an abandoned list has shown are dropped") {
-    directory.NoteStoreFailure(start);
+    directory.store_outage().NoteReturn(start);
     directory.NoteOlderStore(start);
     directory.NoteListedEntry(Entry("a"));
     directory.NoteListedEntry(Entry("c"));
@@ -107,8 +114,8 @@
       CHECK(directory.Find({"c"}) != nullptr);
     }
   }
-  SUBCASE("after a store failure, a missing entry is kept") {
-    directory.NoteStoreFailure(start);
+  SUBCASE("after an outage of the store, a missing entry is kept") {
+    NoteOutage(directory, start);
     directory.NoteList({Entry("b")}, start + seconds(1));
     CHECK(directory.Find({"a"}) != nullptr);
 
@@ -123,15 +130,46 @@
       CHECK(directory.Expire(start + seconds(3)).empty());
       CHECK(directory.Find({"a"}) != nullptr);
     }
-    SUBCASE("for a grace period that each further failure restarts") {
-      directory.NoteStoreFailure(start + seconds(1));
-      CHECK(directory.Expire(start + seconds(2)).empty());
-      CHECK_FALSE(directory.Expire(start + seconds(3)).empty());
+    SUBCASE("for a grace period that each further outage restarts") {
+      directory.store_outage().NoteCutOff(start + seconds(1));
+      directory.store_outage().NoteAnswer(start + seconds(3));
+      CHECK(directory.Expire(start + Milliseconds(4999)).empty());
+      CHECK_FALSE(directory.Expire(start + seconds(5)).empty());
+    }
+    SUBCASE("for a grace period that a call which is cut off doesn't restart") {
+      directory.store_outage().NoteCutOff(start + Milliseconds(1900));
+      directory.store_outage().NoteAnswer(start + Milliseconds(2000));
+      CHECK_FALSE(directory.Expire(start + Milliseconds(2000)).empty());
+    }
+  }
+  // Guards against requests to a server that has left, as the store cuts off
+  // watches (issue 67).
+  SUBCASE("while the store has left one call unanswered") {
+    directory.store_outage().NoteCutOff(start);
+    directory.NoteRemoved({"a"}, start);
+    CHECK(directory.Expire(start + Milliseconds(100)).empty());
+
+    SUBCASE("a missing entry is dropped once it answers the next one") {
+      directory.store_outage().NoteAnswer(start + Milliseconds(100));
+      CHECK(directory.Expire(start + Milliseconds(100)) ==
+            std::vector<base::BackendServerId>{{"a"}});
+    }
+    SUBCASE("a missing entry is kept if it was away") {
+      directory.store_outage().NoteCutOff(start + Milliseconds(900));
+      directory.store_outage().NoteAnswer(start + Milliseconds(1000));
+      CHECK(directory.Expire(start + Milliseconds(2999)).empty());
+      CHECK_FALSE(directory.Expire(start + Milliseconds(3000)).empty());
     }
   }
-  SUBCASE("a removed draining entry is dropped even after a store failure") {
+  SUBCASE("after a call that was cut off, a removed entry is dropped at once") {
+    directory.store_outage().NoteCutOff(start - Milliseconds(300));
+    directory.store_outage().NoteAnswer(start - Milliseconds(200));
+    directory.NoteRemoved({"a"}, start);
+    CHECK(directory.Find({"a"}) == nullptr);
+  }
+  SUBCASE("a removed draining entry is dropped even after an outage") {
     directory.NoteEntry(Entry("a", true));
-    directory.NoteStoreFailure(start);
+    NoteOutage(directory, start);
     directory.NoteRemoved({"a"}, start);
     CHECK(directory.Find({"a"}) == nullptr);
   }
@@ -152,7 +190,7 @@
   directory.NoteList(entries, start);
 
   SUBCASE("that lapse") {
-    directory.NoteStoreFailure(start);
+    NoteOutage(directory, start);
     directory.NoteList({Entry("a")}, start);
     const std::clock_t before = std::clock();
     CHECK(directory.Expire(start + seconds(2)).size() == kEntries);
--- a/gateway/src/object_watcher.cc
+++ b/gateway/src/object_watcher.cc
@@ -61,11 +61,11 @@
       confirm_timer(context.loop) {}
 
 void ObjectWatcher::List(const std::string& after) {
-  const base::Instant sent_at = base::Now();
+  this->page_sent_at = base::Now();
   this->activity = Activity::kBusy;
   if (after.empty()) {
     this->AbandonList();
-    this->list_sent_at = sent_at;
+    this->list_sent_at = this->page_sent_at;
   }
   this->call = this->objects.List(this->kind, after, false,
                                   [this](const platform::ListResult& result) {
@@ -100,17 +100,18 @@
     }
     const std::string after =
         this->listed.empty() ? "" : this->listed.back().name;
-    this->RetryLater(refused != nullptr
-                         ? "status " + std::to_string(refused->status)
-                     : failure != nullptr ? failure->reason
-                                          : "history lost",
-                     [this, after] { this->List(after); });
+    this->RetryLater(
+        refused != nullptr   ? "status " + std::to_string(refused->status)
+        : failure != nullptr ? failure->reason
+                             : "history lost",
+        {this->page_sent_at}, [this, after] { this->List(after); });
     return;
   }
   this->NoteSuccess();
   const core::StoreRevision at = this->At(page->revision, page->era);
   if (at.era < this->context.state.store_era) {
-    this->RetryLater("an answer of an earlier era", [this] { this->List(""); });
+    this->RetryLater("an answer of an earlier era", {base::Now()},
+                     [this] { this->List(""); });
     return;
   }
   const bool is_first = this->listed.empty();
@@ -130,7 +131,8 @@
   if (!this->FitsInList(page->objects)) {
     this->AbandonList();
     ++this->long_lists;
-    this->RetryLater("the list is too long", [this] { this->List(""); });
+    this->RetryLater("the list is too long", {base::Now()},
+                     [this] { this->List(""); });
     return;
   }
   for (const platform::StoredObject& object : page->objects) {
@@ -169,7 +171,9 @@
     this->timer.Start(kListAgainDelay, [this] { this->List(""); });
     return;
   }
-  if (this->schedule.wait.has_value()) {
+  if (this->failures > 0) {
+    this->Watch(base::Milliseconds(0));
+  } else if (this->schedule.wait.has_value()) {
     this->Watch(*this->schedule.wait);
   } else {
     this->activity = Activity::kIdle;
@@ -251,8 +255,9 @@
 void ObjectWatcher::OnWatched(const platform::WatchResult& result,
                               base::Instant sent_at,
                               const core::StoreRevision& since) {
+  const bool was_waiting =
+      std::exchange(this->activity, Activity::kBusy) == Activity::kWatching;
   this->watch_sent_at.reset();
-  this->activity = Activity::kBusy;
   if (const auto* answer = std::get_if<platform::ObjectChanges>(&result)) {
     this->NoteSuccess();
     const core::StoreRevision at = this->At(answer->revision, answer->era);
@@ -292,19 +297,20 @@
   }
   if (const auto* refused = std::get_if<platform::StoreRefused>(&result)) {
     this->RetryLater("status " + std::to_string(refused->status),
-                     [this] { this->Follow(); });
+                     {sent_at, was_waiting}, [this] { this->Follow(); });
     return;
   }
   const auto& failure = std::get<platform::StoreCallFailed>(result);
   this->LogFailedCall("watch", failure, sent_at);
-  this->RetryLater(failure.reason, [this, lists = failure.too_large] {
-    // A list is had in pages.
-    if (lists) {
-      this->List("");
-    } else {
-      this->Follow();
-    }
-  });
+  this->RetryLater(failure.reason, {sent_at, was_waiting && !failure.not_sent},
+                   [this, lists = failure.too_large] {
+                     // A list is had in pages.
+                     if (lists) {
+                       this->List("");
+                     } else {
+                       this->Follow();
+                     }
+                   });
 }
 
 void ObjectWatcher::Confirm(std::function<void()> done) {
@@ -415,13 +421,14 @@
 }
 
 void ObjectWatcher::RetryLater(const std::string& reason,
+                               const FailedCall& failed,
                                std::function<void()> retry) {
   if (this->failures == 0) {
     this->context.journal.Write(base::LogLevel::kWarning, "store_lost",
                                 {{"kind", this->kind}, {"reason", reason}});
   }
   this->context.metrics.CountStoreCall("failed");
-  this->hooks.on_failure(reason);
+  this->hooks.on_failure(failed);
   const int64_t doublings =
       std::min(std::max(this->failures, this->long_lists), kMaxDoublings);
   ++this->failures;
@@ -463,6 +470,7 @@
 
 void ObjectWatcher::NoteSuccess() {
   this->context.metrics.CountStoreCall("answered");
+  this->hooks.on_answer();
   if (this->failures > 0) {
     this->context.journal.Write(
         base::LogLevel::kInfo, "store_regained",
--- a/gateway/src/object_watcher.h
+++ b/gateway/src/object_watcher.h
@@ -20,6 +20,12 @@
 // lists them again when the store no longer has the changes.
 class ObjectWatcher {
  public:
+  struct FailedCall {
+    base::Instant sent_at;
+    // The store made it wait for a change.
+    bool was_waiting = false;
+  };
+
   struct Hooks {
     // Receives the objects of each page of a list, as soon as it is there.
     std::function<void(const std::vector<platform::StoredObject>&)> on_page;
@@ -34,7 +40,9 @@
                        base::Instant sent_at)>
         on_changes;
     // Called when a call was refused or failed.
-    std::function<void(const std::string& reason)> on_failure;
+    std::function<void(const FailedCall& failed)> on_failure;
+    // Called when the store has answered a call.
+    std::function<void()> on_answer;
     // Called when the store has come back from an older copy, before the
     // objects are listed again.
     std::function<void()> on_older_store;
@@ -153,7 +161,8 @@
   // of the memory.
   bool FitsInList(const std::vector<platform::StoredObject>& page) const;
   void OnListed(const platform::ListResult& result, base::Instant sent_at);
-  // Goes on after an answer: with a watch, or idle.
+  // Goes on after an answer: with a watch, or idle. After a failure asks for an
+  // answer at once, which shows whether the store is there.
   void Follow();
   void Watch(base::Milliseconds watch_wait);
   // Applies all changes up to `at`.
@@ -168,7 +177,9 @@
   void OnConfirmed(bool is_answered, base::Instant sent_at);
   // Calls `retry` after a backoff that grows with consecutive failures or lists
   // that are too long.
-  void RetryLater(const std::string& reason, std::function<void()> retry);
+  void RetryLater(const std::string& reason,
+                  const FailedCall& failed,
+                  std::function<void()> retry);
   // Removes the changes that the list already included.
   void DropListedChanges(std::vector<platform::ObjectChange>& changes);
   void NoteSuccess();
@@ -194,6 +205,8 @@
   int64_t long_lists = 0;
   // When the first page was requested.
   base::Instant list_sent_at;
+  // When the latest page was requested.
+  base::Instant page_sent_at;
   // The revision of the store at the first page. Objects of that page may have
   // changed by the time of the last one.
   core::StoreRevision list_revision;
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -47,7 +47,7 @@
              }
              this->context.state.key_freshness.NoteStoreAnswer(sent_at);
            },
-           [](const std::string&) {}, [] {}}),
+           [](const ObjectWatcher::FailedCall&) {}, [] {}, [] {}}),
       backends(context,
                objects,
                platform::kBackendServerKind,
@@ -68,9 +68,12 @@
                   }
                   this->UpdateCurrent();
                 },
-                [this](const std::string&) {
-                  this->context.state.directory.NoteStoreFailure(base::Now());
-                  this->context.state.directory.SetCurrent(false);
+                [this](const ObjectWatcher::FailedCall& failed) {
+                  this->OnBackendsUnanswered(failed);
+                },
+                [this] {
+                  this->context.state.directory.store_outage().NoteAnswer(
+                      base::Now());
                 },
                 [this] { this->OnOlderStore(); }}) {
   objects.SetEraHandler(
@@ -161,9 +164,20 @@
   }
 }
 
+void StoreFeed::OnBackendsUnanswered(const ObjectWatcher::FailedCall& failed) {
+  core::BackendDirectory& directory = this->context.state.directory;
+  if (failed.was_waiting) {
+    directory.store_outage().NoteCutOff(base::Now());
+  } else {
+    directory.store_outage().NoteFailure(
+        failed.sent_at, this->backends.confirmed().value_or(failed.sent_at));
+  }
+  directory.SetCurrent(false);
+}
+
 void StoreFeed::OnOlderStore() {
   core::BackendDirectory& directory = this->context.state.directory;
-  directory.NoteStoreFailure(base::Now());
+  directory.store_outage().NoteReturn(base::Now());
   directory.NoteOlderStore(base::Now());
   directory.SetCurrent(false);
 }
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -103,6 +103,8 @@
   // A server that a list shows for the first time isn't logged: there may be
   // thousands.
   void ApplyBackend(const platform::StoredObject& object, bool from_list);
+  // The store refused a call for the backend servers, or didn't answer it.
+  void OnBackendsUnanswered(const ObjectWatcher::FailedCall& failed);
   // Entries that are missing from an older copy are written again soon.
   void OnOlderStore();
   // Drops the backend servers that only this list has shown.
--- a/gateway/tests/store_drill_test.cc
+++ b/gateway/tests/store_drill_test.cc
@@ -80,6 +80,8 @@
     wire::gen::Gossip message;
     message.host = "watching";
     message.echo = base::ToMilliseconds(base::Now().time_since_epoch());
+    message.registry_revision =
+        this->watching.feed.registry_revision().revision;
     this->watching.relay.AddTo(message);
     return message;
   }
--- a/tests/platform/store.cc
+++ b/tests/platform/store.cc
@@ -82,11 +82,7 @@
 }
 
 void Store::ReturnTo(const Copy& copy) {
-  for (Watcher& watcher : this->watchers) {
-    watcher.timer.reset();
-    watcher.exchange->Abort();
-  }
-  this->watchers.clear();
+  this->CutWatches("");
   this->objects = copy.objects;
   this->history = copy.history;
   this->revision = copy.revision;
@@ -176,6 +172,18 @@
   this->compacted = this->revision;
 }
 
+void Store::CutWatches(const std::string& kind) {
+  for (auto it = this->watchers.begin(); it != this->watchers.end();) {
+    if (kind.empty() || it->kind == kind) {
+      it->timer.reset();
+      it->exchange->Abort();
+      it = this->watchers.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
 json& Store::Write(const Key& key, const json& spec) {
   json& object = this->objects[key];
   if (!object.is_null() && object["spec"] == spec) {
--- a/tests/platform/store.h
+++ b/tests/platform/store.h
@@ -44,6 +44,8 @@
   void Remove(const std::string& kind, const std::string& name);
   // Drops the history. Watches from an earlier revision get 410.
   void Compact();
+  // Cuts off the pending watches of a kind, or of all kinds if it is empty.
+  void CutWatches(const std::string& kind);
 
   // Returns what a backup holds now.
   struct Copy;
