Clear a request of the crashes before it was answered

Callers: a sound request that many send (same path, caller and body) is refused with 503 for ten minutes once it was running at two backend servers as they crashed, of themselves and seconds apart.

Cause: each crash counted against the contents that were running, and nothing spoke for them. A poison request is never answered; this one is, hundreds of times between two crashes.

Change: a complete answer clears its content of the crashes before (PoisonRequestTracker::NoteAnswered). Others that may refuse the content are told, in the same field as served parts. Crashes within 0.1 s of each other may be the loss of a rack: then gateways try one request at a time, a second apart, which clears the content or shows that it crashes servers. A trial that breaks off isn't repeated elsewhere. Nothing is kept or computed while no crash is on record. `serve` makes no trials of contents, as before.

A sound request that all workers died of at once is refused for about a second after they are back.

--- a/core/include/carawayvalve/core/poison_request_tracker.h
+++ b/core/include/carawayvalve/core/poison_request_tracker.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,8 +18,8 @@
 
 // Returns the SHA-256 digest that identifies a request's content. It is the
 // same when an account sends the content again, and differs between accounts.
-std::string ContentDigest(const base::ClientAccountId& account,
-                          const std::string& body);
+std::string ContentDigest(const base::ClientAccountId &account,
+                          const std::string &body);
 
 // The content of a request, as far as crashes are traced to it.
 struct RequestContent {
@@ -27,7 +28,7 @@
   // The parts that requests with another content may share, in order.
   std::vector<std::string> parts;
 
-  bool operator==(const RequestContent&) const = default;
+  bool operator==(const RequestContent &) const = default;
 };
 
 // Records that a content was running when a backend server crashed.
@@ -40,34 +41,41 @@
   // The content's parts, each of which may be the cause; empty if none can be.
   std::vector<std::string> parts;
 
-  bool operator==(const CrashRecord&) const = default;
+  bool operator==(const CrashRecord &) const = default;
 };
 
 // A part of contents that were running when backend servers crashed, and that
-// has been answered completely.
+// has been answered completely; or such a content, see PartOfContent.
 struct ServedPart {
   std::string part;
   // Time since the last complete answer when this was copied.
   base::Duration age{};
 
-  bool operator==(const ServedPart&) const = default;
+  bool operator==(const ServedPart &) const = default;
 };
 
+// Returns what stands for a whole content among parts. No part of a prompt is
+// called so, as these have no colon.
+std::string PartOfContent(const std::string &content_digest);
+
 enum class ContentAdmission {
   kAdmitted,
-  // The content has a quarantined part, of which a trial is due.
+  // The content, or one of its parts, is suspected, and a trial is due.
   kOnTrial,
   kQuarantined,
 };
 
 // Tracks contents that were running when backend servers crashed, and
 // quarantines poison requests: one crash may be chance, after two the content
-// is refused for a while. Contents that are never the same twice are
-// quarantined by a part that they share (see FindPoisonParts). Records of other
-// processes can be merged in any order and any number of times; only the choice
-// of evicted records may then differ.
+// is refused for a while. A poison request is never answered, so that an answer
+// clears the content of the crashes before. Crashes at the same time may have
+// one cause outside of the request; one request at a time is tried then.
+// Contents that are never the same twice are quarantined by a part that they
+// share (see FindPoisonParts). Records of other processes can be merged in any
+// order and any number of times; only the choice of evicted records may then
+// differ.
 class PoisonRequestTracker {
- public:
+public:
   struct Settings {
     // How long a crash counts.
     base::Duration time_to_live = std::chrono::minutes(10);
@@ -80,30 +88,36 @@
     // `trial_factor` with each further crash.
     base::Duration first_trial = std::chrono::seconds(30);
     int64_t trial_factor = 4;
+    // The same for a content all of whose crashes were at the same time, and
+    // until the next trial; 0 for no trials of contents.
+    base::Duration content_trial{};
 
-    bool operator==(const Settings&) const = default;
+    bool operator==(const Settings &) const = default;
   };
 
-  explicit PoisonRequestTracker(const Settings& settings);
+  explicit PoisonRequestTracker(const Settings &settings);
 
   // Records that a backend server crashed while it ran the content.
-  void NoteCrash(const RequestContent& content,
-                 const std::string& death_id,
+  void NoteCrash(const RequestContent &content, const std::string &death_id,
                  base::Instant now);
 
   // Records that a request with these parts was answered completely.
-  void NoteServed(const std::vector<std::string>& parts, base::Instant now);
+  void NoteServed(const std::vector<std::string> &parts, base::Instant now);
+
+  // Records that a request with this content was answered completely. Returns
+  // whether that clears it of several crashes.
+  bool NoteAnswered(const std::string &content_digest, base::Instant now);
 
   // Returns the number of distinct crashes that still count.
-  int CountCrashes(const std::string& content_digest, base::Instant now) const;
+  int CountCrashes(const std::string &content_digest, base::Instant now) const;
 
   // Returns for how long the content is still refused, nothing if it isn't.
-  std::optional<base::Duration> QuarantineLeft(const RequestContent& content,
+  std::optional<base::Duration> QuarantineLeft(const RequestContent &content,
                                                base::Instant now) const;
 
   // Records that a request with these parts has arrived. To be called once for
   // each request.
-  void NoteRequest(const std::vector<std::string>& parts) {
+  void NoteRequest(const std::vector<std::string> &parts) {
     this->traffic.NoteRequest(parts);
   }
 
@@ -113,33 +127,33 @@
   // Decides whether the content may be sent to a backend server now. A trial is
   // counted by this call. `may_try` returns whether this process makes the
   // trials of a part, so that one is made among all processes.
-  using MayTry = std::function<bool(const std::string& part)>;
-  ContentAdmission Admit(const RequestContent& content,
-                         base::Instant now,
-                         const MayTry& may_try);
+  using MayTry = std::function<bool(const std::string &part)>;
+  ContentAdmission Admit(const RequestContent &content, base::Instant now,
+                         const MayTry &may_try);
 
   // Records that another process blames a part: it may know more of the
   // traffic.
-  void MergePoisonPart(const std::string& part, const PoisonPart& poison);
+  void MergePoisonPart(const std::string &part, const PoisonPart &poison);
   // Returns the parts that this process blames by its own records.
-  const std::map<std::string, PoisonPart>& own_poison_parts(
-      base::Instant now) const;
+  const std::map<std::string, PoisonPart> &
+  own_poison_parts(base::Instant now) const;
   // Returns the parts that are quarantined.
-  const std::map<std::string, PoisonPart>& poison_parts(
-      base::Instant now) const;
+  const std::map<std::string, PoisonPart> &
+  poison_parts(base::Instant now) const;
 
   // Returns the records that still count, to be sent to other processes.
   std::vector<CrashRecord> Records(base::Instant now) const;
   // Returns those of crashes that this process noticed itself within `max_age`.
   std::vector<CrashRecord> OwnRecords(base::Instant now,
                                       base::Duration max_age) const;
-  void Merge(const std::vector<CrashRecord>& records, base::Instant now);
+  void Merge(const std::vector<CrashRecord> &records, base::Instant now);
 
   // Returns the suspected parts that were served within `max_age`, or that were
-  // served at all and came under suspicion within it.
+  // served at all and came under suspicion within it; and the contents that
+  // were cleared of several crashes within it.
   std::vector<ServedPart> ServedParts(base::Instant now,
                                       base::Duration max_age) const;
-  void MergeServed(const std::vector<ServedPart>& parts, base::Instant now);
+  void MergeServed(const std::vector<ServedPart> &parts, base::Instant now);
 
   // Removes old records. They are kept for another `time_to_live` after they
   // have expired: a copy looks younger by its time in transit, and would
@@ -148,7 +162,7 @@
 
   size_t size() const { return this->crashes.size() + this->told.size(); }
 
- private:
+private:
   // Content digest and crash identifier.
   using Key = std::pair<std::string, std::string>;
   struct Crash {
@@ -156,17 +170,30 @@
     std::vector<std::string> parts;
     // This process has noticed the crash itself.
     bool own = false;
+    // The content was answered since.
+    bool cleared = false;
   };
 
-  void Add(const Key& key, const Crash& crash);
-  void AddServed(const std::string& part, base::Instant at);
+  void Add(const Key &key, const Crash &crash);
+  void AddServed(const std::string &part, base::Instant at);
   void DropOldestServed();
   bool Counts(base::Instant crashed_at, base::Instant now) const;
-  std::optional<base::Duration> DigestQuarantineLeft(
-      const std::string& content_digest,
-      base::Instant now) const;
-  base::Instant TrialDueAt(const std::string& part,
-                           const PoisonPart& poison) const;
+  // Returns when the crashes were that count against the content, the newest
+  // first.
+  std::vector<base::Instant> CrashTimes(const std::string &content_digest,
+                                        base::Instant now) const;
+  std::optional<base::Duration>
+  DigestQuarantineLeft(const std::string &content_digest,
+                       base::Instant now) const;
+  ContentAdmission AdmitSuspect(const std::string &content_digest,
+                                const std::vector<base::Instant> &crash_times,
+                                base::Instant now, const MayTry &may_try);
+  // Has the answer of a content told to others if they may refuse it.
+  void TellAnswer(const std::string &content_digest);
+  void AddToldAnswers(std::vector<ServedPart> &parts, base::Instant now,
+                      base::Duration max_age) const;
+  base::Instant TrialDueAt(const std::string &part,
+                           const PoisonPart &poison) const;
 
   Settings settings;
   std::map<Key, Crash> crashes;
@@ -175,8 +202,14 @@
   std::map<std::string, PoisonPart> told;
   // When each part was last served.
   std::map<std::string, base::Instant> served;
+  // When each content was answered that has crashes: the first time after the
+  // newest of them.
+  std::map<std::string, base::Instant> answers;
+  // Of these, the contents with several crashes, which others may refuse.
+  std::set<std::string> told_answers;
   // When each part came under suspicion, by the newest of its crashes.
   std::map<std::string, base::Instant> suspected;
+  // The last trial of each part, or of a content by PartOfContent.
   std::map<std::string, base::Instant> trials;
   // The result of the last search for poison parts; out of date if absent.
   mutable std::optional<std::map<std::string, PoisonPart>> found;
@@ -184,6 +217,6 @@
   mutable std::map<std::string, PoisonPart> quarantined;
 };
 
-}  // namespace carawayvalve::core
+} // namespace carawayvalve::core
 
-#endif  // CARAWAYVALVE_CORE_POISON_REQUEST_TRACKER_H_
+#endif // CARAWAYVALVE_CORE_POISON_REQUEST_TRACKER_H_
--- a/core/tests/poison_request_tracker_test.cc
+++ b/core/tests/poison_request_tracker_test.cc
@@ -56,7 +56,7 @@
     for (int i = 0; i < 80; ++i) {
       const auto records = processes[i % 2].Records(at);
       at += seconds(30);
-      PoisonRequestTracker& receiver = processes[(i + 1) % 2];
+      PoisonRequestTracker &receiver = processes[(i + 1) % 2];
       receiver.Prune(at);
       receiver.Merge(records, at);
     }
@@ -69,8 +69,8 @@
   const Instant start = Instant() + minutes(1);
   const RequestContent next = {"never seen", {"rules", "poison"}};
   const RequestContent sound = {"sound", {"rules"}};
-  const auto always = [](const std::string& /*part*/) { return true; };
-  const auto never = [](const std::string& /*part*/) { return false; };
+  const auto always = [](const std::string & /*part*/) { return true; };
+  const auto never = [](const std::string & /*part*/) { return false; };
   PoisonRequestTracker tracker({.first_trial = seconds(30), .trial_factor = 4});
   Instant now = start;
   for (int i = 0; i < 3; ++i) {
@@ -108,7 +108,7 @@
     PoisonRequestTracker other({});
     // Agents tell of the content alone.
     std::vector<CrashRecord> without_parts = tracker.Records(now);
-    for (CrashRecord& record : without_parts) {
+    for (CrashRecord &record : without_parts) {
       record.parts.clear();
     }
     other.Merge(without_parts, now);
@@ -130,6 +130,87 @@
   }
 }
 
+// Guards against the refusal of a popular request that was running at several
+// backend servers as they crashed (issue 67).
+TEST_CASE("PoisonRequestTracker: a content that is answered") {
+  const Instant start = Instant() + minutes(1);
+  const RequestContent content = {"d", {}};
+  const auto always = [](const std::string & /*part*/) { return true; };
+  const auto never = [](const std::string & /*part*/) { return false; };
+  PoisonRequestTracker tracker({.content_trial = seconds(1)});
+  tracker.NoteCrash(content, "crash 1", start);
+
+  SUBCASE("is cleared of the crashes before") {
+    CHECK_FALSE(tracker.NoteAnswered("d", start + seconds(1)));
+    CHECK(tracker.CountCrashes("d", start + seconds(1)) == 0);
+    tracker.NoteCrash(content, "crash 2", start + seconds(2));
+    CHECK(tracker.Admit(content, start + seconds(2), never) ==
+          ContentAdmission::kAdmitted);
+
+    SUBCASE("but not of those after") {
+      tracker.NoteCrash(content, "crash 3", start + seconds(3));
+      CHECK(tracker.Admit(content, start + seconds(10), always) ==
+            ContentAdmission::kQuarantined);
+    }
+    SUBCASE("whose records are merged again without an effect") {
+      tracker.Merge({{"d", "crash 1", seconds(2), {}}}, start + seconds(2));
+      CHECK(tracker.CountCrashes("d", start + seconds(2)) == 1);
+    }
+    SUBCASE("whose records others needn't know") {
+      CHECK(tracker.Records(start + seconds(2)).size() == 1);
+    }
+  }
+  SUBCASE("as another crash becomes known that was before") {
+    tracker.NoteAnswered("d", start + seconds(1));
+    tracker.Merge({{"d", "crash 2", seconds(2), {}}}, start + seconds(2));
+    CHECK(tracker.CountCrashes("d", start + seconds(2)) == 0);
+  }
+  SUBCASE("clears it for processes that refuse it") {
+    tracker.NoteCrash(content, "crash 2", start + seconds(1));
+    PoisonRequestTracker other({});
+    other.Merge(tracker.Records(start + seconds(1)), start + seconds(1));
+    CHECK(other.QuarantineLeft(content, start + seconds(1)).has_value());
+    CHECK(tracker.NoteAnswered("d", start + seconds(2)));
+    other.MergeServed(tracker.ServedParts(start + seconds(2), seconds(2)),
+                      start + seconds(2));
+    CHECK_FALSE(other.QuarantineLeft(content, start + seconds(2)).has_value());
+
+    SUBCASE("which are told of it for a while") {
+      tracker.NoteAnswered("d", start + seconds(4));
+      CHECK(tracker.ServedParts(start + seconds(4), seconds(2)).empty());
+    }
+  }
+  SUBCASE("isn't told to others that can't refuse it") {
+    tracker.NoteAnswered("d", start + seconds(1));
+    CHECK(tracker.ServedParts(start + seconds(1), seconds(2)).empty());
+  }
+  SUBCASE("is tried once while its crashes may have one other cause") {
+    tracker.NoteCrash(content, "crash 2", start + base::Milliseconds(20));
+    const Instant due = start + base::Milliseconds(1020);
+    CHECK(tracker.Admit(content, start + seconds(1), always) ==
+          ContentAdmission::kQuarantined);
+    CHECK(tracker.Admit(content, due, never) == ContentAdmission::kQuarantined);
+    CHECK(tracker.Admit(content, due, always) == ContentAdmission::kOnTrial);
+    CHECK(tracker.Admit(content, due, always) ==
+          ContentAdmission::kQuarantined);
+
+    SUBCASE("and refused if that crashes another backend server") {
+      tracker.NoteCrash(content, "crash 3", due);
+      CHECK(tracker.Admit(content, due + minutes(1), always) ==
+            ContentAdmission::kQuarantined);
+    }
+    SUBCASE("and admitted once that is answered") {
+      CHECK(tracker.NoteAnswered("d", due));
+      CHECK(tracker.Admit(content, due, never) == ContentAdmission::kAdmitted);
+    }
+  }
+  SUBCASE("isn't confused with a part that a caller has named") {
+    tracker.NoteCrash(content, "crash 2", start + seconds(1));
+    tracker.MergeServed({{"d", seconds(0)}}, start + seconds(2));
+    CHECK(tracker.CountCrashes("d", start + seconds(2)) == 2);
+  }
+}
+
 TEST_CASE("PoisonRequestTracker forgets the parts served longest ago") {
   PoisonRequestTracker tracker({.max_served_parts = 4});
   const Instant start = Instant() + minutes(1);
@@ -147,9 +228,8 @@
 
 // Merges the records into one tracker at once and into another one by one,
 // twice and in random order. Returns whether both hold the same records.
-bool AgreeInAnyOrder(std::vector<CrashRecord> records,
-                     uint64_t seed,
-                     const PoisonRequestTracker::Settings& settings) {
+bool AgreeInAnyOrder(std::vector<CrashRecord> records, uint64_t seed,
+                     const PoisonRequestTracker::Settings &settings) {
   const Instant now = Instant() + minutes(60);
   PoisonRequestTracker one(settings);
   one.Merge(records, now);
@@ -157,22 +237,22 @@
   records.insert(records.end(), again.begin(), again.end());
   std::shuffle(records.begin(), records.end(), std::mt19937_64(seed));
   PoisonRequestTracker other(settings);
-  for (const CrashRecord& record : records) {
+  for (const CrashRecord &record : records) {
     other.Merge({record}, now);
   }
   return one.Records(now) == other.Records(now) &&
          other.size() <= settings.max_records;
 }
 
-}  // namespace
+} // namespace
 
 TEST_CASE("Merged records don't depend on the order of merging") {
   CHECK(rc::check("merging is commutative and idempotent for any ages",
-                  [](const std::vector<std::tuple<bool, bool, uint8_t>>& shapes,
+                  [](const std::vector<std::tuple<bool, bool, uint8_t>> &shapes,
                      uint64_t seed) {
                     std::vector<CrashRecord> records;
                     records.reserve(shapes.size());
-                    for (const auto& [content, crash, age] : shapes) {
+                    for (const auto &[content, crash, age] : shapes) {
                       records.push_back({std::to_string(content),
                                          std::to_string(crash),
                                          seconds(age),
@@ -182,11 +262,11 @@
                   }));
   CHECK(rc::check(
       "also beyond max_records, when copies of a record have the same age",
-      [](const std::vector<std::pair<uint8_t, uint8_t>>& shapes,
+      [](const std::vector<std::pair<uint8_t, uint8_t>> &shapes,
          uint64_t seed) {
         std::vector<CrashRecord> records;
         records.reserve(shapes.size());
-        for (const auto& [content, crash] : shapes) {
+        for (const auto &[content, crash] : shapes) {
           records.push_back({std::to_string(content % 8),
                              std::to_string(crash),
                              seconds(crash % 16),
@@ -203,7 +283,7 @@
 // Requests at a steady rate, of which one in twenty holds a part. Engines crash
 // at once, several at a time.
 struct CoincidingCrashes {
-  static bool MayTry(const std::string&) { return false; }
+  static bool MayTry(const std::string &) { return false; }
 
   // Lets requests arrive for some time. Sound ones are served, those with the
   // part aren't unless it is `harmless`.
@@ -224,7 +304,7 @@
 
   // Crashes engines that were each about to answer a request with these parts
   // and another one.
-  void Crash(int engines, const std::vector<std::string>& parts) {
+  void Crash(int engines, const std::vector<std::string> &parts) {
     for (int i = 0; i < engines; ++i) {
       const std::string crash = "crash" + std::to_string(++this->crashes);
       const std::string number = std::to_string(++this->count);
@@ -235,7 +315,7 @@
     }
   }
 
-  bool Quarantines(const std::string& part) {
+  bool Quarantines(const std::string &part) {
     return this->tracker.Admit({"next", {part}}, this->now, MayTry) ==
            ContentAdmission::kQuarantined;
   }
@@ -246,7 +326,7 @@
   int crashes = 0;
 };
 
-}  // namespace
+} // namespace
 
 TEST_CASE("a part that another process blames is quarantined") {
   CoincidingCrashes day;
@@ -311,10 +391,10 @@
     day.Run(std::chrono::seconds(2), true);
   }
   day.tracker.Prune(day.now);
-  for (const char* part : {"suspect", "new", "other", "rules0", "rules1"}) {
+  for (const char *part : {"suspect", "new", "other", "rules0", "rules1"}) {
     CAPTURE(part);
     CHECK_FALSE(day.Quarantines(part));
   }
 }
 
-}  // namespace carawayvalve::core
+} // namespace carawayvalve::core
