--- a/core/include/carawayvalve/core/poison_request_tracker.h
+++ b/core/include/carawayvalve/core/poison_request_tracker.h
@@ -18,8 +18,8 @@
 
 // Returns the SHA-256 digest that identifies a request's content. It is the
 // same when an account sends the content again, and differs between accounts.
-std::string ContentDigest(const base::ClientAccountId &account,
-                          const std::string &body);
+std::string ContentDigest(const base::ClientAccountId& account,
+                          const std::string& body);
 
 // The content of a request, as far as crashes are traced to it.
 struct RequestContent {
@@ -28,7 +28,7 @@
   // The parts that requests with another content may share, in order.
   std::vector<std::string> parts;
 
-  bool operator==(const RequestContent &) const = default;
+  bool operator==(const RequestContent&) const = default;
 };
 
 // Records that a content was running when a backend server crashed.
@@ -41,7 +41,7 @@
   // The content's parts, each of which may be the cause; empty if none can be.
   std::vector<std::string> parts;
 
-  bool operator==(const CrashRecord &) const = default;
+  bool operator==(const CrashRecord&) const = default;
 };
 
 // A part of contents that were running when backend servers crashed, and that
@@ -51,12 +51,31 @@
   // Time since the last complete answer when this was copied.
   base::Duration age{};
 
-  bool operator==(const ServedPart &) const = default;
+  bool operator==(const ServedPart&) const = default;
 };
 
 // Returns what stands for a whole content among parts. No part of a prompt is
 // called so, as these have no colon.
-std::string PartOfContent(const std::string &content_digest);
+std::string PartOfContent(const std::string& content_digest);
+
+// A part that is blamed for crashes.
+struct BlamedPart {
+  std::string part;
+  size_t crashes = 0;
+  // Time since the last crash when this was copied.
+  base::Duration age{};
+
+  bool operator==(const BlamedPart&) const = default;
+};
+
+// What a process knows of crashes, as of one moment.
+struct CrashState {
+  std::vector<CrashRecord> crashes;
+  std::vector<ServedPart> served;
+  std::vector<BlamedPart> blamed;
+
+  bool operator==(const CrashState&) const = default;
+};
 
 enum class ContentAdmission {
   kAdmitted,
@@ -75,7 +94,7 @@
 // order and any number of times; only the choice of evicted records may then
 // differ.
 class PoisonRequestTracker {
-public:
+ public:
   struct Settings {
     // How long a crash counts.
     base::Duration time_to_live = std::chrono::minutes(10);
@@ -92,32 +111,33 @@
     // until the next trial; 0 for no trials of contents.
     base::Duration content_trial{};
 
-    bool operator==(const Settings &) const = default;
+    bool operator==(const Settings&) const = default;
   };
 
-  explicit PoisonRequestTracker(const Settings &settings);
+  explicit PoisonRequestTracker(const Settings& settings);
 
   // Records that a backend server crashed while it ran the content.
-  void NoteCrash(const RequestContent &content, const std::string &death_id,
+  void NoteCrash(const RequestContent& content,
+                 const std::string& death_id,
                  base::Instant now);
 
   // Records that a request with these parts was answered completely.
-  void NoteServed(const std::vector<std::string> &parts, base::Instant now);
+  void NoteServed(const std::vector<std::string>& parts, base::Instant now);
 
   // Records that a request with this content was answered completely. Returns
   // whether that clears it of several crashes.
-  bool NoteAnswered(const std::string &content_digest, base::Instant now);
+  bool NoteAnswered(const std::string& content_digest, base::Instant now);
 
   // Returns the number of distinct crashes that still count.
-  int CountCrashes(const std::string &content_digest, base::Instant now) const;
+  int CountCrashes(const std::string& content_digest, base::Instant now) const;
 
   // Returns for how long the content is still refused, nothing if it isn't.
-  std::optional<base::Duration> QuarantineLeft(const RequestContent &content,
+  std::optional<base::Duration> QuarantineLeft(const RequestContent& content,
                                                base::Instant now) const;
 
   // Records that a request with these parts has arrived. To be called once for
   // each request.
-  void NoteRequest(const std::vector<std::string> &parts) {
+  void NoteRequest(const std::vector<std::string>& parts) {
     this->traffic.NoteRequest(parts);
   }
 
@@ -127,33 +147,42 @@
   // Decides whether the content may be sent to a backend server now. A trial is
   // counted by this call. `may_try` returns whether this process makes the
   // trials of a part, so that one is made among all processes.
-  using MayTry = std::function<bool(const std::string &part)>;
-  ContentAdmission Admit(const RequestContent &content, base::Instant now,
-                         const MayTry &may_try);
+  using MayTry = std::function<bool(const std::string& part)>;
+  ContentAdmission Admit(const RequestContent& content,
+                         base::Instant now,
+                         const MayTry& may_try);
 
   // Records that another process blames a part: it may know more of the
   // traffic.
-  void MergePoisonPart(const std::string &part, const PoisonPart &poison);
+  void MergePoisonPart(const std::string& part, const PoisonPart& poison);
   // Returns the parts that this process blames by its own records.
-  const std::map<std::string, PoisonPart> &
-  own_poison_parts(base::Instant now) const;
+  const std::map<std::string, PoisonPart>& own_poison_parts(
+      base::Instant now) const;
   // Returns the parts that are quarantined.
-  const std::map<std::string, PoisonPart> &
-  poison_parts(base::Instant now) const;
+  const std::map<std::string, PoisonPart>& poison_parts(
+      base::Instant now) const;
+
+  // Returns what still counts, for the successors of all processes.
+  CrashState State(base::Instant now) const;
+  // Merges what a process knew `age` ago.
+  void Merge(const CrashState& state, base::Duration age, base::Instant now);
+  // Returns a number that rises whenever State may have changed other than by
+  // the passing of time.
+  int64_t changes() const { return this->change_count; }
 
   // Returns the records that still count, to be sent to other processes.
   std::vector<CrashRecord> Records(base::Instant now) const;
   // Returns those of crashes that this process noticed itself within `max_age`.
   std::vector<CrashRecord> OwnRecords(base::Instant now,
                                       base::Duration max_age) const;
-  void Merge(const std::vector<CrashRecord> &records, base::Instant now);
+  void Merge(const std::vector<CrashRecord>& records, base::Instant now);
 
   // Returns the suspected parts that were served within `max_age`, or that were
   // served at all and came under suspicion within it; and the contents that
   // were cleared of several crashes within it.
   std::vector<ServedPart> ServedParts(base::Instant now,
                                       base::Duration max_age) const;
-  void MergeServed(const std::vector<ServedPart> &parts, base::Instant now);
+  void MergeServed(const std::vector<ServedPart>& parts, base::Instant now);
 
   // Removes old records. They are kept for another `time_to_live` after they
   // have expired: a copy looks younger by its time in transit, and would
@@ -162,7 +191,7 @@
 
   size_t size() const { return this->crashes.size() + this->told.size(); }
 
-private:
+ private:
   // Content digest and crash identifier.
   using Key = std::pair<std::string, std::string>;
   struct Crash {
@@ -174,26 +203,28 @@
     bool cleared = false;
   };
 
-  void Add(const Key &key, const Crash &crash);
-  void AddServed(const std::string &part, base::Instant at);
+  void Add(const Key& key, const Crash& crash);
+  void AddServed(const std::string& part, base::Instant at);
   void DropOldestServed();
   bool Counts(base::Instant crashed_at, base::Instant now) const;
   // Returns when the crashes were that count against the content, the newest
   // first.
-  std::vector<base::Instant> CrashTimes(const std::string &content_digest,
+  std::vector<base::Instant> CrashTimes(const std::string& content_digest,
                                         base::Instant now) const;
-  std::optional<base::Duration>
-  DigestQuarantineLeft(const std::string &content_digest,
-                       base::Instant now) const;
-  ContentAdmission AdmitSuspect(const std::string &content_digest,
-                                const std::vector<base::Instant> &crash_times,
-                                base::Instant now, const MayTry &may_try);
+  std::optional<base::Duration> DigestQuarantineLeft(
+      const std::string& content_digest,
+      base::Instant now) const;
+  ContentAdmission AdmitSuspect(const std::string& content_digest,
+                                const std::vector<base::Instant>& crash_times,
+                                base::Instant now,
+                                const MayTry& may_try);
   // Has the answer of a content told to others if they may refuse it.
-  void TellAnswer(const std::string &content_digest);
-  void AddToldAnswers(std::vector<ServedPart> &parts, base::Instant now,
+  void TellAnswer(const std::string& content_digest);
+  void AddToldAnswers(std::vector<ServedPart>& parts,
+                      base::Instant now,
                       base::Duration max_age) const;
-  base::Instant TrialDueAt(const std::string &part,
-                           const PoisonPart &poison) const;
+  base::Instant TrialDueAt(const std::string& part,
+                           const PoisonPart& poison) const;
 
   Settings settings;
   std::map<Key, Crash> crashes;
@@ -211,12 +242,13 @@
   std::map<std::string, base::Instant> suspected;
   // The last trial of each part, or of a content by PartOfContent.
   std::map<std::string, base::Instant> trials;
+  mutable int64_t change_count = 0;
   // The result of the last search for poison parts; out of date if absent.
   mutable std::optional<std::map<std::string, PoisonPart>> found;
   // The same with the parts that other processes blame.
   mutable std::map<std::string, PoisonPart> quarantined;
 };
 
-} // namespace carawayvalve::core
+}  // namespace carawayvalve::core
 
-#endif // CARAWAYVALVE_CORE_POISON_REQUEST_TRACKER_H_
+#endif  // CARAWAYVALVE_CORE_POISON_REQUEST_TRACKER_H_
--- a/core/tests/poison_request_tracker_test.cc
+++ b/core/tests/poison_request_tracker_test.cc
@@ -56,7 +56,7 @@
     for (int i = 0; i < 80; ++i) {
       const auto records = processes[i % 2].Records(at);
       at += seconds(30);
-      PoisonRequestTracker &receiver = processes[(i + 1) % 2];
+      PoisonRequestTracker& receiver = processes[(i + 1) % 2];
       receiver.Prune(at);
       receiver.Merge(records, at);
     }
@@ -69,8 +69,8 @@
   const Instant start = Instant() + minutes(1);
   const RequestContent next = {"never seen", {"rules", "poison"}};
   const RequestContent sound = {"sound", {"rules"}};
-  const auto always = [](const std::string & /*part*/) { return true; };
-  const auto never = [](const std::string & /*part*/) { return false; };
+  const auto always = [](const std::string& /*part*/) { return true; };
+  const auto never = [](const std::string& /*part*/) { return false; };
   PoisonRequestTracker tracker({.first_trial = seconds(30), .trial_factor = 4});
   Instant now = start;
   for (int i = 0; i < 3; ++i) {
@@ -108,7 +108,7 @@
     PoisonRequestTracker other({});
     // Agents tell of the content alone.
     std::vector<CrashRecord> without_parts = tracker.Records(now);
-    for (CrashRecord &record : without_parts) {
+    for (CrashRecord& record : without_parts) {
       record.parts.clear();
     }
     other.Merge(without_parts, now);
@@ -135,8 +135,8 @@
 TEST_CASE("PoisonRequestTracker: a content that is answered") {
   const Instant start = Instant() + minutes(1);
   const RequestContent content = {"d", {}};
-  const auto always = [](const std::string & /*part*/) { return true; };
-  const auto never = [](const std::string & /*part*/) { return false; };
+  const auto always = [](const std::string& /*part*/) { return true; };
+  const auto never = [](const std::string& /*part*/) { return false; };
   PoisonRequestTracker tracker({.content_trial = seconds(1)});
   tracker.NoteCrash(content, "crash 1", start);
 
@@ -211,6 +211,42 @@
   }
 }
 
+TEST_CASE("PoisonRequestTracker: a successor of all processes") {
+  const Instant start = Instant() + minutes(20);
+  const RequestContent part = {"never seen", {"rules", "poison"}};
+  PoisonRequestTracker tracker({});
+  for (int i = 0; i < 3; ++i) {
+    const std::string number = std::to_string(i);
+    tracker.NoteCrash({"content " + number, {"rules", "poison"}},
+                      "crash " + number, start + seconds(i));
+  }
+  tracker.NoteServed({"rules"}, start + seconds(3));
+  tracker.NoteCrash({"d", {}}, "crash 3", start + seconds(4));
+  tracker.NoteCrash({"d", {}}, "crash 4", start + seconds(5));
+  tracker.NoteCrash({"e", {}}, "crash 4", start + seconds(5));
+  tracker.NoteAnswered("e", start + seconds(6));
+  const CrashState state = tracker.State(start + seconds(6));
+  PoisonRequestTracker successor({});
+
+  SUBCASE("knows what its predecessors knew") {
+    successor.Merge(state, seconds(4), start + seconds(10));
+    CHECK(successor.CountCrashes("d", start + seconds(10)) == 2);
+    CHECK(successor.CountCrashes("e", start + seconds(10)) == 0);
+    CHECK(successor.QuarantineLeft(part, start + seconds(10)) ==
+          tracker.QuarantineLeft(part, start + seconds(10)));
+    CHECK_FALSE(
+        successor.QuarantineLeft({"sound", {"rules"}}, start + seconds(10))
+            .has_value());
+  }
+  SUBCASE("knows nothing that counts no more") {
+    successor.Merge(state, minutes(10), start + minutes(11));
+    CHECK(successor.QuarantineLeft({"d", {}}, start + minutes(11)) ==
+          std::nullopt);
+    CHECK(successor.CountCrashes("d", start + minutes(11)) == 0);
+    CHECK(successor.Records(start + minutes(11)).empty());
+  }
+}
+
 TEST_CASE("PoisonRequestTracker forgets the parts served longest ago") {
   PoisonRequestTracker tracker({.max_served_parts = 4});
   const Instant start = Instant() + minutes(1);
@@ -228,8 +264,9 @@
 
 // Merges the records into one tracker at once and into another one by one,
 // twice and in random order. Returns whether both hold the same records.
-bool AgreeInAnyOrder(std::vector<CrashRecord> records, uint64_t seed,
-                     const PoisonRequestTracker::Settings &settings) {
+bool AgreeInAnyOrder(std::vector<CrashRecord> records,
+                     uint64_t seed,
+                     const PoisonRequestTracker::Settings& settings) {
   const Instant now = Instant() + minutes(60);
   PoisonRequestTracker one(settings);
   one.Merge(records, now);
@@ -237,22 +274,22 @@
   records.insert(records.end(), again.begin(), again.end());
   std::shuffle(records.begin(), records.end(), std::mt19937_64(seed));
   PoisonRequestTracker other(settings);
-  for (const CrashRecord &record : records) {
+  for (const CrashRecord& record : records) {
     other.Merge({record}, now);
   }
   return one.Records(now) == other.Records(now) &&
          other.size() <= settings.max_records;
 }
 
-} // namespace
+}  // namespace
 
 TEST_CASE("Merged records don't depend on the order of merging") {
   CHECK(rc::check("merging is commutative and idempotent for any ages",
-                  [](const std::vector<std::tuple<bool, bool, uint8_t>> &shapes,
+                  [](const std::vector<std::tuple<bool, bool, uint8_t>>& shapes,
                      uint64_t seed) {
                     std::vector<CrashRecord> records;
                     records.reserve(shapes.size());
-                    for (const auto &[content, crash, age] : shapes) {
+                    for (const auto& [content, crash, age] : shapes) {
                       records.push_back({std::to_string(content),
                                          std::to_string(crash),
                                          seconds(age),
@@ -262,11 +299,11 @@
                   }));
   CHECK(rc::check(
       "also beyond max_records, when copies of a record have the same age",
-      [](const std::vector<std::pair<uint8_t, uint8_t>> &shapes,
+      [](const std::vector<std::pair<uint8_t, uint8_t>>& shapes,
          uint64_t seed) {
         std::vector<CrashRecord> records;
         records.reserve(shapes.size());
-        for (const auto &[content, crash] : shapes) {
+        for (const auto& [content, crash] : shapes) {
           records.push_back({std::to_string(content % 8),
                              std::to_string(crash),
                              seconds(crash % 16),
@@ -283,7 +320,7 @@
 // Requests at a steady rate, of which one in twenty holds a part. Engines crash
 // at once, several at a time.
 struct CoincidingCrashes {
-  static bool MayTry(const std::string &) { return false; }
+  static bool MayTry(const std::string&) { return false; }
 
   // Lets requests arrive for some time. Sound ones are served, those with the
   // part aren't unless it is `harmless`.
@@ -304,7 +341,7 @@
 
   // Crashes engines that were each about to answer a request with these parts
   // and another one.
-  void Crash(int engines, const std::vector<std::string> &parts) {
+  void Crash(int engines, const std::vector<std::string>& parts) {
     for (int i = 0; i < engines; ++i) {
       const std::string crash = "crash" + std::to_string(++this->crashes);
       const std::string number = std::to_string(++this->count);
@@ -315,7 +352,7 @@
     }
   }
 
-  bool Quarantines(const std::string &part) {
+  bool Quarantines(const std::string& part) {
     return this->tracker.Admit({"next", {part}}, this->now, MayTry) ==
            ContentAdmission::kQuarantined;
   }
@@ -326,7 +363,7 @@
   int crashes = 0;
 };
 
-} // namespace
+}  // namespace
 
 TEST_CASE("a part that another process blames is quarantined") {
   CoincidingCrashes day;
@@ -391,10 +428,10 @@
     day.Run(std::chrono::seconds(2), true);
   }
   day.tracker.Prune(day.now);
-  for (const char *part : {"suspect", "new", "other", "rules0", "rules1"}) {
+  for (const char* part : {"suspect", "new", "other", "rules0", "rules1"}) {
     CAPTURE(part);
     CHECK_FALSE(day.Quarantines(part));
   }
 }
 
-} // namespace carawayvalve::core
+}  // namespace carawayvalve::core
--- a/gateway/src/gateway.cc
+++ b/gateway/src/gateway.cc
@@ -80,6 +80,7 @@
       feed(this->context, this->objects),
       peers(this->context, this->objects, this->feed),
       recent(this->context, this->objects, this->feed),
+      crashes(this->context, this->objects),
       duties(this->context, this->objects, this->recent),
       callers_listener(this->loop, this->journal),
       readiness_listener(this->loop, this->journal),
@@ -170,6 +171,7 @@
         this->recent.Read(done);
       });
   this->recent.Start();
+  this->crashes.Step();
 }
 
 void Gateway::Tick() {
@@ -192,6 +194,7 @@
   this->feed.RenewFreshness(now);
   this->state.poison_requests.Prune(now);
   this->context.LogPoisonParts();
+  this->crashes.Step();
   this->state.stream_origins.Prune(now);
   const int64_t window =
       this->state.wall_clock.At(now) /
--- a/gateway/src/gateway.h
+++ b/gateway/src/gateway.h
@@ -9,6 +9,7 @@
 #include "carawayvalve/net/http_server.h"
 #include "carawayvalve/platform/objects.h"
 #include "context.h"
+#include "crash_store.h"
 #include "duty_holder.h"
 #include "listener.h"
 #include "peer_gossip.h"
@@ -74,6 +75,7 @@
   StoreFeed feed;
   PeerGossip peers;
   RecentStore recent;
+  CrashStore crashes;
   DutyHolder duties;
   std::unique_ptr<net::HttpServer> callers;
   std::unique_ptr<net::HttpServer> readiness;
--- a/gateway/src/gateway_metrics.cc
+++ b/gateway/src/gateway_metrics.cc
@@ -106,6 +106,11 @@
           .Help(
               "Calls to store and read what outlives the loss of all gateways")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& crash_states =
+      prometheus::BuildCounter()
+          .Name("carawayvalve_crash_states_total")
+          .Help("Calls for what is known of crashes, by outcome.")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& first_answer =
       prometheus::BuildHistogram()
           .Name("carawayvalve_first_answer_seconds")
@@ -216,6 +221,10 @@
   this->families->recent_states.Add({{"outcome", outcome}}).Increment();
 }
 
+void GatewayMetrics::CountCrashState(const std::string& outcome) {
+  this->families->crash_states.Add({{"outcome", outcome}}).Increment();
+}
+
 void GatewayMetrics::ObserveStateAge(const std::string& source,
                                      base::Duration age) {
   this->families->state_age.Add({{"source", source}}, DurationBuckets())
--- a/gateway/src/gateway_metrics.h
+++ b/gateway/src/gateway_metrics.h
@@ -64,6 +64,8 @@
   void CountStreamTakenUp(const std::string& outcome);
   // Counts calls for what outlives the loss of all gateways, such as "stored".
   void CountRecentState(const std::string& outcome);
+  // Counts calls for what is known of crashes, such as "stored".
+  void CountCrashState(const std::string& outcome);
   // Observes the age of state from `source`, such as the configuration, when a
   // decision uses it.
   void ObserveStateAge(const std::string& source, base::Duration age);
--- a/gateway/src/gateway_state.cc
+++ b/gateway/src/gateway_state.cc
@@ -23,48 +23,57 @@
 // A gateway that has just started hears its peers within this time.
 constexpr std::chrono::seconds kPeersHeardTime(3);
 
-core::PlacementSettings ToPlacementSettings(const GatewaySettings &settings) {
+core::PlacementSettings ToPlacementSettings(const GatewaySettings& settings) {
   core::PlacementSettings placement;
   placement.data_centre = settings.data_centre;
   placement.even_load = settings.even_load;
   return placement;
 }
 
-core::RetryBudgetShare::Settings
-ToRetryBudgetSettings(const GatewaySettings::Bounds &bounds) {
+core::RetryBudgetShare::Settings ToRetryBudgetSettings(
+    const GatewaySettings::Bounds& bounds) {
   return {bounds.retry_ratio, bounds.retry_slack, bounds.retry_window};
 }
 
-} // namespace
+}  // namespace
 
-GatewayState::GatewayState(const GatewaySettings &settings)
-    : settings(settings), boot{base::RandomName().substr(0, kBootDigits)},
+GatewayState::GatewayState(const GatewaySettings& settings)
+    : settings(settings),
+      boot{base::RandomName().substr(0, kBootDigits)},
       started(base::Now()),
       key_freshness(settings.bounds.key_withdrawal, kKeyDeliveryMargin),
-      directory(kEntryGracePeriod), health(core::BackendHealth::Settings{}),
+      directory(kEntryGracePeriod),
+      health(core::BackendHealth::Settings{}),
       prefix_caches(kDefaultKvTokens),
-      placer(ToPlacementSettings(settings), directory, health, rate_limits,
-             silence, load, prefix_caches, reported_load),
+      placer(ToPlacementSettings(settings),
+             directory,
+             health,
+             rate_limits,
+             silence,
+             load,
+             prefix_caches,
+             reported_load),
       speeds(core::EngineSpeeds{}),
       poison_requests({.content_trial = kContentTrial}),
-      retry_members({.window = settings.bounds.retry_window}, settings.host,
+      retry_members({.window = settings.bounds.retry_window},
+                    settings.host,
                     base::Now()),
       recent_state({}, kDutyName, settings.host, this->started),
       gateway_lost(this->started) {}
 
-core::RetryBudgetShare &
-GatewayState::RetryBudget(const base::ServiceId &service) {
+core::RetryBudgetShare& GatewayState::RetryBudget(
+    const base::ServiceId& service) {
   return this->retries
       .try_emplace(service, ToRetryBudgetSettings(this->settings.bounds))
       .first->second;
 }
 
-std::vector<core::BrokenRequest>
-GatewayState::NoteBackendCrash(const base::BackendServerId &id,
-                               base::Instant now) {
+std::vector<core::BrokenRequest> GatewayState::NoteBackendCrash(
+    const base::BackendServerId& id,
+    base::Instant now) {
   std::vector<core::BrokenRequest> running =
       this->crash_correlator.TakeRunningRequests(id, now);
-  for (const core::BrokenRequest &request : running) {
+  for (const core::BrokenRequest& request : running) {
     const std::string crash_id =
         id.value + "/" + std::to_string(request.backend_started_ms);
     this->poison_requests.NoteCrash(request.content, crash_id,
@@ -73,11 +82,11 @@
   return running;
 }
 
-void GatewayState::SetLiveHosts(const std::vector<base::HostId> &hosts,
+void GatewayState::SetLiveHosts(const std::vector<base::HostId>& hosts,
                                 base::Instant now) {
   const bool lost = std::any_of(
       this->live_hosts.begin(), this->live_hosts.end(),
-      [&](const base::HostId &host) {
+      [&](const base::HostId& host) {
         return std::find(hosts.begin(), hosts.end(), host) == hosts.end();
       });
   if (lost) {
@@ -101,10 +110,10 @@
           *this->stored_read < this->gateway_lost);
 }
 
-void GatewayState::ApplyBounds(const GatewaySettings::Bounds &bounds) {
+void GatewayState::ApplyBounds(const GatewaySettings::Bounds& bounds) {
   this->settings.bounds = bounds;
   this->key_freshness.SetLimit(bounds.key_withdrawal);
-  for (auto &[service, share] : this->retries) {
+  for (auto& [service, share] : this->retries) {
     share.SetSettings(ToRetryBudgetSettings(bounds));
   }
   this->SetAccountLimits();
@@ -113,7 +122,7 @@
 void GatewayState::SetAccountLimits() {
   core::AccountRateShares::Limits limits;
   if (this->table != nullptr) {
-    for (const config::ServingAccount &account :
+    for (const config::ServingAccount& account :
          this->table->serving_plan().accounts) {
       if (account.rate_limit.has_value()) {
         limits.emplace(account.name, *account.rate_limit);
@@ -126,14 +135,14 @@
                                 base::Now());
 }
 
-bool GatewayState::ApplyPlan(const config::ServingPlan &plan) {
+bool GatewayState::ApplyPlan(const config::ServingPlan& plan) {
   if (this->table != nullptr && plan.version <= this->table->version()) {
     return false;
   }
   this->table = std::make_shared<const core::ServingTable>(plan);
   this->SetAccountLimits();
   int64_t min_kv_tokens = 0;
-  for (const config::ServingService &service : plan.services) {
+  for (const config::ServingService& service : plan.services) {
     if (service.engine.has_value() && service.engine->kv_tokens > 0) {
       min_kv_tokens = min_kv_tokens == 0
                           ? service.engine->kv_tokens
@@ -147,4 +156,4 @@
   return true;
 }
 
-} // namespace carawayvalve::gateway
+}  // namespace carawayvalve::gateway
--- a/gateway/src/gateway_state.h
+++ b/gateway/src/gateway_state.h
@@ -13,6 +13,7 @@
 #include "carawayvalve/core/backend_health.h"
 #include "carawayvalve/core/backend_rate_limits.h"
 #include "carawayvalve/core/crash_correlator.h"
+#include "carawayvalve/core/crash_state_schedule.h"
 #include "carawayvalve/core/fleet_load.h"
 #include "carawayvalve/core/key_freshness.h"
 #include "carawayvalve/core/placement.h"
@@ -103,6 +104,8 @@
   std::map<base::ServiceId, base::Instant> speeds_logged;
   core::PoisonRequestTracker poison_requests;
   core::CrashCorrelator crash_correlator;
+  // When what is known of crashes is read and stored.
+  core::CrashStateSchedule crash_state{core::CrashStateSchedule::Settings{}};
   core::StreamOrigins stream_origins;
   // The origins of streams that this gateway serves and has not told often
   // enough to those that keep them.
--- a/gateway/src/request_answer.cc
+++ b/gateway/src/request_answer.cc
@@ -20,22 +20,22 @@
 // request with more events, no part can be the cause.
 constexpr int64_t kMaxEventsOfCrash = 1;
 
-} // namespace
+}  // namespace
 
-void RequestHandler::Perform(const core::TryAgain & /*step*/) {
+void RequestHandler::Perform(const core::TryAgain& /*step*/) {
   this->Attempt();
 }
 
-void RequestHandler::Perform(const core::RefuseAsNotRun & /*step*/) {
+void RequestHandler::Perform(const core::RefuseAsNotRun& /*step*/) {
   this->Refuse(kUnavailable, "not run", true);
 }
 
-void RequestHandler::Perform(const core::AnswerUnknownOutcome & /*step*/) {
+void RequestHandler::Perform(const core::AnswerUnknownOutcome& /*step*/) {
   this->Refuse(kBadGateway, "it isn't known whether the request has run",
                false);
 }
 
-void RequestHandler::Perform(const core::ForwardFailure & /*step*/) {
+void RequestHandler::Perform(const core::ForwardFailure& /*step*/) {
   const base::Instant begun = base::Now();
   const int status = this->head.status;
   this->exchange->Respond(
@@ -46,7 +46,7 @@
   this->End(status, "answered");
 }
 
-void RequestHandler::Perform(const core::BreakAnswerOff & /*step*/) {
+void RequestHandler::Perform(const core::BreakAnswerOff& /*step*/) {
   this->exchange->Abort();
   this->End(kNoStatus, "broken_off");
 }
@@ -64,8 +64,8 @@
   // The request usually ends before its caller has received the answer.
   this->exchange->OnUndelivered(
       [&context = this->context, id = this->caller.id,
-       arrived = this->arrived](const net::UndeliveredAnswer &answer) {
-        const char *end = net::NameOf(answer.end);
+       arrived = this->arrived](const net::UndeliveredAnswer& answer) {
+        const char* end = net::NameOf(answer.end);
         context.metrics.CountUndeliveredAnswer(end);
         context.journal.Write(
             base::LogLevel::kInfo, "answer_undelivered",
@@ -76,7 +76,8 @@
       });
 }
 
-void RequestHandler::Refuse(int status, const std::string &reason,
+void RequestHandler::Refuse(int status,
+                            const std::string& reason,
                             bool send_retry_after) {
   std::optional<base::Duration> retry_after;
   if (send_retry_after) {
@@ -92,13 +93,14 @@
   this->RefuseWith(status, reason, retry_after);
 }
 
-void RequestHandler::RefuseWith(int status, const std::string &reason,
+void RequestHandler::RefuseWith(int status,
+                                const std::string& reason,
                                 std::optional<base::Duration> retry_after) {
   this->exchange->Respond(platform::EncodeRefusal(status, reason, retry_after));
   this->End(status, reason);
 }
 
-void RequestHandler::End(int status, const std::string &outcome) {
+void RequestHandler::End(int status, const std::string& outcome) {
   if (std::exchange(this->ended, true)) {
     return;
   }
@@ -140,7 +142,7 @@
     return;
   }
   this->usage_counted = true;
-  GatewayState &state = this->context.state;
+  GatewayState& state = this->context.state;
   const int64_t window = state.wall_clock.At(at) /
                          base::Duration(state.settings.duties.usage_window);
   state.usage.Count(state.boot, window, this->account->name);
@@ -148,7 +150,7 @@
 
 core::RequestContent RequestHandler::Content() {
   if (this->content_digest.empty()) {
-    const net::Request &request = this->exchange->request();
+    const net::Request& request = this->exchange->request();
     this->content_digest =
         core::ContentDigest(this->account == nullptr ? base::ClientAccountId{}
                                                      : this->account->name,
@@ -158,11 +160,11 @@
 }
 
 bool RequestHandler::AdmitContent() {
-  GatewayState &state = this->context.state;
+  GatewayState& state = this->context.state;
   if (state.poison_requests.size() == 0 || this->on_trial) {
     return true;
   }
-  const auto may_try = [&](const std::string &part) {
+  const auto may_try = [&](const std::string& part) {
     return core::PreferredHolder("trial/" + part, state.live_hosts) ==
            state.settings.host;
   };
@@ -190,7 +192,7 @@
 }
 
 void RequestHandler::NoteBrokenAnswer() {
-  const core::BackendEntry &backend = this->call->plan().backend;
+  const core::BackendEntry& backend = this->call->plan().backend;
   const int64_t events = this->splitter.event_count() - this->earlier_events;
   core::RequestContent content = this->Content();
   if (events > kMaxEventsOfCrash) {
@@ -205,7 +207,7 @@
 }
 
 void RequestHandler::NoteAnswered() {
-  core::PoisonRequestTracker &poison = this->context.state.poison_requests;
+  core::PoisonRequestTracker& poison = this->context.state.poison_requests;
   if (poison.size() > 0 &&
       poison.NoteAnswered(this->Content().digest, base::Now())) {
     this->context.on_urgent_news();
@@ -217,13 +219,13 @@
   if (this->shared_parts.empty()) {
     return;
   }
-  core::PoisonRequestTracker &poison = this->context.state.poison_requests;
+  core::PoisonRequestTracker& poison = this->context.state.poison_requests;
   poison.NoteServed(this->shared_parts, base::Now());
   this->context.LogPoisonParts();
 }
 
-void RequestHandler::LogAttemptEnd(const char *kind,
-                                   const std::string &reason) {
+void RequestHandler::LogAttemptEnd(const char* kind,
+                                   const std::string& reason) {
   const std::string backend =
       this->call == nullptr ? "" : this->call->plan().backend.id.value;
   const BackendAnswerProgress answer =
@@ -248,15 +250,15 @@
        {"age_ms", this->AgeMs(base::Now())}});
 }
 
-void RequestHandler::LogAttemptCutOff(const char *kind,
-                                      const std::string &reason) {
+void RequestHandler::LogAttemptCutOff(const char* kind,
+                                      const std::string& reason) {
   if (this->call != nullptr) {
     this->LogAttemptEnd(kind, reason);
   }
 }
 
-const char *RequestHandler::FramingName() const {
+const char* RequestHandler::FramingName() const {
   return this->head.status == 0 ? "none" : net::NameOf(this->framing);
 }
 
-} // namespace carawayvalve::gateway
+}  // namespace carawayvalve::gateway
--- a/gateway/src/request_handler.cc
+++ b/gateway/src/request_handler.cc
@@ -29,32 +29,35 @@
 // cache.
 constexpr int64_t kMeanOutputTokens = 128;
 
-const char *KindOf(const core::AttemptEnd &end) {
+const char* KindOf(const core::AttemptEnd& end) {
   struct KindVisitor {
-    const char *operator()(const core::AttemptNotSent & /*end*/) const {
+    const char* operator()(const core::AttemptNotSent& /*end*/) const {
       return "not_sent";
     }
-    const char *operator()(const core::AttemptDeclined & /*end*/) const {
+    const char* operator()(const core::AttemptDeclined& /*end*/) const {
       return "declined";
     }
-    const char *operator()(const core::AttemptInterrupted & /*end*/) const {
+    const char* operator()(const core::AttemptInterrupted& /*end*/) const {
       return "broken";
     }
-    const char *operator()(const core::AttemptFailed & /*end*/) const {
+    const char* operator()(const core::AttemptFailed& /*end*/) const {
       return "failed";
     }
   };
   return std::visit(KindVisitor(), end);
 }
 
-} // namespace
+}  // namespace
 
-RequestHandler::RequestHandler(Context &context,
+RequestHandler::RequestHandler(Context& context,
                                std::shared_ptr<net::Exchange> exchange)
-    : context(context), exchange(std::move(exchange)),
+    : context(context),
+      exchange(std::move(exchange)),
       caller(platform::DecodeCallerRequest(this->exchange->request())),
-      table(context.state.table), arrived(this->exchange->first_byte_at()),
-      continuity(this->caller.after_event), deadline_timer(context.loop),
+      table(context.state.table),
+      arrived(this->exchange->first_byte_at()),
+      continuity(this->caller.after_event),
+      deadline_timer(context.loop),
       overdue_timer(context.loop) {
   if (this->caller.prompt.has_value()) {
     this->shared_parts = core::SharedPartsOf(*this->caller.prompt);
@@ -91,7 +94,7 @@
   this->ChargeAccount();
 }
 
-const char *RequestHandler::PhaseName() const {
+const char* RequestHandler::PhaseName() const {
   if (this->progress.answer_begun) {
     return "answering";
   }
@@ -113,8 +116,8 @@
 }
 
 bool RequestHandler::FindRoute() {
-  const net::Request &request = this->exchange->request();
-  const std::string *host = net::FindField(request.fields, "Host");
+  const net::Request& request = this->exchange->request();
+  const std::string* host = net::FindField(request.fields, "Host");
   if (host != nullptr) {
     this->route = this->table->FindRoute(*host, request.target);
   }
@@ -133,7 +136,7 @@
     this->account = this->table->FindAccount(*this->caller.key);
   }
   const base::Instant now = base::Now();
-  const core::KeyFreshness &key_freshness = this->context.state.key_freshness;
+  const core::KeyFreshness& key_freshness = this->context.state.key_freshness;
   if (const auto age = key_freshness.Age(now)) {
     this->context.metrics.ObserveStateAge("configuration", *age);
   }
@@ -181,7 +184,7 @@
   return query;
 }
 
-void RequestHandler::Send(const core::Placement &placement) {
+void RequestHandler::Send(const core::Placement& placement) {
   if (placement.prefill_only) {
     this->PrefillPrompt(placement);
     return;
@@ -196,9 +199,9 @@
   return this->route->priority;
 }
 
-BackendCallPlan
-RequestHandler::PlanCall(const core::Placement &placement,
-                         const platform::RunStage &stage) const {
+BackendCallPlan RequestHandler::PlanCall(
+    const core::Placement& placement,
+    const platform::RunStage& stage) const {
   const base::Instant now = base::Now();
   BackendCallPlan plan;
   plan.backend = placement.target;
@@ -233,7 +236,7 @@
   return plan;
 }
 
-void RequestHandler::NotePrefix(const base::BackendServerId &id,
+void RequestHandler::NotePrefix(const base::BackendServerId& id,
                                 bool prefilled) {
   if (!this->caller.prompt.has_value()) {
     return;
@@ -242,7 +245,7 @@
   if (keys.empty()) {
     return;
   }
-  core::PrefixCacheTracker &prefix_caches = this->context.state.prefix_caches;
+  core::PrefixCacheTracker& prefix_caches = this->context.state.prefix_caches;
   if (prefilled) {
     prefix_caches.NotePrefilled(id, keys);
   } else {
@@ -251,8 +254,8 @@
   this->context.sent_prefixes.push_back({id, keys, prefilled});
 }
 
-void RequestHandler::Run(const core::Placement &placement,
-                         const platform::RunStage &stage) {
+void RequestHandler::Run(const core::Placement& placement,
+                         const platform::RunStage& stage) {
   const auto self = this->shared_from_this();
   this->head = {};
   this->body.clear();
@@ -265,7 +268,7 @@
         }
       });
   this->earlier_events = this->splitter.event_count();
-  const base::BackendServerId &id = placement.target.id;
+  const base::BackendServerId& id = placement.target.id;
   this->NotePrefix(id, false);
   const base::Instant now = base::Now();
   this->context.metrics.CountPlacement(placement.passed_over_lowest);
@@ -284,16 +287,16 @@
        {"age_ms", this->AgeMs(now)}});
   this->call = std::make_unique<BackendCall>(
       this->context, this->exchange->request(), this->caller,
-      this->PlanCall(placement, stage), [self](const BackendEvent &event) {
+      this->PlanCall(placement, stage), [self](const BackendEvent& event) {
         if (!self->ended) {
-          std::visit([&](const auto &kind) { self->On(kind); }, event);
+          std::visit([&](const auto& kind) { self->On(kind); }, event);
         }
       });
   this->overdue_timer.Start(BackendCall::FirstDataTimeout(placement.expected),
                             [self] { self->OnOverdue(); });
 }
 
-void RequestHandler::On(const BackendRequestSent & /*event*/) {
+void RequestHandler::On(const BackendRequestSent& /*event*/) {
   ++this->progress.attempts;
   this->earlier_may_have_run = this->progress.may_have_run;
   this->progress.may_have_run = true;
@@ -302,14 +305,14 @@
   }
 }
 
-void RequestHandler::On(const BackendDeclined &event) {
+void RequestHandler::On(const BackendDeclined& event) {
   // This attempt hasn't run, but an earlier one may have.
   this->progress.may_have_run = this->earlier_may_have_run;
   this->EndAttempt(core::AttemptDeclined{},
                    "declined with " + std::to_string(event.status));
 }
 
-void RequestHandler::On(const BackendAnswerBegun &event) {
+void RequestHandler::On(const BackendAnswerBegun& event) {
   this->head = event.head;
   this->framing = event.framing;
   // The engine that answers has taken the prefilled prompt.
@@ -320,7 +323,7 @@
   if (!this->AnswersEvents()) {
     return;
   }
-  const std::string *type = net::FindField(this->head.fields, "Content-Type");
+  const std::string* type = net::FindField(this->head.fields, "Content-Type");
   const auto fault = this->continuity.BeginRun(
       type == nullptr ? std::nullopt : std::optional(*type));
   if (fault.has_value()) {
@@ -328,13 +331,13 @@
   }
 }
 
-void RequestHandler::RejectAnswer(const std::string &reason) {
+void RequestHandler::RejectAnswer(const std::string& reason) {
   this->context.state.health.NoteFailure(this->call->plan().backend.id,
                                          base::Now());
   this->EndAttempt(core::AttemptInterrupted{}, reason);
 }
 
-void RequestHandler::On(const BackendAnswerData &event) {
+void RequestHandler::On(const BackendAnswerData& event) {
   // Without the server's own head there is nothing to pass on.
   if (this->head.status == 0) {
     return;
@@ -362,7 +365,7 @@
   this->RejectAnswer("the answer needs more memory than there is");
 }
 
-void RequestHandler::OnEvents(const std::string &data) {
+void RequestHandler::OnEvents(const std::string& data) {
   const base::Instant received = base::Now();
   std::optional<std::string> fault;
   const std::string events =
@@ -379,7 +382,7 @@
   }
 }
 
-void RequestHandler::SendEvents(const std::string &events,
+void RequestHandler::SendEvents(const std::string& events,
                                 base::Instant received) {
   const auto self = this->shared_from_this();
   this->overdue_timer.Start(BackendCall::NextDataTimeout(),
@@ -387,7 +390,7 @@
   this->CountUsage(received);
   if (!this->progress.answer_begun) {
     this->progress.answer_begun = true;
-    const core::BackendEntry &backend = this->call->plan().backend;
+    const core::BackendEntry& backend = this->call->plan().backend;
     this->stream_version = backend.software_version;
     if (this->route->resumable) {
       this->NoteStream(backend.software_version);
@@ -411,7 +414,7 @@
   }
 }
 
-void RequestHandler::On(const BackendAnswerDone & /*event*/) {
+void RequestHandler::On(const BackendAnswerDone& /*event*/) {
   if (this->head.status == 0) {
     this->EndAttempt(core::AttemptInterrupted{},
                      "the answer isn't the backend server's");
@@ -460,7 +463,7 @@
   this->Perform(core::ForwardFailure{});
 }
 
-void RequestHandler::On(const BackendCallFailed &event) {
+void RequestHandler::On(const BackendCallFailed& event) {
   if (event.not_sent) {
     this->OnNotSent(event.reason);
     return;
@@ -503,12 +506,12 @@
 
 void RequestHandler::GiveUp() {
   this->ReleasePrompt();
-  std::visit([&](const auto &kind) { this->Perform(kind); },
+  std::visit([&](const auto& kind) { this->Perform(kind); },
              core::DecideFinalStep(this->progress));
 }
 
-void RequestHandler::EndAttempt(const core::AttemptEnd &end,
-                                const std::string &reason) {
+void RequestHandler::EndAttempt(const core::AttemptEnd& end,
+                                const std::string& reason) {
   this->overdue_timer.Cancel();
   this->ReleasePrompt();
   this->LogAttemptEnd(KindOf(end), reason);
@@ -530,7 +533,7 @@
         ChargeRetry(this->context, this->service, this->caller.id);
     step = core::DecideNextStep(this->Rules(), this->progress, end, conditions);
   }
-  std::visit([&](const auto &kind) { this->Perform(kind); }, step);
+  std::visit([&](const auto& kind) { this->Perform(kind); }, step);
 }
 
-} // namespace carawayvalve::gateway
+}  // namespace carawayvalve::gateway
--- a/gateway/src/request_handler.h
+++ b/gateway/src/request_handler.h
@@ -21,17 +21,17 @@
 // chooses backend servers, sends the request to them and retries it as its
 // route allows. Owned by the callbacks that it registers.
 class RequestHandler : public std::enable_shared_from_this<RequestHandler> {
-public:
-  RequestHandler(Context &context, std::shared_ptr<net::Exchange> exchange);
+ public:
+  RequestHandler(Context& context, std::shared_ptr<net::Exchange> exchange);
 
   void Start();
   // Returns where the request is, in logs: "admission" until it is placed,
   // "waiting_for_capacity", "prefill", "at_backend" or "answering".
-  const char *PhaseName() const;
+  const char* PhaseName() const;
   // Applies what the stop of this process leaves of the time for an answer.
   void OnStop();
 
-private:
+ private:
   static constexpr int kSuccess = 200;
 
   // Return whether the request may proceed. If not, it has been answered.
@@ -41,9 +41,9 @@
   // Takes the credit for the request off its account's limit, which may take a
   // short time, then begins it or refuses it.
   void ChargeAccount();
-  void OnAccountDecided(const core::CreditStep &step);
+  void OnAccountDecided(const core::CreditStep& step);
   // `exceeded` is null for a request that is too large for ever.
-  void LogAccountRefused(const core::AccountExceeded *exceeded);
+  void LogAccountRefused(const core::AccountExceeded* exceeded);
   // Returns the credit.
   void RefundAccount();
   // Takes a stream up, or makes the first attempt.
@@ -52,13 +52,13 @@
   // Finds out which software version began the stream that the caller takes up,
   // then makes the first attempt.
   void TakeUpStream();
-  void OnStreamOrigin(const core::OriginVerdict &verdict);
+  void OnStreamOrigin(const core::OriginVerdict& verdict);
   // Makes the first attempt at that version.
-  void Perform(const core::ContinueAtVersion &verdict);
+  void Perform(const core::ContinueAtVersion& verdict);
   // Refuses the request.
-  void Perform(const core::OriginUnknown &verdict);
+  void Perform(const core::OriginUnknown& verdict);
   // Records that a backend server of this version sends events of the stream.
-  void NoteStream(const std::string &software_version);
+  void NoteStream(const std::string& software_version);
   // Returns how long after its beginning callers take the stream up.
   base::Duration TakeUpTime() const;
   std::string StreamContent() const;
@@ -68,40 +68,40 @@
   // or ends it.
   void Attempt();
   // Returns whether the answer is expected within the time that is left.
-  bool FitsDeadline(const core::Placement &placement, base::Instant now) const;
+  bool FitsDeadline(const core::Placement& placement, base::Instant now) const;
   // Returns whether a request that can't meet its objective must wait until the
   // target has less work.
-  bool MustWait(const core::Placement &placement, base::Instant now) const;
-  void WaitForCapacity(const core::Placement &placement);
+  bool MustWait(const core::Placement& placement, base::Instant now) const;
+  void WaitForCapacity(const core::Placement& placement);
   // Called while the request waits for capacity. Returns whether it stops
   // waiting.
   bool TryDispatch();
-  void Send(const core::Placement &placement);
-  void PrefillPrompt(const core::Placement &placement);
+  void Send(const core::Placement& placement);
+  void PrefillPrompt(const core::Placement& placement);
   // Sends the request to a decode engine that takes the prompt from the prefill
   // engine.
   void RunPrefilledPrompt();
-  void Run(const core::Placement &placement, const platform::RunStage &stage);
-  BackendCallPlan PlanCall(const core::Placement &placement,
-                           const platform::RunStage &stage) const;
+  void Run(const core::Placement& placement, const platform::RunStage& stage);
+  BackendCallPlan PlanCall(const core::Placement& placement,
+                           const platform::RunStage& stage) const;
   // Records that the engine was sent the prompt or has prefilled it.
-  void NotePrefix(const base::BackendServerId &id, bool prefilled);
-
-  void OnPrefillEvent(const core::Placement &placement,
-                      const BackendEvent &event);
-  void OnPrefilled(const core::Placement &placement);
-  void OnPrefillFailed(const core::Placement &placement,
-                       const std::string &reason);
-
-  void On(const BackendRequestSent &event);
-  void On(const BackendDeclined &event);
-  void On(const BackendAnswerBegun &event);
-  void On(const BackendAnswerData &event);
-  void On(const BackendAnswerDone &event);
-  void On(const BackendCallFailed &event);
-  void OnEvents(const std::string &data);
+  void NotePrefix(const base::BackendServerId& id, bool prefilled);
+
+  void OnPrefillEvent(const core::Placement& placement,
+                      const BackendEvent& event);
+  void OnPrefilled(const core::Placement& placement);
+  void OnPrefillFailed(const core::Placement& placement,
+                       const std::string& reason);
+
+  void On(const BackendRequestSent& event);
+  void On(const BackendDeclined& event);
+  void On(const BackendAnswerBegun& event);
+  void On(const BackendAnswerData& event);
+  void On(const BackendAnswerDone& event);
+  void On(const BackendCallFailed& event);
+  void OnEvents(const std::string& data);
   // Passes complete events on to the caller.
-  void SendEvents(const std::string &events, base::Instant received);
+  void SendEvents(const std::string& events, base::Instant received);
   bool AnswersEvents() const {
     return this->IsStream() && this->head.status == kSuccess;
   }
@@ -111,20 +111,20 @@
   void OnAnswerDropped(int64_t attempt);
   // Ends the attempt, whose backend server answers with something else than
   // what it was asked for.
-  void RejectAnswer(const std::string &reason);
+  void RejectAnswer(const std::string& reason);
   void OnCompleteAnswer();
   void OnOverdue();
-  void OnNotSent(const std::string &reason);
+  void OnNotSent(const std::string& reason);
 
   // Ends the current attempt and takes the next step, which may be a retry.
-  void EndAttempt(const core::AttemptEnd &end, const std::string &reason);
+  void EndAttempt(const core::AttemptEnd& end, const std::string& reason);
   // Ends the request without another attempt.
   void GiveUp();
-  void Perform(const core::TryAgain &step);
-  void Perform(const core::RefuseAsNotRun &step);
-  void Perform(const core::AnswerUnknownOutcome &step);
-  void Perform(const core::ForwardFailure &step);
-  void Perform(const core::BreakAnswerOff &step);
+  void Perform(const core::TryAgain& step);
+  void Perform(const core::RefuseAsNotRun& step);
+  void Perform(const core::AnswerUnknownOutcome& step);
+  void Perform(const core::ForwardFailure& step);
+  void Perform(const core::BreakAnswerOff& step);
 
   // Keeps the answer for a caller that reads slowly, and records if the caller
   // doesn't receive all of it.
@@ -133,20 +133,21 @@
   void StartDeadlineTimer(base::Instant at);
   void OnDeadline();
   void OnCallerDisconnected();
-  void Refuse(int status, const std::string &reason, bool send_retry_after);
-  void RefuseWith(int status, const std::string &reason,
+  void Refuse(int status, const std::string& reason, bool send_retry_after);
+  void RefuseWith(int status,
+                  const std::string& reason,
                   std::optional<base::Duration> retry_after);
-  void End(int status, const std::string &outcome);
+  void End(int status, const std::string& outcome);
   // Counts the request once as usage of its client account.
   void CountUsage(base::Instant at);
   // Also counts the end in the metrics, by `kind`, of which there must be few.
-  void LogAttemptEnd(const char *kind, const std::string &reason);
+  void LogAttemptEnd(const char* kind, const std::string& reason);
   // Does the same for an attempt in progress, if there is one, that ends with
   // its request.
-  void LogAttemptCutOff(const char *kind, const std::string &reason);
+  void LogAttemptCutOff(const char* kind, const std::string& reason);
   // Returns how the end of the current answer is marked, "none" before its
   // head.
-  const char *FramingName() const;
+  const char* FramingName() const;
   // Frees a prefilled prompt that no engine has taken.
   void ReleasePrompt();
   void NoteBrokenAnswer();
@@ -173,13 +174,13 @@
   base::Duration TimeLeft(base::Instant now) const;
   int64_t AgeMs(base::Instant now) const;
 
-  Context &context;
+  Context& context;
   std::shared_ptr<net::Exchange> exchange;
   core::CallerRequest caller;
   // Owns the route and the account.
   std::shared_ptr<const core::ServingTable> table;
-  const config::ServingRoute *route = nullptr;
-  const config::ServingAccount *account = nullptr;
+  const config::ServingRoute* route = nullptr;
+  const config::ServingAccount* account = nullptr;
   base::ServiceId service;
   base::Instant arrived;
   base::Instant deadline;
@@ -237,6 +238,6 @@
   bool ended = false;
 };
 
-} // namespace carawayvalve::gateway
+}  // namespace carawayvalve::gateway
 
-#endif // CARAWAYVALVE_GATEWAY_SRC_REQUEST_HANDLER_H_
+#endif  // CARAWAYVALVE_GATEWAY_SRC_REQUEST_HANDLER_H_
--- a/tests/platform/backend.cc
+++ b/tests/platform/backend.cc
@@ -6,46 +6,51 @@
 
 namespace {
 
-std::string HeadOf(const std::string &status, const std::string &fields) {
+std::string HeadOf(const std::string& status, const std::string& fields) {
   return "HTTP/1.1 " + status + "\r\nX-Request-Id: r1\r\n" + fields + "\r\n";
 }
 
-} // namespace
+}  // namespace
 
-std::string AnswerHead(const std::string &fields) {
+std::string AnswerHead(const std::string& fields) {
   return HeadOf("200 OK", "X-Response-Sig: s\r\n" + fields);
 }
 
-std::string UnsignedHead(const std::string &fields) {
+std::string UnsignedHead(const std::string& fields) {
   return HeadOf("200 OK", fields);
 }
 
-std::string FailureHead(const std::string &fields) {
+std::string FailureHead(const std::string& fields) {
   return HeadOf("500 Failed", "X-Response-Sig: s\r\n" + fields);
 }
 
-std::string RefusalHead(const std::string &fields) {
+std::string RefusalHead(const std::string& fields) {
   return HeadOf("503 Full", "X-Not-Run: 1\r\n" + fields);
 }
 
-std::string PlainAnswer(const std::string &request,
-                        const std::string &backend) {
+std::string PlainAnswer(const std::string& request,
+                        const std::string& backend) {
   return "answer to " + request + " by " + backend;
 }
 
-std::string StreamEvent(const std::string &request, int number,
-                        const std::string &version) {
+std::string StreamEvent(const std::string& request,
+                        int number,
+                        const std::string& version) {
   const std::string id = std::to_string(number);
   const std::string mark = version.empty() ? "" : "@" + version;
   return "id: " + id + "\ndata: " + request + "/" + id + mark + "\n\n";
 }
 
-Backend::Backend(net::EventLoop &loop, const Settings &settings,
-                 std::vector<BackendRun> &runs)
-    : loop(loop), settings(settings), runs(runs),
+Backend::Backend(net::EventLoop& loop,
+                 const Settings& settings,
+                 std::vector<BackendRun>& runs)
+    : loop(loop),
+      settings(settings),
+      runs(runs),
       server(std::make_unique<net::HttpServer>(
-          loop, base::Address{"127.0.0.1", 0},
-          [this](const auto &exchange) { this->OnRequest(exchange); })),
+          loop,
+          base::Address{"127.0.0.1", 0},
+          [this](const auto& exchange) { this->OnRequest(exchange); })),
       listening_port(this->server->port()) {}
 
 Backend::~Backend() {
@@ -54,13 +59,13 @@
   this->pending.clear();
 }
 
-std::string Backend::Field(const net::Exchange &exchange,
-                           const char *name) const {
-  const std::string *value = net::FindField(exchange.request().fields, name);
+std::string Backend::Field(const net::Exchange& exchange,
+                           const char* name) const {
+  const std::string* value = net::FindField(exchange.request().fields, name);
   return value == nullptr ? "" : *value;
 }
 
-net::HeaderFields Backend::UnsignedFields(const net::Exchange &exchange) const {
+net::HeaderFields Backend::UnsignedFields(const net::Exchange& exchange) const {
   net::HeaderFields fields = {
       {"X-Request-Id", this->Field(exchange, "X-Request-Id")}};
   if (this->leaves) {
@@ -75,7 +80,7 @@
   return fields;
 }
 
-net::HeaderFields Backend::Fields(const net::Exchange &exchange) const {
+net::HeaderFields Backend::Fields(const net::Exchange& exchange) const {
   net::HeaderFields fields = this->UnsignedFields(exchange);
   fields.push_back(
       {"X-Response-Sig",
@@ -85,8 +90,8 @@
 
 // Answers the control calls of the platform's engines. Orders are accepted and
 // ignored. Returns false when the call is not a control call.
-bool Backend::OnControl(const std::shared_ptr<net::Exchange> &exchange) {
-  const std::string &target = exchange->request().target;
+bool Backend::OnControl(const std::shared_ptr<net::Exchange>& exchange) {
+  const std::string& target = exchange->request().target;
   net::Response response{{200, this->UnsignedFields(*exchange)}, ""};
   if (target == "/api/report") {
     response.body = R"({"seq":0,"busy":false})";
@@ -100,7 +105,7 @@
   return true;
 }
 
-void Backend::OnRequest(const std::shared_ptr<net::Exchange> &exchange) {
+void Backend::OnRequest(const std::shared_ptr<net::Exchange>& exchange) {
   if (this->OnControl(exchange)) {
     return;
   }
@@ -132,7 +137,7 @@
                         this->Field(*exchange, "X-Credential"), base::Now(),
                         resumed});
   const int64_t number = ++this->last_number;
-  PendingRequest &pending_request = this->pending[number];
+  PendingRequest& pending_request = this->pending[number];
   pending_request.exchange = exchange;
   pending_request.timer = std::make_unique<net::Timer>(this->loop);
   pending_request.first_event = resumed.empty() ? 1 : std::stoi(resumed) + 1;
@@ -152,7 +157,7 @@
                                [this, number] { this->Answer(number); });
 }
 
-base::Milliseconds Backend::DurationOf(const net::Exchange &exchange) const {
+base::Milliseconds Backend::DurationOf(const net::Exchange& exchange) const {
   const base::Milliseconds duration =
       this->settings.duration + this->extra_duration;
   const std::string deadline = this->Field(exchange, "X-Deadline-Ms");
@@ -167,13 +172,17 @@
     return;
   }
   const auto exchange = found->second.exchange;
-  const net::Request &request = exchange->request();
+  const net::Request& request = exchange->request();
   if (this->DurationOf(*exchange) <
       this->settings.duration + this->extra_duration) {
     this->pending.erase(found);
     exchange->Respond({{504, this->Fields(*exchange)}, ""});
     return;
   }
+  if (!this->crashing_body.empty() && request.body == this->crashing_body) {
+    this->Crash();
+    return;
+  }
   if (!this->crashing_part.empty() &&
       this->Field(*exchange, "X-Prompt-Prefix")
               .find(this->crashing_part + ":") != std::string::npos) {
@@ -196,7 +205,7 @@
 }
 
 void Backend::Crash() {
-  for (auto &[number, request] : this->pending) {
+  for (auto& [number, request] : this->pending) {
     request.exchange->OnDisconnect(nullptr);
   }
   this->pending.clear();
@@ -210,7 +219,7 @@
   if (found == this->pending.end()) {
     return;
   }
-  PendingRequest &pending_request = found->second;
+  PendingRequest& pending_request = found->second;
   const auto exchange = pending_request.exchange;
   if (pending_request.next_event > this->settings.events) {
     this->pending.erase(found);
@@ -238,4 +247,4 @@
   }
 }
 
-} // namespace carawayvalve::tests
+}  // namespace carawayvalve::tests
--- a/tests/platform/backend.h
+++ b/tests/platform/backend.h
@@ -44,7 +44,7 @@
 // whose answers are event streams. The body "fail" makes it answer 500; a model
 // sends `Settings::events` events.
 class Backend {
-public:
+ public:
   struct Settings {
     std::string id;
     // Concurrent requests; further ones are declined.
@@ -59,12 +59,13 @@
     std::string version;
   };
 
-  Backend(net::EventLoop &loop, const Settings &settings,
-          std::vector<BackendRun> &runs);
+  Backend(net::EventLoop& loop,
+          const Settings& settings,
+          std::vector<BackendRun>& runs);
   ~Backend();
 
   uint16_t port() const { return this->listening_port; }
-  const std::string &id() const { return this->settings.id; }
+  const std::string& id() const { return this->settings.id; }
   // Returns whether it runs a request.
   bool busy() const { return !this->pending.empty(); }
 
@@ -94,6 +95,9 @@
   // The model crashes when it begins to answer a prompt with this part; empty
   // for none.
   std::string crashing_part;
+  // It crashes when it begins to answer a request with this body; empty for
+  // none.
+  std::string crashing_body;
   // Called when it crashes.
   std::function<void()> on_crash = [] {};
   // Added to the duration of each request. A request whose deadline expires
@@ -104,7 +108,7 @@
   // When control calls, such as orders, were received.
   std::vector<base::Instant> control_calls;
 
-private:
+ private:
   struct PendingRequest {
     std::shared_ptr<net::Exchange> exchange;
     std::unique_ptr<net::Timer> timer;
@@ -112,22 +116,22 @@
     int next_event = 1;
   };
 
-  void OnRequest(const std::shared_ptr<net::Exchange> &exchange);
-  bool OnControl(const std::shared_ptr<net::Exchange> &exchange);
+  void OnRequest(const std::shared_ptr<net::Exchange>& exchange);
+  bool OnControl(const std::shared_ptr<net::Exchange>& exchange);
   // Returns the time from the request to its answer, limited by its deadline.
-  base::Milliseconds DurationOf(const net::Exchange &exchange) const;
+  base::Milliseconds DurationOf(const net::Exchange& exchange) const;
   void Answer(int64_t number);
   void NextEvent(int64_t number);
   // Closes all connections and refuses further ones.
   void Crash();
-  net::HeaderFields Fields(const net::Exchange &exchange) const;
+  net::HeaderFields Fields(const net::Exchange& exchange) const;
   // Returns the fields of an answer without a signature.
-  net::HeaderFields UnsignedFields(const net::Exchange &exchange) const;
-  std::string Field(const net::Exchange &exchange, const char *name) const;
+  net::HeaderFields UnsignedFields(const net::Exchange& exchange) const;
+  std::string Field(const net::Exchange& exchange, const char* name) const;
 
-  net::EventLoop &loop;
+  net::EventLoop& loop;
   Settings settings;
-  std::vector<BackendRun> &runs;
+  std::vector<BackendRun>& runs;
   std::map<int64_t, PendingRequest> pending;
   int64_t last_number = 0;
   std::unique_ptr<net::HttpServer> server;
@@ -140,20 +144,21 @@
 inline constexpr char kSignatureLine[] = "X-Response-Sig: s\r\n";
 // Returns the head of a genuine 200 answer to the request r1 with `fields`, as
 // it is sent.
-std::string AnswerHead(const std::string &fields);
+std::string AnswerHead(const std::string& fields);
 // The same of an answer without a signature.
-std::string UnsignedHead(const std::string &fields);
+std::string UnsignedHead(const std::string& fields);
 // The same of a genuine 500.
-std::string FailureHead(const std::string &fields);
+std::string FailureHead(const std::string& fields);
 // The same of a refusal, which says that the request wasn't run.
-std::string RefusalHead(const std::string &fields);
+std::string RefusalHead(const std::string& fields);
 // Returns the body of a backend server's answer to a plain request.
-std::string PlainAnswer(const std::string &request, const std::string &backend);
+std::string PlainAnswer(const std::string& request, const std::string& backend);
 // Returns one event of the answer to a streaming request; a version is added as
 // "@VERSION".
-std::string StreamEvent(const std::string &request, int number,
-                        const std::string &version = "");
+std::string StreamEvent(const std::string& request,
+                        int number,
+                        const std::string& version = "");
 
-} // namespace carawayvalve::tests
+}  // namespace carawayvalve::tests
 
-#endif // CARAWAYVALVE_TESTS_PLATFORM_BACKEND_H_
+#endif  // CARAWAYVALVE_TESTS_PLATFORM_BACKEND_H_
