Mark contents among served parts by what no caller can name

The model that a caller names may begin with "content:", so that what was served of it was taken for an answer to a content. Names in header fields hold no line feed.

Red on: "isn't confused with a part that a caller has named" of core/tests/poison_request_tracker_test.cc with the new row, 0 crashes instead of 2.

--- a/core/include/carawayvalve/core/poison_request_tracker.h
+++ b/core/include/carawayvalve/core/poison_request_tracker.h
@@ -55,7 +55,7 @@
 };
 
 // Returns what stands for a whole content among parts. No part of a prompt is
-// called so, as these have no colon.
+// called so: callers name these in header fields, which hold no line feed.
 std::string PartOfContent(const std::string& content_digest);
 
 // A part that is blamed for crashes.
--- a/core/src/poison_request_tracker.cc
+++ b/core/src/poison_request_tracker.cc
@@ -14,7 +14,7 @@
 constexpr std::chrono::seconds kCopyTime(1);
 // Crashes within this time may have one cause outside of the request.
 constexpr base::Milliseconds kSameTime(100);
-constexpr char kContentMark[] = "content:";
+constexpr char kContentMark[] = "\ncontent:";
 
 }  // namespace
 
--- a/core/tests/poison_request_tracker_test.cc
+++ b/core/tests/poison_request_tracker_test.cc
@@ -206,7 +206,8 @@
   }
   SUBCASE("isn't confused with a part that a caller has named") {
     tracker.NoteCrash(content, "crash 2", start + seconds(1));
-    tracker.MergeServed({{"d", seconds(0)}}, start + seconds(2));
+    tracker.MergeServed({{"d", seconds(0)}, {"content:d", seconds(0)}},
+                        start + seconds(2));
     CHECK(tracker.CountCrashes("d", start + seconds(2)) == 2);
   }
 }
