Send no body in parts to a HEAD

Callers: after a stream that was asked for with HEAD the gateway sends "0", the last chunk, where the answer to the next request on the connection is due.

Cause: Exchange::Respond leaves the body out for HEAD; Send and Finish, for answers in parts, didn't.

Red on: net/tests/http_server_test.cc "HEAD with a head alone, also in parts", 66 bytes of head and 81 sent with chunks, 38 and 43 up to the end of the connection; now nothing after the head. `serve` has its own HTTP library; not run.

--- a/net/include/carawayvalve/net/http_server.h
+++ b/net/include/carawayvalve/net/http_server.h
@@ -73,7 +73,8 @@
   void Respond(const Response& response);
 
   // Send an answer in parts: Begin, any number of Send, then Finish. The body
-  // is chunked, or ends with its connection, which is closed then.
+  // is chunked, or ends with its connection, which is closed then. It is left
+  // out if the request was a HEAD.
   void Begin(const ResponseHead& head,
              BodyFraming framing = BodyFraming::kChunked);
   void Send(std::string_view data);
@@ -100,6 +101,8 @@
   friend class detail::ServerConnection;
 
   void NotifyDisconnect();
+  // Returns whether the request is one whose answer has no body.
+  bool WantsHeadAlone() const { return this->message.method == "HEAD"; }
 
   std::shared_ptr<detail::ServerConnection> connection;
   Request message;
--- a/net/src/http_server.cc
+++ b/net/src/http_server.cc
@@ -73,7 +73,6 @@
     return;
   }
   HeaderFields framing;
-  const bool is_head_request = this->message.method == "HEAD";
   const bool may_have_body = MayHaveBody(response.head.status);
   if (may_have_body) {
     framing.push_back({"Content-Length", std::to_string(response.body.size())});
@@ -82,8 +81,9 @@
     framing.push_back({"Connection", "close"});
   }
   std::string text = PrintResponseHead(response.head, framing);
-  const std::string_view body =
-      may_have_body && !is_head_request ? response.body : std::string_view();
+  const std::string_view body = may_have_body && !this->WantsHeadAlone()
+                                    ? response.body
+                                    : std::string_view();
   this->started = true;
   this->ended = true;
   if (body.size() <= kMaxJoinedBytes) {
@@ -111,7 +111,7 @@
 }
 
 void Exchange::Send(std::string_view data) {
-  if (data.empty() || this->ended) {
+  if (data.empty() || this->ended || this->WantsHeadAlone()) {
     return;
   }
   if (this->framing == BodyFraming::kChunked) {
@@ -126,7 +126,7 @@
     return;
   }
   this->ended = true;
-  if (this->framing == BodyFraming::kChunked) {
+  if (this->framing == BodyFraming::kChunked && !this->WantsHeadAlone()) {
     this->connection->Write("0\r\n\r\n");
   }
   this->connection->EndAnswer();
--- a/net/tests/http_server_test.cc
+++ b/net/tests/http_server_test.cc
@@ -92,6 +92,25 @@
     });
     CHECK(answer == "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it");
   }
+  // Guards against bytes that a caller reads as the next answer (issue 67).
+  SUBCASE("HEAD with a head alone, also in parts") {
+    for (const auto framing :
+         {BodyFraming::kChunked, BodyFraming::kConnectionClose}) {
+      HttpServer server(echo.loop, {"127.0.0.1", 0}, [&](const auto& exchange) {
+        exchange->Begin({200, {}}, framing);
+        exchange->Send("event");
+        exchange->Finish();
+      });
+      std::string answer;
+      RunWhile(echo.loop, [&] {
+        RawCaller caller(server.port());
+        caller.Send("HEAD /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        answer = caller.ReadAll();
+      });
+      CHECK(answer.starts_with("HTTP/1.1 200 OK\r\n"));
+      CHECK(answer.find("\r\n\r\n") + 4 == answer.size());
+    }
+  }
   SUBCASE("with Connection: close after CloseAfterAnswers") {
     echo.server.CloseAfterAnswers();
     const std::string answer =
