Compare a credit with what was granted, not with a round figure

Cause: the account earns a token a microsecond from the construction of the fixture to the grant, and the check allowed six.

The balance must now be exactly what it was before the request, as none comes in after the grant.

--- a/gateway/tests/account_limit_test.cc
+++ b/gateway/tests/account_limit_test.cc
@@ -84,10 +84,13 @@
     LimitFixture fixture(kManyTokens);
     fixture.gateway.state.directory.NoteRemoved({"reader"}, base::Now());
     fixture.Grant(kManyTokens / 2.0);
+    // Some credit has come in by the time before the grant, none since.
+    const double granted = fixture.Status().balance;
+    CHECK(granted >= kManyTokens / 2.0);
     fixture.SendWithKey();
     CHECK(fixture.status == 503);
     CHECK(fixture.Status().spent == 0);
-    CHECK(fixture.Status().balance == doctest::Approx(kManyTokens / 2.0));
+    CHECK(fixture.Status().balance == granted);
   }
 }
 
