Decide in core what an unanswered call shows, by the report interval

The shell chose between two methods of core::StoreOutage by how a call had ended. It passes the call on now, and core decides.

The least outage was a constant that holds where backend servers write their entries once a second or less often. It is now the shorter of that interval, which the platform names in its settings, and the timeout of a call.

--- a/core/include/carawayvalve/core/backend_directory.h
+++ b/core/include/carawayvalve/core/backend_directory.h
@@ -78,10 +78,9 @@
 // store has come back.
 class BackendDirectory {
  public:
-  // `grace_period` is the time after an outage of the store within which a
-  // lapsed entry may be registered again.
-  explicit BackendDirectory(base::Duration grace_period)
-      : outage(grace_period) {}
+  // `outages` says when a missing entry may have lapsed.
+  explicit BackendDirectory(const StoreOutage::Settings& outages)
+      : outage(outages) {}
 
   // Replaces all entries by a complete listing of the store.
   void NoteList(const std::vector<BackendEntry>& entries, base::Instant now);
@@ -106,7 +105,6 @@
   // Returns what NoteLeaving has recorded since, the newest first.
   std::vector<LeavingBackend> LeavingSince(base::Instant since) const;
 
-  // Tells whether a missing entry may have lapsed.
   StoreOutage& store_outage() { return this->outage; }
   // Records that the store came back from an older copy. A run that was removed
   // before and that the copy shows gets no requests until it is registered
--- a/core/src/store_outage.cc
+++ b/core/src/store_outage.cc
@@ -4,33 +4,23 @@
 
 namespace carawayvalve::core {
 
-namespace {
-
-// An entry lasts for three reports of its owner. A shorter outage keeps at most
-// one report from the store, so that no entry expires for it.
-constexpr std::chrono::seconds kMinOutage(1);
-
-}  // namespace
-
-void StoreOutage::NoteCutOff(base::Instant now) {
-  if (!this->unanswered_since.has_value()) {
-    this->unanswered_since = now;
-    this->earliest = now;
-  }
-}
-
-void StoreOutage::NoteFailure(base::Instant sent_at, base::Instant last_known) {
+void StoreOutage::NoteUnanswered(const UnansweredCall& call,
+                                 base::Instant last_known,
+                                 base::Instant now) {
   if (this->unanswered_since.has_value()) {
     this->unanswered_since = std::min(*this->unanswered_since, this->earliest);
-    return;
+  } else if (call.was_waiting) {
+    this->unanswered_since = now;
+    this->earliest = now;
+  } else {
+    this->unanswered_since = call.sent_at;
+    this->earliest = last_known;
   }
-  this->unanswered_since = sent_at;
-  this->earliest = last_known;
 }
 
 void StoreOutage::NoteAnswer(base::Instant now) {
   if (this->unanswered_since.has_value() &&
-      now - *this->unanswered_since >= kMinOutage) {
+      now - *this->unanswered_since >= this->settings.min_outage) {
     this->returned_at = now;
   }
   this->unanswered_since.reset();
@@ -39,7 +29,7 @@
 bool StoreOutage::MayHaveExpired(base::Instant now) const {
   return this->unanswered_since.has_value() ||
          (this->returned_at.has_value() &&
-          now - *this->returned_at < this->grace_period);
+          now - *this->returned_at < this->settings.grace_period);
 }
 
 }  // namespace carawayvalve::core
--- a/core/tests/backend_directory_test.cc
+++ b/core/tests/backend_directory_test.cc
@@ -12,10 +12,18 @@
 
 namespace {
 
+constexpr StoreOutage::Settings kOutages{.grace_period = seconds(2),
+                                         .min_outage = seconds(1)};
+
+// Records that the store cut off a watch.
+void NoteCutOff(BackendDirectory& directory, Instant now) {
+  directory.store_outage().NoteUnanswered({now, true}, now, now);
+}
+
 // Records that the store was away until `end`, for longer than an entry needs
 // to expire.
 void NoteOutage(BackendDirectory& directory, Instant end) {
-  directory.store_outage().NoteCutOff(end - seconds(4));
+  NoteCutOff(directory, end - seconds(4));
   directory.store_outage().NoteAnswer(end);
 }
 
@@ -32,7 +40,7 @@
 
 TEST_CASE("BackendDirectory") {
   const Instant start = Instant() + seconds(100);
-  BackendDirectory directory(seconds(2));
+  BackendDirectory directory(kOutages);
   directory.NoteList({Entry("a"), Entry("b")}, start);
 
   SUBCASE("contains the listed entries") {
@@ -131,13 +139,13 @@
       CHECK(directory.Find({"a"}) != nullptr);
     }
     SUBCASE("for a grace period that each further outage restarts") {
-      directory.store_outage().NoteCutOff(start + seconds(1));
+      NoteCutOff(directory, start + seconds(1));
       directory.store_outage().NoteAnswer(start + seconds(3));
       CHECK(directory.Expire(start + Milliseconds(4999)).empty());
       CHECK_FALSE(directory.Expire(start + seconds(5)).empty());
     }
     SUBCASE("for a grace period that a call which is cut off doesn't restart") {
-      directory.store_outage().NoteCutOff(start + Milliseconds(1900));
+      NoteCutOff(directory, start + Milliseconds(1900));
       directory.store_outage().NoteAnswer(start + Milliseconds(2000));
       CHECK_FALSE(directory.Expire(start + Milliseconds(2000)).empty());
     }
@@ -145,7 +153,7 @@
   // Guards against requests to a server that has left, as the store cuts off
   // watches (issue 67).
   SUBCASE("while the store has left one call unanswered") {
-    directory.store_outage().NoteCutOff(start);
+    NoteCutOff(directory, start);
     directory.NoteRemoved({"a"}, start);
     CHECK(directory.Expire(start + Milliseconds(100)).empty());
 
@@ -155,14 +163,14 @@
             std::vector<base::BackendServerId>{{"a"}});
     }
     SUBCASE("a missing entry is kept if it was away") {
-      directory.store_outage().NoteCutOff(start + Milliseconds(900));
+      NoteCutOff(directory, start + Milliseconds(900));
       directory.store_outage().NoteAnswer(start + Milliseconds(1000));
       CHECK(directory.Expire(start + Milliseconds(2999)).empty());
       CHECK_FALSE(directory.Expire(start + Milliseconds(3000)).empty());
     }
   }
   SUBCASE("after a call that was cut off, a removed entry is dropped at once") {
-    directory.store_outage().NoteCutOff(start - Milliseconds(300));
+    NoteCutOff(directory, start - Milliseconds(300));
     directory.store_outage().NoteAnswer(start - Milliseconds(200));
     directory.NoteRemoved({"a"}, start);
     CHECK(directory.Find({"a"}) == nullptr);
@@ -181,7 +189,7 @@
   constexpr int kEntries = 100000;
   const auto id = [](int number) { return "n-" + std::to_string(number); };
   const Instant start = Instant() + seconds(100);
-  BackendDirectory directory(seconds(2));
+  BackendDirectory directory(kOutages);
   std::vector<BackendEntry> entries;
   entries.reserve(kEntries);
   for (int i = 0; i < kEntries; ++i) {
@@ -211,7 +219,7 @@
 
 TEST_CASE("a backend server says that it leaves while its entry says up") {
   const Instant now = Instant() + seconds(100);
-  BackendDirectory directory(seconds(2));
+  BackendDirectory directory(kOutages);
   BackendEntry entry = Entry("a");
   entry.started_ms = 1000;
   directory.NoteEntry(entry);
--- a/core/tests/origin_out_of_step_test.cc
+++ b/core/tests/origin_out_of_step_test.cc
@@ -182,7 +182,7 @@
   size_t applied = 0;
   // When streams of each version could begin, the oldest first.
   std::deque<std::pair<Instant, std::string>> begun;
-  BackendDirectory directory{base::Duration(0)};
+  BackendDirectory directory{StoreOutage::Settings{}};
   Instant known_to;
   std::vector<Answer> answers;
   std::vector<TakenUp> streams;
--- a/core/tests/placement_report_test.cc
+++ b/core/tests/placement_report_test.cc
@@ -59,7 +59,7 @@
 
   std::mt19937_64 generator;
   Instant now = Instant() + seconds(100);
-  BackendDirectory directory{seconds(2)};
+  BackendDirectory directory{{.grace_period = seconds(2)}};
   BackendHealth health{{}};
   BackendRateLimits rate_limits;
   SilenceDetector silence;
--- a/core/tests/placement_test.cc
+++ b/core/tests/placement_test.cc
@@ -57,7 +57,7 @@
   }
 
   Instant now = Instant() + seconds(100);
-  BackendDirectory directory{seconds(2)};
+  BackendDirectory directory{{.grace_period = seconds(2)}};
   BackendHealth health{{}};
   BackendRateLimits rate_limits;
   SilenceDetector silence;
--- a/core/tests/reported_load_test.cc
+++ b/core/tests/reported_load_test.cc
@@ -108,7 +108,7 @@
   Slowness stated;
   Milliseconds time{};
   std::deque<Request> running;
-  BackendDirectory directory{std::chrono::seconds(2)};
+  BackendDirectory directory{{.grace_period = std::chrono::seconds(2)}};
   BackendHealth health{{}};
   BackendRateLimits rate_limits;
   SilenceDetector silence;
--- a/core/tests/stream_origins_test.cc
+++ b/core/tests/stream_origins_test.cc
@@ -90,7 +90,7 @@
 }
 
 TEST_CASE("the only software version of a service") {
-  BackendDirectory directory(seconds(2));
+  BackendDirectory directory({.grace_period = seconds(2)});
   const auto add = [&](const std::string& id, const std::string& version) {
     BackendEntry entry;
     entry.id = {id};
--- a/gateway/include/carawayvalve/gateway/settings.h
+++ b/gateway/include/carawayvalve/gateway/settings.h
@@ -32,6 +32,8 @@
     base::Address address;
     // Timeout of calls other than watches.
     base::Milliseconds call_timeout{1000};
+    // The interval at which backend servers write their entries.
+    base::Milliseconds report_interval{1200};
     // Time for which a watch waits for a change. The age of the keys counts
     // from when a watch was sent, so this is part of their staleness.
     base::Milliseconds watch_wait{2000};
--- a/gateway/src/gateway_state.cc
+++ b/gateway/src/gateway_state.cc
@@ -30,6 +30,13 @@
   return placement;
 }
 
+core::StoreOutage::Settings ToOutageSettings(
+    const GatewaySettings::Store& store) {
+  // A call that takes the whole of its time counts as an outage.
+  return {kEntryGracePeriod,
+          std::min(store.report_interval, store.call_timeout)};
+}
+
 core::RetryBudgetShare::Settings ToRetryBudgetSettings(
     const GatewaySettings::Bounds& bounds) {
   return {bounds.retry_ratio, bounds.retry_slack, bounds.retry_window};
@@ -42,7 +49,7 @@
       boot{base::RandomName().substr(0, kBootDigits)},
       started(base::Now()),
       key_freshness(settings.bounds.key_withdrawal, kKeyDeliveryMargin),
-      directory(kEntryGracePeriod),
+      directory(ToOutageSettings(settings.store)),
       health(core::BackendHealth::Settings{}),
       prefix_caches(kDefaultKvTokens),
       placer(ToPlacementSettings(settings),
--- a/gateway/src/object_watcher.cc
+++ b/gateway/src/object_watcher.cc
@@ -421,7 +421,7 @@
 }
 
 void ObjectWatcher::RetryLater(const std::string& reason,
-                               const FailedCall& failed,
+                               const core::UnansweredCall& failed,
                                std::function<void()> retry) {
   if (this->failures == 0) {
     this->context.journal.Write(base::LogLevel::kWarning, "store_lost",
--- a/gateway/src/object_watcher.h
+++ b/gateway/src/object_watcher.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "carawayvalve/core/change_log.h"
+#include "carawayvalve/core/store_outage.h"
 #include "carawayvalve/core/store_revision.h"
 #include "carawayvalve/core/watch_plan.h"
 #include "carawayvalve/platform/objects.h"
@@ -20,12 +21,6 @@
 // lists them again when the store no longer has the changes.
 class ObjectWatcher {
  public:
-  struct FailedCall {
-    base::Instant sent_at;
-    // The store made it wait for a change.
-    bool was_waiting = false;
-  };
-
   struct Hooks {
     // Receives the objects of each page of a list, as soon as it is there.
     std::function<void(const std::vector<platform::StoredObject>&)> on_page;
@@ -40,7 +35,7 @@
                        base::Instant sent_at)>
         on_changes;
     // Called when a call was refused or failed.
-    std::function<void(const FailedCall& failed)> on_failure;
+    std::function<void(const core::UnansweredCall& call)> on_failure;
     // Called when the store has answered a call.
     std::function<void()> on_answer;
     // Called when the store has come back from an older copy, before the
@@ -178,7 +173,7 @@
   // Calls `retry` after a backoff that grows with consecutive failures or lists
   // that are too long.
   void RetryLater(const std::string& reason,
-                  const FailedCall& failed,
+                  const core::UnansweredCall& failed,
                   std::function<void()> retry);
   // Removes the changes that the list already included.
   void DropListedChanges(std::vector<platform::ObjectChange>& changes);
--- a/gateway/src/settings.cc
+++ b/gateway/src/settings.cc
@@ -79,6 +79,8 @@
   store.address = ReadAddress(reader, "address", faults);
   store.call_timeout = ReadMs(reader, "call_timeout_ms", store.call_timeout);
   store.watch_wait = ReadMs(reader, "watch_wait_ms", store.watch_wait);
+  store.report_interval =
+      ReadMs(reader, "report_interval_ms", store.report_interval);
   reader.Finish();
 }
 
--- a/gateway/src/store_feed.cc
+++ b/gateway/src/store_feed.cc
@@ -47,7 +47,7 @@
              }
              this->context.state.key_freshness.NoteStoreAnswer(sent_at);
            },
-           [](const ObjectWatcher::FailedCall&) {}, [] {}, [] {}}),
+           [](const core::UnansweredCall&) {}, [] {}, [] {}}),
       backends(context,
                objects,
                platform::kBackendServerKind,
@@ -68,8 +68,8 @@
                   }
                   this->UpdateCurrent();
                 },
-                [this](const ObjectWatcher::FailedCall& failed) {
-                  this->OnBackendsUnanswered(failed);
+                [this](const core::UnansweredCall& call) {
+                  this->OnBackendsUnanswered(call);
                 },
                 [this] {
                   this->context.state.directory.store_outage().NoteAnswer(
@@ -164,14 +164,10 @@
   }
 }
 
-void StoreFeed::OnBackendsUnanswered(const ObjectWatcher::FailedCall& failed) {
+void StoreFeed::OnBackendsUnanswered(const core::UnansweredCall& call) {
   core::BackendDirectory& directory = this->context.state.directory;
-  if (failed.was_waiting) {
-    directory.store_outage().NoteCutOff(base::Now());
-  } else {
-    directory.store_outage().NoteFailure(
-        failed.sent_at, this->backends.confirmed().value_or(failed.sent_at));
-  }
+  directory.store_outage().NoteUnanswered(
+      call, this->backends.confirmed().value_or(call.sent_at), base::Now());
   directory.SetCurrent(false);
 }
 
--- a/gateway/src/store_feed.h
+++ b/gateway/src/store_feed.h
@@ -104,7 +104,7 @@
   // thousands.
   void ApplyBackend(const platform::StoredObject& object, bool from_list);
   // The store refused a call for the backend servers, or didn't answer it.
-  void OnBackendsUnanswered(const ObjectWatcher::FailedCall& failed);
+  void OnBackendsUnanswered(const core::UnansweredCall& call);
   // Entries that are missing from an older copy are written again soon.
   void OnOlderStore();
   // Drops the backend servers that only this list has shown.
--- a/gateway/tests/settings_test.cc
+++ b/gateway/tests/settings_test.cc
@@ -15,7 +15,7 @@
   "host": "edge-1", "data_centre": "a",
   "listen": {"callers": "10.0.0.1:80", "readiness": "10.0.0.1:81",
              "metrics": "10.0.0.1:82", "peers": "10.0.0.1:83"},
-  "store": {"address": "10.0.0.2:80"},
+  "store": {"address": "10.0.0.2:80", "report_interval_ms": 700},
   "duties": {"address": "10.0.0.3:80", "usage_window_s": 2.5, "lease_ms": 3000},
   "bounds": {"key_withdrawal_ms": 5000, "retry_ratio": 0.25, "retry_slack": 54,
              "account_tolerance": 0.1, "account_slack": 190000,
@@ -51,6 +51,7 @@
     CHECK(settings.bounds.account_window == base::Milliseconds(8000));
     CHECK(settings.log.level == base::LogLevel::kWarning);
     CHECK(settings.store.watch_wait == base::Milliseconds(2000));
+    CHECK(settings.store.report_interval == base::Milliseconds(700));
     CHECK(settings.features.contention);
     CHECK_FALSE(settings.even_load);
     CHECK(settings.memory_bytes == 160 * 1024 * 1024);
