--- a/core/include/carawayvalve/core/crash_state_schedule.h
+++ b/core/include/carawayvalve/core/crash_state_schedule.h
@@ -52,12 +52,21 @@
     bool operator==(const Settings&) const = default;
   };
 
+  // What a step depends on besides the crashes.
+  struct Conditions {
+    // This process stores.
+    bool is_writer = false;
+    // The store's era, 0 while it isn't known. If it rises, what is stored may
+    // be an older copy.
+    int64_t store_era = 0;
+  };
+
   explicit CrashStateSchedule(const Settings& settings) : settings(settings) {}
 
   // Returns the call that is due, if any. Must be called several times a
   // second.
   std::optional<CrashStateCall> Step(const PoisonRequestTracker& tracker,
-                                     bool is_writer,
+                                     const Conditions& conditions,
                                      base::Instant now);
   // Records what is stored, with its revision; nothing if there is none.
   void NoteRead(const CrashState& stored, std::optional<int64_t> revision);
@@ -66,8 +75,6 @@
   void NoteConflict();
   // The call failed, or it isn't known whether it took effect.
   void NoteFailed(base::Instant now);
-  // What is stored may be an older copy.
-  void NoteOlderStore() { this->must_read = true; }
 
  private:
   // Names what a successor would refuse or suspect by the state.
@@ -79,6 +86,8 @@
                                           base::Instant now);
 
   Settings settings;
+  // The store's era at the last step.
+  int64_t store_era = 0;
   bool must_read = true;
   bool in_flight = false;
   std::optional<base::Instant> retry_at;
--- a/core/src/crash_state_schedule.cc
+++ b/core/src/crash_state_schedule.cc
@@ -43,8 +43,12 @@
 
 std::optional<CrashStateCall> CrashStateSchedule::Step(
     const PoisonRequestTracker& tracker,
-    bool is_writer,
+    const Conditions& conditions,
     base::Instant now) {
+  const int64_t era_before =
+      std::exchange(this->store_era, conditions.store_era);
+  this->must_read =
+      this->must_read || (era_before > 0 && era_before < conditions.store_era);
   if (this->in_flight ||
       (this->retry_at.has_value() && now < *this->retry_at)) {
     return std::nullopt;
@@ -53,7 +57,7 @@
     this->in_flight = true;
     return ReadCrashState{};
   }
-  if (!is_writer || tracker.changes() == this->settled_changes) {
+  if (!conditions.is_writer || tracker.changes() == this->settled_changes) {
     this->changed_at.reset();
     return std::nullopt;
   }
--- a/core/tests/crash_state_schedule_test.cc
+++ b/core/tests/crash_state_schedule_test.cc
@@ -13,7 +13,8 @@
 struct Writer {
   std::optional<CrashStateCall> Step(base::Duration after) {
     this->now += after;
-    return this->schedule.Step(this->tracker, this->is_writer, this->now);
+    return this->schedule.Step(this->tracker,
+                               {this->is_writer, this->store_era}, this->now);
   }
   // Returns the state that is to be stored now; nothing if none is.
   std::optional<CrashState> Stores(base::Duration after) {
@@ -29,6 +30,7 @@
   CrashStateSchedule schedule{CrashStateSchedule::Settings{}};
   PoisonRequestTracker tracker{{}};
   bool is_writer = true;
+  int64_t store_era = 0;
   Instant now = Instant() + seconds(100);
 };
 
@@ -115,9 +117,10 @@
       }
     }
     SUBCASE("reads first what an older copy of the store holds") {
+      writer.store_era = 1;
       REQUIRE(writer.Stores(Milliseconds(200)).has_value());
       writer.schedule.NoteStored(7, writer.now);
-      writer.schedule.NoteOlderStore();
+      writer.store_era = 2;
       CHECK(writer.Step(seconds(1)) == CrashStateCall(ReadCrashState{}));
       writer.schedule.NoteRead({}, std::nullopt);
       writer.Step(Milliseconds(1));
--- a/gateway/src/crash_store.cc
+++ b/gateway/src/crash_store.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <utility>
 
 #include "crash_state_format.h"
 
@@ -18,12 +17,9 @@
 void CrashStore::Step() {
   GatewayState& state = this->context.state;
   const base::Instant now = base::Now();
-  const int64_t era_before = std::exchange(this->era, state.store_era);
-  if (era_before > 0 && era_before < state.store_era) {
-    state.crash_state.NoteOlderStore();
-  }
   const auto call = state.crash_state.Step(
-      state.poison_requests, state.recent_state.IsWriter(now), now);
+      state.poison_requests,
+      {state.recent_state.IsWriter(now), state.store_era}, now);
   if (call.has_value()) {
     std::visit([&](const auto& kind) { this->Perform(kind); }, *call);
   }
--- a/gateway/src/crash_store.h
+++ b/gateway/src/crash_store.h
@@ -28,8 +28,6 @@
   Context& context;
   platform::ObjectClient& objects;
   platform::ObjectClient::Handle call;
-  // The store's era at the last step; 0 while it isn't known.
-  int64_t era = 0;
 };
 
 }  // namespace carawayvalve::gateway
