Test trials of contents, drills and poison parts over a loss of all

Poison parts over a loss of all, and a drill of what is stored, were tested in core alone; now with the store. That all servers that run a popular request crash at once is a case with real processes.

--- a/gateway/tests/crash_store_test.cc
+++ b/gateway/tests/crash_store_test.cc
@@ -38,6 +38,9 @@
         std::chrono::system_clock::now().time_since_epoch(), base::Now());
     state.recent_state = core::RecentStateSchedule(
         {}, kDutyName, state.settings.host, state.started);
+    this->objects.SetEraHandler([this](int64_t era) {
+      this->gateway.context.NoteStoreEra(era, "store");
+    });
   }
 
   void Crash(const std::string& digest, const std::string& crash) {
@@ -137,6 +140,40 @@
   }
 }
 
+TEST_CASE("crashes are stored again as the store comes back from a copy") {
+  Fleet fleet;
+  const auto copy = fleet.store.Backup();
+  fleet.run->Crash("poison", "crash 1");
+  fleet.run->Crash("poison", "crash 2");
+  fleet.Wait(seconds(1));
+  fleet.store.ReturnTo(*copy);
+  // Another call shows the new era.
+  const auto call = fleet.run->objects.List("servers", "", false,
+                                            [](const auto& /*result*/) {});
+  fleet.Wait(seconds(3));
+  fleet.Restart();
+  CHECK(fleet.run->Refuses("poison"));
+}
+
+TEST_CASE("what is known of poison parts outlives all gateways") {
+  Fleet fleet;
+  for (const char* number : {"1", "2", "3"}) {
+    fleet.run->gateway.state.poison_requests.NoteCrash(
+        {std::string("content ") + number, {"m/rules", "m/poison"}},
+        std::string("crash ") + number, base::Now());
+    fleet.Wait(Milliseconds(150));
+  }
+  fleet.run->gateway.state.poison_requests.NoteServed({"m/rules"}, base::Now());
+  fleet.Wait(seconds(2));
+  fleet.Restart();
+  const auto left = [&](const std::vector<std::string>& parts) {
+    return fleet.run->gateway.state.poison_requests.QuarantineLeft(
+        {"never seen", parts}, base::Now());
+  };
+  CHECK(left({"m/rules", "m/poison"}).has_value());
+  CHECK_FALSE(left({"m/rules"}).has_value());
+}
+
 TEST_CASE("a calm day costs one call of the store at each start") {
   Fleet fleet;
   fleet.Wait(seconds(2));
--- a/tests/processes/crashes_after_loss_test.cc
+++ b/tests/processes/crashes_after_loss_test.cc
@@ -50,15 +50,15 @@
   }
 
   int crashes() const { return this->crash_count; }
-  // Ends a server that runs requests, for a reason of its own.
-  void CrashBusyServer() {
+  // Ends servers that run requests, for a reason of their own.
+  void CrashBusyServers(size_t count) {
     std::promise<void> crashed;
     this->loop.Post([&] {
-      for (size_t i = 0; i < kServers; ++i) {
-        if (this->servers[i]->busy()) {
+      for (size_t i = 0; i < kServers && count > 0; ++i) {
+        if (this->servers[i] != nullptr && this->servers[i]->busy()) {
           this->servers[i].reset();
           this->StartLater(i);
-          break;
+          --count;
         }
       }
       crashed.set_value();
@@ -212,13 +212,22 @@
       }
     });
   }
-  for (int i = 0; i < 4; ++i) {
-    std::this_thread::sleep_for(seconds(2));
-    desk.CrashBusyServer();
-  }
+  const auto crash_in_turn = [&] {
+    for (int i = 0; i < 4; ++i) {
+      std::this_thread::sleep_for(seconds(2));
+      desk.CrashBusyServers(1);
+    }
+  };
 
-  SUBCASE("and is answered afterwards") {}
+  SUBCASE("and is answered afterwards") {
+    crash_in_turn();
+  }
+  SUBCASE("all at once, and is answered once they are back") {
+    desk.CrashBusyServers(kServers);
+    std::this_thread::sleep_for(seconds(4));
+  }
   SUBCASE("and is answered after all gateways were killed") {
+    crash_in_turn();
     gateways.Restart(SIGKILL);
   }
   asked = 0;
